Stand-ins: relay and balancer, execution log on disk

Cause: the process tests need a link that can lose track of old connections while new ones work, a balancer that goes on sending for its lag, and a record of executions that survives the kill of a target.

Change: standins.relay and standins.balancer; a target appends a line before it begins any work, and its records carry the index version they were read at, so that an answer that mixes two versions can be told.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -7,7 +7,9 @@
 import asyncio
 import dataclasses
 import json
+import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -77,10 +79,12 @@
     """Processes of one small system, each known by name."""
 
     def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._own_folder = folder is None
         self.folder = folder or pathlib.Path(tempfile.mkdtemp())
         self.processes: dict[str, subprocess.Popen] = {}
         self.daemons: dict[str, DaemonPlace] = {}
         self.target_urls: dict[str, str] = {}
+        self.relay_urls: dict[str, str] = {}
         self.store_url = ''
         self.session: aiohttp.ClientSession | None = None
 
@@ -91,6 +95,8 @@
     async def __aexit__(self, *_: object) -> None:
         await self.session.close()
         self.stop()
+        if self._own_folder and 'SAMPHIREDOCK_KEEP_LOGS' not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def spawn(self, name: str, *arguments: str) -> subprocess.Popen:
         """Start ``python -m ...`` under a name; its output goes to a file."""
@@ -207,6 +213,43 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f'{url}: no 200 within {_START_LIMIT_S} s')
 
+    async def start_relay(
+        self, name: str, ports: typing.Mapping[str, int]
+    ) -> dict[str, int]:
+        """Start a relay before some ports; return the ports to use."""
+        listen = free_ports(len(ports) + 1)
+        control = listen.pop()
+        chosen = dict(zip(ports, listen))
+        arguments = []
+        for route, port in ports.items():
+            arguments += ['--route', f'{route}:{chosen[route]}:{port}']
+        self.spawn(
+            name, 'standins.relay', '--control-port', str(control), *arguments
+        )
+        self.relay_urls[name] = f'http://127.0.0.1:{control}'
+        await self.wait_for(f'{self.relay_urls[name]}/health')
+        return chosen
+
+    async def relay_mode(self, name: str, route: str, mode: str) -> None:
+        """Switch one route of a relay."""
+        url = f'{self.relay_urls[name]}/control/routes/{route}'
+        await self.call('POST', url, {'mode': mode})
+
+    async def start_balancer(self, lag_ms: int) -> str:
+        """Start the balancer stand-in before all daemons."""
+        (port,) = free_ports(1)
+        arguments = []
+        for place in self.daemons.values():
+            arguments += ['--daemon', place.caller_url]
+        self.spawn(
+            'balancer',
+            'standins.balancer',
+            *('--port', str(port), '--lag-ms', str(lag_ms), *arguments),
+        )
+        url = f'http://127.0.0.1:{port}'
+        await self.wait_for(f'{url}/balancer-health')
+        return url
+
     async def put_object(self, key: str, value: object) -> None:
         """Write an object to the platform stand-in."""
         url = f'{self.store_url}/objects/{key}'
--- a/standins/data.py
+++ b/standins/data.py
@@ -13,6 +13,8 @@
 
 from samphiredock import protocol
 
+VERSION_FIELD = 'read_at_version'
+
 _KEBELES = ('bole', 'kirkos', 'yeka', 'arada', 'lideta')
 _LOSSES = ('radio', 'stove', 'bedding', 'clothes', 'roof')
 _HOLDERS = ('midt-film', 'arkiv-nord', 'radio-syd', 'tv-fjord')
@@ -48,6 +50,13 @@
     }
 
 
+def _at_version(
+    record: protocol.Record, index_version: int
+) -> protocol.Record:
+    fields = {**record.fields, VERSION_FIELD: str(index_version)}
+    return protocol.Record(record.key, record.score, fields)
+
+
 _MAKERS = {'claims': _claim, 'clip-rights': _clip}
 
 
@@ -65,11 +74,18 @@
 
 
 def find(
-    index: str, key_range: protocol.KeyRange, terms: dict[str, str]
+    index: str,
+    key_range: protocol.KeyRange,
+    terms: dict[str, str],
+    index_version: int,
 ) -> list[protocol.Record]:
-    """Return the records of a range that match every term, best first."""
+    """Return the records of a range that match every term, best first.
+
+    Each carries the index version it was read at, so that a reader can
+    tell an answer that mixes two.
+    """
     found = [
-        row.record
+        _at_version(row.record, index_version)
         for row in records(index)
         if key_range.low <= row.place < key_range.high
         and all(
--- a/standins/target.py
+++ b/standins/target.py
@@ -91,6 +91,7 @@
         self, name: str, capacity: Capacity, seed: int, keep_log: bool
     ) -> None:
         self._name = name
+        self._log_file: int | None = None
         self._capacity = capacity
         self._random = random.Random(f'{seed}-{name}')
         self._keep_log = keep_log
@@ -116,6 +117,11 @@
         app.router.add_get('/control/executions', self._get_executions)
         return app
 
+    def log_to(self, path: str) -> None:
+        """Append a line to a file at the start of each execution."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._log_file = os.open(path, flags)
+
     def learn(self, snapshot: state.Snapshot) -> None:
         """Hold a snapshot; the oldest beyond the kept ones is dropped."""
         self._snapshots[snapshot.snapshot_id] = snapshot
@@ -226,7 +232,9 @@
         snapshot = self._snapshots[item.snapshot_id]
         shards = snapshot.indexes[item.index].shards
         held = next(s for s in shards if s.shard_id == item.shard_id)
-        found = data.find(item.index, held.key_range, item.terms)
+        found = data.find(
+            item.index, held.key_range, item.terms, item.index_version
+        )
         if self._faults.cold_answers_empty:
             # Lost its shard but answers: it searched no key range.
             return protocol.TargetAnswer(
@@ -286,6 +294,10 @@
         )
         if self._keep_log or kind == 'run':
             self._executions.append(execution)
+        if self._log_file is not None:
+            # Written before the work, so that a kill cannot hide it.
+            row = msgspec.json.encode([self._name, execution])
+            os.write(self._log_file, row + b'\n')
         return execution
 
     async def _work(self) -> float:
@@ -417,9 +429,12 @@
     store_url: str,
     seed: int,
     keep_log: bool,
+    log_path: str | None,
 ) -> None:
     targets = [Target(name, capacity, seed, keep_log) for name in names]
     for target, port in zip(targets, ports):
+        if log_path:
+            target.log_to(log_path)
         runner = web.AppRunner(target.application(), access_log=None)
         await runner.setup()
         target.server = runner.server
@@ -436,6 +451,7 @@
 @click.option('--connect-ms', default=0.0)
 @click.option('--seed', default=1)
 @click.option('--keep-log/--no-keep-log', default=True)
+@click.option('--log', 'log_path', default=None)
 def main(
     names: tuple[str, ...],
     ports: tuple[int, ...],
@@ -445,11 +461,20 @@
     connect_ms: float,
     seed: int,
     keep_log: bool,
+    log_path: str | None,
 ) -> None:
     """Run one or more target stand-ins until they are stopped."""
     capacity = Capacity(slots, connections, connect_ms)
     asyncio.run(
-        _serve(list(names), list(ports), capacity, store_url, seed, keep_log)
+        _serve(
+            list(names),
+            list(ports),
+            capacity,
+            store_url,
+            seed,
+            keep_log,
+            log_path,
+        )
     )
 
 
