Process runs under seeded faults, judged by history checkers

Cause: a promise is only proved by histories of concurrent runs in which faults really bite; nothing recorded or judged one.

--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -157,6 +157,8 @@
         return {
             'name': self._settings.name,
             'site': self._settings.site,
+            'incarnation': self._me.incarnation,
+            'ready': self.is_ready(),
             'revision': self._knowledge.revision,
             'snapshot_id': self.snapshot.snapshot_id if self.snapshot else 0,
             'members': self._membership.live(),
--- /dev/null
+++ b/tests/process/faultrun.py
@@ -0,0 +1,406 @@
+"""A run of concurrent callers under faults drawn from a seed.
+
+``python -m tests.process.faultrun --seed 7 --seconds 60`` does one run and
+prints how many operations were done, which faults fell when, and every
+violation that the checkers of :mod:`tests.history` find.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+import random
+import signal
+import sys
+import typing
+
+import aiohttp
+import click
+import msgspec
+
+from tests import history
+from tests.process import system as systems
+
+_CALL_TIMEOUT_S = 15.0
+_POLL_S = 0.3
+_POLL_TIMEOUT_S = 0.3
+IN_FORCE_WITHIN_MS = 5_000.0
+_KEBELES = ('bole', 'kirkos', 'yeka', 'arada', 'lideta')
+
+
+@dataclasses.dataclass
+class Recording:
+    """Everything one run recorded."""
+
+    calls: list[history.Call] = dataclasses.field(default_factory=list)
+    samples: list[history.RevisionSample] = dataclasses.field(
+        default_factory=list
+    )
+    accepted: list[history.AcceptedChange] = dataclasses.field(
+        default_factory=list
+    )
+    faults: list[str] = dataclasses.field(default_factory=list)
+    troubled: list[tuple[str, float, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def excused(self, daemon: str, at_ms: float) -> bool:
+        """Whether a daemon was cut off within the time limit before."""
+        return any(
+            name in (daemon, '*')
+            and start <= at_ms <= end + IN_FORCE_WITHIN_MS
+            for name, start, end in self.troubled
+        )
+
+
+class FaultRun:
+    """Callers, a poller of revisions and a source of faults."""
+
+    def __init__(
+        self, system: systems.System, seed: int, callers: int = 8
+    ) -> None:
+        self.system = system
+        self.recording = Recording()
+        self._random = random.Random(seed)
+        self._callers = callers
+        self._numbers = itertools.count(1)
+        self._open_keys: list[tuple[str, str]] = []
+        self._stopping = False
+        self._changes = itertools.count(1)
+        self._faults: dict[str, typing.Callable] = {
+            'kill daemon': self._kill_daemon,
+            'freeze daemon': self._freeze_daemon,
+            'kill target': self._kill_target,
+            'freeze target': self._freeze_target,
+            'silence old target connections': self._silence_target,
+            'silence old store connections': self._silence_store,
+            'store outage': self._store_outage,
+            'store loses answers': self._lose_answers,
+            'store reads stale': self._stale_reads,
+            'new snapshot': self._new_snapshot,
+            'new configuration': self._new_configuration,
+            'restart daemon': self._restart_daemon,
+        }
+
+    async def run(self, seconds: float) -> None:
+        """Call and break things for a while, then heal and settle."""
+        tasks = [
+            asyncio.create_task(self._caller(number))
+            for number in range(self._callers)
+        ]
+        poller = asyncio.create_task(self._poll())
+        end = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end:
+            names = self._random.sample(sorted(self._faults), 2)
+            await asyncio.gather(*(self._break(name) for name in names))
+            await asyncio.sleep(self._random.uniform(0.3, 1.5))
+        self._stopping = True
+        await asyncio.gather(*tasks)
+        await self._ask_open_keys()
+        poller.cancel()
+
+    def verdicts(self) -> dict[str, history.Verdict]:
+        """Judge the recording by every checker."""
+        calls = self.recording.calls
+        executions = [
+            history.Execution(
+                target,
+                row['kind'],
+                row['attempt_id'],
+                row['idempotency_key'],
+                row['started_ms'],
+            )
+            for target, row in self.system.executions()
+        ]
+        return {
+            'at most once': history.check_at_most_once(calls, executions),
+            'not run is true': history.check_not_run(calls, executions),
+            'one snapshot': history.check_one_snapshot(
+                calls, self.system.snapshot_versions
+            ),
+            'truthful coverage': history.check_coverage(
+                calls, 'claims', systems.RECORD_LIMIT
+            ),
+            'own whole answer': history.check_own_answer(calls),
+            'configuration': history.check_revisions(
+                self.recording.samples,
+                self.recording.accepted,
+                IN_FORCE_WITHIN_MS,
+                self.recording.excused,
+            ),
+        }
+
+    def outcomes(self) -> collections.Counter:
+        """Count the calls by kind and outcome."""
+        return collections.Counter(
+            f'{call.kind} {call.kind_of_outcome}'
+            for call in self.recording.calls
+        )
+
+    async def _caller(self, number: int) -> None:
+        rng = random.Random(f'{number}-{self._random.random()}')
+        while not self._stopping:
+            daemon = rng.choice(sorted(self.system.daemons))
+            if rng.random() < 0.6:
+                await self._search(daemon, rng)
+            else:
+                await self._run_once(daemon, rng)
+            await asyncio.sleep(rng.uniform(0.0, 0.05))
+
+    async def _search(self, daemon: str, rng: random.Random) -> None:
+        if rng.random() < 0.7:
+            terms = {'claimant': f'household-{rng.randrange(97)}'}
+        else:
+            terms = {'kebele': rng.choice(_KEBELES)}
+        body = {
+            'service': 'field-claims',
+            'search': 'claimant-history',
+            'terms': terms,
+        }
+        await self._call('search', daemon, 'claimant-history', terms, body)
+
+    async def _run_once(self, daemon: str, rng: random.Random) -> None:
+        """Run a new key, or one whose outcome is not known yet."""
+        if self._open_keys and rng.random() < 0.5:
+            key, household = rng.choice(self._open_keys)
+        else:
+            key = f'key-{next(self._numbers)}'
+            household = f'household-{rng.randrange(97)}'
+        call = await self._run_key(daemon, key, household)
+        pair = (key, household)
+        if call.kind_of_outcome == 'completed':
+            if pair in self._open_keys and rng.random() < 0.5:
+                self._open_keys.remove(pair)
+        elif rng.random() < 0.7 and pair not in self._open_keys:
+            # Some are never asked again: their "not run" must hold alone.
+            self._open_keys.append(pair)
+        if rng.random() < 0.2:
+            other = rng.choice(sorted(self.system.daemons))
+            await asyncio.gather(
+                self._run_key(other, key, household),
+                self._run_key(daemon, key, household),
+            )
+
+    async def _run_key(
+        self, daemon: str, key: str, household: str
+    ) -> history.Call:
+        body = {
+            'service': 'relief-payout',
+            'operation': 'release-payout',
+            'body': {'household': household},
+            'issued_at_ms': self.system.wall_ms(),
+        }
+        return await self._call('run', daemon, 'release-payout', {}, body, key)
+
+    async def _ask_open_keys(self) -> None:
+        """Ask every open key once more, now that all is healed."""
+        daemons = sorted(self.system.daemons)
+        await asyncio.gather(
+            *(
+                self._run_key(self._random.choice(daemons), key, household)
+                for key, household in self._open_keys
+            )
+        )
+
+    async def _call(
+        self,
+        kind: str,
+        daemon: str,
+        name: str,
+        terms: dict[str, str],
+        body: dict,
+        key: str = '',
+    ) -> history.Call:
+        url = f'{self.system.daemons[daemon].caller_url}/v1/{kind}'
+        headers = {'Idempotency-Key': key} if key else {}
+        invoked_ms = systems.now_ms()
+        status, outcome = None, None
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                status, outcome = await self.system.call(
+                    'POST', url, body, headers
+                )
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            pass
+        except msgspec.DecodeError as error:
+            self.recording.faults.append(f'unreadable answer: {error}')
+        call = history.Call(
+            len(self.recording.calls),
+            kind,
+            daemon,
+            name,
+            terms,
+            key,
+            invoked_ms,
+            systems.now_ms(),
+            status,
+            outcome,
+        )
+        self.recording.calls.append(call)
+        return call
+
+    async def _poll(self) -> None:
+        while True:
+            names = sorted(self.system.daemons)
+            await asyncio.gather(*map(self._sample, names))
+            await asyncio.sleep(_POLL_S)
+
+    async def _sample(self, name: str) -> None:
+        url = f'{self.system.daemons[name].operator_url}/v1/status'
+        asked_ms = systems.now_ms()
+        try:
+            async with asyncio.timeout(_POLL_TIMEOUT_S):
+                _, row = await self.system.call('GET', url)
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            return
+        self.recording.samples.append(
+            history.RevisionSample(
+                name,
+                row['incarnation'],
+                asked_ms,
+                row['revision'],
+                row['ready'],
+            )
+        )
+
+    async def _break(self, name: str) -> None:
+        self.recording.faults.append(name)
+        await self._faults[name]()
+
+    def _some(self, names: typing.Iterable[str]) -> str:
+        return self._random.choice(sorted(names))
+
+    def _note_trouble(self, name: str, start_ms: float) -> None:
+        row = (name, start_ms, systems.now_ms())
+        self.recording.troubled.append(row)
+
+    async def _kill_daemon(self) -> None:
+        name = self._some(self.system.daemons)
+        start_ms = systems.now_ms()
+        self.system.kill(name)
+        self.system.processes[name].wait()
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        self.system.start_daemon(name)
+        await self.system.wait_ready(name)
+        self._note_trouble(name, start_ms)
+
+    async def _restart_daemon(self) -> None:
+        name = self._some(self.system.daemons)
+        start_ms = systems.now_ms()
+        process = self.system.processes[name]
+        self.system.kill(name, signal.SIGTERM)
+        while process.poll() is None:
+            await asyncio.sleep(0.05)
+        self.system.start_daemon(name)
+        await self.system.wait_ready(name)
+        self._note_trouble(name, start_ms)
+
+    async def _freeze_daemon(self) -> None:
+        name = self._some(self.system.daemons)
+        start_ms = systems.now_ms()
+        process = self.system.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(2.5, 6.0))
+        process.send_signal(signal.SIGCONT)
+        self._note_trouble(name, start_ms)
+
+    async def _kill_target(self) -> None:
+        name = self._some(self.system.target_urls)
+        self.system.kill(name)
+        self.system.processes[name].wait()
+        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        self.system.restart_target(name)
+        await self.system.wait_for(f'{self.system.target_urls[name]}/health')
+
+    async def _freeze_target(self) -> None:
+        name = self._some(self.system.target_urls)
+        process = self.system.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(1.0, 4.0))
+        process.send_signal(signal.SIGCONT)
+
+    async def _silence_target(self) -> None:
+        name = self._some(self.system.target_urls)
+        await self.system.relay_mode(systems.RELAY, name, 'silence-old')
+
+    async def _silence_store(self) -> None:
+        start_ms = systems.now_ms()
+        await self.system.relay_mode(systems.RELAY, 'store', 'silence-old')
+        self._note_trouble('*', start_ms)
+
+    async def _store_outage(self) -> None:
+        length_ms = self._random.uniform(2_000, 5_000)
+        await self.system.store_faults(outage_ms=length_ms)
+        await asyncio.sleep(length_ms / 1000.0)
+
+    async def _lose_answers(self) -> None:
+        await self.system.store_faults(lose_answers=8)
+        await asyncio.sleep(1.0)
+        await self.system.store_faults()
+
+    async def _stale_reads(self) -> None:
+        await self.system.store_faults(stale_reads=8)
+        await asyncio.sleep(1.0)
+        await self.system.store_faults()
+
+    async def _new_snapshot(self) -> None:
+        await self.system.publish_snapshot(self._random.randint(4, 16))
+
+    async def _new_configuration(self) -> None:
+        name = self._some(self.system.daemons)
+        number = next(self._changes)
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                kind, revision = await self.system.change_configuration(
+                    name, number
+                )
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError, KeyError):
+            return
+        if kind == 'accepted':
+            self.recording.accepted.append(
+                history.AcceptedChange(revision, systems.now_ms())
+            )
+
+
+async def run_once(
+    seed: int, daemons: int, seconds: float, callers: int = 8
+) -> FaultRun:
+    """Build a system, run it under faults and return the run."""
+    async with systems.running(daemons) as system:
+        run = FaultRun(system, seed, callers)
+        await run.run(seconds)
+        run.judged = run.verdicts()
+    return run
+
+
+def describe(run: FaultRun) -> str:
+    """Return the operations, faults and violations of a run as text."""
+    counts = collections.Counter(run.recording.faults)
+    lines = [
+        f'outcomes: {dict(sorted(run.outcomes().items()))}',
+        f'faults: {dict(sorted(counts.items()))}',
+        f'accepted changes: {len(run.recording.accepted)}',
+    ]
+    for promise, verdict in run.judged.items():
+        found = len(verdict.violations)
+        lines.append(f'{promise}: {verdict.judged} judged, {found} wrong')
+        lines += [f'    {text[:600]}' for text in verdict.violations[:5]]
+    return '\n'.join(lines)
+
+
+@click.command()
+@click.option('--seed', default=1)
+@click.option('--seconds', default=30.0)
+@click.option('--daemons', default=6)
+@click.option('--callers', default=8)
+def main(seed: int, seconds: float, daemons: int, callers: int) -> None:
+    """Do one run and print what was judged."""
+    run = asyncio.run(run_once(seed, daemons, seconds, callers))
+    print(f'seed {seed}, {daemons} daemons, {seconds:.0f} s')
+    print(describe(run))
+    wrong = any(verdict.violations for verdict in run.judged.values())
+    sys.exit(1 if wrong else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/unit/test_history.py
@@ -0,0 +1,159 @@
+"""Each checker must fail on a bad history and pass a good one."""
+
+import dataclasses
+import unittest
+
+from standins import data
+from tests import history
+
+_TERMS = {'kebele': 'bole'}
+
+
+def _search(**outcome: object) -> history.Call:
+    return history.Call(
+        1, 'search', 'd1', 'h', _TERMS, '', 0.0, 5.0, 200, outcome
+    )
+
+
+def _run(
+    outcome: str, key: str = 'k1', receipt: str = 'r1', at_ms: float = 0.0
+) -> history.Call:
+    body = {'type': outcome, 'result': {'receipt': receipt}}
+    return history.Call(
+        1, 'run', 'd1', 'pay', {}, key, at_ms, at_ms + 5.0, 200, body
+    )
+
+
+def _execution(key: str = 'k1', at_ms: float = 1.0) -> history.Execution:
+    return history.Execution('t1', 'run', 'a1', key, at_ms)
+
+
+def _rows(version: str = '3') -> list[dict]:
+    return [
+        {
+            'key': row.record.key,
+            'fields': {**row.record.fields, data.VERSION_FIELD: version},
+        }
+        for row in data.records('claims')
+        if row.record.fields['kebele'] == 'bole'
+    ]
+
+
+def _whole(**change: object) -> history.Call:
+    outcome = {
+        'type': 'answered',
+        'snapshot_id': 3,
+        'coverage': 1.0,
+        'records': _rows(),
+    }
+    return _search(**{**outcome, **change})
+
+
+class CheckersTest(unittest.TestCase):
+    """Good and bad histories, made by hand."""
+
+    def assert_judges(
+        self, good: history.Verdict, bad: history.Verdict
+    ) -> None:
+        """The good one passes, the bad one fails, both were judged."""
+        self.assertEqual((), good.violations)
+        self.assertEqual(1, len(bad.violations), bad.violations)
+        self.assertGreater(good.judged, 0)
+        self.assertGreater(bad.judged, 0)
+
+    def test_second_execution_is_seen(self) -> None:
+        calls = [_run('completed'), _run('completed')]
+        self.assert_judges(
+            history.check_at_most_once(calls, [_execution()]),
+            history.check_at_most_once(calls, [_execution()] * 2),
+        )
+
+    def test_different_results_are_seen(self) -> None:
+        calls = [_run('completed'), _run('completed', receipt='r2')]
+        self.assert_judges(
+            history.check_at_most_once(calls[:1], [_execution()]),
+            history.check_at_most_once(calls, [_execution()]),
+        )
+
+    def test_false_not_run_is_seen(self) -> None:
+        self.assert_judges(
+            history.check_not_run(
+                [_run('not-run'), _run('completed')], [_execution()]
+            ),
+            history.check_not_run(
+                [_run('not-run'), _run('completed', at_ms=50.0)],
+                [_execution(at_ms=9.0)],
+            ),
+        )
+
+    def test_mixed_versions_are_seen(self) -> None:
+        mixed = _rows()[:-1] + _rows('2')[-1:]
+        self.assert_judges(
+            history.check_one_snapshot([_whole()], {3: 3}),
+            history.check_one_snapshot([_whole(records=mixed)], {3: 3}),
+        )
+
+    def test_lost_and_doubled_records_are_seen(self) -> None:
+        for rows in (_rows()[1:], _rows() + _rows()[:1]):
+            self.assert_judges(
+                history.check_coverage([_whole()], 'claims', 5_000),
+                history.check_coverage(
+                    [_whole(records=rows)], 'claims', 5_000
+                ),
+            )
+
+    def test_overstated_coverage_is_seen(self) -> None:
+        missing = [[0, 2**31]]
+        held = {
+            row.record.key
+            for row in data.records('claims')
+            if row.place >= 2**31
+        }
+        rows = [row for row in _rows() if row['key'] in held]
+        part = _whole(type='partial', missing=missing, records=rows)
+        true_part = dataclasses.replace(
+            part, outcome={**part.outcome, 'coverage': 0.5}
+        )
+        self.assert_judges(
+            history.check_coverage([true_part], 'claims', 5_000),
+            history.check_coverage([part], 'claims', 5_000),
+        )
+
+    def test_crossed_answer_is_seen(self) -> None:
+        crossed = dataclasses.replace(_whole(), terms={'kebele': 'yeka'})
+        self.assert_judges(
+            history.check_own_answer([_whole()]),
+            history.check_own_answer([crossed]),
+        )
+
+    def test_reverted_and_late_revisions_are_seen(self) -> None:
+        def sample(at_ms: float, revision: int) -> history.RevisionSample:
+            return history.RevisionSample('d1', 1, at_ms, revision, True)
+
+        def check(
+            *samples: history.RevisionSample, excused: bool = False
+        ) -> history.Verdict:
+            accepted = [history.AcceptedChange(2, 100.0)]
+            return history.check_revisions(
+                samples, accepted, 5_000.0, lambda name, at: excused
+            )
+
+        good = check(sample(0, 1), sample(200, 2), sample(9_000, 2))
+        self.assert_judges(good, check(sample(0, 2), sample(1, 1)))
+        self.assert_judges(good, check(sample(9_000, 1)))
+        self.assertEqual((), check(sample(9_000, 1), excused=True).violations)
+
+    def test_work_at_a_left_target_is_seen(self) -> None:
+        self.assert_judges(
+            history.check_leaving([_execution()], {'t1': 0.0}, 5_000.0),
+            history.check_leaving(
+                [_execution(at_ms=6_000.0)], {'t1': 0.0}, 5_000.0
+            ),
+        )
+
+    def test_cut_request_is_seen(self) -> None:
+        cut = dataclasses.replace(_whole(), status=502, outcome=None)
+        self.assert_judges(
+            history.check_nothing_cut([_whole()]),
+            history.check_nothing_cut([cut]),
+        )
