Graceful shutdown in phases that outlast the balancer's lag

Cause: on SIGTERM the daemon closed its addresses at once; the balancer, which polls readiness late, went on sending and its requests were cut.

Ruled out: stopping as soon as the daemon is idle (the balancer still sends); refusing during the lag (a refusal is not an answer to a request that could be served).

Change: daemon._shutdown, a table of phases: leaving (readiness off, the others dispatch, everything that comes is served with Connection: close), draining (new requests get NotRun shutting-down), closed when idle or when the limit has passed; a second signal hurries.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -74,6 +74,10 @@
         """Apply a new revision."""
         self._configuration = configuration
 
+    def in_flight(self) -> int:
+        """Return how many exchanges with targets are out."""
+        return len(self._tasks)
+
     async def close(self) -> None:
         """Stop every exchange and close every connection."""
         for task in self._tasks:
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -1,5 +1,6 @@
 """One daemon: its parts, wired together."""
 
+import asyncio
 import pathlib
 import ssl
 import typing
@@ -8,6 +9,7 @@
 from aiohttp import web
 
 from samphiredock import coordination
+from samphiredock.daemon import _shutdown
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
@@ -27,6 +29,7 @@
 
 _METRICS_FLUSH_MS = 1_000.0
 _BODY_LIMIT_BYTES = 65_536
+_SHUTDOWN_TICK_MS = 50.0
 
 _log = logs.logger('daemon')
 
@@ -93,7 +96,13 @@
             self._clock,
             self._metrics,
         )
-        self._closing = False
+        self._shutdown = _shutdown.Shutdown(
+            settings.balancer_lag_ms,
+            settings.shutdown_limit_ms,
+            self._on_phase,
+        )
+        self._stopped = asyncio.Event()
+        self._open_requests = 0
         self._runners: list[web.AppRunner] = []
 
     # What the coordination layer reads (its View protocols).
@@ -130,25 +139,38 @@
         self, request: protocol.SearchRequest
     ) -> protocol.SearchOutcome:
         """Run one search."""
-        return await self._coordinator.search(request)
+        return await self._serve(self._coordinator.search(request))
 
     async def run(
         self, request: protocol.RunRequest, idempotency_key: str
     ) -> protocol.RunOutcome:
         """Run one unrepeatable request."""
-        return await self._runner.run(request, idempotency_key)
+        return await self._serve(self._runner.run(request, idempotency_key))
+
+    async def _serve(
+        self, work: typing.Coroutine[typing.Any, typing.Any, protocol.Outcome]
+    ) -> protocol.Outcome:
+        if self._shutdown.phase in _REFUSING:
+            work.close()
+            self._metrics.add('requests_refused', reason='shutting-down')
+            return _SHUTTING_DOWN
+        self._open_requests += 1
+        try:
+            return await work
+        finally:
+            self._open_requests -= 1
 
     def is_ready(self) -> bool:
         """Whether the balancer should send requests here."""
         return (
-            not self._closing
+            self._shutdown.phase is _shutdown.Phase.SERVING
             and self.configuration is not None
             and self.snapshot is not None
         )
 
     def is_closing(self) -> bool:
         """Whether connections should end after the current answer."""
-        return self._closing
+        return self._shutdown.phase is not _shutdown.Phase.SERVING
 
     def status(self) -> dict[str, typing.Any]:
         """Return the daemon's view of members, sites and targets."""
@@ -194,10 +216,50 @@
         await web.TCPSite(runner, host, int(port), ssl_context=tls).start()
         self._runners.append(runner)
 
-    async def stop(self) -> None:
-        """Stop every part and close every connection."""
-        self._closing = True
+    def on_signal(self) -> None:
+        """Begin a graceful shutdown, or hurry one."""
+        self._shutdown.on_signal(self._clock.now_ms())
+
+    async def wait_stopped(self) -> None:
+        """Wait until a shutdown has gone through all its phases."""
+        await self._stopped.wait()
+        await self._close()
+
+    def in_flight(self) -> int:
+        """Return the work that a graceful stop has to wait for."""
+        return (
+            self._open_requests
+            + self._runner.in_flight()
+            + self._dispatcher.in_flight()
+        )
+
+    def _on_phase(self, phase: _shutdown.Phase) -> None:
+        _log.notice('shutdown phase', phase=phase.value)
+        _PHASE_ACTIONS[phase](self)
+
+    def _begin_leaving(self) -> None:
+        # The others take over the dispatching while this daemon still
+        # serves what the balancer sends, through them.
         self._membership.leave()
+        self._clock.every(
+            _SHUTDOWN_TICK_MS,
+            lambda: self._shutdown.on_tick(
+                self._clock.now_ms(), self.in_flight()
+            ),
+        )
+
+    def _begin_draining(self) -> None:
+        pass
+
+    def _end(self) -> None:
+        left = self.in_flight()
+        if left:
+            _log.warning('stopped with requests in flight', left=left)
+            self._metrics.add('requests_cut', left)
+        self._stopped.set()
+
+    async def _close(self) -> None:
+        """Close every connection and stop every part."""
         for runner in self._runners:
             await runner.cleanup()
         self._watcher.close()
@@ -210,6 +272,21 @@
         _log.notice('stopped', name=self._settings.name)
 
 
+_REFUSING = frozenset({_shutdown.Phase.DRAINING, _shutdown.Phase.CLOSED})
+
+_SHUTTING_DOWN = protocol.NotRun(
+    protocol.NotRunReason.SHUTTING_DOWN,
+    'this daemon is stopping; ask another one',
+    100,
+)
+
+_PHASE_ACTIONS = {
+    _shutdown.Phase.LEAVING: Node._begin_leaving,
+    _shutdown.Phase.DRAINING: Node._begin_draining,
+    _shutdown.Phase.CLOSED: Node._end,
+}
+
+
 def _tls_context(tls: state.TlsSettings | None) -> ssl.SSLContext | None:
     if tls is None:
         return None
--- a/samphiredock/daemon/main.py
+++ b/samphiredock/daemon/main.py
@@ -38,14 +38,12 @@
 
 
 async def _serve(settings: state.Settings) -> None:
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     node = _node.Node(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.on_signal)
     await node.start()
-    await stop.wait()
-    await node.stop()
+    await node.wait_stopped()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/process/test_shutdown.py
@@ -0,0 +1,124 @@
+"""All daemons are replaced one after another under load."""
+
+import asyncio
+import itertools
+import signal
+import unittest
+
+import aiohttp
+
+from tests import history
+from tests.process import system as systems
+
+_CALLERS = 6
+_BALANCER_LAG_MS = 400
+
+
+class ReplaceEveryDaemonTest(unittest.IsolatedAsyncioTestCase):
+    """Eight daemons behind a balancer."""
+
+    async def test_no_request_is_cut(self) -> None:
+        """A caller behind the balancer never sees a broken answer.
+
+        Each daemon in turn gets SIGTERM while the balancer, which polls
+        readiness late, goes on sending it searches and unrepeatable
+        requests over kept-alive connections; it serves them, hands its
+        targets over, exits, and is started again.
+        """
+        async with systems.running(8) as system:
+            url = await system.start_balancer(_BALANCER_LAG_MS)
+            calls: list[history.Call] = []
+            stop = asyncio.Event()
+            numbers = itertools.count(1)
+            callers = [
+                asyncio.create_task(_call(system, url, calls, numbers, stop))
+                for _ in range(_CALLERS)
+            ]
+            for name in sorted(system.daemons):
+                system.kill(name, signal.SIGTERM)
+                while system.processes[name].poll() is None:
+                    await asyncio.sleep(0.05)
+                self.assertEqual(0, system.processes[name].returncode)
+                system.start_daemon(name)
+                await system.wait_ready(name)
+            stop.set()
+            await asyncio.gather(*callers)
+            executions = [
+                history.Execution(
+                    target,
+                    row['kind'],
+                    row['attempt_id'],
+                    row['idempotency_key'],
+                    row['started_ms'],
+                )
+                for target, row in system.executions()
+            ]
+        for verdict in (
+            history.check_nothing_cut(calls),
+            history.check_at_most_once(calls, executions),
+            history.check_coverage(calls, 'claims', systems.RECORD_LIMIT),
+        ):
+            self.assertEqual((), verdict.violations)
+            self.assertGreater(verdict.judged, 100)
+        unknown = [c for c in calls if c.kind_of_outcome == 'unknown']
+        self.assertEqual([], unknown)
+
+
+async def _call(
+    system: systems.System,
+    url: str,
+    calls: list[history.Call],
+    numbers: itertools.count,
+    stop: asyncio.Event,
+) -> None:
+    """Alternate searches and unrepeatable requests until told to stop."""
+    while not stop.is_set():
+        number = next(numbers)
+        kind = 'run' if number % 3 == 0 else 'search'
+        terms = {'claimant': f'household-{number % 97}'}
+        key = f'key-{number}' if kind == 'run' else ''
+        body = _run_body(system) if key else _search_body(terms)
+        invoked_ms = systems.now_ms()
+        status, outcome = None, None
+        try:
+            async with system.session.post(
+                f'{url}/v1/{kind}',
+                json=body,
+                headers={'Idempotency-Key': key} if key else {},
+            ) as response:
+                status = response.status
+                outcome = await response.json(content_type=None)
+        except (aiohttp.ClientError, ValueError):
+            pass
+        calls.append(
+            history.Call(
+                number,
+                kind,
+                'balancer',
+                kind,
+                {} if key else terms,
+                key,
+                invoked_ms,
+                systems.now_ms(),
+                status,
+                outcome,
+            )
+        )
+        await asyncio.sleep(0.01)
+
+
+def _search_body(terms: dict[str, str]) -> dict:
+    return {
+        'service': 'field-claims',
+        'search': 'claimant-history',
+        'terms': terms,
+    }
+
+
+def _run_body(system: systems.System) -> dict:
+    return {
+        'service': 'relief-payout',
+        'operation': 'release-payout',
+        'body': {'household': 'household-1'},
+        'issued_at_ms': system.wall_ms(),
+    }
--- /dev/null
+++ b/tests/unit/test_shutdown.py
@@ -0,0 +1,61 @@
+"""The phases of a graceful shutdown."""
+
+import unittest
+
+from samphiredock.daemon import _shutdown
+
+Phase = _shutdown.Phase
+
+
+class ShutdownTest(unittest.TestCase):
+    """Signals and ticks, phase by phase."""
+
+    def setUp(self) -> None:
+        self.phases: list[Phase] = []
+        self.shutdown = _shutdown.Shutdown(
+            2_000.0, 30_000.0, self.phases.append
+        )
+
+    def assert_phases(self, *expected: Phase) -> None:
+        """The phases entered so far."""
+        self.assertEqual(list(expected), self.phases)
+
+    def test_idle_daemon_still_serves_for_the_balancers_lag(self) -> None:
+        """No request is cut that the balancer sends before it knows.
+
+        Readiness goes off at the signal; the balancer polls it later and
+        sends on meanwhile.  A daemon that stopped as soon as it was idle
+        would refuse those connections.
+        """
+        self.shutdown.on_signal(0.0)
+        self.shutdown.on_tick(1_999.0, 0)
+        self.assert_phases(Phase.LEAVING)
+        self.shutdown.on_tick(2_000.0, 0)
+        self.assert_phases(Phase.LEAVING, Phase.DRAINING, Phase.CLOSED)
+
+    def test_requests_in_flight_hold_the_stop(self) -> None:
+        self.shutdown.on_signal(0.0)
+        self.shutdown.on_tick(2_500.0, 1)
+        self.assert_phases(Phase.LEAVING, Phase.DRAINING)
+        self.shutdown.on_tick(29_999.0, 1)
+        self.assert_phases(Phase.LEAVING, Phase.DRAINING)
+        self.shutdown.on_tick(29_999.5, 0)
+        self.assertIs(Phase.CLOSED, self.shutdown.phase)
+
+    def test_the_limit_ends_it(self) -> None:
+        self.shutdown.on_signal(0.0)
+        self.shutdown.on_tick(30_000.0, 3)
+        self.assert_phases(Phase.LEAVING, Phase.CLOSED)
+
+    def test_a_second_signal_hurries_and_a_third_stops(self) -> None:
+        self.shutdown.on_signal(0.0)
+        self.shutdown.on_signal(100.0)
+        self.assert_phases(Phase.LEAVING, Phase.DRAINING)
+        self.shutdown.on_tick(1_099.0, 1)
+        self.assertIs(Phase.DRAINING, self.shutdown.phase)
+        self.shutdown.on_tick(1_100.0, 1)
+        self.assertIs(Phase.CLOSED, self.shutdown.phase)
+
+    def test_ticks_before_a_signal_change_nothing(self) -> None:
+        self.shutdown.on_tick(1e9, 0)
+        self.assert_phases()
