--- /dev/null
+++ b/benchmarks/bench.py
@@ -0,0 +1,436 @@
+"""A bounded open-loop load on a small system, and what it measured."""
+
+import asyncio
+import collections
+import dataclasses
+import os
+import pathlib
+import random
+import statistics
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from samphiredock import state
+from standins import cluster
+
+_TICKS = os.sysconf('SC_CLK_TCK')
+_CALL_TIMEOUT_S = 10.0
+_TARGET_PROCESSES = 4
+_HOUSEHOLDS = 97
+
+
+@dataclasses.dataclass(frozen=True)
+class Profile:
+    """The sizes of one user, as the brief gives them."""
+
+    name: str
+    sites: tuple[str, ...]
+    index: str
+    shards: int
+    servers_per_shard: int
+    slots: int
+    connections: int
+    connect_ms: float
+    client_one_way_ms: float
+
+
+GEBEYA = Profile(
+    'gebeya', ('bole-a', 'kirkos-b', 'yeka-c'), 'claims', 20, 2, 2, 25, 6, 1
+)
+ARKIVRET = Profile(
+    'arkivret', ('sal-a', 'sal-b', 'sal-c'), 'clip-rights', 20, 2, 2, 25, 6, 3
+)
+PROFILES = {profile.name: profile for profile in (GEBEYA, ARKIVRET)}
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What to send, and how the targets behave."""
+
+    rate_per_s: float
+    seconds: float
+    seed: int
+    service_ms: float = 4.0
+    straggler: float = 0.01
+    slow_target_ms: float = 0.0
+    distinct: int = _HOUSEHOLDS
+    deadline_ms: int = 800
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """One way to set the system up, to be compared with others.
+
+    ``limits`` are settings of the configuration; ``islands`` gives each
+    daemon a store of its own, so that none knows of the others and each
+    connects to every target.
+    """
+
+    name: str
+    limits: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    canary: bool = False
+    islands: bool = False
+    slots: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What one run measured; latencies count from the intended start."""
+
+    variant: str
+    seed: int
+    offered: int
+    outcomes: dict[str, int]
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    mean_coverage: float
+    least_coverage: float
+    extra_load: float
+    slot_breaches: int
+    connection_breaches: int
+    items_per_batch: float
+    daemon_us_per_sub_query: float
+    peer_bytes_per_s: float
+    seconds_normal_after: float = 0.0
+    timeline: tuple[tuple[float, float, float], ...] = ()
+
+
+class Bench:
+    """A store, targets and daemons set up for one variant."""
+
+    def __init__(
+        self, profile: Profile, variant: Variant, daemons: int = 8
+    ) -> None:
+        self.profile = profile
+        self.variant = variant
+        self.daemon_count = daemons
+        self.system = cluster.Cluster()
+        self.targets = [
+            f'server-{number}'
+            for number in range(profile.shards * profile.servers_per_shard)
+        ]
+        self._stores: list[str] = []
+
+    async def __aenter__(self) -> 'Bench':
+        await self.system.__aenter__()
+        await self._start()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.system.__aexit__(*details)
+
+    async def _start(self) -> None:
+        profile, system = self.profile, self.system
+        await system.start_store()
+        store_url = system.store_url
+        options = (
+            *('--slots', str(profile.slots)),
+            *('--connections', str(profile.connections)),
+            *('--connect-ms', str(profile.connect_ms), '--no-keep-log'),
+        )
+        for number in range(_TARGET_PROCESSES):
+            await system.start_targets(
+                self.targets[number::_TARGET_PROCESSES],
+                *options,
+                shared_process=f'targets-{number}',
+            )
+        for number in range(self.daemon_count):
+            if self.variant.islands and number:
+                await system.start_store()
+            await self._publish()
+            site = profile.sites[number % len(profile.sites)]
+            name = f'entry-{number + 1}'
+            system.place_daemon(name, site, profile.name)
+            system.start_daemon(name)
+        # The targets follow the first store only; all hold the same.
+        system.store_url = store_url
+        await system.wait_ready()
+        await asyncio.sleep(2.0)
+
+    async def _publish(self) -> None:
+        await self.system.put_object(
+            'configuration/current',
+            {
+                'revision': 1,
+                'change_id': 'first',
+                'author': 'bench',
+                'accepted_at_ms': 0,
+                'base': self._base(),
+                'overlays': {},
+            },
+        )
+        await self.system.put_object('snapshots/current', self._snapshot())
+
+    def _snapshot(self) -> state.Snapshot:
+        """Give each shard servers of its own, as each service has."""
+        profile = self.profile
+        even = cluster.even_snapshot(
+            1, [profile.index], self.targets, profile.shards, 1
+        )
+        count = profile.servers_per_shard
+        shards = [
+            msgspec.structs.replace(
+                shard,
+                replicas=self.targets[number * count : (number + 1) * count],
+            )
+            for number, shard in enumerate(even.indexes[profile.index].shards)
+        ]
+        index = state.IndexSnapshot(1, shards)
+        return state.Snapshot(1, {profile.index: index})
+
+    def _base(self) -> dict[str, typing.Any]:
+        profile = self.profile
+        search = {
+            'index': profile.index,
+            'deadline_ms': 800,
+            'least_coverage': 0.5,
+            'request_class': 'interactive',
+            'canary': self.variant.canary,
+            'merge': 'by-score',
+            'limit': 20,
+            'fields': [],
+        }
+        share = round(1.0 / len(profile.sites), 3) - 0.001
+        return {
+            'services': {
+                'desk': {
+                    'weight': 1.0,
+                    'max_in_flight': 2_000,
+                    'searches': {'lookup': search},
+                }
+            },
+            'sites': {
+                site: {
+                    'region': profile.name,
+                    'share': share,
+                    'share_cap': 1.0,
+                }
+                for site in profile.sites
+            },
+            'indexes': [profile.index],
+            'targets': {
+                name: {
+                    'site': profile.sites[number % len(profile.sites)],
+                    'url': self.system.target_urls[name],
+                    'slots': self.variant.slots or profile.slots,
+                    'connections': profile.connections,
+                    'connect_ms': int(profile.connect_ms),
+                }
+                for number, name in enumerate(self.targets)
+            },
+            'limits': {'deadline_limit_ms': 10_000, **self.variant.limits},
+        }
+
+    async def run(
+        self,
+        load: Load,
+        event: typing.Callable[
+            ['Bench'], typing.Coroutine[typing.Any, typing.Any, None]
+        ]
+        | None = None,
+        event_after_s: float = 0.0,
+    ) -> Report:
+        """Offer the load, let ``event`` happen meanwhile, and report."""
+        await self._set_targets(load)
+        before = await self._totals()
+        cpu_before = self._daemon_cpu_s()
+        disturbance = None
+        if event is not None:
+            disturbance = asyncio.create_task(
+                _later(event_after_s, event, self)
+            )
+        started = time.monotonic()
+        rows = await _offer(self, load)
+        took_s = time.monotonic() - started
+        if disturbance is not None:
+            await disturbance
+        cpu_s = self._daemon_cpu_s() - cpu_before
+        totals = await self._totals()
+        totals.subtract(before)
+        return self._report(load, rows, totals, cpu_s, took_s)
+
+    async def _set_targets(self, load: Load) -> None:
+        for number, name in enumerate(self.targets):
+            service_ms = load.service_ms
+            if number == 0 and load.slow_target_ms:
+                service_ms = load.slow_target_ms
+            await self.system.target_faults(
+                name, service_ms=service_ms, straggler=load.straggler
+            )
+
+    async def _totals(self) -> collections.Counter:
+        """Sum counters of daemons and targets, 0 for a dead daemon."""
+        totals: collections.Counter = collections.Counter()
+        for place in self.system.daemons.values():
+            try:
+                _, row = await self.system.call(
+                    'GET', f'{place.operator_url}/v1/status'
+                )
+            except (aiohttp.ClientError, OSError):
+                continue
+            totals.update(row['counters'])
+        for name in self.targets:
+            url = f'{self.system.target_urls[name]}/control/stats'
+            _, row = await self.system.call('GET', url)
+            totals.update({f'at_targets_{key}': row[key] for key in row})
+        return totals
+
+    def _daemon_cpu_s(self) -> float:
+        return sum(
+            cpu_seconds(self.system.processes[name].pid)
+            for name in self.system.daemons
+            if self.system.processes[name].poll() is None
+        )
+
+    def _report(
+        self,
+        load: Load,
+        rows: list['_Row'],
+        totals: collections.Counter,
+        cpu_s: float,
+        took_s: float,
+    ) -> Report:
+        answered = [row for row in rows if row.coverage > 0]
+        waits = sorted(row.latency_ms for row in answered) or [0.0]
+        needed = len(answered) * self.profile.shards
+        items = totals['at_targets_items']
+        batches = max(1, totals['at_targets_batches'])
+        return Report(
+            variant=self.variant.name,
+            seed=load.seed,
+            offered=len(rows),
+            outcomes=dict(collections.Counter(row.outcome for row in rows)),
+            p50_ms=quantile(waits, 0.5),
+            p99_ms=quantile(waits, 0.99),
+            p999_ms=quantile(waits, 0.999),
+            mean_coverage=statistics.fmean(
+                [row.coverage for row in rows] or [0.0]
+            ),
+            least_coverage=min((row.coverage for row in rows), default=0.0),
+            extra_load=items / max(1, needed),
+            slot_breaches=totals['at_targets_slot_breaches'],
+            connection_breaches=totals['at_targets_connection_breaches'],
+            items_per_batch=items / batches,
+            daemon_us_per_sub_query=1e6 * cpu_s / max(1, items),
+            peer_bytes_per_s=totals['peer_bytes_sent']
+            / took_s
+            / max(1, self.daemon_count),
+            timeline=_timeline(rows),
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Row:
+    start_s: float
+    latency_ms: float
+    outcome: str
+    coverage: float
+
+
+async def _later(
+    delay_s: float,
+    event: typing.Callable[
+        [Bench], typing.Coroutine[typing.Any, typing.Any, None]
+    ],
+    bench: Bench,
+) -> None:
+    await asyncio.sleep(delay_s)
+    await event(bench)
+
+
+async def _offer(bench: Bench, load: Load) -> list[_Row]:
+    """Send at times drawn from the seed, whatever comes back when."""
+    rng = random.Random(load.seed)
+    loop = asyncio.get_running_loop()
+    begin = loop.time() + 0.1
+    at_s = 0.0
+    tasks = []
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout
+    ) as session:
+        while True:
+            at_s += rng.expovariate(load.rate_per_s)
+            if at_s >= load.seconds:
+                break
+            await asyncio.sleep(max(0.0, begin + at_s - loop.time()))
+            live = [
+                place
+                for name, place in bench.system.daemons.items()
+                if bench.system.processes[name].poll() is None
+            ]
+            url = rng.choice(live).caller_url
+            household = f'household-{rng.randrange(load.distinct)}'
+            tasks.append(
+                asyncio.create_task(
+                    _ask(session, url, household, begin + at_s, at_s, load)
+                )
+            )
+        rows = await asyncio.gather(*tasks)
+    extra_ms = 2 * bench.profile.client_one_way_ms
+    return [
+        dataclasses.replace(row, latency_ms=row.latency_ms + extra_ms)
+        for row in rows
+    ]
+
+
+async def _ask(
+    session: aiohttp.ClientSession,
+    url: str,
+    household: str,
+    intended: float,
+    at_s: float,
+    load: Load,
+) -> _Row:
+    body = {
+        'service': 'desk',
+        'search': 'lookup',
+        'terms': {'claimant': household},
+        'deadline_ms': load.deadline_ms,
+    }
+    try:
+        async with session.post(f'{url}/v1/search', json=body) as response:
+            row = await response.json(content_type=None)
+    except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError):
+        row = {'type': 'broken'}
+    took_ms = (asyncio.get_running_loop().time() - intended) * 1000.0
+    kind = row['type']
+    if kind == 'not-run':
+        kind = f'not-run {row["reason"]}'
+    return _Row(at_s, took_ms, kind, row.get('coverage', 0.0))
+
+
+def _timeline(
+    rows: typing.Iterable[_Row],
+) -> tuple[tuple[float, float, float], ...]:
+    """Return second, p99 in ms and the part answered whole, by second."""
+    seconds = collections.defaultdict(list)
+    for row in rows:
+        seconds[int(row.start_s)].append(row)
+    return tuple(
+        (
+            second,
+            quantile(sorted(row.latency_ms for row in held), 0.99),
+            sum(row.coverage >= 1.0 for row in held) / len(held),
+        )
+        for second, held in sorted(seconds.items())
+    )
+
+
+def quantile(ordered: typing.Sequence[float], part: float) -> float:
+    """Return the value at a part (0 to 1) of an ordered sequence."""
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    fields = text.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS
--- a/standins/data.py
+++ b/standins/data.py
@@ -84,13 +84,24 @@
     Each carries the index version it was read at, so that a reader can
     tell an answer that mixes two.
     """
+    wanted = tuple(sorted(terms.items()))
+    return list(
+        _find(index, key_range.low, key_range.high, wanted, index_version)
+    )
+
+
+@functools.lru_cache(maxsize=100_000)
+def _find(
+    index: str,
+    low: int,
+    high: int,
+    terms: tuple[tuple[str, str], ...],
+    index_version: int,
+) -> tuple[protocol.Record, ...]:
     found = [
         _at_version(row.record, index_version)
         for row in records(index)
-        if key_range.low <= row.place < key_range.high
-        and all(
-            row.record.fields.get(name) == value
-            for name, value in terms.items()
-        )
+        if low <= row.place < high
+        and all(row.record.fields.get(name) == value for name, value in terms)
     ]
-    return sorted(found, key=lambda record: (-record.score, record.key))
+    return tuple(sorted(found, key=lambda row: (-row.score, row.key)))
