--- /dev/null
+++ b/tests/process/test_scenarios.py
@@ -0,0 +1,245 @@
+"""Single failures with real processes, each in its own small system."""
+
+import asyncio
+import itertools
+import signal
+import unittest
+
+import aiohttp
+
+from tests import history
+from tests.process import system as systems
+
+_LEAVING_GRACE_MS = 5_000.0
+_TRIES = 200
+
+
+class ScenarioTest(unittest.IsolatedAsyncioTestCase):
+    """Six daemons over three sites."""
+
+    async def test_request_that_crashes_targets_is_refused_for_good(
+        self,
+    ) -> None:
+        """A poison request is refused at once, with when to come back.
+
+        Its caller sends it again through every daemon; each target that
+        begins it dies. After the second loss every daemon refuses it, while
+        other requests that ran at the same time go on being answered.
+        """
+        async with systems.running(6) as system:
+            for name in system.shard_targets:
+                await system.target_faults(name, poison_term='poisoned')
+            others = asyncio.create_task(_search_often(system, 40))
+            told = []
+            names = itertools.cycle(sorted(system.daemons))
+            for name in itertools.islice(names, 18):
+                told.append(await _search(system, name, 'poisoned'))
+            innocent = await others
+            dead = [
+                name
+                for name in system.shard_targets
+                if system.processes[name].poll() is not None
+            ]
+        self.assertLessEqual(len(dead), 2)
+        self.assertGreaterEqual(len(dead), 1)
+        for outcome in told[-6:]:
+            self.assertEqual('not-run', outcome['type'], told)
+            self.assertEqual('quarantined', outcome['reason'])
+            self.assertGreater(outcome['retry_after_ms'], 0)
+        refused = [row for row in innocent if row['type'] == 'not-run']
+        self.assertEqual([], refused)
+
+    async def test_leaving_target_gets_no_new_work(self) -> None:
+        """No target that leaves begins work a few seconds later.
+
+        The platform's object says that it leaves; its own health endpoint
+        goes on claiming that it is healthy, and callers go on asking.
+        """
+        async with systems.running(6) as system:
+            leaving = system.shard_targets[0]
+            await _search_often(system, 10)
+            await system.target_faults(
+                leaving, lie_healthy=True, service_ms=1.0
+            )
+            await system.put_object(
+                f'targets/{leaving}',
+                {'leaving': True, 'at_ms': system.wall_ms()},
+            )
+            left_at_ms = {leaving: systems.now_ms()}
+            await asyncio.sleep(_LEAVING_GRACE_MS / 1000.0)
+            answers = await _search_often(system, 40)
+            executions = _executions(system)
+        self.assertEqual({'answered'}, {row['type'] for row in answers})
+        verdict = history.check_leaving(
+            executions, left_at_ms, _LEAVING_GRACE_MS
+        )
+        self.assertEqual((), verdict.violations)
+        self.assertGreater(verdict.judged, 0)
+
+    async def test_frozen_holder_never_makes_a_second_run(self) -> None:
+        """Two daemons and one key: one run, whoever wakes when.
+
+        The daemon that took the request is frozen at some moment of its
+        work; its caller gives up and asks the others with the same key,
+        then the first one wakes. The claim is the first one's for good.
+        """
+        async with systems.running(6) as system:
+            calls = []
+            for number in range(10):
+                first, second = sorted(system.daemons)[:2]
+                key = f'frozen-{number}'
+                asked = asyncio.create_task(_pay(system, first, key))
+                await asyncio.sleep(0.002 * number)
+                system.kill(first, signal.SIGSTOP)
+                calls.append(await _pay(system, second, key))
+                system.kill(first, signal.SIGCONT)
+                calls.append(await asked)
+                calls.append(await _pay(system, second, key))
+            executions = _executions(system)
+        self.assert_runs_hold(calls, executions)
+
+    async def test_killed_holder_with_a_lost_store_answer(self) -> None:
+        """The claim stands though nobody heard that it was written.
+
+        The store applies the claim and loses its answer, the daemon is
+        killed, and the caller asks another daemon with the same key.
+        """
+        async with systems.running(6) as system:
+            calls = []
+            for number in range(4):
+                name = sorted(system.daemons)[number]
+                key = f'lost-{number}'
+                await system.store_faults(lose_answers=1)
+                asked = asyncio.create_task(_pay(system, name, key))
+                await asyncio.sleep(0.005 * number)
+                system.kill(name)
+                calls.append(await asked)
+                await system.store_faults()
+                for other in sorted(system.daemons)[4:]:
+                    calls.append(await _pay(system, other, key))
+            executions = _executions(system)
+        self.assert_runs_hold(calls, executions)
+
+    def assert_runs_hold(
+        self,
+        calls: list[history.Call],
+        executions: list[history.Execution],
+    ) -> None:
+        """At most once, and "not run" is true."""
+        for check in (history.check_at_most_once, history.check_not_run):
+            self.assertEqual((), check(calls, executions).violations)
+        self.assertGreater(len(executions), 0)
+
+    async def test_accepted_configuration_outlives_store_and_freeze(
+        self,
+    ) -> None:
+        """Once accepted, a change is in force everywhere, for good.
+
+        The store dies just after the accept while one site is frozen; the
+        site wakes and a daemon starts afresh, all without the store.
+        """
+        async with systems.running(6) as system:
+            frozen = [
+                place.name
+                for place in system.daemons.values()
+                if place.site == systems.SITES[2]
+            ]
+            for name in frozen:
+                system.kill(name, signal.SIGSTOP)
+            kind, revision = await system.change_configuration('entry-1', 1)
+            self.assertEqual('accepted', kind)
+            await system.store_faults(outage_ms=60_000)
+            for name in frozen:
+                system.kill(name, signal.SIGCONT)
+            system.kill('entry-2')
+            system.processes['entry-2'].wait()
+            system.start_daemon('entry-2')
+            seen = await _wait_for_revision(system, revision)
+            await system.wait_ready()
+        self.assertEqual({revision}, set(seen.values()), seen)
+
+
+async def _wait_for_revision(
+    system: systems.System, revision: int
+) -> dict[str, int]:
+    """Poll, a bounded number of times, until all show the revision."""
+    seen: dict[str, int] = {}
+    for _ in range(_TRIES):
+        for name, place in system.daemons.items():
+            try:
+                _, row = await system.call(
+                    'GET', f'{place.operator_url}/v1/status'
+                )
+                seen[name] = row['revision']
+            except (aiohttp.ClientError, OSError):
+                seen[name] = 0
+        if set(seen.values()) == {revision}:
+            break
+        await asyncio.sleep(0.1)
+    return seen
+
+
+async def _search(system: systems.System, daemon: str, claimant: str) -> dict:
+    body = {
+        'service': 'field-claims',
+        'search': 'claimant-history',
+        'terms': {'claimant': claimant},
+    }
+    url = f'{system.daemons[daemon].caller_url}/v1/search'
+    _, outcome = await system.call('POST', url, body)
+    return outcome
+
+
+async def _search_often(system: systems.System, count: int) -> list[dict]:
+    """Search through every daemon in turn."""
+    names = itertools.cycle(sorted(system.daemons))
+    answers = []
+    for number, name in enumerate(itertools.islice(names, count)):
+        household = f'household-{number % 97}'
+        answers.append(await _search(system, name, household))
+        await asyncio.sleep(0.01)
+    return answers
+
+
+async def _pay(system: systems.System, daemon: str, key: str) -> history.Call:
+    invoked_ms = systems.now_ms()
+    body = {
+        'service': 'relief-payout',
+        'operation': 'release-payout',
+        'body': {'household': 'household-1'},
+        'issued_at_ms': system.wall_ms(),
+    }
+    url = f'{system.daemons[daemon].caller_url}/v1/run'
+    status, outcome = None, None
+    try:
+        async with asyncio.timeout(10.0):
+            status, outcome = await system.call(
+                'POST', url, body, {'Idempotency-Key': key}
+            )
+    except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+        pass
+    return history.Call(
+        0,
+        'run',
+        daemon,
+        'release-payout',
+        {},
+        key,
+        invoked_ms,
+        systems.now_ms(),
+        status,
+        outcome,
+    )
+
+
+def _executions(system: systems.System) -> list[history.Execution]:
+    return [
+        history.Execution(
+            target,
+            row['kind'],
+            row['attempt_id'],
+            row['idempotency_key'],
+            row['started_ms'],
+        )
+        for target, row in system.executions()
+    ]
