Membership by probing, configuration by conditional update and peers

Cause: heartbeats from all to all and a directory scan each second from each daemon grow with the square of the fleet; an accepted change reached a daemon only through its own watch of the store, and nothing told an operator whose answer was lost what became of the change.

--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -1,12 +1,15 @@
 """The decisions and the tasks that carry them out."""
 
+from samphiredock.coordination._accept import Acceptor
 from samphiredock.coordination._coordinator import Coordinator
+from samphiredock.coordination._directory import MEMBERS_PREFIX
 from samphiredock.coordination._dispatcher import Dispatcher
+from samphiredock.coordination._knowledge import CONFIGURATION_KEY
+from samphiredock.coordination._knowledge import Knowledge
+from samphiredock.coordination._knowledge import SNAPSHOT_KEY
 from samphiredock.coordination._lane import Lane
 from samphiredock.coordination._lane import StartExchange
 from samphiredock.coordination._lane import Work
-from samphiredock.coordination._membership import Heartbeat
-from samphiredock.coordination._membership import MEMBERS_PREFIX
 from samphiredock.coordination._membership import Membership
 from samphiredock.coordination._merge import coverage_of
 from samphiredock.coordination._merge import covered_ranges
@@ -21,20 +24,18 @@
 from samphiredock.coordination._scatter import Finish
 from samphiredock.coordination._scatter import Scatter
 from samphiredock.coordination._scatter import SendAttempts
-from samphiredock.coordination._spread import CONFIGURATION_KEY
-from samphiredock.coordination._spread import follow_knowledge
-from samphiredock.coordination._spread import Knowledge
-from samphiredock.coordination._spread import ObjectHandler
-from samphiredock.coordination._spread import SNAPSHOT_KEY
-from samphiredock.coordination._spread import Watcher
+from samphiredock.coordination._watcher import follow_knowledge
+from samphiredock.coordination._watcher import ObjectHandler
+from samphiredock.coordination._watcher import Spread
+from samphiredock.coordination._watcher import Watcher
 
 __all__ = [
+    'Acceptor',
     'CONFIGURATION_KEY',
     'Coordinator',
     'Dispatcher',
     'DropAttempts',
     'Finish',
-    'Heartbeat',
     'Knowledge',
     'Lane',
     'MEMBERS_PREFIX',
@@ -45,6 +46,7 @@
     'SNAPSHOT_KEY',
     'Scatter',
     'SendAttempts',
+    'Spread',
     'StartExchange',
     'Watcher',
     'Work',
--- /dev/null
+++ b/samphiredock/coordination/_gossip.py
@@ -0,0 +1,604 @@
+"""Decisions of membership: who is probed, suspected, dead, back.
+
+SWIM-style.  Each period one member is probed; one that does not answer is
+probed through others, then suspected, and dead if it does not refute that
+in time.  Changes travel on the probes.  So the bytes a daemon sends do not
+grow with the number of members.  Pure: ticks and messages in, effects out.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+import typing
+
+import msgspec
+
+from samphiredock.coordination import _member_table
+from samphiredock import protocol
+
+TICK_MS = 100.0
+_GAP_MS = 1_500.0
+_SMALL = 16
+_PERIOD_MS = 500.0
+_SMALL_PERIOD_MS = 300.0
+_DIRECT_MS = 300.0
+_INDIRECT_MS = 400.0
+_INDIRECT_PROBES = 3
+_SUSPICION_LEAST_MS = 1_000.0
+_ROWS_PER_MESSAGE = 8
+_LOST_PROBE_MS = 2_000.0
+_LOST_KEEP_MS = 2 * 3_600_000.0
+_EXCHANGE_MS = 30_000.0
+_VERIFY_PER_TICK = 5
+_ASK_UNKNOWN = 8
+_RELEARN_PEERS = 3
+_RELEARN_RETRY_MS = 500.0
+_RELEARN_LIMIT_MS = 3_000.0
+
+_ALIVE = protocol.MemberState.ALIVE
+_SUSPECT = protocol.MemberState.SUSPECT
+_DEAD = protocol.MemberState.DEAD
+_LEFT = protocol.MemberState.LEFT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send this message to a member."""
+
+    member: str
+    message: msgspec.Struct
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResetPeer:
+    """Make a new connection to a member; the open one is silent."""
+
+    member: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Learned:
+    """A member's row changed; its address may be new."""
+
+    row: protocol.MemberRow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forgotten:
+    """A member has been dead so long that its row was dropped."""
+
+    member: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerHolds:
+    """What a peer says it holds of configuration and snapshots."""
+
+    member: str
+    versions: protocol.HeldVersions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswered:
+    """A peer has answered a full exchange."""
+
+    member: str
+    settled: bool
+
+
+GossipEffect = (
+    SendTo | ResetPeer | Learned | Forgotten | PeerHolds | PeerAnswered
+)
+_Effects = list[GossipEffect]
+
+
+@dataclasses.dataclass(slots=True)
+class _OpenProbe:
+    target: str
+    due_ms: float
+    indirect: bool = False
+    asked_by: str = ''
+    asked_number: int = 0
+
+
+class Gossip:
+    """One daemon's view of the members.
+
+    Parameters
+    ----------
+    me
+        This daemon's row at its start.
+    rng
+        Seeded source of the choice of members.
+    versions
+        What this daemon holds, told with each probe.
+    settled
+        Whether those versions can be relied on.
+    now_ms
+        The time of the start.
+    """
+
+    def __init__(
+        self,
+        me: protocol.MemberRow,
+        rng: random.Random,
+        versions: typing.Callable[[], protocol.HeldVersions],
+        settled: typing.Callable[[], bool],
+        now_ms: float,
+    ) -> None:
+        self.table = _member_table.MemberTable(me)
+        self._name = me.name
+        self._rng = rng
+        self._versions = versions
+        self._settled = settled
+        self._numbers = 0
+        self._open: dict[int, _OpenProbe] = {}
+        self._round: list[str] = []
+        self._suspected_until: dict[str, float] = {}
+        self._lost_since: dict[str, float] = {}
+        self._news: dict[str, int] = {}
+        self._verify: collections.deque[protocol.MemberRow] = (
+            collections.deque()
+        )
+        self._silent: set[str] = set()
+        self._last_ms = now_ms
+        self._next_probe_ms = now_ms
+        self._next_lost_ms = now_ms + _LOST_PROBE_MS
+        self._next_exchange_ms = now_ms + rng.uniform(0, _EXCHANGE_MS)
+        self._stale_since_ms: float | None = None
+        self._answered: set[str] = set()
+        self._next_relearn_ms = 0.0
+        self._tell(me.name)
+
+    @property
+    def me(self) -> protocol.MemberRow:
+        """This daemon's own row."""
+        return self.table.get(self._name)
+
+    def is_current(self, now_ms: float) -> bool:
+        """Whether the view is not older than a gap in this process."""
+        return self._stale_since_ms is None and (
+            now_ms - self._last_ms < _GAP_MS
+        )
+
+    def period_ms(self) -> float:
+        """Return the time between two probes at the present size."""
+        small = len(self.table.names()) <= _SMALL
+        return _SMALL_PERIOD_MS if small else _PERIOD_MS
+
+    def suspicion_ms(self) -> float:
+        """Return the time a suspect has to refute.
+
+        It grows with the logarithm of the size, as does the time in which
+        the suspicion reaches the suspect and its answer comes back.
+        """
+        rounds = math.log2(len(self.table.names()) + 1)
+        return max(_SUSPICION_LEAST_MS, self.period_ms() * rounds)
+
+    # Inputs.
+
+    def tick(self, now_ms: float) -> _Effects:
+        """Do what is due; to be called each ``TICK_MS``."""
+        effects = self._check_gap(now_ms)
+        self._last_ms = now_ms
+        effects += self._relearn(now_ms)
+        effects += self._expire_probes(now_ms)
+        effects += self._expire_suspicions(now_ms)
+        effects += self._verify_some()
+        if now_ms >= self._next_probe_ms:
+            self._next_probe_ms = now_ms + self.period_ms()
+            effects += self._probe_next(now_ms)
+        if now_ms >= self._next_lost_ms:
+            self._next_lost_ms = now_ms + _LOST_PROBE_MS
+            effects += self._probe_lost(now_ms)
+        if now_ms >= self._next_exchange_ms:
+            spread = self._rng.uniform(0.75, 1.25)
+            self._next_exchange_ms = now_ms + _EXCHANGE_MS * spread
+            effects += self._ask_state(self._others(1))
+        return effects
+
+    def on_message(
+        self, sender: str, message: msgspec.Struct, now_ms: float
+    ) -> _Effects:
+        """Take a peer's message in."""
+        effects = self._check_gap(now_ms)
+        handler = _HANDLERS[type(message)]
+        return effects + handler(self, sender, message, now_ms)
+
+    def ask_unknown(
+        self, rows: typing.Sequence[protocol.MemberRow]
+    ) -> _Effects:
+        """Ask some of the members that the directory lists but this lacks.
+
+        The directory may list hosts long gone, so that a row in it makes
+        no member: the member's own answer does.
+        """
+        unknown = [row for row in rows if not self.table.is_live(row.name)]
+        chosen = self._rng.sample(unknown, min(_ASK_UNKNOWN, len(unknown)))
+        effects: _Effects = [Learned(row) for row in chosen]
+        names = [row.name for row in chosen]
+        return effects + self._ask_state(names, everything=True)
+
+    def leave(self) -> protocol.MemberRow:
+        """Mark this daemon as leaving; return its row to be told."""
+        self.table.set(_member_table.with_state(self.me, _LEFT))
+        self._tell(self._name)
+        return self.me
+
+    # A gap in this process.
+
+    def _check_gap(self, now_ms: float) -> _Effects:
+        late_ms = now_ms - self._last_ms - TICK_MS
+        if late_ms <= 0:
+            return []
+        if late_ms < _GAP_MS:
+            # A short stall of this process is no fault of the others: it
+            # must not count as time in which they were silent.
+            for probe in self._open.values():
+                probe.due_ms += late_ms
+            for name in self._suspected_until:
+                self._suspected_until[name] += late_ms
+            self._last_ms = now_ms - TICK_MS
+            return []
+        return self.on_gap(now_ms)
+
+    def on_gap(self, now_ms: float) -> _Effects:
+        """Take note that this process was frozen until now.
+
+        Its view is old and the others may hold it dead: without this it
+        would suspect everybody, and act on what it owned before.
+        """
+        self._last_ms = now_ms
+        if self._stale_since_ms is None:
+            self._refute(self.me)
+        self._stale_since_ms = now_ms
+        self._open.clear()
+        self._answered.clear()
+        self._next_relearn_ms = now_ms
+        for name in self._suspected_until:
+            self._suspected_until[name] = now_ms + self.suspicion_ms()
+        return []
+
+    def _relearn(self, now_ms: float) -> _Effects:
+        if self._stale_since_ms is None:
+            return []
+        others = len(self.table.names() - {self._name})
+        enough = len(self._answered) >= min(_RELEARN_PEERS, others)
+        # All daemons may have been frozen at once, or all others be gone:
+        # nobody answers, and waiting longer would teach nothing.
+        late = now_ms - self._stale_since_ms >= _RELEARN_LIMIT_MS
+        if enough or late:
+            self._stale_since_ms = None
+            return []
+        if now_ms < self._next_relearn_ms:
+            return []
+        self._next_relearn_ms = now_ms + _RELEARN_RETRY_MS
+        return self._ask_state(self._others(2 * _RELEARN_PEERS))
+
+    # Probes.
+
+    def _number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    def _others(self, count: int) -> list[str]:
+        names = sorted(self.table.names() - {self._name})
+        return self._rng.sample(names, min(count, len(names)))
+
+    def _probe(
+        self, name: str, due_ms: float, asked_by: str = '', asked: int = 0
+    ) -> _Effects:
+        number = self._number()
+        self._open[number] = _OpenProbe(
+            name, due_ms, asked_by=asked_by, asked_number=asked
+        )
+        silent = name in self._silent
+        self._silent.discard(name)
+        message = protocol.Probe(
+            number, self._versions(), self._rows_for(name), silent
+        )
+        return [SendTo(name, message)]
+
+    def _probe_next(self, now_ms: float) -> _Effects:
+        while self._round:
+            name = self._round.pop()
+            if self.table.is_live(name):
+                return self._probe(name, now_ms + _DIRECT_MS)
+        # Each member comes once in a round, so that none is left out long.
+        self._round = sorted(self.table.names() - {self._name})
+        self._rng.shuffle(self._round)
+        if not self._round:
+            return []
+        return self._probe(self._round.pop(), now_ms + _DIRECT_MS)
+
+    def _probe_lost(self, now_ms: float) -> _Effects:
+        """Probe one dead member, so that the end of a cut is found."""
+        effects: _Effects = []
+        for name, since_ms in list(self._lost_since.items()):
+            if now_ms - since_ms >= _LOST_KEEP_MS:
+                del self._lost_since[name]
+                self.table.forget(name)
+                effects.append(Forgotten(name))
+        if not self._lost_since:
+            return effects
+        name = self._rng.choice(sorted(self._lost_since))
+        return effects + self._probe(name, now_ms + _DIRECT_MS)
+
+    def _expire_probes(self, now_ms: float) -> _Effects:
+        effects: _Effects = []
+        due = [n for n, probe in self._open.items() if probe.due_ms <= now_ms]
+        for number in due:
+            probe = self._open[number]
+            row = self.table.get(probe.target)
+            known = row is not None and row.state in (_ALIVE, _SUSPECT)
+            if probe.asked_by or probe.indirect or not known:
+                del self._open[number]
+                if probe.indirect and known and row.state is _ALIVE:
+                    effects += self._suspect(row, now_ms)
+                continue
+            probe.indirect = True
+            probe.due_ms = now_ms + _INDIRECT_MS
+            effects += self._probe_through_others(number, probe.target)
+        return effects
+
+    def _probe_through_others(self, number: int, target: str) -> _Effects:
+        helpers = [
+            name
+            for name in self._others(_INDIRECT_PROBES + 1)
+            if name != target
+        ][:_INDIRECT_PROBES]
+        versions = self._versions()
+        return [
+            SendTo(
+                name,
+                protocol.ProbeAsk(
+                    number, target, versions, self._rows_for(name)
+                ),
+            )
+            for name in helpers
+        ]
+
+    def _suspect(self, row: protocol.MemberRow, now_ms: float) -> _Effects:
+        suspect = _member_table.with_state(row, _SUSPECT)
+        return self._merge([suspect], now_ms)
+
+    def _expire_suspicions(self, now_ms: float) -> _Effects:
+        due = [
+            name
+            for name, until_ms in self._suspected_until.items()
+            if until_ms <= now_ms
+        ]
+        dead = [
+            _member_table.with_state(self.table.get(name), _DEAD)
+            for name in due
+        ]
+        return self._merge(dead, now_ms)
+
+    def _verify_some(self) -> _Effects:
+        effects: _Effects = []
+        for _ in range(min(_VERIFY_PER_TICK, len(self._verify))):
+            row = self._verify.popleft()
+            if not self.table.beats(row):
+                continue
+            message = protocol.Probe(
+                self._number(), self._versions(), [row], False
+            )
+            effects.append(SendTo(row.name, message))
+        return effects
+
+    # Rows.
+
+    def _tell(self, name: str) -> None:
+        size = len(self.table.names()) + 1
+        self._news[name] = 3 * math.ceil(math.log2(size + 1))
+
+    def _rows_for(self, receiver: str) -> list[protocol.MemberRow]:
+        """Choose the rows to send along, the least told ones first."""
+        chosen = sorted(self._news, key=self._news.get, reverse=True)
+        chosen = chosen[:_ROWS_PER_MESSAGE]
+        for name in chosen:
+            self._news[name] -= 1
+            if self._news[name] <= 0:
+                del self._news[name]
+        rows = [self.table.get(name) for name in chosen]
+        about = self.table.get(receiver)
+        if about is not None and about.state is not _ALIVE:
+            # Who is held suspect or dead is told so, to refute it.
+            rows.append(about)
+        return [row for row in rows if row is not None]
+
+    def _merge(
+        self,
+        rows: typing.Iterable[protocol.MemberRow],
+        now_ms: float,
+        hearsay: bool = False,
+    ) -> _Effects:
+        effects: _Effects = []
+        for row in rows:
+            if row.name == self._name:
+                self._take_own(row)
+            elif not self.table.beats(row):
+                continue
+            elif hearsay and self._is_doubtful(row):
+                # After a cut each side holds the other's members dead.
+                # Believing that would take every member out for a moment
+                # on both sides; the member itself is asked instead.
+                self._verify.append(row)
+            else:
+                effects += self._take(row, now_ms)
+        return effects
+
+    def _is_doubtful(self, row: protocol.MemberRow) -> bool:
+        held = self.table.get(row.name)
+        return (
+            held is not None
+            and held.state in (_ALIVE, _SUSPECT)
+            and held.incarnation == row.incarnation
+            and row.state in (_SUSPECT, _DEAD)
+        )
+
+    def _take_own(self, row: protocol.MemberRow) -> None:
+        mine = self.me
+        newer_start = row.incarnation > mine.incarnation
+        if mine.state is _LEFT and not newer_start:
+            return
+        if newer_start or (row.state is not _ALIVE and self.table.beats(row)):
+            self._refute(row)
+
+    def _refute(self, row: protocol.MemberRow) -> None:
+        mine = self.me
+        incarnation, refutation = mine.incarnation, row.refutation + 1
+        if row.incarnation > incarnation or row.state is _LEFT:
+            # An earlier start of this daemon ran with a later wall clock,
+            # or has left under the same number.
+            incarnation, refutation = row.incarnation + 1, 0
+        self.table.set(
+            msgspec.structs.replace(
+                mine, incarnation=incarnation, refutation=refutation
+            )
+        )
+        self._tell(self._name)
+
+    def _take(self, row: protocol.MemberRow, now_ms: float) -> _Effects:
+        name = row.name
+        self.table.set(row)
+        self._tell(name)
+        self._suspected_until.pop(name, None)
+        if row.state is _SUSPECT:
+            self._suspected_until[name] = now_ms + self.suspicion_ms()
+        if row.state in (_DEAD, _LEFT):
+            self._lost_since.setdefault(name, now_ms)
+        else:
+            self._lost_since.pop(name, None)
+        return [Learned(row)]
+
+    # Messages.
+
+    def _ask_state(
+        self, names: list[str], everything: bool = False
+    ) -> _Effects:
+        digests = [] if everything else self.table.digests()
+        message = protocol.StateAsk(
+            self._number(), self.me, digests, self._versions()
+        )
+        return [SendTo(name, message) for name in names]
+
+    def state_ask(self) -> protocol.StateAsk:
+        """Return the message that asks a bare address for all it knows."""
+        return protocol.StateAsk(self._number(), self.me, [], self._versions())
+
+    def _on_probe(
+        self, sender: str, message: protocol.Probe, now_ms: float
+    ) -> _Effects:
+        effects = self._merge(message.rows, now_ms)
+        effects.append(PeerHolds(sender, message.versions))
+        if message.silent:
+            effects.append(ResetPeer(sender))
+        rows = self._rows_for(sender)
+        doubted = any(row.name == self._name for row in message.rows)
+        if doubted and self.me not in rows:
+            # The report may be older than the news of its refutation.
+            rows.append(self.me)
+        answer = protocol.ProbeAnswer(message.number, self._versions(), rows)
+        return [*effects, SendTo(sender, answer)]
+
+    def _on_probe_answer(
+        self, sender: str, message: protocol.ProbeAnswer, now_ms: float
+    ) -> _Effects:
+        was_lost = sender in self._lost_since
+        effects = self._merge(message.rows, now_ms)
+        effects.append(PeerHolds(sender, message.versions))
+        probe = self._open.get(message.number)
+        if probe is not None and probe.target == sender:
+            del self._open[message.number]
+            if probe.asked_by:
+                effects += self._pass_answer(probe, message)
+        elif probe is not None and probe.indirect:
+            # Another one reaches it: the connection between the two is
+            # silent, in one direction or both.
+            del self._open[message.number]
+            self._silent.add(probe.target)
+            effects.append(ResetPeer(probe.target))
+        if was_lost and sender not in self._lost_since:
+            effects += self._ask_state([sender])
+        return effects
+
+    def _pass_answer(
+        self, probe: _OpenProbe, message: protocol.ProbeAnswer
+    ) -> _Effects:
+        answer = protocol.ProbeAnswer(
+            probe.asked_number, self._versions(), message.rows
+        )
+        return [SendTo(probe.asked_by, answer)]
+
+    def _on_probe_ask(
+        self, sender: str, message: protocol.ProbeAsk, now_ms: float
+    ) -> _Effects:
+        effects = self._merge(message.rows, now_ms)
+        effects.append(PeerHolds(sender, message.versions))
+        return effects + self._probe(
+            message.target, now_ms + _DIRECT_MS, sender, message.number
+        )
+
+    def _on_state_ask(
+        self, sender: str, message: protocol.StateAsk, now_ms: float
+    ) -> _Effects:
+        effects = self._merge([message.row], now_ms)
+        effects.append(PeerHolds(sender, message.versions))
+        buckets = self.table.differing(message.digests)
+        answer = protocol.StateAnswer(
+            message.number,
+            buckets,
+            self.table.in_buckets(buckets),
+            self._versions(),
+            self._settled(),
+        )
+        return [*effects, SendTo(sender, answer)]
+
+    def _on_state_answer(
+        self, sender: str, message: protocol.StateAnswer, now_ms: float
+    ) -> _Effects:
+        theirs = {
+            row.name: _member_table.order_of(row) for row in message.rows
+        }
+        effects = self._merge(message.rows, now_ms, hearsay=True)
+        effects.append(PeerHolds(sender, message.versions))
+        effects.append(PeerAnswered(sender, message.settled))
+        self._answered.add(sender)
+        lacking = [
+            row
+            for row in self.table.in_buckets(message.buckets)
+            if row.name not in theirs
+            or _member_table.order_of(row) > theirs[row.name]
+        ]
+        if lacking:
+            effects.append(SendTo(sender, protocol.StatePush(lacking)))
+        return effects
+
+    def _on_state_push(
+        self, sender: str, message: protocol.StatePush, now_ms: float
+    ) -> _Effects:
+        return self._merge(message.rows, now_ms, hearsay=True)
+
+
+_HANDLERS: dict[type, typing.Callable[..., _Effects]] = {
+    protocol.Probe: Gossip._on_probe,
+    protocol.ProbeAnswer: Gossip._on_probe_answer,
+    protocol.ProbeAsk: Gossip._on_probe_ask,
+    protocol.StateAsk: Gossip._on_state_ask,
+    protocol.StateAnswer: Gossip._on_state_answer,
+    protocol.StatePush: Gossip._on_state_push,
+}
+GOSSIP_MESSAGES = tuple(_HANDLERS)
+"""The messages that a :class:`Gossip` takes in."""
+
+
+def health_of(row: protocol.MemberRow, revision: int) -> dict:
+    """Return one member for ``status``."""
+    return {
+        'member': _member_table.member_of(row),
+        'state': row.state.name.lower(),
+        'incarnation': row.incarnation,
+        'revision': revision,
+    }
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -1,151 +1,327 @@
-"""Which daemons live: the platform's list corrected by heartbeats."""
+"""Which daemons live, and one message to all of them.
+
+Carries out what :mod:`_gossip` decides: sockets, timers and the directory
+are here, decisions are there.
+"""
 
 import asyncio
+import itertools
+import random
 import typing
 
 import msgspec
-from returns import result
 
+from samphiredock.coordination import _directory
+from samphiredock.coordination import _gossip
+from samphiredock.coordination import _member_table
+from samphiredock.coordination import _relay
+from samphiredock.coordination import _settling
 from samphiredock import logs
 from samphiredock import metrics
+from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
 from samphiredock import transport
 
-MEMBERS_PREFIX = 'members/'
-
-_HEARTBEAT_MS = 300.0
-_DEAD_AFTER_MS = 1_500.0
-_REFRESH_S = 1.0
+_JOIN_RETRY_MS = 500.0
 
-_MEMBER = msgspec.json.Decoder(state.Member)
 _log = logs.logger('membership')
 
-
-class Heartbeat(msgspec.Struct, frozen=True):
-    """A daemon lives, and this is what it is."""
-
-    member: state.Member
-    leaving: bool
-    revision: int
+_Change = typing.Callable[
+    [tuple[state.Member, ...], tuple[state.Member, ...]], None
+]
+_Holds = typing.Callable[[str, protocol.HeldVersions], None]
 
 
 class Membership:
-    """The live daemons as this one sees them."""
+    """The live daemons as this one sees them.
+
+    Parameters
+    ----------
+    me
+        This daemon at its start.
+    peers
+        The peer sockets.
+    codec
+        Encodes messages that travel through relays.
+    platform
+        The store with the directory.
+    clock, counters
+        The timers and metrics of this daemon.
+    versions
+        What this daemon holds of configuration and snapshots.
+    rng
+        Seeded random source.
+    seeds
+        Addresses to ask when the platform is down at the start.
+    """
 
     def __init__(
         self,
         me: state.Member,
-        peers: transport.Peers,
-        set_address: typing.Callable[[str, str], None],
+        peers: _relay.PeerLinks,
+        codec: protocol.Codec,
         platform: transport.Platform,
         clock: timers.Timers,
         counters: metrics.Metrics,
-        revision: typing.Callable[[], int],
+        versions: typing.Callable[[], protocol.HeldVersions],
+        rng: random.Random,
+        seeds: typing.Sequence[str] = (),
     ) -> None:
-        self._me = me
+        self._name = me.name
         self._peers = peers
-        self._set_address = set_address
-        self._platform = platform
         self._clock = clock
         self._metrics = counters
-        self._revision = revision
-        self._known: dict[str, state.Member] = {}
-        self._heard_ms: dict[str, float] = {}
+        self._versions = versions
+        self._seeds = tuple(seeds)
+        now_ms = clock.now_ms()
+        self._settling = _settling.Settling(now_ms)
+        self._gossip = _gossip.Gossip(
+            _member_table.row_of(me), rng, versions, self.is_settled, now_ms
+        )
+        self._directory = _directory.Directory(
+            self._member,
+            platform,
+            clock,
+            counters,
+            rng,
+            self.live,
+            self._on_directory,
+        )
+        self._relay = _relay.Relay(me, peers, codec, self.live, counters)
+        self._listed: list[protocol.MemberRow] = []
         self._revisions: dict[str, int] = {}
-        self._leaving = False
+        self._seen: dict[str, state.Member] = {}
+        self._seen_version = -1
+        self._on_change: list[_Change] = []
+        self._on_holds: list[_Holds] = []
+        self._joined = False
         self._task: asyncio.Task | None = None
-        peers.subscribe(Heartbeat, self._on_heartbeat)
+        self._timers: list[timers.Subscription] = []
+        for kind in _gossip.GOSSIP_MESSAGES:
+            peers.subscribe(kind, self._on_message)
+        peers.subscribe(protocol.RevisionHeld, self._on_revision)
+        clock.on_gap(self._on_gap)
 
-    def live(self) -> list[state.Member]:
-        """Return the members that may dispatch, this one included."""
-        now_ms = self._clock.now_ms()
-        others = [
-            self._known[name]
-            for name, heard_ms in self._heard_ms.items()
-            if now_ms - heard_ms < _DEAD_AFTER_MS
-        ]
-        return others if self._leaving else [self._me, *others]
+    # What the other parts ask.
+
+    @property
+    def version(self) -> int:
+        """A number that changes with each change of the live members."""
+        return self._gossip.table.version
+
+    def live(self) -> tuple[state.Member, ...]:
+        """Return the members that may dispatch, this one included.
+
+        The same tuple is returned until a member changes.
+        """
+        return self._gossip.table.live()
 
     def revisions(self) -> dict[str, int]:
         """Return the revision that each live member last reported."""
-        live = {member.name for member in self.live()}
         rows = {
             name: revision
             for name, revision in self._revisions.items()
-            if name in live
+            if self._gossip.table.is_live(name)
         }
-        return {**rows, self._me.name: self._revision()}
+        return {**rows, self._name: self._versions().revision}
 
-    def broadcast(self, message: msgspec.Struct) -> None:
-        """Send a message to every other live member, best effort."""
+    def confirmations(self, revision: int) -> dict[str, dict[str, int]]:
+        """Return for each site its live members and who holds a revision."""
+        revisions = self.revisions()
+        sites: dict[str, dict[str, int]] = {}
         for member in self.live():
-            if member.name != self._me.name:
-                self._peers.send(member.name, message)
+            row = sites.setdefault(member.site, {'live': 0, 'confirmed': 0})
+            row['live'] += 1
+            row['confirmed'] += revisions.get(member.name, 0) >= revision
+        return sites
+
+    def health(self) -> list[dict[str, typing.Any]]:
+        """Return all members known, dead ones included, for ``status``."""
+        revisions = self.revisions()
+        return [
+            _gossip.health_of(row, revisions.get(row.name, 0))
+            for row in self._gossip.table.rows()
+        ]
+
+    def is_current(self) -> bool:
+        """Whether the view is not left over from before a freeze."""
+        return self._gossip.is_current(self._clock.now_ms())
+
+    def is_settled(self) -> bool:
+        """Whether this fresh daemon has learned what is in force."""
+        now_ms = self._clock.now_ms()
+        return self._settling.is_settled(now_ms, self._versions())
+
+    def on_change(self, callback: _Change) -> None:
+        """Call back with the members that joined and were lost."""
+        self._on_change.append(callback)
+
+    def on_peer_holds(self, callback: _Holds) -> None:
+        """Call back with what a peer says it holds."""
+        self._on_holds.append(callback)
+
+    def broadcast(
+        self, message: msgspec.Struct, site: str | None = None
+    ) -> None:
+        """Send a message to every other live member, best effort."""
+        self._relay.broadcast(message, site)
+
+    # Life.
 
     def start(self) -> None:
-        """Register, then send heartbeats and read the directory."""
-        self._clock.every(_HEARTBEAT_MS, self._beat)
-        self._task = asyncio.create_task(self._follow_directory())
+        """Register, join, and begin to probe."""
+        self._timers = [
+            self._clock.every(_gossip.TICK_MS, self._tick),
+            self._clock.every(_JOIN_RETRY_MS, self._join),
+        ]
+        self._task = asyncio.create_task(self._directory.follow())
+        self._ask_seeds()
+
+    def on_store_read(self) -> None:
+        """Take note that the store has been asked for its objects."""
+        self._settling.on_store()
 
     def leave(self) -> None:
         """Say that this daemon takes no more dispatching."""
-        self._leaving = True
-        self._beat()
+        row = self._gossip.leave()
+        self.broadcast(protocol.StatePush([row]))
+        self._carry_out([])
 
     def close(self) -> None:
         """Stop."""
+        for timer in self._timers:
+            timer.cancel()
         if self._task is not None:
             self._task.cancel()
 
-    def _beat(self) -> None:
-        beat = Heartbeat(self._me, self._leaving, self._revision())
-        for name in self._known:
-            self._peers.send(name, beat)
+    # Events.
 
-    def _on_heartbeat(self, sender: str, beat: Heartbeat) -> None:
-        member = beat.member
-        known = self._known.get(member.name)
-        if known is not None and known.incarnation > member.incarnation:
+    def _member(self) -> state.Member:
+        return _member_table.member_of(self._gossip.me)
+
+    def _tick(self) -> None:
+        self._carry_out(self._gossip.tick(self._clock.now_ms()))
+
+    def _on_gap(self, gap_ms: float) -> None:
+        self._metrics.add('process_gaps')
+        _log.warn('process was frozen', gap_ms=int(gap_ms))
+        self._carry_out(self._gossip.on_gap(self._clock.now_ms()))
+
+    def _on_message(self, sender: str, message: msgspec.Struct) -> None:
+        now_ms = self._clock.now_ms()
+        self._carry_out(self._gossip.on_message(sender, message, now_ms))
+
+    def _on_revision(self, sender: str, held: protocol.RevisionHeld) -> None:
+        self._note_revision(sender, held.revision)
+
+    def _on_directory(self, members: list[state.Member] | None) -> None:
+        if members is None:
+            # The store is down: the settings' addresses are what there is.
+            self._settling.on_store()
+            if not self._joined:
+                self._settling.on_directory(self._seed_names())
             return
-        self._learn(member)
-        self._revisions[member.name] = beat.revision
-        if beat.leaving:
-            self._heard_ms.pop(member.name, None)
-        else:
-            self._heard_ms[member.name] = self._clock.now_ms()
-
-    def _learn(self, member: state.Member) -> None:
-        if member.name == self._me.name:
+        self._listed = [_member_table.row_of(member) for member in members]
+        self._settling.on_directory({member.name for member in members})
+        self._carry_out(self._gossip.ask_unknown(self._listed))
+
+    def _seed_names(self) -> set[str]:
+        return {f'@{address}' for address in self._seeds}
+
+    def _join(self) -> None:
+        if self._joined and self.is_settled():
+            return
+        self._ask_seeds()
+        self._carry_out(self._gossip.ask_unknown(self._listed))
+
+    def _ask_seeds(self) -> None:
+        if self._joined:
             return
-        if member.name not in self._known:
-            _log.notice('member seen', name=member.name, site=member.site)
-        self._known[member.name] = member
-        self._set_address(member.name, member.peer_address)
-
-    async def _follow_directory(self) -> None:
-        registered = False
-        while True:
-            if not registered:
-                registered = await self._register()
-            found = await self._platform.scan(MEMBERS_PREFIX)
-            if isinstance(found, result.Success):
-                for stored in found.unwrap():
-                    member = _MEMBER.decode(stored.value)
-                    known = self._known.get(member.name)
-                    if known is None or (
-                        known.incarnation < member.incarnation
-                    ):
-                        self._learn(member)
-            await asyncio.sleep(_REFRESH_S)
-
-    async def _register(self) -> bool:
-        key = MEMBERS_PREFIX + self._me.name
-        found = await self._platform.get(key)
-        version = transport.CREATE_ONLY
-        if isinstance(found, result.Success):
-            version = found.unwrap().version
-        put = await self._platform.put(
-            key, msgspec.json.encode(self._me), version
+        ask = self._gossip.state_ask()
+        for address in self._seeds:
+            self._peers.set_address(f'@{address}', address)
+            self._peers.send(f'@{address}', ask)
+
+    # Effects.
+
+    def _carry_out(self, effects: list[_gossip.GossipEffect]) -> None:
+        for effect in effects:
+            _EFFECTS[type(effect)](self, effect)
+        if self._gossip.table.version != self._seen_version:
+            self._report_change()
+
+    def _report_change(self) -> None:
+        self._seen_version = self._gossip.table.version
+        now = {member.name: member for member in self.live()}
+        before, self._seen = self._seen, now
+        joined = tuple(
+            member
+            for name, member in now.items()
+            if before.get(name) != member
         )
-        return isinstance(put, result.Success)
+        lost = tuple(
+            member
+            for name, member in before.items()
+            if now.get(name) != member
+        )
+        for member in joined:
+            _log.notice('member joined', name=member.name, site=member.site)
+        for member in lost:
+            _log.notice('member lost', name=member.name, site=member.site)
+        self._metrics.add('members_joined', len(joined))
+        self._metrics.add('members_lost', len(lost))
+        for callback in self._on_change:
+            callback(joined, lost)
+
+    def _send(self, effect: _gossip.SendTo) -> None:
+        self._peers.send(effect.member, effect.message)
+
+    def _reset(self, effect: _gossip.ResetPeer) -> None:
+        self._metrics.add('peer_connections_reset')
+        self._peers.reset(effect.member)
+
+    def _learn(self, effect: _gossip.Learned) -> None:
+        row = effect.row
+        self._peers.set_address(row.name, row.peer_address)
+        before = self._seen.get(row.name)
+        if before is not None and before.incarnation != row.incarnation:
+            self._revisions.pop(row.name, None)
+
+    def _forget(self, effect: _gossip.Forgotten) -> None:
+        self._revisions.pop(effect.member, None)
+        self._peers.reset(effect.member)
+
+    def _holds(self, effect: _gossip.PeerHolds) -> None:
+        self._note_revision(effect.member, effect.versions.revision)
+        self._settling.on_versions(effect.versions)
+        for callback in self._on_holds:
+            callback(effect.member, effect.versions)
+
+    def _note_revision(self, member: str, revision: int) -> None:
+        # Messages may be delivered late; a member's revision only rises
+        # within one start.
+        known = self._revisions.get(member, 0)
+        self._revisions[member] = max(known, revision)
+
+    def _answered(self, effect: _gossip.PeerAnswered) -> None:
+        self._joined = True
+        self._settling.on_answer(effect.member, effect.settled)
+
+
+_EFFECTS: dict[type, typing.Callable[..., None]] = {
+    _gossip.SendTo: Membership._send,
+    _gossip.ResetPeer: Membership._reset,
+    _gossip.Learned: Membership._learn,
+    _gossip.Forgotten: Membership._forget,
+    _gossip.PeerHolds: Membership._holds,
+    _gossip.PeerAnswered: Membership._answered,
+}
+
+
+def watchers_of(
+    members: typing.Iterable[state.Member], site: str, count: int
+) -> list[str]:
+    """Return the members of a site that watch the store for the others."""
+    names = [member.name for member in members if member.site == site]
+    return list(itertools.islice(_relay.tree_of(names, 'watchers'), count))
--- /dev/null
+++ b/samphiredock/coordination/_settling.py
@@ -0,0 +1,82 @@
+"""When a fresh daemon may rely on what it has learned.
+
+A fresh daemon starts with nothing, so a stale read of the store would put
+an older revision in force after a newer one was seen elsewhere.  It is
+settled only when the store and enough peers have been asked and nothing
+newer than what it holds was told.
+"""
+
+from samphiredock import protocol
+
+_ENOUGH_PEERS = 2
+_LIMIT_MS = 3_000.0
+_BEHIND_LIMIT_MS = 30_000.0
+
+
+class Settling:
+    """Decides once after the start; pure."""
+
+    def __init__(self, now_ms: float) -> None:
+        self._started_ms = now_ms
+        self._store_asked = False
+        self._directory_read = False
+        self._listed: set[str] = set()
+        self._answered: set[str] = set()
+        self._answered_settled: set[str] = set()
+        self._highest = protocol.HeldVersions(0, 0)
+        self._settled = False
+
+    def on_store(self) -> None:
+        """The store gave its objects, or is down: do not wait for it."""
+        self._store_asked = True
+
+    def on_directory(self, names: set[str]) -> None:
+        """The directory, or the settings, list these other daemons."""
+        self._directory_read = True
+        self._listed = names
+
+    def on_versions(self, versions: protocol.HeldVersions) -> None:
+        """A peer holds these versions."""
+        self._highest = protocol.HeldVersions(
+            max(self._highest.revision, versions.revision),
+            max(self._highest.snapshot_id, versions.snapshot_id),
+        )
+
+    def on_answer(self, member: str, settled: bool) -> None:
+        """A peer answered the question of what it knows.
+
+        An answer of a peer that is not settled itself proves little: it
+        may have read the same stale object.
+        """
+        self._answered.add(member)
+        if settled:
+            self._answered_settled.add(member)
+
+    def is_settled(self, now_ms: float, held: protocol.HeldVersions) -> bool:
+        """Whether the daemon may become ready; it stays so."""
+        if not self._settled:
+            self._settled = self._judge(now_ms, held)
+        return self._settled
+
+    def _judge(self, now_ms: float, held: protocol.HeldVersions) -> bool:
+        if not held.revision:
+            return False
+        behind = (
+            held.revision < self._highest.revision
+            or held.snapshot_id < self._highest.snapshot_id
+        )
+        age_ms = now_ms - self._started_ms
+        if behind:
+            # Whoever told of it may have died, with the store restored
+            # from a backup: then it can't be had any more.
+            return age_ms >= _BEHIND_LIMIT_MS
+        # All listed peers may be gone, or frozen.
+        asked = self._store_asked and self._peers_asked()
+        return asked or age_ms >= _LIMIT_MS
+
+    def _peers_asked(self) -> bool:
+        if not self._directory_read:
+            return False
+        enough = min(_ENOUGH_PEERS, len(self._listed))
+        everyone = self._listed <= self._answered
+        return everyone or len(self._answered_settled) >= enough
--- /dev/null
+++ b/samphiredock/coordination/_watcher.py
@@ -0,0 +1,226 @@
+"""Objects of the platform's store, followed by few for many.
+
+Two daemons of each site wait at the store and tell the others of the site.
+Everybody reads once at the start, and asks seldom for what has changed
+since, which costs the store a short call and finds what a relay lost.
+"""
+
+import asyncio
+import typing
+
+from returns import result
+
+from samphiredock.coordination import _exchange
+from samphiredock.coordination import _knowledge
+from samphiredock.coordination import _membership
+from samphiredock.coordination import _pause
+from samphiredock.coordination import _relay
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import timers
+from samphiredock import transport
+
+WATCHERS_PER_SITE = 2
+_WATCH_MS = 30_000
+_PAUSE_MS = 200.0
+_POLL_MS = 20_000.0
+_CHECK_MS = 500.0
+_SIZE_OF_POLL = 8
+_RELAY_LIMIT_BYTES = 65_536
+
+ObjectHandler = typing.Callable[[transport.StoredObject], None]
+
+
+class Watcher:
+    """Follow objects of the platform's store for the parts of a daemon.
+
+    Parameters
+    ----------
+    platform
+        The object service.
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self,
+        platform: transport.Platform,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._metrics = counters
+        self._handlers: dict[str, ObjectHandler] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._unread: set[str] = set()
+        self._on_first_read: list[typing.Callable[[], None]] = []
+        self._is_watcher: typing.Callable[[], bool] = lambda: True
+        self._size: typing.Callable[[], int] = lambda: 1
+        self._share: ObjectHandler = lambda stored: None
+
+    def follow(self, prefix: str, handler: ObjectHandler) -> None:
+        """Call ``handler`` with each object below ``prefix`` that changes.
+
+        To be called before :meth:`start`.  An object may be shown more
+        than once, and an older version after a newer one: handlers keep
+        the newest by their own rule.
+        """
+        self._handlers[prefix] = handler
+
+    def share_among(
+        self,
+        is_watcher: typing.Callable[[], bool],
+        size: typing.Callable[[], int],
+        share: ObjectHandler,
+    ) -> None:
+        """Watch only while ``is_watcher()``; ``share`` what is found."""
+        self._is_watcher = is_watcher
+        self._size = size
+        self._share = share
+
+    def on_first_read(self, callback: typing.Callable[[], None]) -> None:
+        """Call back when every prefix has been asked for once."""
+        self._on_first_read.append(callback)
+
+    def take(self, stored: transport.StoredObject) -> None:
+        """Show an object, from the store or from a peer, to its handlers."""
+        for prefix, handler in self._handlers.items():
+            if stored.key.startswith(prefix):
+                handler(stored)
+
+    def start(self) -> None:
+        """Watch in the background."""
+        self._unread = set(self._handlers)
+        for prefix in self._handlers:
+            task = asyncio.create_task(self._follow(prefix))
+            self._tasks.append(task)
+
+    def close(self) -> None:
+        """Stop watching."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _follow(self, prefix: str) -> None:
+        position = 0
+        polled_ms = self._clock.now_ms()
+        while True:
+            watching = self._is_watcher()
+            if position and not watching:
+                waited_ms = self._clock.now_ms() - polled_ms
+                if waited_ms < self._poll_ms():
+                    await _pause.pause(self._clock, _CHECK_MS)
+                    continue
+            polled_ms = self._clock.now_ms()
+            timeout_ms = _WATCH_MS if watching else 0
+            reply = await self._platform.watch(prefix, position, timeout_ms)
+            self._note_read(prefix)
+            if isinstance(reply, result.Failure):
+                await _pause.pause(self._clock, _PAUSE_MS)
+                continue
+            page = reply.unwrap()
+            for stored in page.changed:
+                self.take(stored)
+                if position and watching:
+                    self._share(stored)
+            if not page.changed and position == 0:
+                await _pause.pause(self._clock, _PAUSE_MS)
+            position = page.position
+
+    def _poll_ms(self) -> float:
+        return _POLL_MS * max(1.0, self._size() / _SIZE_OF_POLL)
+
+    def _note_read(self, prefix: str) -> None:
+        if prefix not in self._unread:
+            return
+        self._unread.discard(prefix)
+        if not self._unread:
+            for callback in self._on_first_read:
+                callback()
+
+
+def follow_knowledge(
+    watcher: Watcher, knowledge: _knowledge.Knowledge
+) -> None:
+    """Feed the configuration and the snapshots to ``knowledge``."""
+
+    def take(stored: transport.StoredObject) -> None:
+        knowledge.offer(stored.key, stored.value)
+
+    watcher.follow(_knowledge.CONFIGURATION_KEY, take)
+    watcher.follow(_knowledge.SNAPSHOT_KEY, take)
+
+
+class Spread:
+    """Wires watcher, exchange and membership of one daemon together.
+
+    Parameters
+    ----------
+    name, site
+        This daemon.
+    knowledge, watcher, membership, peers, clock, counters
+        The parts.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        site: str,
+        knowledge: _knowledge.Knowledge,
+        watcher: Watcher,
+        membership: _membership.Membership,
+        peers: _relay.PeerLinks,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._name = name
+        self._site = site
+        self._watcher = watcher
+        self._membership = membership
+        self._metrics = counters
+        self.exchange = _exchange.ObjectExchange(
+            name, knowledge, peers, membership.broadcast, clock, counters
+        )
+        membership.on_peer_holds(self.exchange.on_peer_holds)
+        watcher.share_among(
+            self._is_watcher, lambda: len(membership.live()), self._share
+        )
+        watcher.on_first_read(membership.on_store_read)
+        peers.subscribe(protocol.ObjectChanged, self._on_object)
+
+    def announce_configuration(self) -> None:
+        """Push a revision that was accepted here to all daemons."""
+        self.exchange.announce(_knowledge.CONFIGURATION_KEY)
+
+    def _is_watcher(self) -> bool:
+        chosen = _membership.watchers_of(
+            self._membership.live(), self._site, WATCHERS_PER_SITE
+        )
+        return self._name in chosen or not chosen
+
+    def _share(self, stored: transport.StoredObject) -> None:
+        if stored.key in (
+            _knowledge.CONFIGURATION_KEY,
+            _knowledge.SNAPSHOT_KEY,
+        ):
+            self.exchange.announce(stored.key, self._site)
+            return
+        if len(stored.value) > _RELAY_LIMIT_BYTES:
+            # The others find it at their next poll.
+            self._metrics.add('objects_too_large_to_relay')
+            return
+        self._membership.broadcast(
+            protocol.ObjectChanged(stored.key, stored.version, stored.value),
+            self._site,
+        )
+
+    def _on_object(self, sender: str, changed: protocol.ObjectChanged) -> None:
+        if changed.key in (
+            _knowledge.CONFIGURATION_KEY,
+            _knowledge.SNAPSHOT_KEY,
+        ):
+            return
+        stored = transport.StoredObject(
+            changed.key, changed.version, changed.value
+        )
+        self._watcher.take(stored)
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -1,6 +1,7 @@
 """One daemon: its parts, wired together."""
 
 import pathlib
+import random
 import ssl
 import typing
 
@@ -21,7 +22,7 @@
     protocol.CancelAttempts,
     protocol.RunOrder,
     protocol.RunReport,
-    coordination.Heartbeat,
+    *protocol.CONTROL_MESSAGES,
 )
 """The closed table of messages between daemons."""
 
@@ -52,23 +53,41 @@
             settings.operator_address,
             incarnation,
         )
+        codec = protocol.Codec(PEER_MESSAGES)
         self._hub = transport.PeerHub(
             settings.name,
             settings.peer_address,
-            protocol.Codec(PEER_MESSAGES),
+            codec,
             self._metrics,
         )
         self._knowledge = coordination.Knowledge(self._metrics)
-        self._watcher = coordination.Watcher(self._platform)
+        self._watcher = coordination.Watcher(
+            self._platform, self._clock, self._metrics
+        )
         coordination.follow_knowledge(self._watcher, self._knowledge)
         self._membership = coordination.Membership(
             self._me,
             self._hub,
-            self._hub.set_address,
+            codec,
             self._platform,
             self._clock,
             self._metrics,
-            lambda: self._knowledge.revision,
+            self._knowledge.versions,
+            random.Random(f'{settings.name}-{incarnation}'),
+            settings.peers,
+        )
+        self._spread = coordination.Spread(
+            settings.name,
+            settings.site,
+            self._knowledge,
+            self._watcher,
+            self._membership,
+            self._hub,
+            self._clock,
+            self._metrics,
+        )
+        self._acceptor = coordination.Acceptor(
+            self._platform, self._knowledge, self._clock, self._metrics
         )
         self._dispatcher = coordination.Dispatcher(
             self._hub, self._clock, self._metrics
@@ -138,12 +157,23 @@
         """Run one unrepeatable request."""
         return await self._runner.run(request, idempotency_key)
 
+    async def apply(
+        self, change: protocol.ConfigurationChange
+    ) -> protocol.ChangeOutcome:
+        """Accept a configuration change and push it to all daemons."""
+        outcome = await self._acceptor.apply(change)
+        if isinstance(outcome, protocol.ChangeAccepted):
+            self._spread.announce_configuration()
+        return outcome
+
     def is_ready(self) -> bool:
         """Whether the balancer should send requests here."""
         return (
             not self._closing
             and self.configuration is not None
             and self.snapshot is not None
+            and self._membership.is_settled()
+            and self._membership.is_current()
         )
 
     def is_closing(self) -> bool:
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -2,6 +2,21 @@
 
 from samphiredock.protocol._codec import Codec
 from samphiredock.protocol._codec import CodecError
+from samphiredock.protocol._membership import CONTROL_MESSAGES
+from samphiredock.protocol._membership import Envelope
+from samphiredock.protocol._membership import HeldVersions
+from samphiredock.protocol._membership import MemberRow
+from samphiredock.protocol._membership import MemberState
+from samphiredock.protocol._membership import ObjectAsk
+from samphiredock.protocol._membership import ObjectChanged
+from samphiredock.protocol._membership import ObjectVersion
+from samphiredock.protocol._membership import Probe
+from samphiredock.protocol._membership import ProbeAnswer
+from samphiredock.protocol._membership import ProbeAsk
+from samphiredock.protocol._membership import RevisionHeld
+from samphiredock.protocol._membership import StateAnswer
+from samphiredock.protocol._membership import StateAsk
+from samphiredock.protocol._membership import StatePush
 from samphiredock.protocol._operations import ChangeAccepted
 from samphiredock.protocol._operations import ChangeConflict
 from samphiredock.protocol._operations import ChangeInvalid
@@ -46,6 +61,7 @@
 
 __all__ = [
     'Answered',
+    'CONTROL_MESSAGES',
     'CancelAttempts',
     'ChangeAccepted',
     'ChangeConflict',
@@ -58,20 +74,34 @@
     'CodecError',
     'Completed',
     'ConfigurationChange',
+    'Envelope',
+    'HeldVersions',
     'KeyRange',
+    'MemberRow',
+    'MemberState',
     'NEVER_STARTED',
     'NotRun',
     'NotRunReason',
+    'ObjectAsk',
+    'ObjectChanged',
+    'ObjectVersion',
     'Outcome',
     'Partial',
+    'Probe',
+    'ProbeAnswer',
+    'ProbeAsk',
     'QuarantineEntry',
     'Record',
+    'RevisionHeld',
     'RunOrder',
     'RunOutcome',
     'RunReport',
     'RunRequest',
     'SearchOutcome',
     'SearchRequest',
+    'StateAnswer',
+    'StateAsk',
+    'StatePush',
     'SubAnswer',
     'SubAnswerBatch',
     'SubQuery',
--- a/samphiredock/state/_compiler.py
+++ b/samphiredock/state/_compiler.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns import result
 
+from samphiredock import protocol
 from samphiredock.state import _configuration
 from samphiredock.state import _settings
 
@@ -11,7 +12,9 @@
     """The stored object: what operators wrote, and which change it was.
 
     ``change_id`` lets a writer whose answer was lost recognise its own
-    change when it reads the object back.
+    change when it reads the object back; ``recent`` lists the last
+    accepted changes, this one last, so that it can do so also after
+    later changes.
     """
 
     revision: int
@@ -20,6 +23,7 @@
     accepted_at_ms: int
     base: dict
     overlays: dict[str, dict]
+    recent: list[protocol.ChangeSummary] = []
 
 
 def compile_source(
--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -155,6 +155,10 @@
             self._metrics.add_bulk('peer_messages_sent', 1, kind=kind)
             self._metrics.add_bulk('peer_bytes_sent', len(body), kind=kind)
 
+    def deliver(self, sender: str, message: msgspec.Struct) -> None:
+        """Hand a message that came within another one to its handlers."""
+        self._deliver(sender, message)
+
     def close(self) -> None:
         """Close every socket, giving queued messages a moment to leave."""
         if self._closed:
