--- /dev/null
+++ b/tests/failure/test_membership.py
@@ -0,0 +1,203 @@
+"""Membership under loss, freezes and cuts."""
+
+import asyncio
+import os
+import typing
+import unittest
+
+from tests import fakes_daemons
+
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+THREE_REGIONS = {'bole-a': 'addis', 'kirkos-b': 'adama', 'yeka-c': 'mekelle'}
+
+
+def simulate(
+    body: typing.Callable[
+        [fakes_daemons.Network], typing.Coroutine[None, None, None]
+    ],
+) -> None:
+    """Run a test's body on a network of its own."""
+
+    async def run() -> None:
+        network = fakes_daemons.Network(SEED)
+        try:
+            await body(network)
+        finally:
+            network.close()
+
+    asyncio.run(run())
+
+
+class MembershipTest(unittest.TestCase):
+    """Nine daemons in three regions."""
+
+    def assert_views(
+        self, network: fakes_daemons.Network, expected: set[str]
+    ) -> None:
+        """Every member of ``expected`` holds exactly these live."""
+        views = {name: network.daemons[name].live_names() for name in expected}
+        self.assertEqual({name: expected for name in expected}, views)
+
+    async def start(self, network: fakes_daemons.Network) -> set[str]:
+        """Start nine daemons and wait until all know all."""
+        fakes_daemons.start_sites(network, THREE_REGIONS, 9)
+        await network.run(3_000)
+        everyone = set(network.daemons)
+        self.assert_views(network, everyone)
+        return everyone
+
+    def test_killed_is_lost_and_the_rest_stays(self) -> None:
+        """Owners of targets change only for the daemon that died.
+
+        A tenth of all messages is lost, so that single probes fail all the
+        time; probes through others keep the live ones in, while the one
+        that was killed is out after its suspicion.
+        """
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            network.drop = 0.1
+            network.daemons['entry-5'].kill()
+            await network.run(6_000)
+            self.assert_views(network, everyone - {'entry-5'})
+            self.assertGreater(network.bitten['drop'], 50)
+
+        simulate(body)
+
+    def test_cut_regions_go_on_and_meet_again(self) -> None:
+        """Each region works with its own members; after the cut all are in.
+
+        Regions lose each other for an hour.  Both sides hold the others
+        dead; when the cut heals, a probe of a lost member finds it, and no
+        member of either side is taken out by the other side's reports.
+        """
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            regions = list(THREE_REGIONS.values())
+            network.cuts = {
+                frozenset((regions[0], regions[1])),
+                frozenset((regions[0], regions[2])),
+            }
+            await network.run(60_000)
+            first = {
+                name
+                for name, daemon in network.daemons.items()
+                if daemon.region == regions[0]
+            }
+            self.assert_views(network, first)
+            self.assert_views(network, everyone - first)
+            lost: list[str] = []
+            for daemon in network.daemons.values():
+                daemon.membership.on_change(
+                    lambda joined, gone: lost.extend(
+                        {member.name for member in gone}
+                        - {member.name for member in joined}
+                    )
+                )
+            network.cuts = set()
+            await network.run(30_000)
+            self.assert_views(network, everyone)
+            self.assertEqual([], lost)
+
+        simulate(body)
+
+    def test_frozen_daemon_is_not_current_until_it_has_asked(self) -> None:
+        """A woken daemon takes no ownership on its old view.
+
+        It is frozen for longer than every timeout, the others drop it.
+        When it wakes its timers are all due: it must not suspect the
+        others, and is current only after they have told what changed.
+        """
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            sleeper = network.daemons['entry-4']
+            sleeper.clock.frozen = True
+            await network.run(8_000)
+            self.assert_views(network, everyone - {'entry-4'})
+            network.daemons['entry-7'].kill()
+            await network.run(8_000)
+            self.assertFalse(sleeper.membership.is_current())
+            sleeper.clock.thaw()
+            self.assertFalse(sleeper.membership.is_current())
+            await network.run(3_000)
+            self.assertTrue(sleeper.membership.is_current())
+            self.assert_views(network, everyone - {'entry-7'})
+
+        simulate(body)
+
+    def test_all_frozen_at_once_go_on(self) -> None:
+        """The machine under all of them stopped: nobody is lost for it.
+
+        All daemons wake together, each with an old view, and answer each
+        other; one that nobody can answer goes on after a bounded time.
+        """
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            for daemon in network.daemons.values():
+                daemon.clock.frozen = True
+            await network.run(20_000)
+            for daemon in network.daemons.values():
+                daemon.clock.thaw()
+            network.cuts = {
+                frozenset(('entry-1', site)) for site in THREE_REGIONS
+            }
+            await network.run(3_500)
+            current = [
+                daemon.membership.is_current()
+                for daemon in network.daemons.values()
+            ]
+            self.assertEqual([True] * 9, current)
+            network.cuts = set()
+            await network.run(15_000)
+            self.assert_views(network, everyone)
+
+        simulate(body)
+
+    def test_silent_connection_is_made_anew(self) -> None:
+        """One open connection swallows all while new ones work.
+
+        Probes and answers from one daemon to another vanish.  Others
+        still reach both, so neither is lost: the connection is replaced.
+        """
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            one, other = (network.daemons[n] for n in ('entry-1', 'entry-2'))
+            one.peers.silent.add('entry-2')
+            other.peers.silent.add('entry-1')
+            await network.run(10_000)
+            self.assertEqual(set(), one.peers.silent | other.peers.silent)
+            self.assert_views(network, everyone)
+
+        simulate(body)
+
+    def test_restart_with_an_earlier_wall_clock(self) -> None:
+        """A daemon that comes back with a lower incarnation gets in.
+
+        Its host was replaced by one whose clock is behind; the others
+        hold reports of a later start and would ignore it for ever.
+        """
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            network.daemons['entry-3'].kill()
+            network.clock._wall_offset_ms -= 3_600_000
+            network.start('entry-3', 'yeka-c', 'mekelle')
+            await network.run(5_000)
+            self.assert_views(network, everyone)
+
+        simulate(body)
+
+    def test_leaving_is_known_at_once(self) -> None:
+        """A daemon that says it leaves gets nothing new after a moment."""
+
+        async def body(network: fakes_daemons.Network) -> None:
+            everyone = await self.start(network)
+            network.daemons['entry-9'].membership.leave()
+            await network.run(200)
+            self.assert_views(network, everyone - {'entry-9'})
+
+        simulate(body)
