History check of configuration under random faults; a repeated change stays unknown

Ruled out: remembering such changes at each daemon; it does not reach the daemon that the operator turns to next.

Change: a change says that it is repeated; then no daemon answers unavailable without having read the store.

--- a/samphiredock/coordination/_accept.py
+++ b/samphiredock/coordination/_accept.py
@@ -146,7 +146,7 @@
             if not isinstance(step, str):
                 return step
             detail = step
-        if change.change_id in self._unsure:
+        if change.repeated or change.change_id in self._unsure:
             return protocol.ChangeUnknown(detail, _RETRY_AFTER_MS)
         return protocol.ChangeUnavailable(detail, _RETRY_AFTER_MS)
 
--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -141,7 +141,6 @@
         self._verify: collections.deque[protocol.MemberRow] = (
             collections.deque()
         )
-        self._silent: set[str] = set()
         self._last_ms = now_ms
         self._next_probe_ms = now_ms
         self._next_lost_ms = now_ms + _LOST_PROBE_MS
@@ -293,10 +292,8 @@
         self._open[number] = _OpenProbe(
             name, due_ms, asked_by=asked_by, asked_number=asked
         )
-        silent = name in self._silent
-        self._silent.discard(name)
         message = protocol.Probe(
-            number, self._versions(), self._rows_for(name), silent
+            number, self._versions(), self._rows_for(name)
         )
         return [SendTo(name, message)]
 
@@ -381,9 +378,7 @@
             row = self._verify.popleft()
             if not self.table.beats(row):
                 continue
-            message = protocol.Probe(
-                self._number(), self._versions(), [row], False
-            )
+            message = protocol.Probe(self._number(), self._versions(), [row])
             effects.append(SendTo(row.name, message))
         return effects
 
@@ -493,8 +488,6 @@
     ) -> _Effects:
         effects = self._merge(message.rows, now_ms)
         effects.append(PeerHolds(sender, message.versions))
-        if message.silent:
-            effects.append(ResetPeer(sender))
         rows = self._rows_for(sender)
         doubted = any(row.name == self._name for row in message.rows)
         if doubted and self.me not in rows:
@@ -516,9 +509,8 @@
                 effects += self._pass_answer(probe, message)
         elif probe is not None and probe.indirect:
             # Another one reaches it: the connection between the two is
-            # silent, in one direction or both.
+            # silent.  If it is so the other way, its probes find that.
             del self._open[message.number]
-            self._silent.add(probe.target)
             effects.append(ResetPeer(probe.target))
         if was_lost and sender not in self._lost_since:
             effects += self._ask_state([sender])
--- a/samphiredock/protocol/_membership.py
+++ b/samphiredock/protocol/_membership.py
@@ -44,16 +44,11 @@
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True):
-    """Ask a member whether it lives.
-
-    ``silent`` says that its answers on the open connection do not arrive
-    while others hear it, so that it makes a new connection first.
-    """
+    """Ask a member whether it lives."""
 
     number: int
     versions: HeldVersions
     rows: list[MemberRow] = []
-    silent: bool = False
 
 
 class ProbeAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/samphiredock/protocol/_operations.py
+++ b/samphiredock/protocol/_operations.py
@@ -11,6 +11,9 @@
     ``base_revision`` is the revision that the change was made from; the
     change is refused if another one has been accepted since.  ``change_id``
     recognises the change when the store's answer to its write was lost.
+    ``repeated`` says that an earlier sending of it had an unknown outcome:
+    a daemon that can't read the store then can't say that nothing was
+    changed.
     """
 
     base_revision: int
@@ -18,6 +21,7 @@
     author: str
     base: dict
     overlays: dict[str, dict]
+    repeated: bool = False
 
 
 class ChangeAccepted(msgspec.Struct, frozen=True, tag='accepted'):
--- /dev/null
+++ b/tests/failure/test_configuration.py
@@ -0,0 +1,273 @@
+"""A configuration accepted is in force everywhere and never reverts."""
+
+import asyncio
+import collections
+import os
+import random
+import typing
+import unittest
+
+import msgspec
+
+from samphiredock import coordination
+from samphiredock import state
+from tests import fakes_daemons
+from tests import history_configuration as history
+
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+SITES = {'bole-a': 'addis', 'kirkos-b': 'addis', 'yeka-c': 'mekelle'}
+IN_FORCE_LIMIT_MS = 5_000.0
+SCHEDULES = 6
+ROUNDS = 12
+
+
+def source(revision: int, change_id: str) -> bytes:
+    """Return a stored configuration."""
+    row = state.ConfigurationSource(
+        revision, change_id, 'operator', 0, fakes_daemons.BASE, {}
+    )
+    return msgspec.json.encode(row)
+
+
+class Schedule:
+    """A random run of daemons, operators and faults, recorded."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.network = fakes_daemons.Network(seed)
+        self.events: list[history.Event] = []
+        self.faults: collections.Counter = collections.Counter()
+        self.reachable_ms: dict[str, float] = {}
+        self.unready: dict[str, int] = {}
+        self.store = self.network.store
+        self.operators: list[asyncio.Task] = []
+
+    @property
+    def now_ms(self) -> float:
+        """The time of the run."""
+        return self.network.clock.now_ms()
+
+    def start(self, name: str, site: str) -> None:
+        """Start a daemon and record what it applies."""
+        floor = max(
+            [
+                daemon.knowledge.revision
+                for daemon in self.network.daemons.values()
+                if daemon.is_ready and not daemon.clock.frozen
+            ],
+            default=0,
+        )
+        daemon = self.network.start(name, site, SITES[site])
+        self.reachable_ms[name] = self.now_ms
+        self.unready[name] = floor if not self.network.cuts else 0
+        daemon.knowledge.subscribe(
+            lambda new: self.events.append(
+                history.InForce(
+                    self.now_ms,
+                    name,
+                    daemon.incarnation,
+                    new.revision,
+                    daemon.knowledge.source.change_id,
+                )
+            )
+        )
+
+    async def run(self, duration_ms: float) -> None:
+        """Let time pass; note who becomes ready and who holds what."""
+        for _ in range(int(duration_ms // 100)):
+            await self.network.run(100)
+            self._observe()
+
+    def _observe(self) -> None:
+        for name, daemon in self.network.daemons.items():
+            if daemon.clock.dead or daemon.clock.frozen:
+                continue
+            revision = daemon.knowledge.revision
+            if name in self.unready and daemon.is_ready:
+                floor = self.unready.pop(name)
+                self.events.append(
+                    history.Presented(
+                        self.now_ms, name, daemon.incarnation, revision, floor
+                    )
+                )
+            self.events.append(
+                history.Held(
+                    self.now_ms, name, self.reachable_ms[name], revision
+                )
+            )
+
+    async def operate(self, daemon: fakes_daemons.SimDaemon, name: str):
+        """Apply one change as an operator, again while it is unknown."""
+        base = daemon.knowledge.revision
+        for sending in range(20):
+            outcome = await daemon.apply(name, base, sending > 0)
+            kind = type(outcome).__name__
+            if kind != 'ChangeUnknown':
+                break
+            self.faults['unknown outcome'] += 1
+            daemon = self.rng.choice(self.running())
+        revision = getattr(outcome, 'revision', 0)
+        self.events.append(history.Answered(self.now_ms, name, kind, revision))
+
+    def running(self) -> list[fakes_daemons.SimDaemon]:
+        """Return the daemons that an operator can reach."""
+        return [
+            daemon
+            for daemon in self.network.daemons.values()
+            if not daemon.clock.dead and not daemon.clock.frozen
+        ]
+
+    def race(self, number: int) -> None:
+        """Let two operators change the same base at two daemons."""
+        for place in self.rng.sample(self.running(), 2):
+            name = f'change-{number}-{place.name}'
+            task = asyncio.create_task(self.operate(place, name))
+            self.operators.append(task)
+
+    def _site(self, site: str) -> list[fakes_daemons.SimDaemon]:
+        return [d for d in self.network.daemons.values() if d.site == site]
+
+    async def fault(self, number: int) -> None:
+        """One fault round operators' changes, then its end."""
+        kind = self.rng.choice(('store', 'freeze', 'cut', 'restart', 'old'))
+        self.faults[kind] += 1
+        site = self.rng.choice(list(SITES))
+        await _FAULTS[kind](self, number, site)
+
+    async def _store_dies(self, number: int, site: str) -> None:
+        self.race(number)
+        # The outage begins as soon as the first write has taken effect.
+        before = self.store.position
+        for _ in range(40):
+            await self.network.run(5)
+            if self.store.position > before:
+                break
+        self.store.faults.down = True
+        await self.run(8_000)
+        self.store.faults.down = False
+
+    async def _site_frozen(self, number: int, site: str) -> None:
+        frozen = self._site(site)
+        for daemon in frozen:
+            daemon.clock.frozen = True
+        self.race(number)
+        await self.run(6_000)
+        for daemon in frozen:
+            self.reachable_ms[daemon.name] = self.now_ms
+            daemon.clock.thaw()
+
+    async def _site_cut(self, number: int, site: str) -> None:
+        self.network.cuts = {
+            frozenset((site, other)) for other in SITES if other != site
+        }
+        self.store.faults.down = True
+        await self.run(300)
+        self.store.faults.down = False
+        self.race(number)
+        await self.run(5_500)
+        self.network.cuts = set()
+        for name in self.reachable_ms:
+            self.reachable_ms[name] = self.now_ms
+            self.unready[name] = 0
+
+    async def _restarted(self, number: int, site: str) -> None:
+        self.race(number)
+        await self.run(self.rng.uniform(0, 200))
+        for daemon in self._site(site):
+            daemon.kill()
+            self.start(daemon.name, site)
+        await self.run(3_000)
+
+    async def _stale_start(self, number: int, site: str) -> None:
+        # Every read is old: only the peers know what is in force.
+        self.race(number)
+        await self.run(3_000)
+        self.store.faults.stale_read = 1.0
+        daemon = self._site(site)[0]
+        daemon.kill()
+        self.start(daemon.name, site)
+        await self.run(4_000)
+        self.store.faults.stale_read = 0.2
+
+    def stored(self) -> dict[int, str]:
+        """Return the changes that the store's object lists."""
+        key = coordination.CONFIGURATION_KEY
+        last = msgspec.json.decode(
+            self.store.objects[key].value, type=state.ConfigurationSource
+        )
+        return {row.revision: row.change_id for row in last.recent}
+
+
+_FAULTS: dict[str, typing.Callable] = {
+    'store': Schedule._store_dies,
+    'freeze': Schedule._site_frozen,
+    'cut': Schedule._site_cut,
+    'restart': Schedule._restarted,
+    'old': Schedule._stale_start,
+}
+
+
+async def play(seed: int) -> Schedule:
+    """Run one schedule to its quiet end."""
+    run = Schedule(seed)
+    run.store.write(coordination.CONFIGURATION_KEY, source(1, 'first'))
+    names = list(SITES)
+    for number in range(8):
+        run.start(f'entry-{number + 1}', names[number % 3])
+    await run.run(3_000)
+    run.network.drop, run.network.duplicate = 0.05, 0.05
+    run.store.faults.lose_answer, run.store.faults.stale_read = 0.3, 0.2
+    for number in range(ROUNDS):
+        await run.fault(number)
+        await run.run(1_000)
+    run.store.faults.lose_answer = run.store.faults.stale_read = 0.0
+    run.network.drop = 0.0
+    await run.run(8_000)
+    run.network.close()
+    return run
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Eight daemons in three sites of two regions."""
+
+    def test_never_reverts_under_a_random_schedule(self) -> None:
+        """What was accepted is in force in time, and nothing goes back.
+
+        Two operators race from one base again and again while the store
+        loses answers, reads old objects and dies just after it took a
+        change; sites are frozen, cut off and restarted with nothing kept.
+        The recorded history is judged by the checks of each promise.
+        """
+        totals: collections.Counter = collections.Counter()
+        for number in range(SCHEDULES):
+            seed = SEED + number
+            run = asyncio.run(play(seed))
+            with self.subTest(seed=seed):
+                self.judge(run)
+            totals.update(run.faults)
+            totals.update(run.network.bitten)
+            totals.update(
+                {f'store {k}': v for k, v in run.store.bitten.items()}
+            )
+            totals.update(
+                getattr(event, 'outcome', type(event).__name__)
+                for event in run.events
+            )
+        print(f'configuration, {SCHEDULES} seeds from {SEED}: {dict(totals)}')
+        for name in ('ChangeAccepted', 'ChangeConflict', 'Presented'):
+            self.assertGreaterEqual(totals[name], 20, name)
+        for name in (*_FAULTS, 'drop', 'store lose_answer', 'store down'):
+            self.assertGreaterEqual(totals[name], 3, name)
+
+    def judge(self, run: Schedule) -> None:
+        """Assert every promise on a run's history."""
+        events = run.events
+        self.assertEqual([], history.reverted(events)[:3])
+        self.assertEqual([], history.presented_too_old(events)[:3])
+        self.assertEqual([], history.two_of_one_revision(events)[:3])
+        self.assertEqual([], history.refused_but_in_force(events)[:3])
+        lost = history.accepted_but_lost(events, run.stored())
+        self.assertEqual([], lost[:3])
+        self.assertEqual([], history.late(events, IN_FORCE_LIMIT_MS)[:3])
+        final = {d.knowledge.revision for d in run.network.daemons.values()}
+        self.assertEqual({max(run.stored())}, final)
--- /dev/null
+++ b/tests/history_configuration.py
@@ -0,0 +1,141 @@
+"""Checks of a recorded history of configuration changes.
+
+Each function takes the events of one run and returns the offending ones,
+so that an empty list is a pass.
+"""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """A daemon (one start of it) applied a revision."""
+
+    at_ms: float
+    daemon: str
+    start: int
+    revision: int
+    change_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Presented:
+    """A fresh daemon became ready.
+
+    ``floor`` is the highest revision that a daemon which it could reach
+    had in force when it started.
+    """
+
+    at_ms: float
+    daemon: str
+    start: int
+    revision: int
+    floor: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """An operator was told the outcome of a change."""
+
+    at_ms: float
+    change_id: str
+    outcome: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """What a daemon, reachable since ``reachable_ms``, has in force."""
+
+    at_ms: float
+    daemon: str
+    reachable_ms: float
+    revision: int
+
+
+Event = InForce | Presented | Answered | Held
+_NEVER_IN_FORCE = ('ChangeConflict', 'ChangeInvalid', 'ChangeUnavailable')
+
+
+def reverted(events: typing.Sequence[Event]) -> list[InForce]:
+    """Return revisions applied that were not above the one in force."""
+    held: dict[tuple[str, int], int] = {}
+    bad = []
+    for event in events:
+        if not isinstance(event, InForce):
+            continue
+        key = event.daemon, event.start
+        if event.revision <= held.get(key, 0):
+            bad.append(event)
+        held[key] = max(event.revision, held.get(key, 0))
+    return bad
+
+
+def presented_too_old(events: typing.Sequence[Event]) -> list[Presented]:
+    """Return fresh daemons that became ready below what was reachable."""
+    return [
+        event
+        for event in events
+        if isinstance(event, Presented) and event.revision < event.floor
+    ]
+
+
+def two_of_one_revision(events: typing.Sequence[Event]) -> list[InForce]:
+    """Return revisions that were in force with two contents."""
+    first: dict[int, str] = {}
+    return [
+        event
+        for event in events
+        if isinstance(event, InForce)
+        and first.setdefault(event.revision, event.change_id)
+        != event.change_id
+    ]
+
+
+def refused_but_in_force(events: typing.Sequence[Event]) -> list[Answered]:
+    """Return changes told as refused, and never accepted, yet in force."""
+    applied = {e.change_id for e in events if isinstance(e, InForce)}
+    return [
+        event
+        for event in events
+        if isinstance(event, Answered)
+        and event.outcome in _NEVER_IN_FORCE
+        and event.change_id in applied
+    ]
+
+
+def accepted_but_lost(
+    events: typing.Sequence[Event], stored: typing.Mapping[int, str]
+) -> list[Answered]:
+    """Return accepted changes that the store's list shows otherwise."""
+    return [
+        event
+        for event in events
+        if isinstance(event, Answered)
+        and event.outcome == 'ChangeAccepted'
+        and stored.get(event.revision) != event.change_id
+    ]
+
+
+def late(
+    events: typing.Sequence[Event], limit_ms: float
+) -> list[tuple[Answered, Held]]:
+    """Return reachable daemons behind an accepted change past the limit.
+
+    A daemon that holds a later revision is not behind: the change has
+    been overwritten.
+    """
+    accepted = [
+        event
+        for event in events
+        if isinstance(event, Answered) and event.outcome == 'ChangeAccepted'
+    ]
+    return [
+        (change, event)
+        for event in events
+        if isinstance(event, Held)
+        for change in accepted
+        if event.revision < change.revision
+        and event.at_ms - max(change.at_ms, event.reachable_ms) > limit_ms
+    ]
