--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -115,6 +115,8 @@
         What this daemon holds, told with each probe.
     settled
         Whether those versions can be relied on.
+    behind
+        Whether a peer has told of newer versions.
     now_ms
         The time of the start.
     """
@@ -125,6 +127,7 @@
         rng: random.Random,
         versions: typing.Callable[[], protocol.HeldVersions],
         settled: typing.Callable[[], bool],
+        behind: typing.Callable[[], bool],
         now_ms: float,
     ) -> None:
         self.table = _member_table.MemberTable(me)
@@ -132,6 +135,7 @@
         self._rng = rng
         self._versions = versions
         self._settled = settled
+        self._behind = behind
         self._numbers = 0
         self._open: dict[int, _OpenProbe] = {}
         self._round: list[str] = []
@@ -267,7 +271,9 @@
         # All daemons may have been frozen at once, or all others be gone:
         # nobody answers, and waiting longer would teach nothing.
         late = now_ms - self._stale_since_ms >= _RELEARN_LIMIT_MS
-        if enough or late:
+        # What the others told of must have come too, or the daemon would
+        # present the revision from before the freeze.
+        if (enough and not self._behind()) or late:
             self._stale_since_ms = None
             return []
         if now_ms < self._next_relearn_ms:
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -77,7 +77,12 @@
         now_ms = clock.now_ms()
         self._settling = _settling.Settling(now_ms)
         self._gossip = _gossip.Gossip(
-            _member_table.row_of(me), rng, versions, self.is_settled, now_ms
+            _member_table.row_of(me),
+            rng,
+            versions,
+            self.is_settled,
+            lambda: self._settling.is_behind(versions()),
+            now_ms,
         )
         self._directory = _directory.Directory(
             self._member,
--- a/samphiredock/coordination/_settling.py
+++ b/samphiredock/coordination/_settling.py
@@ -58,15 +58,18 @@
             self._settled = self._judge(now_ms, held)
         return self._settled
 
-    def _judge(self, now_ms: float, held: protocol.HeldVersions) -> bool:
-        if not held.revision:
-            return False
-        behind = (
+    def is_behind(self, held: protocol.HeldVersions) -> bool:
+        """Whether a peer has told of something newer than what is held."""
+        return (
             held.revision < self._highest.revision
             or held.snapshot_id < self._highest.snapshot_id
         )
+
+    def _judge(self, now_ms: float, held: protocol.HeldVersions) -> bool:
+        if not held.revision:
+            return False
         age_ms = now_ms - self._started_ms
-        if behind:
+        if self.is_behind(held):
             # Whoever told of it may have died, with the store restored
             # from a backup: then it can't be had any more.
             return age_ms >= _BEHIND_LIMIT_MS
--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -259,6 +259,73 @@
         for name in (*_FAULTS, 'drop', 'store lose_answer', 'store down'):
             self.assertGreaterEqual(totals[name], 3, name)
 
+    def test_frozen_site_is_not_ready_until_it_has_the_newer(self) -> None:
+        """A caller at a woken site is never served on the old revision.
+
+        A site is frozen while a change is accepted and the store dies.
+        When it wakes it still holds the old revision: it is not ready
+        until its peers have told it, and then holds the new one.
+        """
+
+        async def body() -> None:
+            run = Schedule(SEED)
+            run.store.write(coordination.CONFIGURATION_KEY, source(1, 'one'))
+            for number in range(6):
+                run.start(f'entry-{number + 1}', list(SITES)[number % 3])
+            await run.run(3_000)
+            frozen = run._site('yeka-c')
+            for daemon in frozen:
+                daemon.clock.frozen = True
+            task = asyncio.create_task(
+                run.network.daemons['entry-1'].apply('two', 1)
+            )
+            await run.network.run(200)
+            self.assertEqual(2, task.result().revision)
+            run.store.faults.down = True
+            await run.network.run(6_000)
+            seen = set()
+            for daemon in frozen:
+                daemon.clock.thaw()
+            for _ in range(1_000):
+                for daemon in frozen:
+                    seen.add((daemon.is_ready, daemon.knowledge.revision))
+                await run.network.run(5)
+            run.network.close()
+            self.assertEqual({(False, 1), (False, 2), (True, 2)}, seen)
+
+        asyncio.run(body())
+
+    def test_store_restored_from_a_backup(self) -> None:
+        """The revision in force stays, and the next change gets a new one.
+
+        The store comes back with an older object under a higher version.
+        It is counted and not applied; an operator's next change, made
+        from the revision in force, is numbered above that.
+        """
+
+        async def body() -> None:
+            run = Schedule(SEED)
+            run.store.write(coordination.CONFIGURATION_KEY, source(5, 'five'))
+            for number in range(3):
+                run.start(f'entry-{number + 1}', list(SITES)[number])
+            await run.run(3_000)
+            run.store.write(coordination.CONFIGURATION_KEY, source(3, 'three'))
+            await run.run(2_000)
+            daemons = list(run.network.daemons.values())
+            older = [
+                daemon.counters.counts['configuration_older_seen']
+                for daemon in daemons
+            ]
+            self.assertTrue(all(older), older)
+            task = asyncio.create_task(daemons[0].apply('six', 5))
+            await run.run(2_000)
+            run.network.close()
+            self.assertEqual(6, task.result().revision)
+            self.assertEqual([6] * 3, [d.knowledge.revision for d in daemons])
+            self.assertEqual([], history.reverted(run.events))
+
+        asyncio.run(body())
+
     def judge(self, run: Schedule) -> None:
         """Assert every promise on a run's history."""
         events = run.events
--- /dev/null
+++ b/tests/unit/test_accept.py
@@ -0,0 +1,65 @@
+"""Where a change stands against what was read of the store."""
+
+import unittest
+
+from samphiredock.coordination import _accept
+from samphiredock import protocol
+
+
+def change(base_revision: int) -> protocol.ConfigurationChange:
+    """Return a change from a base."""
+    return protocol.ConfigurationChange(
+        base_revision, 'mine', 'operator', {}, {}
+    )
+
+
+def rows(*change_ids: str, last: int) -> list[protocol.ChangeSummary]:
+    """Return listed changes, the last one with revision ``last``."""
+    first = last - len(change_ids) + 1
+    return [
+        protocol.ChangeSummary(first + offset, 'operator', change_id, 0)
+        for offset, change_id in enumerate(change_ids)
+    ]
+
+
+class StandingTest(unittest.TestCase):
+    """One row for each situation."""
+
+    def test_standing(self) -> None:
+        """A change is judged by the one row that can be its own."""
+        cases = (
+            ('nothing stored', 0, 0, [], _accept.Standing.OPEN),
+            ('at its base', 4, 4, rows('a', last=4), _accept.Standing.OPEN),
+            (
+                'lost answer, then two other changes',
+                4,
+                7,
+                rows('mine', 'b', 'c', last=7),
+                _accept.Standing.ACCEPTED,
+            ),
+            (
+                'beaten, and another since',
+                4,
+                6,
+                rows('b', 'c', last=6),
+                _accept.Standing.BEATEN,
+            ),
+            (
+                'stale read below its base',
+                4,
+                3,
+                rows('a', last=3),
+                _accept.Standing.BEHIND,
+            ),
+            (
+                'its row is no longer listed',
+                4,
+                9,
+                rows('d', 'e', last=9),
+                _accept.Standing.FORGOTTEN,
+            ),
+        )
+        for name, base, revision, recent, expected in cases:
+            with self.subTest(name):
+                got = _accept.standing_of(change(base), revision, recent)
+                self.assertEqual(expected, got)
--- /dev/null
+++ b/tests/unit/test_gossip.py
@@ -0,0 +1,148 @@
+"""Decisions of one daemon's membership, message by message."""
+
+import random
+import unittest
+
+import msgspec
+
+from samphiredock.coordination import _gossip
+from samphiredock.coordination import _member_table
+from samphiredock import protocol
+from samphiredock import state
+
+HELD = protocol.HeldVersions(1, 1)
+STATES = protocol.MemberState
+
+
+def row(name: str, incarnation: int = 1) -> protocol.MemberRow:
+    """Return a live member's row."""
+    member = state.Member(name, 's', 'r', f'tcp://{name}', '', '', incarnation)
+    return _member_table.row_of(member)
+
+
+def changed(base: protocol.MemberRow, **fields) -> protocol.MemberRow:
+    """Return a row with other fields."""
+    return msgspec.structs.replace(base, **fields)
+
+
+class GossipTest(unittest.TestCase):
+    """Three members: a (this one), b and c."""
+
+    def setUp(self) -> None:
+        """Let a know b and c."""
+        self.gossip = _gossip.Gossip(
+            row('a'),
+            random.Random(1),
+            lambda: HELD,
+            lambda: True,
+            lambda: False,
+            0.0,
+        )
+        self.push(row('b'), row('c'))
+
+    def push(self, *rows: protocol.MemberRow) -> list:
+        """Hand rows in as another member's exchange."""
+        return self.gossip.on_message('b', protocol.StatePush(list(rows)), 0.0)
+
+    def tick_to(self, start_ms: int, end_ms: int) -> list:
+        """Tick at the usual pace."""
+        effects = []
+        step_ms = int(_gossip.TICK_MS)
+        for now_ms in range(start_ms, end_ms, step_ms):
+            effects += self.gossip.tick(float(now_ms))
+        return effects
+
+    def live(self) -> set[str]:
+        """Return the names held live."""
+        return set(self.gossip.table.names())
+
+    def test_who_never_answers_is_suspected_then_dead(self) -> None:
+        """Nobody answers: each goes through suspicion before it is lost."""
+        self.tick_to(0, 1_200)
+        held = {r.name: r.state for r in self.gossip.table.rows()}
+        self.assertEqual({'a', 'b', 'c'}, self.live())
+        self.assertIn(STATES.SUSPECT, held.values())
+        self.tick_to(1_200, 5_000)
+        self.assertEqual({'a'}, self.live())
+
+    def test_late_tick_suspects_nobody(self) -> None:
+        """A tick that comes late must not count as the others' silence."""
+        self.tick_to(0, 200)
+        for late_ms in (1_300.0, 60_000.0):
+            with self.subTest(late_ms=late_ms):
+                self.gossip.tick(200.0 + late_ms)
+                states = {r.state for r in self.gossip.table.rows()}
+                self.assertEqual({STATES.ALIVE}, states)
+        self.assertFalse(self.gossip.is_current(60_200.0))
+
+    def test_freeze_is_seen_by_the_first_message_too(self) -> None:
+        """A woken process may read its messages before its timers."""
+        self.tick_to(0, 200)
+        probe = protocol.Probe(1, HELD)
+        self.gossip.on_message('b', probe, 30_000.0)
+        self.assertFalse(self.gossip.is_current(30_000.0))
+        self.assertEqual(1, self.gossip.me.refutation)
+
+    def test_reports_of_itself_are_refuted(self) -> None:
+        """Whatever is said of this daemon, it says something stronger."""
+        for said in (
+            changed(row('a'), state=STATES.SUSPECT),
+            changed(row('a'), state=STATES.DEAD, refutation=7),
+            row('a', incarnation=50),
+            changed(row('a', 60), state=STATES.LEFT),
+        ):
+            with self.subTest(said=said):
+                self.push(said)
+                mine = self.gossip.me
+                self.assertGreater(
+                    _member_table.order_of(mine), _member_table.order_of(said)
+                )
+                self.assertEqual(STATES.ALIVE, mine.state)
+
+    def test_who_is_held_dead_is_told_so(self) -> None:
+        """An answer names the report, so that the member can refute it."""
+        dead = changed(row('b'), state=STATES.DEAD)
+        probe = protocol.Probe(1, HELD, [dead])
+        self.gossip.on_message('c', probe, 0.0)
+        answer = self.gossip.on_message('b', protocol.Probe(2, HELD), 0.0)
+        self.assertIn(dead, answer[-1].message.rows)
+
+    def test_old_report_of_itself_is_answered(self) -> None:
+        """The prober's report is older than the news of its refutation."""
+        self.gossip._news.clear()
+        dead = changed(row('a'), state=STATES.DEAD)
+        for _ in range(2):
+            self.gossip._news.clear()
+            probe = protocol.Probe(1, HELD, [dead])
+            answer = self.gossip.on_message('b', probe, 0.0)
+            self.assertIn(self.gossip.me, answer[-1].message.rows)
+
+    def test_left_is_final_for_one_start(self) -> None:
+        """No late report brings back a member that has left."""
+        self.push(changed(row('b'), state=STATES.LEFT))
+        self.push(changed(row('b'), refutation=9))
+        self.assertEqual({'a', 'c'}, self.live())
+        self.push(row('b', incarnation=2))
+        self.assertEqual({'a', 'b', 'c'}, self.live())
+
+    def test_lost_members_are_forgotten_in_the_end(self) -> None:
+        """The list of lost members is bounded in time."""
+        self.push(changed(row('b'), state=STATES.LEFT))
+        self.gossip._lost_since['b'] = -_gossip._LOST_KEEP_MS
+        effects = self.tick_to(0, 2_200)
+        self.assertIn(_gossip.Forgotten('b'), effects)
+        self.assertIsNone(self.gossip.table.get('b'))
+
+    def test_live_is_cached_and_digests_follow(self) -> None:
+        """The tuple and version change with the members, and only then."""
+        table = self.gossip.table
+        live, version, digests = table.live(), table.version, table.digests()
+        self.push(changed(row('b'), refutation=1))
+        self.assertIs(live, table.live())
+        self.assertEqual(version, table.version)
+        self.assertEqual(
+            [_member_table.bucket_of('b')], table.differing(digests)
+        )
+        self.push(changed(row('b'), state=STATES.LEFT))
+        self.assertEqual(2, len(table.live()))
+        self.assertGreater(table.version, version)
