--- a/tests/failure/test_membership.py
+++ b/tests/failure/test_membership.py
@@ -188,6 +188,13 @@
             network.start('entry-3', 'yeka-c', 'mekelle')
             await network.run(1_000)
             self.assert_views(network, everyone)
+            held = {
+                member.incarnation
+                for daemon in network.daemons.values()
+                for member in daemon.membership.live()
+                if member.name == 'entry-3'
+            }
+            self.assertEqual(1, len(held))
 
         simulate(body)
 
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -70,11 +70,26 @@
         self.tick_to(0, 200)
         for late_ms in (1_300.0, 60_000.0):
             with self.subTest(late_ms=late_ms):
-                self.gossip.tick(200.0 + late_ms)
+                effects = self.gossip.tick(200.0 + late_ms)
+                kinds = {type(getattr(e, 'message', e)) for e in effects}
+                self.assertNotIn(protocol.ProbeAsk, kinds)
                 states = {r.state for r in self.gossip.table.rows()}
                 self.assertEqual({STATES.ALIVE}, states)
         self.assertFalse(self.gossip.is_current(60_200.0))
 
+    def test_not_current_while_behind_what_peers_told(self) -> None:
+        """All peers have answered, but the newer object is on its way."""
+        self.gossip._behind = lambda: True
+        self.gossip.tick(5_000.0)
+        answer = protocol.StateAnswer(1, [], [], HELD, True)
+        for name in ('b', 'c'):
+            self.gossip.on_message(name, answer, 5_010.0)
+        self.gossip.tick(5_100.0)
+        self.assertFalse(self.gossip.is_current(5_100.0))
+        self.gossip._behind = lambda: False
+        self.gossip.tick(5_200.0)
+        self.assertTrue(self.gossip.is_current(5_200.0))
+
     def test_freeze_is_seen_by_the_first_message_too(self) -> None:
         """A woken process may read its messages before its timers."""
         self.tick_to(0, 200)
@@ -104,6 +119,7 @@
         dead = changed(row('b'), state=STATES.DEAD)
         probe = protocol.Probe(1, HELD, [dead])
         self.gossip.on_message('c', probe, 0.0)
+        self.gossip._news.clear()
         answer = self.gossip.on_message('b', protocol.Probe(2, HELD), 0.0)
         self.assertIn(dead, answer[-1].message.rows)
 
