Compiler checks every rule and applies overlays; settings and keys are checked

Cause: the thin compiler ignored overlays and stopped at the first mistake; settings were converted without ranges, units or files looked at. Ruled out: msgspec.convert alone (stops at the first mistake, names no range). Two targets with one URL are refused: slots are counted by name.

--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -1,5 +1,6 @@
 """Snapshots, configuration and other state that daemons hold."""
 
+from samphiredock.state._checks import Problem
 from samphiredock.state._compiler import compile_source
 from samphiredock.state._compiler import ConfigurationSource
 from samphiredock.state._configuration import Configuration
@@ -12,8 +13,14 @@
 from samphiredock.state._configuration import Site
 from samphiredock.state._configuration import Target
 from samphiredock.state._directory import Member
+from samphiredock.state._files import parse_text
+from samphiredock.state._files import read_file
+from samphiredock.state._keys import CurvePair
+from samphiredock.state._keys import Keys
+from samphiredock.state._keys import load_keys
+from samphiredock.state._keys import TOKEN_LEAST_LENGTH
 from samphiredock.state._settings import load_settings
-from samphiredock.state._settings import Problem
+from samphiredock.state._settings import LOG_LEVELS
 from samphiredock.state._settings import Settings
 from samphiredock.state._settings import TlsSettings
 from samphiredock.state._snapshots import IndexSnapshot
@@ -24,8 +31,11 @@
 __all__ = [
     'Configuration',
     'ConfigurationSource',
+    'CurvePair',
     'IndexSnapshot',
     'KEY_SPACE_SIZE',
+    'Keys',
+    'LOG_LEVELS',
     'Limits',
     'Member',
     'MergeKind',
@@ -38,8 +48,12 @@
     'Shard',
     'Site',
     'Snapshot',
+    'TOKEN_LEAST_LENGTH',
     'Target',
     'TlsSettings',
     'compile_source',
+    'load_keys',
     'load_settings',
+    'parse_text',
+    'read_file',
 ]
--- /dev/null
+++ b/samphiredock/state/_checks.py
@@ -0,0 +1,323 @@
+"""Checks of hand-written files, with every mistake reported at once.
+
+A file's objects are described by tables of :class:`Rule`; reading one adds
+a :class:`Problem` for each mistake and goes on, so that an operator need
+not mend a file one mistake at a time.
+"""
+
+import dataclasses
+import difflib
+import ipaddress
+import math
+import re
+import typing
+import urllib.parse
+
+REQUIRED = object()
+"""Default of a field that must be stated."""
+
+_GOT_LIMIT = 80
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,99}')
+_PORT_LIMIT = 65_535
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One mistake in a file: where, what was got, what was expected."""
+
+    file: str
+    path: str
+    got: str
+    expected: str
+
+    def __str__(self) -> str:
+        return (
+            f'{self.file}: {self.path}: got {self.got}, '
+            f'expected {self.expected}'
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """What one field may hold; ``default`` stands when it is absent."""
+
+    expected: str
+    accepts: typing.Callable[[typing.Any], bool]
+    default: typing.Any = REQUIRED
+    convert: typing.Callable[[typing.Any], typing.Any] = lambda value: value
+
+    def optional(self, default: typing.Any = None) -> 'Rule':
+        """Return the same rule for a field that may be absent."""
+        return dataclasses.replace(self, default=default)
+
+
+Rules = typing.Mapping[str, Rule]
+
+
+def _is_number(value: object) -> bool:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return False
+    # JSON5 knows NaN and Infinity; a huge integer overflows a float.
+    return isinstance(value, int) or math.isfinite(value)
+
+
+def integer(low: int, high: int, unit: str = '') -> Rule:
+    """Return a rule for an integer in ``[low, high]``."""
+    text = f'an integer from {low} to {high}' + (f' ({unit})' if unit else '')
+    return Rule(
+        text,
+        lambda value: (
+            isinstance(value, int)
+            and not isinstance(value, bool)
+            and low <= value <= high
+        ),
+    )
+
+
+def number(low: float, high: float, unit: str = '') -> Rule:
+    """Return a rule for a number in ``[low, high]``."""
+    text = f'a number from {low} to {high}' + (f' ({unit})' if unit else '')
+    return Rule(
+        text,
+        lambda value: _is_number(value) and low <= value <= high,
+        convert=float,
+    )
+
+
+def positive(high: float) -> Rule:
+    """Return a rule for a number above 0 and at most ``high``."""
+    return Rule(
+        f'a number above 0 and at most {high}',
+        lambda value: _is_number(value) and 0 < value <= high,
+        convert=float,
+    )
+
+
+def text() -> Rule:
+    """Return a rule for a text that is not empty."""
+    return Rule(
+        'a text that is not empty',
+        lambda value: isinstance(value, str) and bool(value),
+    )
+
+
+def flag() -> Rule:
+    """Return a rule for true or false."""
+    return Rule('true or false', lambda value: isinstance(value, bool))
+
+
+def choice(values: typing.Sequence[str]) -> Rule:
+    """Return a rule for one of some texts."""
+    return Rule(
+        'one of ' + ', '.join(values),
+        lambda value: isinstance(value, str) and value in values,
+    )
+
+
+def is_name(value: object) -> bool:
+    """Whether a value can name a service, site, target and the like."""
+    return isinstance(value, str) and _NAME.fullmatch(value) is not None
+
+
+def name() -> Rule:
+    """Return a rule for a name."""
+    return Rule('a name of letters, digits, ".", "_" and "-"', is_name)
+
+
+def names(least: int = 0) -> Rule:
+    """Return a rule for a list of different names."""
+    return Rule(
+        f'a list of {least} or more different names',
+        lambda value: (
+            isinstance(value, list)
+            and len(value) >= least
+            and all(is_name(each) for each in value)
+            and len(set(value)) == len(value)
+        ),
+        convert=tuple,
+    )
+
+
+def texts_where(rule: Rule) -> Rule:
+    """Return a rule for a list whose items all keep ``rule``."""
+    return Rule(
+        f'a list, each item {rule.expected}',
+        lambda value: (
+            isinstance(value, list)
+            and all(rule.accepts(each) for each in value)
+        ),
+        convert=tuple,
+    )
+
+
+def mapping() -> Rule:
+    """Return a rule for an object."""
+    return Rule('an object', lambda value: isinstance(value, dict))
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(':')
+    if not port.isascii() or not port.isdigit():
+        return False
+    if not 0 < int(port[:6]) <= _PORT_LIMIT:
+        return False
+    try:
+        parsed = ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return False
+    return (parsed.version == 6) == host.startswith('[')
+
+
+def address() -> Rule:
+    """Return a rule for ``IP:port``."""
+    return Rule('IP:port, for example 10.0.0.7:7200', _is_address)
+
+
+def peer_address() -> Rule:
+    """Return a rule for ``tcp://IP:port``."""
+    return Rule(
+        'tcp://IP:port, for example tcp://10.0.0.7:7300',
+        lambda value: (
+            isinstance(value, str)
+            and value.startswith('tcp://')
+            and _is_address(value.removeprefix('tcp://'))
+        ),
+    )
+
+
+def _is_url(value: object) -> bool:
+    if not isinstance(value, str) or not value.isprintable() or ' ' in value:
+        return False
+    try:
+        parts = urllib.parse.urlsplit(value)
+        port = parts.port
+    except ValueError:
+        return False
+    return (
+        parts.scheme in ('http', 'https')
+        and bool(parts.hostname)
+        and port != 0
+        and not parts.query
+        and not parts.fragment
+    )
+
+
+def url() -> Rule:
+    """Return a rule for the base of an HTTP address."""
+    return Rule('an http:// or https:// URL without a query', _is_url)
+
+
+_BY_TYPE = {
+    int: integer(0, 10**12),
+    float: number(0.0, 1e12),
+    bool: flag(),
+    str: text(),
+}
+
+
+def rules_of(
+    kind: type, special: Rules, without: frozenset[str] = frozenset()
+) -> Rules:
+    """Return the rules of a data class's fields, in its order.
+
+    Parameters
+    ----------
+    kind
+        The data class; its defaults become the rules' defaults.
+    special
+        Rules by field; any other field is checked by its type alone.
+    without
+        Fields that the file does not state.
+    """
+    rules = {}
+    for field in dataclasses.fields(kind):
+        if field.name in without:
+            continue
+        rule = special.get(field.name) or _BY_TYPE[field.type]
+        if field.default is not dataclasses.MISSING:
+            rule = rule.optional(field.default)
+        rules[field.name] = rule
+    return rules
+
+
+class Report:
+    """The mistakes found in one file."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.problems: list[Problem] = []
+
+    def add(self, path: str, got: object, expected: str) -> None:
+        """Note one mistake."""
+        self.problems.append(Problem(self.file, path, shown(got), expected))
+
+    def note(self, path: str, got: str, expected: str) -> None:
+        """Note one mistake whose ``got`` is words, not a value."""
+        self.problems.append(Problem(self.file, path, got, expected))
+
+    def row(
+        self, path: str, raw: object, rules: Rules
+    ) -> dict[str, typing.Any] | None:
+        """Return an object's fields, or None if any is wrong."""
+        if not isinstance(raw, dict):
+            self.add(path, raw, 'an object')
+            return None
+        before = len(self.problems)
+        self._unknown(path, raw, rules)
+        values = {}
+        for key, rule in rules.items():
+            if key not in raw:
+                values[key] = rule.default
+                if rule.default is REQUIRED:
+                    self.note(join(path, key), 'nothing', rule.expected)
+            elif rule.accepts(raw[key]):
+                values[key] = rule.convert(raw[key])
+            else:
+                self.add(join(path, key), raw[key], rule.expected)
+        return values if len(self.problems) == before else None
+
+    def _unknown(self, path: str, raw: dict, rules: Rules) -> None:
+        for key in raw:
+            if key in rules:
+                continue
+            near = difflib.get_close_matches(str(key), rules, 1)
+            hint = f' (did you mean {near[0]!r}?)' if near else ''
+            self.note(
+                join(path, key),
+                f'an unknown field{hint}',
+                'one of ' + ', '.join(rules),
+            )
+
+    def rows(
+        self, path: str, raw: object, rules: Rules
+    ) -> dict[str, dict[str, typing.Any]]:
+        """Return the sound objects of an object that maps names to them."""
+        if not isinstance(raw, dict):
+            self.add(path, raw, 'an object of names')
+            return {}
+        found = {}
+        for key, value in raw.items():
+            if not is_name(key):
+                self.add(join(path, key), key, name().expected)
+                continue
+            row = self.row(join(path, key), value, rules)
+            if row is not None:
+                found[key] = row
+        return found
+
+
+def join(path: str, key: object) -> str:
+    """Return the path of a field within an object."""
+    return f'{path}.{key}' if path != '$' else str(key)
+
+
+def shown(value: object) -> str:
+    """Return a value as a mistake shows it, cut if it is long."""
+    if isinstance(value, dict):
+        return f'an object of {len(value)} fields'
+    written = repr(value)
+    if len(written) > _GOT_LIMIT:
+        return written[:_GOT_LIMIT] + '...'
+    return written
--- a/samphiredock/state/_compiler.py
+++ b/samphiredock/state/_compiler.py
@@ -1,10 +1,91 @@
 """Compile a base file and the sites' overlays to one configuration."""
 
+import typing
+
 import msgspec
 from returns import result
 
+from samphiredock.state import _checks
 from samphiredock.state import _configuration
-from samphiredock.state import _settings
+from samphiredock.state import _overlay
+
+_ROUNDING = 1e-9
+_HOUR_MS = 3_600_000
+
+_LIMITS = _checks.rules_of(
+    _configuration.Limits,
+    {
+        'deadline_limit_ms': _checks.integer(1, 600_000, 'ms'),
+        'body_limit_bytes': _checks.integer(256, 1_000_000, 'bytes'),
+        'terms_limit': _checks.integer(1, 1_000),
+        'key_retention_ms': _checks.integer(60_000, 720 * _HOUR_MS, 'ms'),
+        'queue_per_target': _checks.integer(1, 100_000),
+        'in_flight_per_daemon': _checks.integer(1, 1_000_000),
+        'hedge_budget': _checks.number(0.0, 1.0),
+        'hedge_quantile': _checks.number(0.0, 1.0),
+        'batch_window_ms': _checks.number(0.0, 1_000.0, 'ms'),
+        'batch_items': _checks.integer(1, 10_000),
+        'silent_after_ms': _checks.integer(1, 600_000, 'ms'),
+    },
+)
+_REQUEST = {
+    'deadline_ms': _checks.integer(1, 600_000, 'ms'),
+    'request_class': _checks.choice(_configuration.REQUEST_CLASSES),
+}
+_SEARCH = _checks.rules_of(
+    _configuration.Search,
+    {
+        **_REQUEST,
+        'index': _checks.name(),
+        'least_coverage': _checks.number(0.0, 1.0),
+        'merge': _checks.choice([m.value for m in _configuration.MergeKind]),
+        'limit': _checks.integer(1, 10_000, 'records'),
+        'fields': _checks.names(),
+    },
+    without=frozenset(['name']),
+)
+_OPERATION = _checks.rules_of(
+    _configuration.Operation,
+    {**_REQUEST, 'targets': _checks.names(least=1)},
+    without=frozenset(['name']),
+)
+_SERVICE = _checks.rules_of(
+    _configuration.Service,
+    {
+        'searches': _checks.mapping().optional({}),
+        'operations': _checks.mapping().optional({}),
+        'weight': _checks.positive(1e6).optional(1.0),
+        'max_in_flight': _checks.integer(1, 1_000_000).optional(1_000),
+    },
+    without=frozenset(['name']),
+)
+_SITE = _checks.rules_of(
+    _configuration.Site,
+    {
+        'region': _checks.name(),
+        'share': _checks.number(0.0, 1.0),
+        'share_cap': _checks.number(0.0, 1.0),
+    },
+    without=frozenset(['name', 'service_caps']),
+)
+_TARGET = _checks.rules_of(
+    _configuration.Target,
+    {
+        'site': _checks.name(),
+        'url': _checks.url(),
+        'slots': _checks.integer(1, 10_000),
+        'connections': _checks.integer(1, 100_000),
+        'connect_ms': _checks.integer(0, 60_000, 'ms'),
+    },
+    without=frozenset(['name']),
+)
+_BASE = {
+    'services': _checks.mapping(),
+    'sites': _checks.mapping(),
+    'indexes': _checks.names(),
+    'targets': _checks.mapping(),
+    'limits': _checks.mapping().optional({}),
+}
 
 
 class ConfigurationSource(msgspec.Struct, frozen=True):
@@ -22,59 +103,190 @@
     overlays: dict[str, dict]
 
 
+Compiled = result.Result[
+    _configuration.Configuration, tuple[_checks.Problem, ...]
+]
+
+
 def compile_source(
     source: ConfigurationSource,
-) -> result.Result[
-    _configuration.Configuration, tuple[_settings.Problem, ...]
-]:
-    """Return the configuration in force under ``source``."""
-    base = dict(source.base)
-    try:
-        services = {
-            name: _service(name, row) for name, row in base['services'].items()
-        }
+    base_file: str = 'base',
+    overlay_files: typing.Mapping[str, str] | None = None,
+) -> Compiled:
+    """Return the configuration in force under ``source``, or all mistakes.
+
+    Parameters
+    ----------
+    source
+        The base and the overlays as operators wrote them.
+    base_file, overlay_files
+        What the mistakes call the files; the overlays' by site.
+    """
+    files = overlay_files or {}
+    report = _checks.Report(base_file)
+    parts = _Parts(report, source.base)
+    problems = list(report.problems)
+    for site, raw in source.overlays.items():
+        overlay = _checks.Report(files.get(site, f'overlay {site}'))
+        # A base without sound sites says nothing on which are known.
+        if parts.sites or not problems:
+            _overlay.apply_overlay(
+                overlay, site, raw, parts.service_names, parts.sites,
+                parts.targets,
+            )  # fmt: skip
+        problems += overlay.problems
+    if problems:
+        return result.Failure(tuple(problems))
+    shared = _shared_url(parts.targets)
+    if shared is not None:
+        return result.Failure((shared,))
+    return result.Success(parts.configuration(source.revision))
+
+
+class _Parts:
+    """The rows of a base file, checked one by one and then together."""
+
+    def __init__(self, report: _checks.Report, base: object) -> None:
+        self._report = report
+        self.limits = _configuration.Limits()
+        self.services: dict[str, _configuration.Service] = {}
+        self.service_names: frozenset[str] = frozenset()
+        self.sites: _overlay.Rows = {}
+        self.targets: _overlay.Rows = {}
+        self._indexes: tuple[str, ...] = ()
+        self._base = base if isinstance(base, dict) else {}
+        # Parts that are sound are read even if others are not, so that
+        # one run shows all mistakes.
+        top = report.row('$', base, _BASE)
+        if top is not None:
+            self._indexes = top['indexes']
+        if not isinstance(base, dict):
+            return
+        self._read_limits()
+        self._read_sites()
+        self._read_targets()
+        self._read_services()
+
+    def configuration(self, revision: int) -> _configuration.Configuration:
+        """Return the configuration; only for rows without mistakes."""
         sites = {
-            name: msgspec.convert(
-                {'name': name, 'service_caps': {}, **row},
-                _configuration.Site,
-            )
-            for name, row in base['sites'].items()
+            name: _configuration.Site(name=name, **row)
+            for name, row in self.sites.items()
         }
         targets = {
-            name: msgspec.convert({'name': name, **row}, _configuration.Target)
-            for name, row in base['targets'].items()
+            name: _configuration.Target(name=name, **row)
+            for name, row in self.targets.items()
         }
-        limits = msgspec.convert(base.get('limits', {}), _configuration.Limits)
-    except (KeyError, TypeError, msgspec.ValidationError) as error:
-        problem = _settings.Problem(
-            'base', '$', str(error), 'a valid configuration'
-        )
-        return result.Failure((problem,))
-    return result.Success(
-        _configuration.Configuration(
-            source.revision,
-            services,
+        return _configuration.Configuration(
+            revision,
+            self.services,
             sites,
-            tuple(base['indexes']),
+            self._indexes,
             targets,
-            limits,
+            self.limits,
         )
-    )
-
-
-def _service(name: str, row: dict) -> _configuration.Service:
-    searches = {
-        key: msgspec.convert({'name': key, **value}, _configuration.Search)
-        for key, value in row.get('searches', {}).items()
-    }
-    operations = {
-        key: msgspec.convert({'name': key, **value}, _configuration.Operation)
-        for key, value in row.get('operations', {}).items()
-    }
-    return _configuration.Service(
-        name,
-        searches,
-        operations,
-        row.get('weight', 1.0),
-        row.get('max_in_flight', 1_000),
-    )
+
+    def _part(self, name: str) -> dict:
+        # A part of the wrong type is already reported with the base.
+        part = self._base.get(name, {})
+        return part if isinstance(part, dict) else {}
+
+    def _read_limits(self) -> None:
+        row = self._report.row('limits', self._part('limits'), _LIMITS)
+        if row is not None:
+            self.limits = _configuration.Limits(**row)
+
+    def _read_sites(self) -> None:
+        self.sites = self._report.rows('sites', self._part('sites'), _SITE)
+        for name, row in self.sites.items():
+            row['service_caps'] = {}
+            if row['share'] > row['share_cap']:
+                self._report.add(
+                    f'sites.{name}.share',
+                    row['share'],
+                    f"at most the site's share_cap {row['share_cap']}",
+                )
+        total = sum(row['share'] for row in self.sites.values())
+        if total > 1.0 + _ROUNDING:
+            self._report.note(
+                'sites', f'shares that sum to {total:g}', 'a sum of at most 1'
+            )
+
+    def _read_targets(self) -> None:
+        raw = self._part('targets')
+        self.targets = self._report.rows('targets', raw, _TARGET)
+        for name, row in self.targets.items():
+            self._known(
+                f'targets.{name}.site', row['site'], self._part('sites')
+            )
+
+    def _known(
+        self, path: str, name: str, known: typing.Collection[str]
+    ) -> None:
+        if name not in known:
+            listed = ', '.join(str(each) for each in list(known)[:10])
+            self._report.add(path, name, f'one of those defined: {listed}')
+
+    def _read_services(self) -> None:
+        raw = self._part('services')
+        self.service_names = frozenset(raw)
+        for name, row in self._report.rows('services', raw, _SERVICE).items():
+            path = f'services.{name}'
+            searches = {
+                key: self._search(f'{path}.searches.{key}', key, each)
+                for key, each in self._report.rows(
+                    f'{path}.searches', row.pop('searches'), _SEARCH
+                ).items()
+            }
+            operations = {
+                key: self._operation(f'{path}.operations.{key}', key, each)
+                for key, each in self._report.rows(
+                    f'{path}.operations', row.pop('operations'), _OPERATION
+                ).items()
+            }
+            self.services[name] = _configuration.Service(
+                name=name, searches=searches, operations=operations, **row
+            )
+
+    def _search(
+        self, path: str, name: str, row: dict[str, typing.Any]
+    ) -> _configuration.Search:
+        self._deadline(path, row['deadline_ms'])
+        indexes = self._base.get('indexes')
+        if isinstance(indexes, list):
+            self._known(f'{path}.index', row['index'], indexes)
+        row['merge'] = _configuration.MergeKind(row['merge'])
+        return _configuration.Search(name=name, **row)
+
+    def _operation(
+        self, path: str, name: str, row: dict[str, typing.Any]
+    ) -> _configuration.Operation:
+        self._deadline(path, row['deadline_ms'])
+        for target in row['targets']:
+            self._known(f'{path}.targets', target, self._part('targets'))
+        return _configuration.Operation(name=name, **row)
+
+    def _deadline(self, path: str, deadline_ms: int) -> None:
+        limit_ms = self.limits.deadline_limit_ms
+        if deadline_ms > limit_ms:
+            self._report.add(
+                f'{path}.deadline_ms',
+                deadline_ms,
+                f'at most limits.deadline_limit_ms {limit_ms} (ms)',
+            )
+
+
+def _shared_url(targets: _overlay.Rows) -> _checks.Problem | None:
+    # Slots are counted by target name: two names for one server would let
+    # it be given twice the work that it allows.
+    seen: dict[str, str] = {}
+    for name, row in targets.items():
+        other = seen.setdefault(row['url'].rstrip('/'), name)
+        if other != name:
+            return _checks.Problem(
+                'base and overlays',
+                f'targets.{name}.url',
+                f'the URL of target {other!r}',
+                'a URL of its own',
+            )
+    return None
--- /dev/null
+++ b/samphiredock/state/_overlay.py
@@ -0,0 +1,138 @@
+"""Overlays: what one site states about itself, never past the base.
+
+The base states the common limits.  An overlay may only tighten them for
+its own site; otherwise one site could take capacity that the others are
+promised, and the base file would no longer tell the truth.
+"""
+
+import typing
+
+from samphiredock.state import _checks
+
+_SERVICE = {'cap': _checks.number(0.0, 1.0, "part of the site's capacity")}
+_TARGET = {
+    'url': _checks.url().optional(),
+    'slots': _checks.integer(1, 10_000).optional(),
+    'connections': _checks.integer(1, 100_000).optional(),
+}
+_OVERLAY = {
+    'share_cap': _checks.number(0.0, 1.0).optional(),
+    'services': _checks.mapping().optional({}),
+    'targets': _checks.mapping().optional({}),
+}
+_COMMON = {
+    'limits': 'limits in the base file only: they are common to all sites',
+    'share': 'share in the base file only: it is promised capacity',
+    'region': 'region in the base file only',
+    'indexes': 'indexes in the base file only',
+    'sites': "only this site's own differences",
+}
+
+Rows = dict[str, dict[str, typing.Any]]
+
+
+def apply_overlay(
+    report: _checks.Report,
+    site: str,
+    raw: object,
+    services: typing.Container[str],
+    sites: Rows,
+    targets: Rows,
+) -> None:
+    """Change the rows of ``sites`` and ``targets`` by one overlay.
+
+    Mistakes go to ``report``; a row is changed only by a sound value.
+    """
+    if site not in sites:
+        report.note(
+            '$',
+            f'an overlay for site {site!r}',
+            'a site of the base: ' + ', '.join(sites),
+        )
+        return
+    if isinstance(raw, dict):
+        for key in raw:
+            if key in _COMMON:
+                report.note(key, 'a common field', _COMMON[key])
+        raw = {key: raw[key] for key in raw if key not in _COMMON}
+    row = report.row('$', raw, _OVERLAY)
+    if row is None:
+        return
+    _lower_share_cap(report, sites[site], row['share_cap'])
+    _apply_services(report, sites[site], services, row['services'])
+    _apply_targets(report, site, targets, row['targets'])
+
+
+def _lower_share_cap(
+    report: _checks.Report, site: dict[str, typing.Any], share_cap: float
+) -> None:
+    if share_cap is None:
+        return
+    common = site['share_cap']
+    if share_cap > common:
+        report.add('share_cap', share_cap, _common_limit(common))
+    elif share_cap < site['share']:
+        report.add(
+            'share_cap',
+            share_cap,
+            f"at least the site's share {site['share']}",
+        )
+    else:
+        site['share_cap'] = share_cap
+
+
+def _apply_services(
+    report: _checks.Report,
+    site: dict[str, typing.Any],
+    services: typing.Container[str],
+    raw: dict,
+) -> None:
+    for name, row in report.rows('services', raw, _SERVICE).items():
+        path = f'services.{name}'
+        if name not in services:
+            report.note(path, f'service {name!r}', 'a service of the base')
+        elif row['cap'] > site['share_cap']:
+            report.add(
+                f'{path}.cap', row['cap'], _common_limit(site['share_cap'])
+            )
+        else:
+            site['service_caps'][name] = row['cap']
+
+
+def _apply_targets(
+    report: _checks.Report, site: str, targets: Rows, raw: dict
+) -> None:
+    for name, row in report.rows('targets', raw, _TARGET).items():
+        path = f'targets.{name}'
+        target = targets.get(name)
+        if target is None:
+            report.note(path, f'target {name!r}', 'a target of the base')
+        elif target['site'] != site:
+            report.note(
+                path,
+                f'a target of site {target["site"]!r}',
+                f'a target of this site {site!r}',
+            )
+        else:
+            _change_target(report, path, target, row)
+
+
+def _change_target(
+    report: _checks.Report,
+    path: str,
+    target: dict[str, typing.Any],
+    row: dict[str, typing.Any],
+) -> None:
+    if row['url'] is not None:
+        target['url'] = row['url']
+    for key in ('slots', 'connections'):
+        if row[key] is None:
+            continue
+        if row[key] > target[key]:
+            report.add(f'{path}.{key}', row[key], _common_limit(target[key]))
+        else:
+            target[key] = row[key]
+
+
+def _common_limit(limit: float) -> str:
+    return f'at most {limit}: an overlay cannot raise the common limit'
--- a/samphiredock/state/_settings.py
+++ b/samphiredock/state/_settings.py
@@ -2,11 +2,27 @@
 
 import dataclasses
 import pathlib
+import ssl
+import typing
 
-import json5
-import msgspec
 from returns import result
 
+from samphiredock.state import _checks
+from samphiredock.state import _files
+from samphiredock.state import _keys
+
+LOG_LEVELS = (
+    'critical',
+    'error',
+    'warning',
+    'notice',
+    'info',
+    'debug',
+    'trace',
+)
+
+_DAY_MS = 86_400_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TlsSettings:
@@ -20,9 +36,10 @@
 class Settings:
     """What one daemon must know before it can ask anybody.
 
-    ``caller_address`` and ``operator_address`` are ``host:port``;
-    ``peer_address`` is ``tcp://host:port``.  ``peers`` are addresses to
-    ask when the platform is down.
+    ``caller_address`` and ``operator_address`` are ``IP:port``;
+    ``peer_address`` is ``tcp://IP:port``.  ``peers`` are addresses to
+    ask when the platform is down.  Paths of files may be relative to the
+    settings file; here they are as a process finds them.
     """
 
     name: str
@@ -40,29 +57,86 @@
     shutdown_limit_ms: int = 30_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """One mistake in a file: where, what was got, what was expected."""
-
-    file: str
-    path: str
-    got: str
-    expected: str
-
-    def __str__(self) -> str:
-        return (
-            f'{self.file}: {self.path}: got {self.got}, '
-            f'expected {self.expected}'
-        )
+_SETTINGS = _checks.rules_of(
+    Settings,
+    {
+        'name': _checks.name(),
+        'site': _checks.name(),
+        'region': _checks.name(),
+        'caller_address': _checks.address(),
+        'operator_address': _checks.address(),
+        'peer_address': _checks.peer_address(),
+        'platform_url': _checks.url(),
+        'keys_file': _checks.text(),
+        'tls': _checks.mapping(),
+        'peers': _checks.texts_where(_checks.peer_address()),
+        'log_level': _checks.choice(LOG_LEVELS),
+        'balancer_lag_ms': _checks.integer(0, 600_000, 'ms'),
+        'shutdown_limit_ms': _checks.integer(0, _DAY_MS, 'ms'),
+    },
+)
+_TLS = _checks.rules_of(TlsSettings, {})
 
 
 def load_settings(
     path: pathlib.Path,
-) -> result.Result[Settings, tuple[Problem, ...]]:
-    """Read and check a settings file."""
+) -> result.Result[Settings, tuple[_checks.Problem, ...]]:
+    """Read and check a settings file and the files that it names."""
+    read = _files.read_file(path)
+    if isinstance(read, result.Failure):
+        return result.Failure((read.failure(),))
+    raw = read.unwrap()
+    report = _checks.Report(str(path))
+    row = report.row('$', raw, _SETTINGS)
+    # Other mistakes do not hide those in the files that are named.
+    stated = raw if isinstance(raw, dict) else {}
+    tls = _read_tls(report, path.parent, stated.get('tls'))
+    keys_file = _read_keys(report, path.parent, stated.get('keys_file'))
+    _check_distinct(report, stated)
+    if report.problems or row is None:
+        return result.Failure(tuple(report.problems))
+    return result.Success(
+        Settings(**{**row, 'tls': tls, 'keys_file': keys_file})
+    )
+
+
+def _read_keys(
+    report: _checks.Report, folder: pathlib.Path, name: object
+) -> str | None:
+    if not isinstance(name, str):
+        return None
+    path = folder / name
+    loaded = _keys.load_keys(path)
+    if isinstance(loaded, result.Failure):
+        report.problems += loaded.failure()
+    return str(path)
+
+
+def _read_tls(
+    report: _checks.Report, folder: pathlib.Path, raw: object
+) -> TlsSettings | None:
+    if not isinstance(raw, dict):
+        return None
+    row = report.row('tls', raw, _TLS)
+    if row is None:
+        return None
+    tls = TlsSettings(*(str(folder / name) for name in row.values()))
     try:
-        raw = json5.loads(path.read_text(encoding='utf-8'))
-        return result.Success(msgspec.convert(raw, Settings))
-    except (OSError, ValueError, msgspec.ValidationError) as error:
-        problem = Problem(str(path), '$', str(error), 'valid settings')
-        return result.Failure((problem,))
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(tls.certificate_file, tls.key_file)
+    except (OSError, ValueError) as error:
+        report.note(
+            'tls', str(error), 'a readable PEM certificate and its key'
+        )
+    return tls
+
+
+def _check_distinct(
+    report: _checks.Report, raw: dict[str, typing.Any]
+) -> None:
+    seen: dict[str, str] = {}
+    for key in ('caller_address', 'operator_address', 'peer_address'):
+        address = str(raw.get(key, key)).removeprefix('tcp://')
+        other = seen.setdefault(address, key)
+        if other != key:
+            report.add(key, raw[key], f'an address other than {other}')
