Operator interface, typed bodies for all bad input, CURVE between daemons

Cause: operators had a status page only; a handler's failure gave an untyped 500; peers took messages from anybody. Change: Operations protocol with its routes and statuses; a guard that counts each failure and answers callers' 5xx as unknown, never as not run; key check by ZAP from the event loop's own reader (zmq.auth.asyncio needs asyncio sockets, which cost twice as much a message). Minimal apply by conditional put; history, drain and quarantine answer 501 until their parts land.

--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from samphiredock import coordination
+from samphiredock.daemon import _operations
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
@@ -34,8 +35,11 @@
 class Node:
     """The parts of one daemon; it owns their start and their stop."""
 
-    def __init__(self, settings: state.Settings) -> None:
+    def __init__(
+        self, settings: state.Settings, keys: state.Keys | None = None
+    ) -> None:
         self._settings = settings
+        self._keys = keys or state.Keys()
         self._clock = timers.LoopTimers()
         self._metrics = metrics.Metrics(settings.name)
         self._session = aiohttp.ClientSession()
@@ -57,6 +61,7 @@
             settings.peer_address,
             protocol.Codec(PEER_MESSAGES),
             self._metrics,
+            _curve_keys(self._keys),
         )
         self._knowledge = coordination.Knowledge(self._metrics)
         self._watcher = coordination.Watcher(self._platform)
@@ -93,6 +98,16 @@
             self._clock,
             self._metrics,
         )
+        self._desk = _operations.OperatorDesk(
+            self._knowledge, self._membership, self._platform, self._clock
+        )
+        self.configuration_source = self._desk.configuration_source
+        self.apply = self._desk.apply
+        self.history = self._desk.history
+        self.confirmations = self._desk.confirmations
+        self.set_leaving = self._desk.set_leaving
+        self.quarantined = self._desk.quarantined
+        self.release = self._desk.release
         self._closing = False
         self._runners: list[web.AppRunner] = []
 
@@ -162,16 +177,36 @@
             'members': self._membership.live(),
             'revisions': self._membership.revisions(),
             'targets': {name: self.owner(name) for name in targets},
+            'target_rows': [self._target_row(row) for row in targets.values()],
+            'caller_url': self._caller_url(),
             'counters': self._metrics.totals(),
         }
 
+    def _caller_url(self) -> str:
+        scheme = 'https' if self._settings.tls else 'http'
+        return f'{scheme}://{self._settings.caller_address}'
+
+    def _target_row(self, target: state.Target) -> protocol.TargetRow:
+        return protocol.TargetRow(
+            target.name,
+            target.site,
+            self.owner(target.name),
+            target.slots,
+            target.connections,
+            self.is_usable(target.name),
+        )
+
     async def start(self) -> None:
         """Open the addresses and begin to learn."""
         self._clock.every(_METRICS_FLUSH_MS, self._metrics.flush)
         self._watcher.start()
         self._membership.start()
-        callers = transport.caller_application(self, _BODY_LIMIT_BYTES)
-        operators = transport.operator_application(self, self._metrics, None)
+        callers = transport.caller_application(
+            self, _BODY_LIMIT_BYTES, self._metrics
+        )
+        operators = transport.operator_application(
+            self, self._metrics, self._keys.operator_token
+        )
         await self._listen(
             callers,
             self._settings.caller_address,
@@ -189,6 +224,7 @@
         host, _, port = address.rpartition(':')
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
+        host = host.removeprefix('[').removesuffix(']')
         await web.TCPSite(runner, host, int(port), ssl_context=tls).start()
         self._runners.append(runner)
 
@@ -208,6 +244,14 @@
         _log.notice('stopped', name=self._settings.name)
 
 
+def _curve_keys(keys: state.Keys) -> transport.CurveKeys | None:
+    if keys.curve is None:
+        return None
+    return transport.CurveKeys(
+        keys.curve.public, keys.curve.secret, dict(keys.admitted)
+    )
+
+
 def _tls_context(tls: state.TlsSettings | None) -> ssl.SSLContext | None:
     if tls is None:
         return None
--- a/samphiredock/daemon/main.py
+++ b/samphiredock/daemon/main.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 import sys
+import typing
 
 import click
 from returns import result
@@ -12,6 +13,8 @@
 from samphiredock import logs
 from samphiredock import state
 
+_INVALID_STATUS = 2
+
 
 @click.command()
 @click.option(
@@ -23,26 +26,41 @@
 )
 @click.option('--check', is_flag=True, help='Validate the file and exit.')
 def main(settings_path: pathlib.Path, check: bool) -> None:
-    """Run one samphiredock daemon."""
-    loaded = state.load_settings(settings_path)
-    if isinstance(loaded, result.Failure):
-        for problem in loaded.failure():
-            click.echo(str(problem), err=True)
-        sys.exit(2)
+    """Run one samphiredock daemon until SIGTERM or SIGINT.
+
+    Exit status: 0 after an orderly stop, 2 for settings or keys that are
+    not valid; every mistake is printed with file, path, what was got and
+    what was expected.
+    """
+    settings = _read(settings_path, state.load_settings)
+    keys = state.Keys()
+    if settings.keys_file is not None:
+        keys = _read(pathlib.Path(settings.keys_file), state.load_keys)
     if check:
         click.echo(f'{settings_path}: valid')
         return
-    settings = loaded.unwrap()
     logs.set_up(settings.log_level)
-    asyncio.run(_serve(settings))
+    asyncio.run(_serve(settings, keys))
+
+
+def _read(
+    path: pathlib.Path,
+    load: typing.Callable[[pathlib.Path], result.Result],
+) -> typing.Any:
+    loaded = load(path)
+    if isinstance(loaded, result.Failure):
+        for problem in loaded.failure():
+            click.echo(str(problem), err=True)
+        sys.exit(_INVALID_STATUS)
+    return loaded.unwrap()
 
 
-async def _serve(settings: state.Settings) -> None:
+async def _serve(settings: state.Settings, keys: state.Keys) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = _node.Node(settings)
+    node = _node.Node(settings, keys)
     await node.start()
     await stop.wait()
     await node.stop()
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -11,6 +11,12 @@
 from samphiredock.protocol._operations import ChangeUnknown
 from samphiredock.protocol._operations import ConfigurationChange
 from samphiredock.protocol._operations import QuarantineEntry
+from samphiredock.protocol._operator_api import Confirmations
+from samphiredock.protocol._operator_api import DaemonRevision
+from samphiredock.protocol._operator_api import OperatorDone
+from samphiredock.protocol._operator_api import OperatorError
+from samphiredock.protocol._operator_api import OperatorErrorKind
+from samphiredock.protocol._operator_api import TargetRow
 from samphiredock.protocol._outcomes import Answered
 from samphiredock.protocol._outcomes import Completed
 from samphiredock.protocol._outcomes import KeyRange
@@ -58,10 +64,15 @@
     'CodecError',
     'Completed',
     'ConfigurationChange',
+    'Confirmations',
+    'DaemonRevision',
     'KeyRange',
     'NEVER_STARTED',
     'NotRun',
     'NotRunReason',
+    'OperatorDone',
+    'OperatorError',
+    'OperatorErrorKind',
     'Outcome',
     'Partial',
     'QuarantineEntry',
@@ -84,6 +95,7 @@
     'TargetCancelAnswer',
     'TargetHealth',
     'TargetQuery',
+    'TargetRow',
     'TargetRun',
     'TargetRunAnswer',
     'TargetStatus',
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from samphiredock.transport._caller_http import caller_application
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_HEADER
+from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_LIMIT
 from samphiredock.transport._caller_http import Service
 from samphiredock.transport._operator_http import Operations
 from samphiredock.transport._operator_http import operator_application
@@ -37,6 +38,7 @@
     'HttpPlatform',
     'HttpTargetLink',
     'IDEMPOTENCY_KEY_HEADER',
+    'IDEMPOTENCY_KEY_LIMIT',
     'LinkError',
     'LinkErrorKind',
     'ObjectPage',
--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -1,13 +1,21 @@
 """The HTTP interface for callers."""
 
+import dataclasses
 import typing
 
 from aiohttp import web
 import msgspec
 
+from samphiredock import metrics
 from samphiredock import protocol
+from samphiredock.transport import _http_guard
 
 IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
+IDEMPOTENCY_KEY_LIMIT = 128
+"""Characters of an idempotency key."""
+
+_UNKNOWN_RETRY_MS = 1_000
+_INTERNAL_STATUS = 500
 
 _SEARCH = msgspec.json.Decoder(protocol.SearchRequest)
 _RUN = msgspec.json.Decoder(protocol.RunRequest)
@@ -58,82 +66,146 @@
         """Whether connections should end after the current answer."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """A request that was refused before anything was started."""
+
+    status: int
+    detail: str
+
+    def response(self, service: Service) -> web.Response:
+        """Return the refusal as a typed body."""
+        return _respond(service, _bad(self.detail), self.status)
+
+
 def caller_application(
-    service: Service, body_limit_bytes: int
+    service: Service,
+    body_limit_bytes: int,
+    counters: metrics.Metrics | None = None,
 ) -> web.Application:
-    """Return the application that serves callers and the balancer."""
-
-    async def search(request: web.Request) -> web.Response:
-        body = _decode(_SEARCH, await _read(request))
-        if isinstance(body, protocol.NotRun):
-            return _respond(service, body)
-        return _respond(service, await service.search(body))
-
-    async def run(request: web.Request) -> web.Response:
-        body = _decode(_RUN, await _read(request))
-        if isinstance(body, protocol.NotRun):
-            return _respond(service, body)
-        key = request.headers.get(IDEMPOTENCY_KEY_HEADER, '')
-        if not key:
-            return _respond(
-                service,
-                _bad(f'got no {IDEMPOTENCY_KEY_HEADER} header, expected one'),
-            )
-        return _respond(service, await service.run(body, key))
-
-    async def live(request: web.Request) -> web.Response:
-        return web.Response(text='live\n')
+    """Return the application that serves callers and the balancer.
+
+    Every request is read whole before anything is started.  A failure of
+    a handler is answered as unknown, for it may have started something.
+    """
+    handlers = _Handlers(service)
+    counters = counters or metrics.Metrics('callers')
+    app = web.Application(
+        client_max_size=body_limit_bytes,
+        middlewares=[_http_guard.guard(counters, 'callers', _error_body)],
+    )
+    app.router.add_post('/v1/search', handlers.search)
+    app.router.add_post('/v1/run', handlers.run)
+    app.router.add_get('/live', handlers.live)
+    app.router.add_get('/ready', handlers.ready)
+    return app
 
-    async def ready(request: web.Request) -> web.Response:
-        if service.is_ready():
-            return web.Response(text='ready\n')
-        return web.Response(status=503, text='not ready\n')
 
-    app = web.Application(client_max_size=body_limit_bytes)
-    app.router.add_post('/v1/search', search)
-    app.router.add_post('/v1/run', run)
-    app.router.add_get('/live', live)
-    app.router.add_get('/ready', ready)
-    return app
+class _Handlers:
+    """One method a route."""
 
+    def __init__(self, service: Service) -> None:
+        self._service = service
 
-async def _read(request: web.Request) -> bytes | protocol.NotRun:
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        return _bad(f'body too large: {error.text}')
+    async def search(self, request: web.Request) -> web.Response:
+        body = await _read(request, _SEARCH)
+        if isinstance(body, _Refusal):
+            return body.response(self._service)
+        return _respond(self._service, await self._service.search(body))
 
+    async def run(self, request: web.Request) -> web.Response:
+        body = await _read(request, _RUN)
+        if isinstance(body, _Refusal):
+            return body.response(self._service)
+        key = _idempotency_key(request)
+        if isinstance(key, _Refusal):
+            return key.response(self._service)
+        return _respond(self._service, await self._service.run(body, key))
 
-def _decode(
-    decoder: msgspec.json.Decoder, body: bytes | protocol.NotRun
+    async def live(self, request: web.Request) -> web.Response:
+        return web.Response(text='live\n')
+
+    async def ready(self, request: web.Request) -> web.Response:
+        if self._service.is_ready():
+            return web.Response(text='ready\n')
+        return web.Response(status=503, text='not ready\n')
+
+
+async def _read(
+    request: web.Request, decoder: msgspec.json.Decoder
 ) -> typing.Any:
-    if isinstance(body, protocol.NotRun):
-        return body
+    if not _http_guard.has_json_type(request):
+        return _Refusal(
+            415,
+            f'got content type {request.content_type}, '
+            f'expected {_http_guard.JSON_TYPE}',
+        )
+    content = await request.read()
     try:
-        return decoder.decode(body)
+        body = decoder.decode(content)
+    except msgspec.ValidationError as error:
+        return _Refusal(422, f'wrong field: {error}')
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return _bad(str(error))
+        return _Refusal(400, f'got a body that is not JSON: {error}')
+    if body.deadline_ms is not None and body.deadline_ms < 1:
+        return _Refusal(
+            400,
+            f'deadline_ms: got {body.deadline_ms}, expected 1 or more (ms)',
+        )
+    return body
+
+
+def _idempotency_key(request: web.Request) -> str | _Refusal:
+    keys = request.headers.getall(IDEMPOTENCY_KEY_HEADER, [])
+    expected = (
+        f'expected one {IDEMPOTENCY_KEY_HEADER} header of 1 to '
+        f'{IDEMPOTENCY_KEY_LIMIT} visible ASCII characters'
+    )
+    if not keys:
+        return _Refusal(428, f'got none, {expected}')
+    key = keys[0]
+    if len(keys) > 1 or not 0 < len(key) <= IDEMPOTENCY_KEY_LIMIT:
+        return _Refusal(
+            400, f'got {len(keys)} of {len(key)} characters, {expected}'
+        )
+    if not all('!' <= character <= '~' for character in key):
+        return _Refusal(400, f'got other characters, {expected}')
+    return key
 
 
 def _bad(detail: str) -> protocol.NotRun:
     return protocol.NotRun(protocol.NotRunReason.BAD_REQUEST, detail, 0)
 
 
-def _respond(service: Service, outcome: protocol.Outcome) -> web.Response:
+def _error_body(status: int, detail: str) -> bytes:
+    if status >= _INTERNAL_STATUS:
+        # The handler may have sent work before it failed: "not run" would
+        # invite the caller to have it done a second time.
+        return msgspec.json.encode(protocol.Unknown(detail, _UNKNOWN_RETRY_MS))
+    return msgspec.json.encode(_bad(detail))
+
+
+def _respond(
+    service: Service, outcome: protocol.Outcome, status: int | None = None
+) -> web.Response:
     headers = {}
-    if isinstance(outcome, protocol.NotRun):
-        status = _REASON_STATUS[outcome.reason]
-    else:
-        status = _TYPE_STATUS[type(outcome)]
+    if status is None:
+        status = _status_of(outcome)
     retry_after_ms = getattr(outcome, 'retry_after_ms', 0)
     if retry_after_ms:
         headers['Retry-After'] = str(-(-retry_after_ms // 1000))
     response = web.Response(
         status=status,
         body=msgspec.json.encode(outcome),
-        content_type='application/json',
+        content_type=_http_guard.JSON_TYPE,
         headers=headers,
     )
     if service.is_closing():
         response.force_close()
     return response
+
+
+def _status_of(outcome: protocol.Outcome) -> int:
+    if isinstance(outcome, protocol.NotRun):
+        return _REASON_STATUS[outcome.reason]
+    return _TYPE_STATUS[type(outcome)]
--- a/samphiredock/transport/_operator_http.py
+++ b/samphiredock/transport/_operator_http.py
@@ -5,8 +5,39 @@
 
 from aiohttp import web
 import msgspec
+from returns import result
 
 from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock.transport import _http_guard
+
+_BODY_LIMIT_BYTES = 2_000_000
+
+_Kind = protocol.OperatorErrorKind
+
+_KIND_STATUS = {
+    _Kind.BAD_REQUEST: 400,
+    _Kind.WRONG_TOKEN: 401,
+    _Kind.NOT_FOUND: 404,
+    _Kind.TOO_LARGE: 413,
+    _Kind.WRONG_CONTENT_TYPE: 415,
+    _Kind.INTERNAL: 500,
+    _Kind.NOT_OFFERED: 501,
+    _Kind.UNAVAILABLE: 503,
+    _Kind.UNKNOWN: 504,
+}
+_STATUS_KIND = {status: kind for kind, status in _KIND_STATUS.items()}
+
+_CHANGE_STATUS = {
+    protocol.ChangeAccepted: 200,
+    protocol.ChangeConflict: 409,
+    protocol.ChangeInvalid: 422,
+    protocol.ChangeUnavailable: 503,
+    protocol.ChangeUnknown: 504,
+}
+
+_CHANGE = msgspec.json.Decoder(protocol.ConfigurationChange)
 
 
 class Operations(typing.Protocol):
@@ -15,6 +46,41 @@
     def status(self) -> dict[str, typing.Any]:
         """Return the daemon's view of members, sites and targets."""
 
+    def configuration_source(self) -> state.ConfigurationSource | None:
+        """Return what is in force here, as operators wrote it."""
+
+    async def apply(
+        self, change: protocol.ConfigurationChange
+    ) -> protocol.ChangeOutcome:
+        """Bring a configuration into force everywhere."""
+
+    async def history(
+        self,
+    ) -> result.Result[
+        typing.Sequence[protocol.ChangeSummary], protocol.OperatorError
+    ]:
+        """Return the accepted changes, the newest first."""
+
+    def confirmations(self) -> protocol.Confirmations:
+        """Return the revision that each live daemon reported."""
+
+    async def set_leaving(
+        self, target: str, leaving: bool
+    ) -> result.Result[None, protocol.OperatorError]:
+        """Say that a target gets no new work, or gets it again."""
+
+    def quarantined(
+        self,
+    ) -> result.Result[
+        typing.Sequence[protocol.QuarantineEntry], protocol.OperatorError
+    ]:
+        """Return the request contents that are refused."""
+
+    async def release(
+        self, fingerprint: str
+    ) -> result.Result[None, protocol.OperatorError]:
+        """Take one request content out of quarantine."""
+
 
 def operator_application(
     operations: Operations, counters: metrics.Metrics, token: str | None
@@ -23,29 +89,147 @@
 
     With a token, every call needs ``Authorization: Bearer TOKEN``.
     """
+    handlers = _Handlers(operations, counters)
+    app = web.Application(
+        client_max_size=_BODY_LIMIT_BYTES,
+        middlewares=[
+            _http_guard.guard(counters, 'operators', _error_body),
+            _token_check(token, counters),
+        ],
+    )
+    routes = (
+        ('GET', '/v1/status', handlers.status),
+        ('GET', '/v1/configuration', handlers.configuration),
+        ('PUT', '/v1/configuration', handlers.apply),
+        ('GET', '/v1/configuration/history', handlers.history),
+        ('GET', '/v1/configuration/confirmations', handlers.confirmations),
+        ('POST', '/v1/targets/{name}/drain', handlers.drain),
+        ('POST', '/v1/targets/{name}/undrain', handlers.undrain),
+        ('GET', '/v1/quarantine', handlers.quarantined),
+        ('DELETE', '/v1/quarantine/{fingerprint}', handlers.release),
+        ('GET', '/metrics', handlers.metrics),
+    )
+    for method, path, handler in routes:
+        app.router.add_route(method, path, handler)
+    return app
+
+
+def _token_check(
+    token: str | None, counters: metrics.Metrics
+) -> typing.Callable:
+    expected = f'Bearer {token}'.encode()
 
     @web.middleware
-    async def with_token(
+    async def check(
         request: web.Request, handler: typing.Callable
     ) -> web.StreamResponse:
         given = request.headers.get('Authorization', '')
+        # Constant time, so that a wrong guess tells nothing of the token.
         if token is not None and not hmac.compare_digest(
-            given.encode(), f'Bearer {token}'.encode()
+            given.encode('utf-8', 'surrogateescape'), expected
         ):
             counters.add('operator_calls_refused')
-            return web.json_response({'error': 'wrong token'}, status=401)
+            return _failure(
+                _Kind.WRONG_TOKEN,
+                'got no token or a wrong one, expected '
+                "'Authorization: Bearer TOKEN' from the keys file",
+            )
         return await handler(request)
 
-    async def status(request: web.Request) -> web.Response:
+    return check
+
+
+class _Handlers:
+    """One method a route."""
+
+    def __init__(
+        self, operations: Operations, counters: metrics.Metrics
+    ) -> None:
+        self._operations = operations
+        self._metrics = counters
+
+    async def status(self, request: web.Request) -> web.Response:
+        return _json(self._operations.status())
+
+    async def configuration(self, request: web.Request) -> web.Response:
+        source = self._operations.configuration_source()
+        if source is None:
+            return _failure(_Kind.NOT_FOUND, 'no configuration yet')
+        return _json(source)
+
+    async def apply(self, request: web.Request) -> web.Response:
+        if not _http_guard.has_json_type(request):
+            return _failure(
+                _Kind.WRONG_CONTENT_TYPE,
+                f'got {request.content_type}, expected application/json',
+            )
+        try:
+            change = _CHANGE.decode(await request.read())
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return _failure(_Kind.BAD_REQUEST, str(error))
+        outcome = await self._operations.apply(change)
+        kind = type(outcome).__name__
+        self._metrics.add('configuration_changes', outcome=kind)
+        return _json(outcome, _CHANGE_STATUS[type(outcome)])
+
+    async def history(self, request: web.Request) -> web.Response:
+        return _from_result(await self._operations.history())
+
+    async def confirmations(self, request: web.Request) -> web.Response:
+        return _json(self._operations.confirmations())
+
+    async def drain(self, request: web.Request) -> web.Response:
+        return await self._set_leaving(request, True)
+
+    async def undrain(self, request: web.Request) -> web.Response:
+        return await self._set_leaving(request, False)
+
+    async def _set_leaving(
+        self, request: web.Request, leaving: bool
+    ) -> web.Response:
+        name = request.match_info['name']
+        return _from_result(await self._operations.set_leaving(name, leaving))
+
+    async def quarantined(self, request: web.Request) -> web.Response:
+        return _from_result(self._operations.quarantined())
+
+    async def release(self, request: web.Request) -> web.Response:
+        fingerprint = request.match_info['fingerprint']
+        return _from_result(await self._operations.release(fingerprint))
+
+    async def metrics(self, request: web.Request) -> web.Response:
         return web.Response(
-            body=msgspec.json.encode(operations.status()),
-            content_type='application/json',
+            body=self._metrics.render(), content_type='text/plain'
         )
 
-    async def render(request: web.Request) -> web.Response:
-        return web.Response(body=counters.render(), content_type='text/plain')
 
-    app = web.Application(middlewares=[with_token])
-    app.router.add_get('/v1/status', status)
-    app.router.add_get('/metrics', render)
-    return app
+def _from_result(
+    outcome: result.Result[typing.Any, protocol.OperatorError],
+) -> web.Response:
+    if isinstance(outcome, result.Failure):
+        error = outcome.failure()
+        return _json(error, _KIND_STATUS[error.kind])
+    value = outcome.unwrap()
+    return _json(protocol.OperatorDone() if value is None else value)
+
+
+def _failure(kind: protocol.OperatorErrorKind, detail: str) -> web.Response:
+    return _json(protocol.OperatorError(kind, detail), _KIND_STATUS[kind])
+
+
+def _error_body(status: int, detail: str) -> bytes:
+    kind = _STATUS_KIND.get(status, _Kind.BAD_REQUEST)
+    return msgspec.json.encode(protocol.OperatorError(kind, detail))
+
+
+def _json(value: object, status: int = 200) -> web.Response:
+    headers = {}
+    retry_after_ms = getattr(value, 'retry_after_ms', 0)
+    if retry_after_ms:
+        headers['Retry-After'] = str(-(-retry_after_ms // 1000))
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        content_type=_http_guard.JSON_TYPE,
+        headers=headers,
+    )
--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import zmq
+import zmq.auth.base
 
 from samphiredock import metrics
 from samphiredock import protocol
@@ -51,6 +52,56 @@
     admitted: dict[str, str]
 
 
+class _KeyCheck:
+    """Answers the library's question whether a client's key is admitted.
+
+    Sockets of a context ask through its in-process ZAP address.  This
+    answers from the event loop's own reader, as :class:`PeerHub` reads.
+    """
+
+    def __init__(
+        self,
+        context: zmq.Context,
+        loop: asyncio.AbstractEventLoop,
+        keys: CurveKeys,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._admitted = {key.encode() for key in keys.admitted.values()}
+        self._loop = loop
+        self._metrics = counters
+        self._library = zmq.auth.base.Authenticator(context)
+        self._library.configure_curve_callback('*', self)
+        self._library.start()
+        self._socket = self._library.zap_socket
+        self._loop.add_reader(self._socket.fd, self._drain)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client's public key is admitted."""
+        admitted = key in self._admitted
+        if not admitted:
+            self._metrics.add('peer_connections_refused')
+        return admitted
+
+    def close(self) -> None:
+        """Stop answering."""
+        self._loop.remove_reader(self._socket.fd)
+        self._library.stop()
+
+    def _drain(self) -> None:
+        while not self._socket.closed:
+            try:
+                question = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            # The library's method is a coroutine that never waits with a
+            # plain callback, so one step runs it to its end.
+            step = self._library.handle_zap_message(question)
+            try:
+                step.send(None)
+            except StopIteration:
+                continue
+
+
 class PeerHub:
     """The peer sockets of one daemon.
 
@@ -88,7 +139,13 @@
         self._pending: dict[str, list[bytes]] = {}
         self._loop = asyncio.get_running_loop()
         self._closed = False
+        self._key_check: _KeyCheck | None = None
+        if keys is not None:
+            self._key_check = _KeyCheck(
+                self._context, self._loop, keys, counters
+            )
         self._incoming = self._make_socket(zmq.PULL)
+        self._make_server(self._incoming)
         self._incoming.bind(bind_address)
         self._loop.add_reader(self._incoming.fd, self._drain)
 
@@ -115,6 +172,9 @@
     def send(self, member: str, message: msgspec.Struct) -> bool:
         """Queue a message; False if the member's address is unknown.
 
+        With CURVE keys, a member whose key is not admitted is not known
+        either: what is sent to it is counted and dropped.
+
         Messages queued for one member in one turn of the event loop leave
         together: eight in one multipart cost a quarter each of what they
         cost alone.
@@ -165,8 +225,24 @@
         self._incoming.close(linger=0)
         for socket in self._outgoing.values():
             socket.close(linger=_LINGER_MS)
+        if self._key_check is not None:
+            self._key_check.close()
         self._context.term()
 
+    def _make_server(self, socket: zmq.Socket) -> None:
+        if self._keys is None:
+            return
+        socket.curve_secretkey = self._keys.secret.encode()
+        socket.curve_publickey = self._keys.public.encode()
+        socket.curve_server = True
+
+    def _make_client(self, socket: zmq.Socket, server_key: str) -> None:
+        if self._keys is None:
+            return
+        socket.curve_secretkey = self._keys.secret.encode()
+        socket.curve_publickey = self._keys.public.encode()
+        socket.curve_serverkey = server_key.encode()
+
     def _make_socket(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
         socket.setsockopt(zmq.LINGER, _LINGER_MS)
@@ -181,11 +257,22 @@
         address = self._addresses.get(member)
         if address is None:
             return None
+        server_key = self._server_key(member)
+        if server_key is None:
+            return None
         socket = self._make_socket(zmq.PUSH)
+        self._make_client(socket, server_key)
         socket.connect(address)
         self._outgoing[member] = socket
         return socket
 
+    def _server_key(self, member: str) -> str | None:
+        # With keys, nothing is sent to a member whose key is not known:
+        # a plain socket would show the message to anybody who listens.
+        if self._keys is None:
+            return ''
+        return self._keys.admitted.get(member)
+
     def _drain(self) -> None:
         # The descriptor is edge-triggered: a reader that stops early must
         # come back by itself, or the rest would wait for the next message.
