--- /dev/null
+++ b/tests/unit/test_caller_http.py
@@ -0,0 +1,144 @@
+"""Bad input of callers: a status and a typed body for each."""
+
+import asyncio
+import typing
+import unittest
+
+from aiohttp import test_utils
+import msgspec
+
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import transport
+
+BODY_LIMIT_BYTES = 1_000
+SEARCH = {'service': 's', 'search': 'q', 'terms': {'a': 'b'}}
+RUN = {'service': 's', 'operation': 'o', 'body': {}, 'issued_at_ms': 1}
+
+
+class FakeService:
+    """A daemon that answers what it is told and notes what it was asked."""
+
+    def __init__(self) -> None:
+        self.outcome: typing.Any = protocol.Answered([], 1, 1.0)
+        self.error: Exception | None = None
+        self.asked: list[object] = []
+
+    async def search(self, request: protocol.SearchRequest) -> typing.Any:
+        """Note the request and answer."""
+        return self._answer(request)
+
+    async def run(
+        self, request: protocol.RunRequest, idempotency_key: str
+    ) -> typing.Any:
+        """Note the request and answer."""
+        return self._answer(idempotency_key)
+
+    def is_ready(self) -> bool:
+        """Always ready."""
+        return True
+
+    def is_closing(self) -> bool:
+        """Never closing."""
+        return False
+
+    def _answer(self, asked: object) -> typing.Any:
+        self.asked.append(asked)
+        if self.error is not None:
+            raise self.error
+        return self.outcome
+
+
+class CallerHttpTest(unittest.IsolatedAsyncioTestCase):
+    """The real application over loopback."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the application."""
+        self.service = FakeService()
+        self.counters = metrics.Metrics('test')
+        app = transport.caller_application(
+            self.service, BODY_LIMIT_BYTES, self.counters
+        )
+        self.client = test_utils.TestClient(test_utils.TestServer(app))
+        await self.client.start_server()
+        self.addAsyncCleanup(self.client.close)
+
+    async def _post(
+        self, path: str, body: object, **headers: str
+    ) -> tuple[int, dict, typing.Mapping[str, str]]:
+        data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        names = {key.replace('_', '-'): text for key, text in headers.items()}
+        async with self.client.post(path, data=data, headers=names) as got:
+            return got.status, await got.json(), got.headers
+
+    async def test_bad_input_has_its_own_status_and_starts_nothing(
+        self,
+    ) -> None:
+        """The daemon is not asked, so "not run" is true."""
+        key = {'Idempotency_Key': 'k'}
+        cases = (
+            ('/v1/search', b'{', {}, 400),
+            ('/v1/search', b'\xff\xfe', {}, 400),
+            ('/v1/search', b'', {}, 400),
+            ('/v1/search', [], {}, 422),
+            ('/v1/search', {**SEARCH, 'terms': {'a': 1}}, {}, 422),
+            ('/v1/search', {**SEARCH, 'deadline_ms': '1s'}, {}, 422),
+            ('/v1/search', {**SEARCH, 'deadline_s': 1}, {}, 422),
+            ('/v1/search', {**SEARCH, 'deadline_ms': 0}, {}, 400),
+            ('/v1/search', b' ' * (BODY_LIMIT_BYTES + 1), {}, 413),
+            ('/v1/search', SEARCH, {'Content_Type': 'text/plain'}, 415),
+            ('/v1/run', RUN, {}, 428),
+            ('/v1/run', RUN, {'Idempotency_Key': ''}, 400),
+            ('/v1/run', RUN, {'Idempotency_Key': 'a b'}, 400),
+            ('/v1/run', RUN, {'Idempotency_Key': 'k' * 129}, 400),
+            ('/v1/run', RUN, {'Idempotency_Key': 'n\u00f8gle'}, 400),
+            ('/v1/run', {**RUN, 'deadline_ms': -1}, key, 400),
+            ('/v1/run', {**RUN, 'issued_at_ms': 'now'}, key, 422),
+            ('/v1/nothing', SEARCH, {}, 404),
+            ('/ready', SEARCH, {}, 405),
+        )
+        for path, body, headers, expected in cases:
+            with self.subTest(path=path, body=body, headers=headers):
+                status, answer, _ = await self._post(path, body, **headers)
+                self.assertEqual(expected, status, answer)
+                self.assertEqual('not-run', answer['type'])
+                self.assertEqual('bad-request', answer['reason'])
+                self.assertTrue(answer['detail'])
+        self.assertEqual([], self.service.asked)
+
+    async def test_a_failed_handler_is_unknown_and_counted(self) -> None:
+        """It may have sent work before it failed."""
+        self.service.error = RuntimeError('broken')
+        status, answer, _ = await self._post(
+            '/v1/run', RUN, Idempotency_Key='k'
+        )
+        self.assertEqual((500, 'unknown'), (status, answer['type']))
+        self.assertEqual(1, self.counters.total('http_handler_failures'))
+        self.service.error = None
+        status, answer, _ = await self._post('/v1/search', SEARCH)
+        self.assertEqual((200, 'answered'), (status, answer['type']))
+
+    async def test_each_reason_has_a_status_and_a_retry(self) -> None:
+        """``Retry-After`` is in whole seconds, rounded up."""
+        for reason in protocol.NotRunReason:
+            self.service.outcome = protocol.NotRun(reason, 'why', 1_200)
+            status, answer, headers = await self._post('/v1/search', SEARCH)
+            self.assertGreaterEqual(status, 400)
+            self.assertEqual(reason.value, answer['reason'])
+            self.assertEqual('2', headers['Retry-After'])
+
+    async def test_a_caller_that_leaves_early_is_no_failure(self) -> None:
+        """The body never came whole, so nothing was started."""
+        port = self.client.server.port
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(
+            b'POST /v1/search HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 900\r\n\r\n{"service"'
+        )
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+        status, _, _ = await self._post('/v1/search', SEARCH)
+        self.assertEqual(200, status)
+        self.assertEqual(1, len(self.service.asked))
+        self.assertEqual(0, self.counters.total('http_handler_failures'))
--- /dev/null
+++ b/tests/unit/test_fuzz_requests.py
@@ -0,0 +1,146 @@
+"""Random bytes and JSON to the caller interface and the peer codec."""
+
+import asyncio
+import unittest
+
+from aiohttp import test_utils
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from samphiredock.daemon import _node
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import transport
+from standins import cluster
+from tests.unit import test_caller_http
+
+_SETTINGS = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+_TEXT = strategies.text(max_size=6)
+_VALUES = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | _TEXT
+    | strategies.lists(_TEXT, max_size=2)
+    | strategies.dictionaries(_TEXT, _TEXT | strategies.integers(), max_size=2)
+)
+_FIELDS = strategies.sampled_from(
+    [*test_caller_http.SEARCH, *test_caller_http.RUN, 'deadline_ms', 'limit']
+)
+_BODIES = strategies.binary(max_size=200) | strategies.builds(
+    lambda base, changes: msgspec.json.encode({**base, **changes}),
+    strategies.sampled_from([test_caller_http.SEARCH, test_caller_http.RUN]),
+    strategies.dictionaries(_FIELDS | _TEXT, _VALUES, max_size=2),
+)
+# aiohttp's client itself refuses to send control characters.
+_KEYS = strategies.text(
+    strategies.characters(
+        min_codepoint=32, max_codepoint=255, exclude_categories=['Cc']
+    ),
+    max_size=140,
+)
+_NAMES = [kind.__name__.encode() for kind in _node.PEER_MESSAGES]
+_FRAMES = strategies.lists(
+    strategies.sampled_from(_NAMES)
+    | strategies.binary(max_size=40)
+    | strategies.builds(msgspec.msgpack.encode, _VALUES),
+    max_size=7,
+)
+
+
+class RequestFuzzTest(unittest.TestCase):
+    """One application and one event loop for all examples."""
+
+    def setUp(self) -> None:
+        """Start the application."""
+        self.loop = asyncio.new_event_loop()
+        self.addCleanup(self.loop.close)
+        self.service = test_caller_http.FakeService()
+        self.counters = metrics.Metrics('fuzz')
+        self.client = self.loop.run_until_complete(self._start())
+        self.addCleanup(
+            lambda: self.loop.run_until_complete(self.client.close())
+        )
+
+    async def _start(self) -> test_utils.TestClient:
+        app = transport.caller_application(self.service, 500, self.counters)
+        client = test_utils.TestClient(test_utils.TestServer(app))
+        await client.start_server()
+        return client
+
+    @_SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from(['/v1/search', '/v1/run']), _BODIES, _KEYS
+    )
+    def test_any_body_gets_a_typed_answer(
+        self, path: str, body: bytes, key: str
+    ) -> None:
+        """Refused as not run without a start, or handed on whole."""
+        before = len(self.service.asked)
+        status, answer = self.loop.run_until_complete(
+            self._post(path, body, key)
+        )
+        started = len(self.service.asked) - before
+        expected = 'answered' if started else 'not-run'
+        self.assertEqual(expected, answer['type'], answer)
+        self.assertEqual(bool(started), status == 200)
+        self.assertEqual(0, self.counters.total('http_handler_failures'))
+
+    async def _post(
+        self, path: str, body: bytes, key: str
+    ) -> tuple[int, dict]:
+        headers = {transport.IDEMPOTENCY_KEY_HEADER: key}
+        async with self.client.post(path, data=body, headers=headers) as got:
+            return got.status, await got.json()
+
+
+class PeerFuzzTest(unittest.TestCase):
+    """Frames that no daemon would send."""
+
+    def setUp(self) -> None:
+        """Make a hub on an event loop."""
+        self.loop = asyncio.new_event_loop()
+        self.addCleanup(self.loop.close)
+        self.counters = metrics.Metrics('fuzz')
+        self.codec = protocol.Codec(_node.PEER_MESSAGES)
+        self.hub = self.loop.run_until_complete(self._make())
+        self.addCleanup(self.hub.close)
+        self.heard: list[object] = []
+        for kind in _node.PEER_MESSAGES:
+            self.hub.subscribe(kind, lambda _, each: self.heard.append(each))
+
+    async def _make(self) -> transport.PeerHub:
+        (port,) = cluster.free_ports(1)
+        address = f'tcp://127.0.0.1:{port}'
+        return transport.PeerHub('a', address, self.codec, self.counters)
+
+    @_SETTINGS
+    @hypothesis.given(_FRAMES)
+    def test_unreadable_frames_are_counted_and_dropped(
+        self, frames: list[bytes]
+    ) -> None:
+        """Each message is either delivered or counted, never both."""
+        before = self.counters.total('peer_messages_unreadable')
+        self.heard.clear()
+        self.hub._read(frames)
+        counted = self.counters.total('peer_messages_unreadable') - before
+        whole = len(frames) >= 3 and len(frames) % 2 == 1
+        messages = len(frames) // 2 if whole else 1
+        self.assertEqual(messages, counted + len(self.heard))
+
+    @_SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from(_NAMES) | strategies.binary(max_size=60),
+        strategies.binary(max_size=200),
+    )
+    def test_decode_gives_a_value(self, name: bytes, body: bytes) -> None:
+        """A message of the table or a codec error; nothing is raised."""
+        got = self.codec.decode(name, body)
+        self.assertIsInstance(got, (protocol.CodecError, *_node.PEER_MESSAGES))
