--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -1,6 +1,29 @@
 """Snapshots, configuration and other state that daemons hold."""
 
+from samphiredock.state._checks import address
+from samphiredock.state._checks import choice
+from samphiredock.state._checks import flag
+from samphiredock.state._checks import integer
+from samphiredock.state._checks import is_name
+from samphiredock.state._checks import join
+from samphiredock.state._checks import mapping
+from samphiredock.state._checks import name
+from samphiredock.state._checks import names
+from samphiredock.state._checks import number
+from samphiredock.state._checks import peer_address
+from samphiredock.state._checks import positive
+from samphiredock.state._checks import Problem
+from samphiredock.state._checks import Report
+from samphiredock.state._checks import REQUIRED
+from samphiredock.state._checks import Rule
+from samphiredock.state._checks import Rules
+from samphiredock.state._checks import rules_of
+from samphiredock.state._checks import shown
+from samphiredock.state._checks import text
+from samphiredock.state._checks import texts_where
+from samphiredock.state._checks import url
 from samphiredock.state._compiler import compile_source
+from samphiredock.state._compiler import Compiled
 from samphiredock.state._compiler import ConfigurationSource
 from samphiredock.state._configuration import Configuration
 from samphiredock.state._configuration import Limits
@@ -12,8 +35,16 @@
 from samphiredock.state._configuration import Site
 from samphiredock.state._configuration import Target
 from samphiredock.state._directory import Member
+from samphiredock.state._files import parse_text
+from samphiredock.state._files import read_file
+from samphiredock.state._keys import CurvePair
+from samphiredock.state._keys import Keys
+from samphiredock.state._keys import load_keys
+from samphiredock.state._keys import TOKEN_LEAST_LENGTH
+from samphiredock.state._overlay import apply_overlay
+from samphiredock.state._overlay import Rows
 from samphiredock.state._settings import load_settings
-from samphiredock.state._settings import Problem
+from samphiredock.state._settings import LOG_LEVELS
 from samphiredock.state._settings import Settings
 from samphiredock.state._settings import TlsSettings
 from samphiredock.state._snapshots import IndexSnapshot
@@ -22,24 +53,55 @@
 from samphiredock.state._snapshots import Snapshot
 
 __all__ = [
+    'Compiled',
     'Configuration',
     'ConfigurationSource',
+    'CurvePair',
     'IndexSnapshot',
     'KEY_SPACE_SIZE',
+    'Keys',
+    'LOG_LEVELS',
     'Limits',
     'Member',
     'MergeKind',
     'Operation',
     'Problem',
     'REQUEST_CLASSES',
+    'REQUIRED',
+    'Report',
+    'Rows',
+    'Rule',
+    'Rules',
     'Search',
     'Service',
     'Settings',
     'Shard',
     'Site',
     'Snapshot',
+    'TOKEN_LEAST_LENGTH',
     'Target',
     'TlsSettings',
+    'address',
+    'apply_overlay',
+    'choice',
     'compile_source',
+    'flag',
+    'integer',
+    'is_name',
+    'join',
+    'load_keys',
     'load_settings',
+    'mapping',
+    'name',
+    'names',
+    'number',
+    'parse_text',
+    'peer_address',
+    'positive',
+    'read_file',
+    'rules_of',
+    'shown',
+    'text',
+    'texts_where',
+    'url',
 ]
