Unrepeatable requests: claims in buckets, holders that answer, proved endings

Cause: the thin runner held one object a key, sent after a lost claim answer, knew neither late reports nor a restart, and never freed a key. Change: claims live in bucket objects by key hash and time slice with group commit; only a granted claim (put or read-back) allows to send; a holder answers peers for its claims; CancelAttempts and reports decide between not run and unknown; late reports are recorded; old slices are deleted.

--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -1,5 +1,6 @@
 """The decisions and the tasks that carry them out."""
 
+from samphiredock.coordination._claim_sweeper import ClaimSweeper
 from samphiredock.coordination._coordinator import Coordinator
 from samphiredock.coordination._dispatcher import Dispatcher
 from samphiredock.coordination._lane import Lane
@@ -17,6 +18,7 @@
 from samphiredock.coordination._planner import make_plan
 from samphiredock.coordination._planner import Plan
 from samphiredock.coordination._run_once import Runner
+from samphiredock.coordination._run_once import RunQuarantine
 from samphiredock.coordination._scatter import DropAttempts
 from samphiredock.coordination._scatter import Finish
 from samphiredock.coordination._scatter import Scatter
@@ -30,6 +32,7 @@
 
 __all__ = [
     'CONFIGURATION_KEY',
+    'ClaimSweeper',
     'Coordinator',
     'Dispatcher',
     'DropAttempts',
@@ -41,6 +44,7 @@
     'Membership',
     'ObjectHandler',
     'Plan',
+    'RunQuarantine',
     'Runner',
     'SNAPSHOT_KEY',
     'Scatter',
--- /dev/null
+++ b/samphiredock/coordination/_claim_book.py
@@ -0,0 +1,147 @@
+"""The claims of one daemon in the platform's store."""
+
+import asyncio
+import dataclasses
+import random
+
+from samphiredock.coordination import _claim_bucket
+from samphiredock import metrics
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenResult:
+    """How an attempt to open a claim ended.
+
+    ``opened`` is None if the deadline came first.  ``may_be_stored`` says
+    that the claim may be in the store, now or when a put arrives late.
+    """
+
+    opened: state.Opened | _claim_bucket.Unavailable | None
+    may_be_stored: bool
+
+
+class ClaimBook:
+    """Opens and closes claims; one writer a bucket that is in use."""
+
+    def __init__(
+        self,
+        platform: transport.Platform,
+        clock: timers.Timers,
+        randomness: random.Random,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._random = randomness
+        self._metrics = counters
+        self._writers: dict[str, _claim_bucket.BucketWriter] = {}
+        self._closing: set[asyncio.Future] = set()
+
+    def unrecorded(self) -> int:
+        """Return how many ends of claims are not in the store yet."""
+        return len(self._closing)
+
+    async def open(
+        self,
+        place: state.Place,
+        token: str,
+        content: str,
+        deadline_at_ms: float,
+        replaces: str | None = None,
+        distrust: bool = False,
+    ) -> OpenResult:
+        """Open a claim before a deadline.
+
+        With ``distrust`` the object is read from the store in any case.
+        Only ``GRANTED`` allows to send: the put succeeded, or a read shows
+        the own token.
+        """
+        answer = asyncio.get_running_loop().create_future()
+        change = _claim_bucket.OpenChange(
+            place.digest, token, content, replaces, answer
+        )
+        writer = self._writer(place.path)
+        if distrust:
+            writer.distrust()
+        writer.submit(change)
+        await _claim_bucket.wait_until(self._clock, answer, deadline_at_ms)
+        if not answer.done():
+            answer.cancel()
+        opened = None if answer.cancelled() else answer.result()
+        granted = _is_granted(opened)
+        if granted:
+            self._metrics.add('claims_written')
+        return OpenResult(opened, granted or change.may_be_stored)
+
+    def close(
+        self, place: state.Place, final: state.Claim
+    ) -> asyncio.Future[bool]:
+        """Record the end of a claim, trying until it is recorded.
+
+        Returns a future of whether the claim was still the token's own.
+        """
+        answer = asyncio.get_running_loop().create_future()
+        self._closing.add(answer)
+        answer.add_done_callback(self._on_closed)
+        change = _claim_bucket.CloseChange(place.digest, final, answer)
+        self._writer(place.path).submit(change)
+        return answer
+
+    async def settled(self, until_ms: float) -> bool:
+        """Wait until every end is recorded, at most until a time."""
+        while self._closing:
+            first = next(iter(self._closing))
+            if not await _claim_bucket.wait_until(
+                self._clock, first, until_ms
+            ):
+                return False
+        return True
+
+    def stop(self) -> None:
+        """Stop writing."""
+        for writer in self._writers.values():
+            writer.close()
+
+    def _on_closed(self, done: asyncio.Future) -> None:
+        self._closing.discard(done)
+        if done.cancelled():
+            return
+        self._metrics.add('claims_closed')
+        if not done.result():
+            self._metrics.add('claims_superseded')
+
+    def _writer(self, path: str) -> _claim_bucket.BucketWriter:
+        writer = self._writers.get(path)
+        if writer is None:
+            writer = _claim_bucket.BucketWriter(
+                path,
+                self._platform,
+                self._clock,
+                self._random,
+                self._metrics,
+                lambda: self._on_idle(path),
+            )
+            self._writers[path] = writer
+        return writer
+
+    def _on_idle(self, path: str) -> None:
+        self._clock.after(_claim_bucket.FRESH_MS, lambda: self._forget(path))
+
+    def _forget(self, path: str) -> None:
+        # A writer keeps the object's last value: it goes when it is idle,
+        # so that memory does not grow with the slices of a day.
+        writer = self._writers.get(path)
+        if writer is not None and not writer.busy:
+            del self._writers[path]
+
+
+def _is_granted(
+    opened: state.Opened | _claim_bucket.Unavailable | None,
+) -> bool:
+    return (
+        isinstance(opened, state.Opened)
+        and opened.verdict is state.Verdict.GRANTED
+    )
--- /dev/null
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -0,0 +1,282 @@
+"""Group commit of claims into one bucket object of the platform's store."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from returns import result
+
+from samphiredock import metrics
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+FRESH_MS = 200.0
+"""How long the version of an own put is taken for the newest one."""
+
+READ_BACK_LIMIT = 5
+_BACKOFF_MS = 4.0
+_BACKOFF_LIMIT_MS = 2_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The store could not be used; ``detail`` says how."""
+
+    detail: str
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class OpenChange:
+    """A claim to open.
+
+    ``lost`` and ``in_put`` say that a put with this change has been sent
+    whose effect is not known: the claim may be in the store.
+    """
+
+    digest: str
+    token: str
+    content: str
+    replaces: str | None
+    answer: asyncio.Future
+    lost: bool = False
+    in_put: bool = False
+    failures: int = 0
+
+    @property
+    def may_be_stored(self) -> bool:
+        """Whether the claim may be in the store or come to it."""
+        return self.lost or self.in_put
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class CloseChange:
+    """The end of an own claim, tried until it is recorded."""
+
+    digest: str
+    final: state.Claim
+    answer: asyncio.Future
+
+
+Change = OpenChange | CloseChange
+
+
+async def pause(clock: timers.Timers, delay_ms: float) -> None:
+    """Wait on the timer service."""
+    waker = asyncio.get_running_loop().create_future()
+    timer = clock.after(delay_ms, lambda: _wake(waker))
+    try:
+        await waker
+    finally:
+        timer.cancel()
+
+
+async def wait_until(
+    clock: timers.Timers, future: asyncio.Future, at_ms: float
+) -> bool:
+    """Wait for a future until a time; return whether it is done."""
+    if future.done():
+        return True
+    waker = asyncio.get_running_loop().create_future()
+    timer = clock.after(at_ms - clock.now_ms(), lambda: _wake(waker))
+
+    def wake(_: asyncio.Future) -> None:
+        _wake(waker)
+
+    future.add_done_callback(wake)
+    try:
+        await waker
+    finally:
+        timer.cancel()
+        future.remove_done_callback(wake)
+    return future.done()
+
+
+def _wake(waker: asyncio.Future) -> None:
+    if not waker.done():
+        waker.set_result(None)
+
+
+class BucketWriter:
+    """Commits all waiting changes of one bucket in one conditional put.
+
+    One put is out at a time.  A change that is already in the object needs
+    no put: that is how a put whose answer was lost is recognised.
+
+    Parameters
+    ----------
+    path
+        Key of the bucket object.
+    on_idle
+        Called when nothing is left to write.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        platform: transport.Platform,
+        clock: timers.Timers,
+        randomness: random.Random,
+        counters: metrics.Metrics,
+        on_idle: typing.Callable[[], None],
+    ) -> None:
+        self._path = path
+        self._platform = platform
+        self._clock = clock
+        self._random = randomness
+        self._metrics = counters
+        self._on_idle = on_idle
+        self._queue: list[Change] = []
+        self._task: asyncio.Task | None = None
+        self._sleeper: asyncio.Future | None = None
+        self._fresh: tuple[int, bytes] | None = None
+        self._fresh_until_ms = 0.0
+        self._failures = 0
+
+    @property
+    def busy(self) -> bool:
+        """Whether changes wait."""
+        return self._task is not None
+
+    def submit(self, change: Change) -> None:
+        """Add a change; its ``answer`` is resolved when it is committed."""
+        self._queue.append(change)
+        if self._task is None:
+            self._task = asyncio.create_task(self._work())
+        elif self._sleeper is not None and isinstance(change, OpenChange):
+            # A caller waits: it learns at once whether the store is back.
+            _wake(self._sleeper)
+
+    def distrust(self) -> None:
+        """Read the object again before the next change."""
+        self._fresh = None
+
+    def close(self) -> None:
+        """Stop, leaving what is not written."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _work(self) -> None:
+        while self._queue:
+            delay_ms = await self._commit()
+            self._queue = [
+                change for change in self._queue if not change.answer.done()
+            ]
+            if delay_ms and self._queue:
+                await self._sleep(delay_ms)
+        self._task = None
+        self._on_idle()
+
+    async def _sleep(self, delay_ms: float) -> None:
+        self._sleeper = asyncio.get_running_loop().create_future()
+        await wait_until(
+            self._clock, self._sleeper, self._clock.now_ms() + delay_ms
+        )
+        self._sleeper = None
+
+    async def _commit(self) -> float:
+        """Try one commit; return how long to wait before the next in ms."""
+        read = await self._read()
+        if isinstance(read, transport.StoreError):
+            return self._on_store_error(read)
+        version, bucket = read
+        batch = [change for change in self._queue if not change.answer.done()]
+        verdicts = [self._apply(bucket, change) for change in batch]
+        if bucket.changed:
+            error = await self._put(version, bucket, batch)
+            if error is not None:
+                return self._on_put_error(error)
+        self._failures = 0
+        for change, verdict in zip(batch, verdicts):
+            if not change.answer.done():
+                change.answer.set_result(verdict)
+        return 0.0
+
+    def _apply(
+        self, bucket: state.Bucket, change: Change
+    ) -> state.Opened | bool:
+        if isinstance(change, CloseChange):
+            return bucket.close(change.digest, change.final)
+        return bucket.open(
+            change.digest, change.token, change.content, change.replaces
+        )
+
+    async def _read(
+        self,
+    ) -> tuple[int, state.Bucket] | transport.StoreError:
+        now_ms = self._clock.now_ms()
+        if self._fresh is not None and now_ms < self._fresh_until_ms:
+            version, value = self._fresh
+        else:
+            self._metrics.add('claim_reads')
+            found = await self._platform.get(self._path)
+            if isinstance(found, result.Failure):
+                error = found.failure()
+                if error.kind is transport.StoreErrorKind.NOT_FOUND:
+                    return transport.CREATE_ONLY, state.Bucket()
+                return error
+            version, value = found.unwrap().version, found.unwrap().value
+        bucket = state.decode_bucket(value)
+        if bucket is None:
+            self._metrics.add('claim_buckets_unreadable')
+            return transport.StoreError(
+                transport.StoreErrorKind.REFUSED,
+                f'{self._path}: cannot be read',
+            )
+        return version, bucket
+
+    async def _put(
+        self, version: int, bucket: state.Bucket, batch: list[Change]
+    ) -> transport.StoreError | None:
+        opens = [item for item in batch if isinstance(item, OpenChange)]
+        for change in opens:
+            change.in_put = True
+        value = bucket.encode()
+        self._metrics.add('claim_writes')
+        self._metrics.add('claim_changes', len(batch))
+        written = await self._platform.put(self._path, value, version)
+        if isinstance(written, result.Success):
+            self._fresh = (written.unwrap(), value)
+            self._fresh_until_ms = self._clock.now_ms() + FRESH_MS
+            return None
+        error = written.failure()
+        self._fresh = None
+        for change in opens:
+            # Any other kind says for certain that the put had no effect.
+            change.lost |= error.kind is transport.StoreErrorKind.LOST
+            change.in_put = False
+        return error
+
+    def _on_put_error(self, error: transport.StoreError) -> float:
+        if error.kind is transport.StoreErrorKind.CONFLICT:
+            self._metrics.add('claim_conflicts')
+            self._failures += 1
+            return self._backoff_ms()
+        if error.kind is transport.StoreErrorKind.LOST:
+            self._metrics.add('claim_answers_lost')
+            self._failures += 1
+            return self._backoff_ms()
+        return self._on_store_error(error)
+
+    def _on_store_error(self, error: transport.StoreError) -> float:
+        """Refuse the claims that are certain not to be in the store.
+
+        A claim that may be there is read back a few times first.
+        """
+        self._metrics.add('claim_store_errors', kind=error.kind.value)
+        self._fresh = None
+        self._failures += 1
+        for change in self._queue:
+            if isinstance(change, CloseChange) or change.answer.done():
+                continue
+            change.failures += 1
+            if not change.lost or change.failures >= READ_BACK_LIMIT:
+                change.answer.set_result(Unavailable(error.detail))
+        return self._backoff_ms()
+
+    def _backoff_ms(self) -> float:
+        ceiling_ms = min(
+            _BACKOFF_LIMIT_MS, _BACKOFF_MS * 2 ** min(self._failures, 12)
+        )
+        return ceiling_ms * (0.5 + 0.5 * self._random.random())
--- /dev/null
+++ b/samphiredock/coordination/_run_admission.py
@@ -0,0 +1,132 @@
+"""Checks of an unrepeatable request before anything is claimed."""
+
+import dataclasses
+
+from samphiredock.coordination import _planner
+from samphiredock import protocol
+from samphiredock import state
+
+RETENTION_LIMIT_MS = 48 * 3_600_000
+"""No key is older than this, whatever ``key_retention_ms`` says.
+
+Claims are kept for this and a margin, so that a change of the setting
+cannot make a key acceptable whose claim has been deleted.
+"""
+
+FUTURE_SKEW_MS = 300_000
+"""How far a caller's clock may be ahead of ours."""
+
+KEY_LIMIT_CHARS = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may be claimed."""
+
+    request: protocol.RunRequest
+    key: str
+    operation: state.Operation
+    place: state.Place
+    content: str
+    fingerprint: str
+    retention_ms: int
+    deadline_at_ms: float
+
+
+def admit(
+    request: protocol.RunRequest,
+    key: str,
+    configuration: state.Configuration | None,
+    now_ms: float,
+    wall_ms: int,
+) -> Admitted | protocol.NotRun:
+    """Check a request against the configuration and the clock."""
+    if configuration is None:
+        return _refused(
+            protocol.NotRunReason.NOT_READY, 'no configuration yet', 500
+        )
+    service = configuration.services.get(request.service)
+    if service is None:
+        return _refused(
+            protocol.NotRunReason.UNKNOWN_SERVICE,
+            f'got service {request.service!r}, expected a configured one',
+        )
+    operation = service.operations.get(request.operation)
+    if operation is None:
+        return _refused(
+            protocol.NotRunReason.UNKNOWN_OPERATION,
+            f'got operation {request.operation!r}, '
+            f'expected one of {sorted(service.operations)}',
+        )
+    limits = configuration.limits
+    problem = _problem_with(request, key, limits)
+    if problem is not None:
+        return problem
+    retention_ms = min(limits.key_retention_ms, RETENTION_LIMIT_MS)
+    stale = stale_key(request, retention_ms, wall_ms)
+    if stale is not None:
+        return stale
+    deadline_ms = (
+        operation.deadline_ms
+        if request.deadline_ms is None
+        else request.deadline_ms
+    )
+    return Admitted(
+        request,
+        key,
+        operation,
+        state.place_of(request.service, key, request.issued_at_ms),
+        state.content_digest(request.operation, request.body),
+        _planner.fingerprint_of(
+            request.service, request.operation, request.body
+        ),
+        retention_ms,
+        now_ms + deadline_ms,
+    )
+
+
+def stale_key(
+    request: protocol.RunRequest, retention_ms: int, wall_ms: int
+) -> protocol.NotRun | None:
+    """Return the refusal of a key whose claim may have been deleted."""
+    age_ms = wall_ms - request.issued_at_ms
+    if -FUTURE_SKEW_MS <= age_ms <= retention_ms:
+        return None
+    return _refused(
+        protocol.NotRunReason.STALE_KEY,
+        f'issued_at_ms: got a key {age_ms} ms old, '
+        f'expected {-FUTURE_SKEW_MS} to {retention_ms}; this attempt was '
+        'not run, whether an earlier one was is not known any more',
+    )
+
+
+def _problem_with(
+    request: protocol.RunRequest, key: str, limits: state.Limits
+) -> protocol.NotRun | None:
+    if not 0 < len(key) <= KEY_LIMIT_CHARS:
+        return _refused(
+            protocol.NotRunReason.BAD_REQUEST,
+            f'idempotency key: got {len(key)} characters, '
+            f'expected 1 to {KEY_LIMIT_CHARS}',
+        )
+    deadline_ms = request.deadline_ms
+    if deadline_ms is None:
+        return None
+    if deadline_ms <= 0:
+        return _refused(
+            protocol.NotRunReason.DEADLINE_TOO_SHORT,
+            f'deadline_ms: got {deadline_ms}, expected more than 0',
+        )
+    if deadline_ms > limits.deadline_limit_ms:
+        return _refused(
+            protocol.NotRunReason.BAD_REQUEST,
+            f'deadline_ms: got {deadline_ms}, '
+            f'expected at most {limits.deadline_limit_ms}',
+        )
+    return None
+
+
+def _refused(
+    reason: protocol.NotRunReason, detail: str, retry_after_ms: int = 0
+) -> protocol.NotRun:
+    return protocol.NotRun(reason, detail, retry_after_ms)
--- /dev/null
+++ b/samphiredock/coordination/_run_orders.py
@@ -0,0 +1,156 @@
+"""Orders to dispatchers, and what their reports prove."""
+
+import asyncio
+import collections
+import dataclasses
+import typing
+
+from samphiredock.coordination import _claim_bucket
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import timers
+from samphiredock import transport
+
+CANCEL_WAIT_MS = 300.0
+"""How long a dispatcher gets to prove that an order was not begun."""
+
+OUTSTANDING_LIMIT = 10_000
+
+LateReport = typing.Callable[[str, protocol.RunReport], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Outstanding:
+    token: str
+    owner: str
+    target: str
+    unread: protocol.RunReport | None = None
+    waker: asyncio.Future | None = None
+    left: bool = False
+
+
+def proves_not_begun(report: protocol.RunReport) -> bool:
+    """Whether a report proves that no target began the order."""
+    return report.status in protocol.NEVER_STARTED
+
+
+def is_final(report: protocol.RunReport) -> bool:
+    """Whether a report settles the order either way."""
+    ran = report.status is protocol.SubStatus.ANSWERED
+    return ran or proves_not_begun(report)
+
+
+class Orders:
+    """Sends orders and matches reports to them.
+
+    Parameters
+    ----------
+    on_late
+        Called with the token and the report that settles an order after
+        its caller was told that the outcome is unknown.
+    """
+
+    def __init__(
+        self,
+        peers: transport.Peers,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+        on_late: LateReport,
+    ) -> None:
+        self._peers = peers
+        self._clock = clock
+        self._metrics = counters
+        self._on_late = on_late
+        self._outstanding: collections.OrderedDict[str, _Outstanding] = (
+            collections.OrderedDict()
+        )
+        peers.subscribe(protocol.RunReport, self._on_report)
+
+    def send(self, token: str, owner: str, order: protocol.RunOrder) -> bool:
+        """Send an order; False proves that it never left."""
+        self._outstanding[order.attempt_id] = _Outstanding(
+            token, owner, order.target
+        )
+        if self._peers.send(owner, order):
+            self._metrics.add('run_orders_sent')
+            return True
+        del self._outstanding[order.attempt_id]
+        self._metrics.add('run_orders_unsent')
+        return False
+
+    async def report(
+        self, attempt_id: str, until_ms: float
+    ) -> protocol.RunReport | None:
+        """Wait for the next report on an order, None if none came."""
+        outstanding = self._outstanding[attempt_id]
+        if outstanding.unread is None:
+            waker = asyncio.get_running_loop().create_future()
+            outstanding.waker = waker
+            await _claim_bucket.wait_until(self._clock, waker, until_ms)
+            outstanding.waker = None
+        report, outstanding.unread = outstanding.unread, None
+        return report
+
+    async def cancel(
+        self, attempt_id: str, until_ms: float
+    ) -> protocol.RunReport | None:
+        """Ask the dispatcher to stop; return a report that settles it.
+
+        Only a report counts: that the message was sent proves nothing.
+        """
+        owner = self._outstanding[attempt_id].owner
+        until_ms = min(until_ms, self._clock.now_ms() + CANCEL_WAIT_MS)
+        self._metrics.add('run_cancels')
+        if not self._peers.send(
+            owner, protocol.CancelAttempts('', [attempt_id])
+        ):
+            return None
+        while self._clock.now_ms() < until_ms:
+            report = await self.report(attempt_id, until_ms)
+            if report is not None and is_final(report):
+                return report
+        return None
+
+    def settle(self, attempt_id: str) -> None:
+        """Forget an order whose end is known."""
+        self._outstanding.pop(attempt_id, None)
+
+    def leave(self, attempt_id: str) -> None:
+        """Wait no more: a report that settles the order is a late one."""
+        outstanding = self._outstanding[attempt_id]
+        outstanding.left = True
+        if outstanding.unread is not None:
+            self._take_late(attempt_id, outstanding, outstanding.unread)
+        while len(self._outstanding) > OUTSTANDING_LIMIT:
+            self._outstanding.popitem(last=False)
+            self._metrics.add('run_orders_dropped')
+
+    def _on_report(self, sender: str, report: protocol.RunReport) -> None:
+        outstanding = self._outstanding.get(report.attempt_id)
+        if outstanding is None:
+            self._metrics.add('run_reports_unmatched')
+            return
+        if (sender, report.target) != (outstanding.owner, outstanding.target):
+            self._metrics.add('run_reports_refused')
+            return
+        if outstanding.left:
+            self._take_late(report.attempt_id, outstanding, report)
+            return
+        # A report that settles the order is not lost to a later one that
+        # arrives before the first has been read.
+        if outstanding.unread is None or is_final(report):
+            outstanding.unread = report
+        waker = outstanding.waker
+        if waker is not None and not waker.done():
+            waker.set_result(None)
+
+    def _take_late(
+        self,
+        attempt_id: str,
+        outstanding: _Outstanding,
+        report: protocol.RunReport,
+    ) -> None:
+        if is_final(report):
+            self.settle(attempt_id)
+            self._metrics.add('run_reports_late')
+            self._on_late(outstanding.token, report)
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -21,6 +21,8 @@
     protocol.CancelAttempts,
     protocol.RunOrder,
     protocol.RunReport,
+    protocol.ClaimAsk,
+    protocol.ClaimAnswer,
     coordination.Heartbeat,
 )
 """The closed table of messages between daemons."""
@@ -93,6 +95,13 @@
             self._clock,
             self._metrics,
         )
+        self._sweeper = coordination.ClaimSweeper(
+            settings.name,
+            lambda: [member.name for member in self._membership.live()],
+            self._platform,
+            self._clock,
+            self._metrics,
+        )
         self._closing = False
         self._runners: list[web.AppRunner] = []
 
@@ -170,6 +179,7 @@
         self._clock.every(_METRICS_FLUSH_MS, self._metrics.flush)
         self._watcher.start()
         self._membership.start()
+        self._sweeper.start()
         callers = transport.caller_application(self, _BODY_LIMIT_BYTES)
         operators = transport.operator_application(self, self._metrics, None)
         await self._listen(
@@ -198,6 +208,9 @@
         self._membership.leave()
         for runner in self._runners:
             await runner.cleanup()
+        await self._runner.drain()
+        self._runner.close()
+        self._sweeper.close()
         self._watcher.close()
         self._membership.close()
         await self._dispatcher.close()
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -1,5 +1,10 @@
 """Messages, outcomes and their encoding."""
 
+from samphiredock.protocol._claims import ClaimAnswer
+from samphiredock.protocol._claims import ClaimAsk
+from samphiredock.protocol._claims import ClaimStatus
+from samphiredock.protocol._claims import ClaimToken
+from samphiredock.protocol._claims import parse_token
 from samphiredock.protocol._codec import Codec
 from samphiredock.protocol._codec import CodecError
 from samphiredock.protocol._operations import ChangeAccepted
@@ -54,6 +59,10 @@
     'ChangeSummary',
     'ChangeUnavailable',
     'ChangeUnknown',
+    'ClaimAnswer',
+    'ClaimAsk',
+    'ClaimStatus',
+    'ClaimToken',
     'Codec',
     'CodecError',
     'Completed',
@@ -88,4 +97,5 @@
     'TargetRunAnswer',
     'TargetStatus',
     'Unknown',
+    'parse_token',
 ]
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -1,5 +1,21 @@
 """Snapshots, configuration and other state that daemons hold."""
 
+from samphiredock.state._claims import Bucket
+from samphiredock.state._claims import BUCKETS_PER_SLICE
+from samphiredock.state._claims import Claim
+from samphiredock.state._claims import CLAIMS_PREFIX
+from samphiredock.state._claims import ClaimState
+from samphiredock.state._claims import closed_claim
+from samphiredock.state._claims import content_digest
+from samphiredock.state._claims import decode_bucket
+from samphiredock.state._claims import FULL_BYTES
+from samphiredock.state._claims import Opened
+from samphiredock.state._claims import OUTCOME_LIMIT_BYTES
+from samphiredock.state._claims import Place
+from samphiredock.state._claims import place_of
+from samphiredock.state._claims import SLICE_MS
+from samphiredock.state._claims import slice_prefix
+from samphiredock.state._claims import Verdict
 from samphiredock.state._compiler import compile_source
 from samphiredock.state._compiler import ConfigurationSource
 from samphiredock.state._configuration import Configuration
@@ -22,16 +38,26 @@
 from samphiredock.state._snapshots import Snapshot
 
 __all__ = [
+    'BUCKETS_PER_SLICE',
+    'Bucket',
+    'CLAIMS_PREFIX',
+    'Claim',
+    'ClaimState',
     'Configuration',
     'ConfigurationSource',
+    'FULL_BYTES',
     'IndexSnapshot',
     'KEY_SPACE_SIZE',
     'Limits',
     'Member',
     'MergeKind',
+    'OUTCOME_LIMIT_BYTES',
+    'Opened',
     'Operation',
+    'Place',
     'Problem',
     'REQUEST_CLASSES',
+    'SLICE_MS',
     'Search',
     'Service',
     'Settings',
@@ -40,6 +66,12 @@
     'Snapshot',
     'Target',
     'TlsSettings',
+    'Verdict',
+    'closed_claim',
     'compile_source',
+    'content_digest',
+    'decode_bucket',
     'load_settings',
+    'place_of',
+    'slice_prefix',
 ]
--- /dev/null
+++ b/samphiredock/state/_claims.py
@@ -0,0 +1,201 @@
+"""Claims of unrepeatable requests, and the bucket objects that hold them.
+
+Pure functions and types: a bucket is read, changed and encoded here; the
+calls to the platform's store are made in :mod:`samphiredock.coordination`.
+"""
+
+import enum
+import hashlib
+import typing
+
+import msgspec
+
+CLAIMS_PREFIX = 'claims/'
+SLICE_MS = 5_000
+BUCKETS_PER_SLICE = 16
+"""Why these two numbers: docs/design/claims.md, section 3."""
+
+FULL_BYTES = 900_000
+OUTCOME_LIMIT_BYTES = 4_096
+"""An open claim reserves this much, so that its outcome always fits."""
+
+_FORMAT = 1
+_DIGEST_BYTES = 16
+_OVERHEAD_BYTES = 64
+
+
+class ClaimState(enum.Enum):
+    """What the store knows of a claimed request."""
+
+    OPEN = 'open'
+    DONE = 'done'
+    NOT_RUN = 'not-run'
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True):
+    """One claim; ``content`` is the digest of the request it was made for.
+
+    ``result_dropped`` marks an outcome that was too large to be kept.
+    """
+
+    token: str
+    content: str
+    state: ClaimState
+    accepted: bool = False
+    result: dict[str, str] = {}
+    result_dropped: bool = False
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where a key's claim lives: the bucket object and the entry in it."""
+
+    path: str
+    digest: str
+
+
+class Verdict(enum.Enum):
+    """What became of an attempt to open a claim."""
+
+    GRANTED = 'granted'
+    MET = 'met'
+    KEY_REUSED = 'key-reused'
+    FULL = 'full'
+
+
+class Opened(msgspec.Struct, frozen=True):
+    """The verdict and, for ``MET``, the claim that is in the way."""
+
+    verdict: Verdict
+    claim: Claim | None = None
+
+
+class _Stored(msgspec.Struct, frozen=True):
+    format: int
+    claims: dict[str, Claim]
+
+
+_DECODER = msgspec.json.Decoder(_Stored)
+
+
+class Bucket:
+    """A working copy of one bucket object."""
+
+    def __init__(
+        self, claims: dict[str, Claim] | None = None, size_bytes: int = 0
+    ) -> None:
+        self.claims = claims or {}
+        self.changed = False
+        self._size_bytes = size_bytes
+
+    def open(
+        self, digest: str, token: str, content: str, replaces: str | None
+    ) -> Opened:
+        """Write an open claim unless another's is in the way.
+
+        ``replaces`` is the token of an open claim whose holder has said
+        that it never sent the request and never will.  Opening again with
+        a token that already holds the claim changes nothing, so a change
+        whose answer was lost is tried again safely.
+        """
+        held = self.claims.get(digest)
+        if held is None:
+            return self._add(digest, token, content)
+        if held.token == token and held.state is ClaimState.OPEN:
+            return Opened(Verdict.GRANTED)
+        if held.content != content:
+            return Opened(Verdict.KEY_REUSED, held)
+        given_up = held.state is ClaimState.OPEN and held.token == replaces
+        if held.state is ClaimState.NOT_RUN or given_up:
+            self._set(digest, Claim(token, content, ClaimState.OPEN))
+            return Opened(Verdict.GRANTED)
+        return Opened(Verdict.MET, held)
+
+    def close(self, digest: str, final: Claim) -> bool:
+        """Write the end of a claim; False if it is another's by now.
+
+        An end is also written where the claim itself is missing: the put
+        that carried it may still be on its way, and this change of the
+        object's version makes that put fail for good.
+        """
+        held = self.claims.get(digest)
+        if held is not None and held.token != final.token:
+            return False
+        if held is None or held.state is ClaimState.OPEN:
+            self._set(digest, final)
+        return True
+
+    def encode(self) -> bytes:
+        """Return the object's value."""
+        return msgspec.json.encode(_Stored(_FORMAT, self.claims))
+
+    def _add(self, digest: str, token: str, content: str) -> Opened:
+        open_claims = sum(
+            claim.state is ClaimState.OPEN for claim in self.claims.values()
+        )
+        reserved_bytes = (open_claims + 1) * OUTCOME_LIMIT_BYTES
+        if self._size_bytes + reserved_bytes > FULL_BYTES:
+            return Opened(Verdict.FULL)
+        self._set(digest, Claim(token, content, ClaimState.OPEN))
+        return Opened(Verdict.GRANTED)
+
+    def _set(self, digest: str, claim: Claim) -> None:
+        self.claims[digest] = claim
+        self.changed = True
+        size_bytes = len(msgspec.json.encode(claim))
+        self._size_bytes += size_bytes + len(digest) + _OVERHEAD_BYTES
+
+
+def decode_bucket(value: bytes) -> Bucket | None:
+    """Return the bucket, or None if the value cannot be read.
+
+    An unreadable bucket may hold claims: it must not pass for an empty
+    one.
+    """
+    try:
+        stored = _DECODER.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    if stored.format != _FORMAT:
+        return None
+    return Bucket(stored.claims, len(value))
+
+
+def place_of(service: str, key: str, issued_at_ms: int) -> Place:
+    """Return where the claim of a service's idempotency key lives."""
+    digest = _digest([service, key])
+    bucket = int(digest, 16) % BUCKETS_PER_SLICE
+    prefix = slice_prefix(issued_at_ms // SLICE_MS)
+    return Place(f'{prefix}{bucket}', digest)
+
+
+def slice_prefix(number: int) -> str:
+    """Return the prefix of all buckets of one time slice."""
+    return f'{CLAIMS_PREFIX}{number}/'
+
+
+def content_digest(operation: str, body: typing.Mapping[str, str]) -> str:
+    """Return a digest that differs for a request with other content."""
+    return _digest([operation, sorted(body.items())])
+
+
+def closed_claim(
+    token: str, content: str, accepted: bool, result: dict[str, str]
+) -> Claim:
+    """Return a finished claim, without a result that is too large."""
+    size_bytes = len(msgspec.json.encode(result))
+    fits = size_bytes + 2 * _OVERHEAD_BYTES <= OUTCOME_LIMIT_BYTES
+    return Claim(
+        token,
+        content,
+        ClaimState.DONE,
+        accepted,
+        result if fits else {},
+        not fits,
+    )
+
+
+def _digest(parts: list) -> str:
+    # A caller chooses the key and body: a digest that it could make
+    # collide would replay another request's outcome to it.
+    encoded = msgspec.json.encode(parts)
+    return hashlib.blake2b(encoded, digest_size=_DIGEST_BYTES).hexdigest()
