--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -18,7 +18,7 @@
 from samphiredock.coordination._planner import make_plan
 from samphiredock.coordination._planner import Plan
 from samphiredock.coordination._run_once import Runner
-from samphiredock.coordination._run_once import RunQuarantine
+from samphiredock.coordination._run_request import RunQuarantine
 from samphiredock.coordination._scatter import DropAttempts
 from samphiredock.coordination._scatter import Finish
 from samphiredock.coordination._scatter import Scatter
--- a/samphiredock/coordination/_claim_book.py
+++ b/samphiredock/coordination/_claim_book.py
@@ -59,6 +59,8 @@
         Only ``GRANTED`` allows to send: the put succeeded, or a read shows
         the own token.
         """
+        if self._clock.now_ms() >= deadline_at_ms:
+            return OpenResult(None, False)
         answer = asyncio.get_running_loop().create_future()
         change = _claim_bucket.OpenChange(
             place.digest, token, content, replaces, answer
--- /dev/null
+++ b/samphiredock/coordination/_run_claiming.py
@@ -0,0 +1,121 @@
+"""Claim a request's key, or learn what became of the claim in the way."""
+
+from samphiredock.coordination import _claim_book
+from samphiredock.coordination import _claim_bucket
+from samphiredock.coordination import _claim_holders
+from samphiredock.coordination import _run_request
+from samphiredock.coordination import _run_states
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+
+_Status = protocol.ClaimStatus
+
+
+class Claiming:
+    """Obtains claims from the store and from other holders."""
+
+    def __init__(
+        self,
+        book: _claim_book.ClaimBook,
+        holders: _claim_holders.Holders,
+        endings: _run_request.Endings,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._book = book
+        self._holders = holders
+        self._endings = endings
+        self._metrics = counters
+
+    async def obtain(
+        self, run: _run_request.Run
+    ) -> protocol.RunOutcome | None:
+        """Claim the key; an outcome if it cannot be claimed."""
+        run.step('claim')
+        met: state.Claim | None = None
+        replaces: str | None = None
+        while True:
+            ended = await self._book.open(
+                run.admitted.place,
+                run.token,
+                run.admitted.content,
+                run.admitted.deadline_at_ms,
+                replaces,
+                distrust=met is not None,
+            )
+            run.may_be_stored |= ended.may_be_stored
+            opened = ended.opened
+            if not isinstance(opened, state.Opened):
+                return self._unclaimed(run, opened)
+            if opened.verdict is state.Verdict.GRANTED:
+                run.step('grant')
+                return None
+            if opened.verdict is state.Verdict.FULL:
+                return self._endings.not_run(
+                    run,
+                    protocol.NotRunReason.OVERLOADED,
+                    'too many keys were issued in the same seconds; this '
+                    'request was not run, send it with a new key',
+                    _run_request.RETRY_AFTER_MS,
+                )
+            if opened.verdict is state.Verdict.KEY_REUSED:
+                return self._reused(run)
+            assert opened.claim is not None
+            if opened.claim.state is state.ClaimState.DONE:
+                return self._replay(run, opened.claim)
+            if met is not None and met.token == opened.claim.token:
+                return self._endings.lose(
+                    run, 'the holder of the claim is silent'
+                )
+            met = opened.claim
+            run.step('meet')
+            answer = await self._holders.ask(
+                met.token, run.admitted.deadline_at_ms
+            )
+            if answer is not None and answer.status is _Status.DONE:
+                assert answer.outcome is not None
+                return self._endings.replay(run, answer.outcome)
+            if answer is not None and answer.status is _Status.NEVER_SENT:
+                self._metrics.add('claims_passed_on')
+                replaces, met = met.token, None
+                run.step('retake')
+
+    def _unclaimed(
+        self, run: _run_request.Run, failure: _claim_bucket.Unavailable | None
+    ) -> protocol.RunOutcome:
+        if run.state is _run_states.RunState.ASKING:
+            return self._endings.lose(
+                run, 'claimed by another, its end not known'
+            )
+        if failure is None:
+            return self._endings.not_run(
+                run,
+                protocol.NotRunReason.OVERLOADED,
+                'the claim was not written within the deadline',
+                _run_request.RETRY_AFTER_MS,
+            )
+        return self._endings.not_run(
+            run,
+            protocol.NotRunReason.PLATFORM_UNAVAILABLE,
+            f'this attempt was not run; what became of earlier ones with '
+            f'its key cannot be read: {failure.detail}',
+            _run_request.RETRY_AFTER_MS,
+        )
+
+    def _reused(self, run: _run_request.Run) -> protocol.RunOutcome:
+        if run.state is _run_states.RunState.ASKING:
+            return self._endings.lose(
+                run, 'the claim changed while it was awaited'
+            )
+        return self._endings.refuse(run, _run_request.key_reused())
+
+    def _replay(
+        self, run: _run_request.Run, claim: state.Claim
+    ) -> protocol.RunOutcome:
+        if claim.result_dropped:
+            return self._endings.lose(
+                run, 'the request ran; its result was too large to be kept'
+            )
+        return self._endings.replay(
+            run, protocol.Completed(claim.result, claim.accepted, True)
+        )
--- /dev/null
+++ b/samphiredock/coordination/_run_request.py
@@ -0,0 +1,214 @@
+"""One unrepeatable request, and the ways in which it ends here.
+
+What is said to a caller, told to a peer and written to the store about a
+request is decided in this one place, so that the three cannot differ.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from samphiredock.coordination import _claim_book
+from samphiredock.coordination import _claim_holders
+from samphiredock.coordination import _run_admission
+from samphiredock.coordination import _run_orders
+from samphiredock.coordination import _run_states
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+
+RETRY_AFTER_MS = 1_000
+
+_Status = protocol.ClaimStatus
+
+
+class RunQuarantine(typing.Protocol):
+    """Knows the requests that crashed the targets that ran them."""
+
+    def refusal(self, fingerprint: str) -> protocol.NotRun | None:
+        """Return the refusal of a quarantined request."""
+
+    def note_lost(self, fingerprint: str, target: str) -> None:
+        """A target was lost while it ran the request."""
+
+    def note_succeeded(self, fingerprint: str) -> None:
+        """A target answered the request."""
+
+
+class NoQuarantine:
+    """Refuses nothing."""
+
+    def refusal(self, fingerprint: str) -> protocol.NotRun | None:
+        """Return no refusal."""
+        return None
+
+    def note_lost(self, fingerprint: str, target: str) -> None:
+        """Ignore it."""
+
+    def note_succeeded(self, fingerprint: str) -> None:
+        """Ignore it."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """One request that this daemon tries to claim and run.
+
+    ``may_be_stored`` says that its claim may be in the store.
+    """
+
+    admitted: _run_admission.Admitted
+    token: str
+    progress: _run_states.RunProgress
+    task: asyncio.Task | None = None
+    attempts: int = 0
+    may_be_stored: bool = False
+
+    @property
+    def state(self) -> _run_states.RunState:
+        """How far the request has come."""
+        return self.progress.state
+
+    def step(self, trigger: str) -> None:
+        """Take one step of the state table."""
+        _run_states.step(self.progress, trigger)
+
+
+class Endings:
+    """Ends requests: towards the caller, the peers and the store."""
+
+    def __init__(
+        self,
+        book: _claim_book.ClaimBook,
+        holders: _claim_holders.Holders,
+        quarantine: RunQuarantine,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._book = book
+        self._holders = holders
+        self._quarantine = quarantine
+        self._metrics = counters
+        self._unsettled: dict[str, _run_admission.Admitted] = {}
+
+    def replay(
+        self, run: Run, outcome: protocol.Completed
+    ) -> protocol.RunOutcome:
+        """Answer with the outcome of another claim."""
+        run.step('complete')
+        self._metrics.add('run_replayed')
+        self._give_up(run)
+        return replayed(outcome)
+
+    def note_lost(
+        self,
+        admitted: _run_admission.Admitted,
+        report: protocol.RunReport | None,
+    ) -> None:
+        """Tell the quarantine if a target was lost under the request."""
+        if report is not None and report.target_lost:
+            self._quarantine.note_lost(admitted.fingerprint, report.target)
+
+    def ran(
+        self,
+        token: str,
+        admitted: _run_admission.Admitted,
+        report: protocol.RunReport,
+    ) -> protocol.Completed:
+        """A target ran it: tell who asked, and record it in background."""
+        self._quarantine.note_succeeded(admitted.fingerprint)
+        outcome = protocol.Completed(report.result, report.accepted, False)
+        self._holders.change(token, _Status.DONE, outcome)
+        self._metrics.add('runs_completed')
+        self._close(
+            admitted.place,
+            state.closed_claim(
+                token, admitted.content, report.accepted, report.result
+            ),
+        )
+        return outcome
+
+    def on_late_report(self, token: str, report: protocol.RunReport) -> None:
+        """Record the true end of a request that was called unknown."""
+        admitted = self._unsettled.pop(token, None)
+        if admitted is None or (
+            self._holders.status(token) is not _Status.UNSETTLED
+        ):
+            return
+        if _run_orders.proves_not_begun(report):
+            self._holders.change(token, _Status.NEVER_SENT)
+            self._close_not_run(token, admitted)
+            return
+        self.ran(token, admitted, report)
+
+    def lose(self, run: Run, detail: str) -> protocol.Unknown:
+        """Answer that the end is not known."""
+        before = run.state
+        run.step('lose')
+        self._metrics.add('runs_unknown')
+        if before in (
+            _run_states.RunState.SENT,
+            _run_states.RunState.CANCELLING,
+        ):
+            self._holders.change(run.token, _Status.UNSETTLED)
+            self._unsettled[run.token] = run.admitted
+            while len(self._unsettled) > _run_orders.OUTSTANDING_LIMIT:
+                del self._unsettled[next(iter(self._unsettled))]
+        else:
+            self._give_up(run)
+        return protocol.Unknown(detail, RETRY_AFTER_MS)
+
+    def not_run(
+        self,
+        run: Run,
+        reason: protocol.NotRunReason,
+        detail: str,
+        retry_after_ms: int,
+    ) -> protocol.NotRun:
+        """Answer that the request was not run, for a reason."""
+        return self.refuse(
+            run, protocol.NotRun(reason, detail, retry_after_ms)
+        )
+
+    def refuse(self, run: Run, refusal: protocol.NotRun) -> protocol.NotRun:
+        """Answer that the request was not run, and see that it never is."""
+        assert run.state in _run_states.MAY_ANSWER_NOT_RUN, (
+            f'{run.token}: not run cannot be said in {run.state}'
+        )
+        run.step('refuse')
+        self._give_up(run)
+        return refusal
+
+    def _give_up(self, run: Run) -> None:
+        """Promise never to send, then free the key if it may be claimed."""
+        self._holders.change(run.token, _Status.NEVER_SENT)
+        if run.may_be_stored:
+            self._metrics.add('claims_given_up')
+            self._close_not_run(run.token, run.admitted)
+        else:
+            self._holders.forget(run.token)
+
+    def _close_not_run(
+        self, token: str, admitted: _run_admission.Admitted
+    ) -> None:
+        self._close(
+            admitted.place,
+            state.Claim(token, admitted.content, state.ClaimState.NOT_RUN),
+        )
+
+    def _close(self, place: state.Place, final: state.Claim) -> None:
+        recorded = self._book.close(place, final)
+        recorded.add_done_callback(lambda _: self._holders.forget(final.token))
+
+
+def replayed(outcome: protocol.Completed) -> protocol.Completed:
+    """Return the outcome marked as a recorded one."""
+    return protocol.Completed(outcome.result, outcome.accepted, True)
+
+
+def key_reused() -> protocol.NotRun:
+    """Return the refusal of a key that belongs to another request."""
+    return protocol.NotRun(
+        protocol.NotRunReason.KEY_REUSED,
+        'this request was not run: its idempotency key belongs to a request '
+        'with another operation or body, which may have run',
+        0,
+    )
--- /dev/null
+++ b/tests/simulation_runs.py
@@ -0,0 +1,254 @@
+"""Runners of several daemons in one process, under faults from a seed."""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+import random
+
+from samphiredock import coordination
+from samphiredock import metrics
+from samphiredock import protocol
+from tests import fakes_platform
+from tests import fakes_run
+from tests import history_runs
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """One life of one daemon."""
+
+    name: str
+    incarnation: int
+    gate: fakes_run.Gate
+    runner: coordination.Runner
+
+    @property
+    def life(self) -> str:
+        """Name and incarnation, as tokens begin."""
+        return f'{self.name}/{self.incarnation}'
+
+
+class System:
+    """Daemons, dispatchers, a store and the history of what they did."""
+
+    def __init__(
+        self,
+        seed: int,
+        counters: metrics.Metrics,
+        latency_ms: float = 0.0,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.clock = fakes_run.SteppedTimers()
+        self.metrics = counters
+        self.history: list[history_runs.Event] = []
+        self.platform = fakes_platform.FakePlatform(
+            self.clock, self.random, latency_ms
+        )
+        self.hub = fakes_run.FakeHub(self.clock, self.random)
+        self.hub.observers.append(self._observe)
+        self.view = fakes_run.FakeView()
+        self.dispatchers = [
+            fakes_run.FakeDispatcher(
+                self.hub,
+                f'dispatcher-of-{target}',
+                self.clock,
+                self.random,
+                self.history,
+            )
+            for target in fakes_run.TARGETS
+        ]
+        self.daemons: dict[str, Daemon] = {}
+        self.lives: list[Daemon] = []
+        self.faults: collections.Counter[str] = collections.Counter()
+        self._calls = itertools.count(1)
+        self._incarnations = itertools.count(1)
+
+    def start(self, name: str) -> Daemon:
+        """Start a daemon, or start it again with nothing kept."""
+        gate = fakes_run.Gate()
+        incarnation = next(self._incarnations)
+        runner = coordination.Runner(
+            name,
+            'bole-a',
+            incarnation,
+            self.view,
+            self.hub.join(name, gate),
+            fakes_run.GatedPlatform(self.platform, gate),
+            fakes_run.GatedTimers(self.clock, gate),
+            self.metrics,
+            self.random,
+        )
+        self.daemons[name] = Daemon(name, incarnation, gate, runner)
+        self.lives.append(self.daemons[name])
+        return self.daemons[name]
+
+    def use(self, *behaviours: str) -> None:
+        """Have both dispatchers draw from these behaviours."""
+        for dispatcher in self.dispatchers:
+            dispatcher.behaviours = behaviours
+
+    def kill(self, daemon: Daemon) -> None:
+        """End a daemon at once; its callers hear nothing."""
+        daemon.gate.dead = True
+        self.faults['kill'] += 1
+
+    def call(
+        self,
+        daemon: Daemon,
+        key: str,
+        body: str = 'household-7',
+        issued_at_ms: int | None = None,
+        deadline_ms: int | None = None,
+    ) -> asyncio.Task:
+        """Send a request as a caller; the task ends with its outcome."""
+        number = next(self._calls)
+        self.history.append(
+            history_runs.Called(number, daemon.life, key, body)
+        )
+        request = protocol.RunRequest(
+            fakes_run.SERVICE,
+            fakes_run.OPERATION,
+            {'household': body},
+            self.clock.wall_ms() if issued_at_ms is None else issued_at_ms,
+            deadline_ms,
+        )
+        return asyncio.create_task(self._call(number, daemon, request, key))
+
+    async def _call(
+        self,
+        number: int,
+        daemon: Daemon,
+        request: protocol.RunRequest,
+        key: str,
+    ) -> protocol.RunOutcome:
+        outcome = await daemon.runner.run(request, key)
+        self.history.append(history_runs.Answered(number, outcome))
+        return outcome
+
+    async def outcome(
+        self, call: asyncio.Task, within_ms: float = 10_000.0
+    ) -> protocol.RunOutcome:
+        """Move time until a call is answered."""
+        end_ms = self.clock.now_ms() + within_ms
+        while not call.done() and self.clock.now_ms() < end_ms:
+            await self.clock.pass_ms(1.0)
+        return call.result()
+
+    def executions(self) -> int:
+        """Return how many requests targets have run."""
+        return sum(
+            isinstance(event, history_runs.Executed) for event in self.history
+        )
+
+    def _observe(self, sender: str, message: object) -> None:
+        if isinstance(message, protocol.RunOrder):
+            life = message.attempt_id.rsplit('/', 2)[0]
+            self.history.append(
+                history_runs.Ordered(
+                    life,
+                    message.idempotency_key,
+                    message.body['household'],
+                    message.attempt_id,
+                )
+            )
+
+
+class Storm:
+    """A run of random calls and faults, then calm and last calls."""
+
+    NAMES = ('entry-1', 'entry-2', 'entry-3')
+    KEYS = tuple(f'payout-{number}' for number in range(16))
+    STEPS = 60
+
+    def __init__(self, seed: int, counters: metrics.Metrics) -> None:
+        self.system = System(seed, counters, latency_ms=8.0)
+        self._random = self.system.random
+        self._issued_at_ms = self.system.clock.wall_ms()
+        self._steps = 0
+
+    async def run(self) -> None:
+        """Run to the end; the history is judged by the test."""
+        system = self.system
+        for name in self.NAMES:
+            system.start(name)
+        system.hub.loss = 0.05
+        system.platform.chances = {
+            fakes_platform.Fault.CONFLICT: 0.10,
+            fakes_platform.Fault.LOST_BEFORE: 0.05,
+            fakes_platform.Fault.LOST_AFTER: 0.08,
+            fakes_platform.Fault.LATE: 0.05,
+            fakes_platform.Fault.STALE: 0.10,
+        }
+        for number in range(self.STEPS):
+            self._steps = number
+            self._step()
+            await system.clock.pass_ms(
+                self._random.choice((0, 0, 3, 10, 60, 700))
+            )
+        self._calm()
+        await system.clock.pass_ms(10_000)
+        for key in self.KEYS:
+            for name in self.NAMES:
+                self._call(key, name)
+            await system.clock.pass_ms(5_000)
+
+    def _step(self) -> None:
+        actions = {
+            self._call: 12,
+            self._outage: 1,
+            self._freeze: 2,
+            self._wake: 3,
+            self._kill: 1,
+        }
+        action = self._random.choices(
+            list(actions), weights=list(actions.values())
+        )[0]
+        action()
+
+    def _call(self, key: str | None = None, name: str | None = None) -> None:
+        other = key is None and self._random.random() < 0.05
+        self.system.call(
+            self.system.daemons[name or self._random.choice(self.NAMES)],
+            key or self._random.choice(self._near()),
+            'household-8' if other else 'household-7',
+            self._issued_at_ms,
+            self._random.choice((None, 300, 5_000)),
+        )
+
+    def _outage(self) -> None:
+        def end() -> None:
+            self.system.platform.outage = False
+
+        self.system.platform.outage = True
+        self.system.clock.after(self._random.uniform(5, 2_000), end)
+        self.system.faults['outage'] += 1
+
+    def _freeze(self) -> None:
+        daemon = self._any()
+        if not daemon.gate.frozen:
+            daemon.gate.frozen = True
+            self.system.faults['freeze'] += 1
+
+    def _wake(self) -> None:
+        self._any().gate.wake(self._random)
+
+    def _kill(self) -> None:
+        daemon = self._any()
+        self.system.kill(daemon)
+        self.system.start(daemon.name)
+
+    def _near(self) -> tuple[str, ...]:
+        """Return the few keys in use now: calls of one key must meet."""
+        first = self._steps * len(self.KEYS) // self.STEPS
+        return self.KEYS[max(0, first - 2) : first + 1]
+
+    def _any(self) -> Daemon:
+        return self.system.daemons[self._random.choice(self.NAMES)]
+
+    def _calm(self) -> None:
+        self.system.platform.outage = False
+        self.system.platform.chances = {}
+        self.system.hub.loss = 0.0
+        for daemon in self.system.daemons.values():
+            daemon.gate.wake(self._random)
--- /dev/null
+++ b/tests/unit/test_claim_buckets.py
@@ -0,0 +1,100 @@
+"""Claims within one bucket object."""
+
+import unittest
+
+from samphiredock import state
+
+GRANTED = state.Verdict.GRANTED
+
+
+class BucketTest(unittest.TestCase):
+    """Opening and closing claims in a working copy."""
+
+    def setUp(self) -> None:
+        """Make a bucket with one open claim."""
+        self.bucket = state.Bucket()
+        self.opened = self.bucket.open('key', 'a/1/1', 'body', None)
+
+    def close(self, token: str, ended: state.ClaimState) -> bool:
+        """Close the claim as one holder."""
+        return self.bucket.close('key', state.Claim(token, 'body', ended))
+
+    def test_only_a_holder_that_gave_up_is_replaced(self) -> None:
+        """The claim is met by others until its own token is named."""
+        self.assertIs(GRANTED, self.opened.verdict)
+        for replaces in (None, 'a/1/2'):
+            met = self.bucket.open('key', 'b/1/1', 'body', replaces)
+            self.assertIs(state.Verdict.MET, met.verdict)
+            self.assertEqual('a/1/1', met.claim.token)
+        taken = self.bucket.open('key', 'b/1/1', 'body', 'a/1/1')
+        self.assertIs(GRANTED, taken.verdict)
+        self.assertFalse(self.close('a/1/1', state.ClaimState.DONE))
+        self.assertIs(state.ClaimState.OPEN, self.bucket.claims['key'].state)
+
+    def test_done_stays_done(self) -> None:
+        """Neither a replacement nor a late end changes a recorded run."""
+        self.close('a/1/1', state.ClaimState.DONE)
+        self.close('a/1/1', state.ClaimState.NOT_RUN)
+        met = self.bucket.open('key', 'b/1/1', 'body', 'a/1/1')
+        self.assertIs(state.Verdict.MET, met.verdict)
+        self.assertIs(state.ClaimState.DONE, met.claim.state)
+
+    def test_reopening_the_own_claim_needs_no_write(self) -> None:
+        """A put whose answer was lost is recognised by its token."""
+        copy = state.decode_bucket(self.bucket.encode())
+        self.assertIs(GRANTED, copy.open('key', 'a/1/1', 'body', None).verdict)
+        self.assertFalse(copy.changed)
+
+    def test_end_of_a_missing_claim_is_written(self) -> None:
+        """The write moves the version, so that a late put must fail."""
+        empty = state.Bucket()
+        ended = state.Claim('a/1/1', 'body', state.ClaimState.NOT_RUN)
+        self.assertTrue(empty.close('key', ended))
+        self.assertTrue(empty.changed)
+        again = empty.open('key', 'b/1/1', 'body', None)
+        self.assertIs(GRANTED, again.verdict)
+
+    def test_other_content_is_refused_even_after_not_run(self) -> None:
+        """A key means one request."""
+        self.close('a/1/1', state.ClaimState.NOT_RUN)
+        reused = self.bucket.open('key', 'b/1/1', 'other', None)
+        self.assertIs(state.Verdict.KEY_REUSED, reused.verdict)
+
+    def test_every_granted_claim_has_room_for_its_outcome(self) -> None:
+        """A bucket is full before its open claims could outgrow it."""
+        bucket = state.Bucket()
+        tokens = []
+        while (
+            bucket.open(f'key-{len(tokens)}', 'a/1/1', 'body', None).verdict
+            is GRANTED
+        ):
+            tokens.append(f'key-{len(tokens)}')
+        result = {'receipt': 'x' * (state.OUTCOME_LIMIT_BYTES - 200)}
+        for digest in tokens:
+            bucket.close(
+                digest, state.closed_claim('a/1/1', 'body', True, result)
+            )
+        self.assertGreater(len(tokens), 100)
+        self.assertLess(len(bucket.encode()), 1_000_000)
+        self.assertEqual(result, bucket.claims['key-0'].result)
+
+    def test_too_large_result_is_dropped_and_said_so(self) -> None:
+        """The outcome is kept, its result is not."""
+        large = {'receipt': 'x' * state.OUTCOME_LIMIT_BYTES}
+        closed = state.closed_claim('a/1/1', 'body', True, large)
+        self.assertEqual((True, {}), (closed.result_dropped, closed.result))
+
+    def test_unreadable_bucket_is_not_an_empty_one(self) -> None:
+        """Neither garbage nor a later format passes for no claims."""
+        for value in (b'', b'\xff', b'{"format":2,"claims":{}}'):
+            self.assertIsNone(state.decode_bucket(value))
+
+    def test_digests_tell_requests_apart(self) -> None:
+        """Joining the parts in another way gives another digest."""
+        first = state.place_of('a', 'b\0c', 0)
+        second = state.place_of('a\0b', 'c', 0)
+        self.assertNotEqual(first.digest, second.digest)
+        self.assertEqual(
+            state.content_digest('x', {'a': '1', 'b': '2'}),
+            state.content_digest('x', {'b': '2', 'a': '1'}),
+        )
--- /dev/null
+++ b/tests/unit/test_run_states.py
@@ -0,0 +1,89 @@
+"""The states of one unrepeatable request."""
+
+import unittest
+
+import transitions
+
+from samphiredock.coordination import _run_request
+from samphiredock.coordination import _run_states
+from samphiredock import protocol
+
+State = _run_states.RunState
+
+_PATHS = {
+    State.RECEIVED: (),
+    State.CLAIMING: ('claim',),
+    State.ASKING: ('claim', 'meet'),
+    State.CLAIMED: ('claim', 'grant'),
+    State.SENT: ('claim', 'grant', 'send'),
+    State.CANCELLING: ('claim', 'grant', 'send', 'cancel'),
+    State.NOT_RUN: ('refuse',),
+    State.COMPLETED: ('claim', 'complete'),
+    State.UNKNOWN: ('claim', 'lose'),
+}
+
+
+class _Recorder:
+    """Stands for the book and the holders; notes what they are told."""
+
+    def __init__(self) -> None:
+        self.told: list[object] = []
+
+    def change(self, token: str, status: protocol.ClaimStatus) -> None:
+        self.told.append(status)
+
+    def forget(self, token: str) -> None:
+        self.told.append('forget')
+
+
+class RunStatesTest(unittest.TestCase):
+    """Which answers and steps each state allows."""
+
+    def test_not_run_is_answered_only_from_its_table(self) -> None:
+        """In each state the answer is given or stops the request."""
+        refusal = protocol.NotRun(protocol.NotRunReason.NO_TARGET, '', 0)
+        allowed = set()
+        for state, path in _PATHS.items():
+            run = _run_request.Run(None, 'a/1/1', _run_states.new_progress())
+            for trigger in path:
+                run.step(trigger)
+            self.assertIs(state, run.state)
+            recorder = _Recorder()
+            endings = _run_request.Endings(recorder, recorder, None, None)
+            try:
+                endings.refuse(run, refusal)
+            except AssertionError:
+                self.assertEqual([], recorder.told)
+                continue
+            allowed.add(state)
+            self.assertIs(State.NOT_RUN, run.state)
+            self.assertEqual(
+                [protocol.ClaimStatus.NEVER_SENT, 'forget'], recorder.told
+            )
+        self.assertEqual(set(State), set(_PATHS))
+        self.assertEqual(
+            {State.RECEIVED, State.CLAIMING, State.CLAIMED}, allowed
+        )
+
+    def test_ended_requests_take_no_step(self) -> None:
+        """Nothing is sent after an answer has been chosen."""
+        triggers = {row[0] for row in _run_states._TRANSITIONS}
+        for state in (State.NOT_RUN, State.COMPLETED, State.UNKNOWN):
+            for trigger in triggers:
+                progress = _run_states.new_progress()
+                for step in _PATHS[state]:
+                    _run_states.step(progress, step)
+                with self.assertRaises(transitions.MachineError):
+                    _run_states.step(progress, trigger)
+
+    def test_sending_needs_the_claim(self) -> None:
+        """Only a claimed request is sent."""
+        for state, path in _PATHS.items():
+            progress = _run_states.new_progress()
+            for step in path:
+                _run_states.step(progress, step)
+            if state is State.CLAIMED:
+                _run_states.step(progress, 'send')
+                continue
+            with self.assertRaises(transitions.MachineError):
+                _run_states.step(progress, 'send')
