--- a/samphiredock/coordination/_claim_sweeper.py
+++ b/samphiredock/coordination/_claim_sweeper.py
@@ -87,7 +87,7 @@
     def _is_mine(self, number: int) -> bool:
         best = max(
             {self._name, *self._members()},
-            key=lambda name: xxhash.xxh64_intdigest(f'{number}/{name}'),
+            key=lambda name: _weight(number, name),
         )
         return best == self._name
 
@@ -106,3 +106,7 @@
     def _on_tick(self) -> None:
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self.sweep())
+
+
+def _weight(number: int, name: str) -> int:
+    return xxhash.xxh64_intdigest(f'{number}/{name}'.encode())
--- /dev/null
+++ b/tests/failure/test_at_most_once.py
@@ -0,0 +1,342 @@
+"""An unrepeatable request runs at most once, whatever fails."""
+
+import asyncio
+import collections
+import os
+import unittest
+from unittest import mock
+
+from samphiredock.coordination import _claim_bucket
+from samphiredock.coordination import _claim_holders
+from samphiredock.coordination import _run_orders
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import transport
+from tests import fakes_platform
+from tests import history_runs
+from tests import simulation_runs
+
+_SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '1'))
+_STORMS = 30
+_KEY = 'payout-7'
+_Fault = fakes_platform.Fault
+
+
+class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
+    """Single failures, driven step by step."""
+
+    def setUp(self) -> None:
+        """Start two daemons whose targets answer."""
+        self.metrics = metrics.Metrics('test')
+        self.system = simulation_runs.System(_SEED, self.metrics, 4.0)
+        self.system.use('answer')
+        self.first = self.system.start('entry-1')
+        self.second = self.system.start('entry-2')
+
+    def tearDown(self) -> None:
+        """Judge what was recorded."""
+        self.assertEqual([], history_runs.violations(self.system.history))
+
+    async def ask(
+        self, daemon: simulation_runs.Daemon, **request: object
+    ) -> protocol.RunOutcome:
+        """Return a daemon's outcome of the one request."""
+        call = self.system.call(daemon, _KEY, **request)
+        return await self.system.outcome(call)
+
+    async def hold_claimed(self) -> asyncio.Task:
+        """Freeze the first daemon when its claim is in the store."""
+        call = self.system.call(self.first, _KEY)
+        await self.system.clock.pass_ms(
+            1_000, lambda: bool(self.system.platform.objects)
+        )
+        self.first.gate.frozen = True
+        return call
+
+    def assert_ran(self, outcome: protocol.RunOutcome, times: int) -> None:
+        """Assert an outcome of a run, and the number of executions."""
+        self.assertIsInstance(outcome, protocol.Completed)
+        self.assertEqual(times, self.system.executions())
+
+    async def test_lost_answer_then_killed_holder(self) -> None:
+        """The second caller reads "unknown", and nothing ever runs.
+
+        The claim takes effect, the store's answer is lost, the daemon is
+        killed.  Nobody can tell whether it had sent the request, so the
+        claim stays in the way for good.
+        """
+        self.system.platform.script.append(_Fault.LOST_AFTER)
+        await self.hold_claimed()
+        self.system.kill(self.first)
+        for daemon in (self.second, self.system.start('entry-1')):
+            outcome = await self.ask(daemon)
+            self.assertIsInstance(outcome, protocol.Unknown)
+            self.assertEqual(1_000, outcome.retry_after_ms)
+        self.assertEqual(0, self.system.executions())
+
+    async def test_frozen_holder_wakes_within_its_deadline(self) -> None:
+        """The caller of the retry reads "unknown", never "not run".
+
+        The holder freezes between claim and send; the balancer sends the
+        caller's retry to another daemon; the holder wakes and runs it.  It
+        may: its claim cannot have been taken, and nobody was told that the
+        request was not run.
+        """
+        call = await self.hold_claimed()
+        self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
+        self.first.gate.wake(self.system.random)
+        self.assert_ran(await self.system.outcome(call), 1)
+        self.assert_ran(await self.ask(self.second), 1)
+
+    async def test_frozen_holder_wakes_after_its_deadline(self) -> None:
+        """The holder sends nothing any more, and frees the key.
+
+        It was frozen between claim and send for longer than its deadline.
+        Only after it has said so does another daemon run the request.
+        """
+        call = await self.hold_claimed()
+        await self.system.clock.pass_ms(5_000)
+        self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
+        self.first.gate.wake(self.system.random)
+        outcome = await self.system.outcome(call)
+        self.assertIsInstance(outcome, protocol.NotRun)
+        self.assertEqual(0, self.system.executions())
+        self.assert_ran(await self.ask(self.second), 1)
+
+    async def test_holder_killed_between_send_and_record(self) -> None:
+        """Every retry reads "unknown", though the request did run.
+
+        The target runs it while the store is down, and the daemon is
+        killed before it can record the outcome.
+        """
+        call = self.system.call(self.first, _KEY)
+        await self.system.executed()
+        self.system.platform.outage = True
+        self.assert_ran(await self.system.outcome(call), 1)
+        await self.system.clock.pass_ms(50)
+        self.system.kill(self.first)
+        self.system.platform.outage = False
+        for daemon in (self.second, self.system.start('entry-1')):
+            outcome = await self.ask(daemon)
+            self.assertIsInstance(outcome, protocol.Unknown)
+        self.assertEqual(1, self.system.executions())
+
+    async def test_same_instant(self) -> None:
+        """Four callers read one receipt, of one run.
+
+        Two daemons get the key in the same instant, from two callers each.
+        One claim wins; the other daemon asks its holder and waits, and the
+        second call at a daemon joins the first.
+        """
+        calls = [
+            self.system.call(daemon, _KEY, deadline_ms=5_000)
+            for daemon in (self.first, self.second) * 2
+        ]
+        outcomes = [await self.system.outcome(call) for call in calls]
+        self.assert_ran(outcomes[0], 1)
+        self.assertEqual(1, len({str(row.result) for row in outcomes}))
+        replayed = [outcome.replayed for outcome in outcomes]
+        self.assertEqual([False, True, True, True], sorted(replayed))
+
+    async def test_key_with_another_body(self) -> None:
+        """The other request is refused while the first runs and after.
+
+        Its refusal says that it is this request that was not run.
+        """
+        call = await self.hold_claimed()
+        self.first.gate.wake(self.system.random)
+        for daemon in (self.first, self.second, self.second):
+            outcome = await self.ask(daemon, body='household-8')
+            self.assertIs(protocol.NotRunReason.KEY_REUSED, outcome.reason)
+            self.assertIn('this request', outcome.detail)
+        self.assert_ran(await self.system.outcome(call), 1)
+
+    async def test_given_up_claim_passes_on(self) -> None:
+        """The retry runs at another daemon, once.
+
+        The claim takes effect, its answer is lost, the store goes down:
+        the first daemon refuses, and promises never to send.  When the
+        store is back, the claim is found open; its holder is asked.
+        """
+        self.system.platform.script.append(_Fault.LOST_AFTER)
+        call = await self.hold_claimed()
+        self.system.platform.outage = True
+        self.first.gate.wake(self.system.random)
+        outcome = await self.system.outcome(call)
+        self.assertIsInstance(outcome, protocol.NotRun)
+        await self.system.clock.pass_ms(50)
+        self.system.platform.outage = False
+        self.assert_ran(await self.ask(self.second), 1)
+        self.assertEqual(1, self.metrics.total('claims_passed_on'))
+        self.assert_ran(await self.ask(self.first), 1)
+
+    async def test_put_that_arrives_late(self) -> None:
+        """A refused claim that reaches the store afterwards stops nobody.
+
+        The put is lost, the caller's deadline passes and it is told "not
+        run"; the end of the claim is written all the same, so that the put
+        fails on the object's version when it arrives.
+        """
+        self.system.platform.script.append(_Fault.LATE)
+        self.first.gate.frozen = False
+        outcome = await self.ask(self.first, deadline_ms=3)
+        self.assertIsInstance(outcome, protocol.NotRun)
+        await self.system.clock.pass_ms(1_000)
+        self.assertEqual(0, self.first.runner.unrecorded())
+        self.system.kill(self.first)
+        self.assert_ran(await self.ask(self.second), 1)
+
+    async def test_late_report_is_read_by_the_retry(self) -> None:
+        """The first caller reads "unknown", the retry the receipt.
+
+        The target runs the request and its report comes after the
+        deadline; the holder records it then.
+        """
+        self.system.use('late')
+        first = await self.ask(self.first, deadline_ms=400)
+        self.assertIsInstance(first, protocol.Unknown)
+        await self.system.clock.pass_ms(5_000)
+        self.system.kill(self.first)
+        self.assert_ran(await self.ask(self.second), 1)
+
+    async def test_conflicts_on_one_bucket(self) -> None:
+        """Forty requests on one bucket all run, each once.
+
+        Another writer is ahead of two puts of three; the puts are tried
+        again within the deadlines, after growing pauses.
+        """
+        self.system.platform.chances = {_Fault.CONFLICT: 0.66}
+        keys = _keys_of_one_bucket(40, self.system.clock.wall_ms())
+        calls = [
+            self.system.call(
+                (self.first, self.second)[number % 2], key, deadline_ms=9_000
+            )
+            for number, key in enumerate(keys)
+        ]
+        for call in calls:
+            outcome = await self.system.outcome(call)
+            self.assertIsInstance(outcome, protocol.Completed)
+        self.assertEqual(40, self.system.executions())
+        self.assertGreater(self.metrics.total('claim_conflicts'), 2)
+
+    async def test_bucket_near_the_value_limit(self) -> None:
+        """A claim that finds no room is refused; the others stay.
+
+        The outcomes of all open claims are recorded, and the object stays
+        below the store's limit.
+        """
+        keys = _keys_of_one_bucket(240, self.system.clock.wall_ms())
+        self.system.use('unread')
+        calls = [self.system.call(self.first, key) for key in keys]
+        outcomes = [await self.system.outcome(call) for call in calls]
+        refused = [
+            outcome
+            for outcome in outcomes
+            if isinstance(outcome, protocol.NotRun)
+        ]
+        self.assertTrue(0 < len(refused) < 50, len(refused))
+        self.assertEqual({'overloaded'}, {row.reason.value for row in refused})
+        sizes = [
+            len(found.value) for found in self.system.platform.objects.values()
+        ]
+        self.assertLess(max(sizes), transport.VALUE_LIMIT_BYTES)
+
+
+class StormTest(unittest.TestCase):
+    """Many failures at once, from a seed."""
+
+    def storms(self, count: int) -> tuple[list[str], collections.Counter[str]]:
+        """Return the violations of some storms and what they consisted of."""
+        counters = metrics.Metrics('test')
+        found: list[str] = []
+        counts: collections.Counter[str] = collections.Counter()
+        for number in range(count):
+            storm = simulation_runs.Storm(_SEED + number, counters)
+            asyncio.run(storm.run())
+            system = storm.system
+            found += [
+                f'seed {_SEED + number}: {text}'
+                for text in history_runs.violations(system.history)
+            ]
+            counts.update(system.faults)
+            counts['message lost'] += system.hub.lost
+            counts.update(
+                {key.value: n for key, n in system.platform.faults.items()}
+            )
+            for event in system.history:
+                counts[type(event).__name__] += 1
+                outcome = getattr(event, 'outcome', None)
+                counts[type(outcome).__name__] += outcome is not None
+        counters.close()
+        return found, counts
+
+    def test_storms(self) -> None:
+        """Callers retry at every daemon while nearly everything fails.
+
+        Daemons freeze, wake and are killed; the store is out, loses
+        answers, conflicts, reads stale; dispatchers are silent, late or
+        break; messages are lost.  Each key runs once at most, and what
+        callers were told agrees with it.
+        """
+        found, counts = self.storms(_STORMS)
+        print(f'storms from seed {_SEED}: {dict(counts)}')
+        self.assertEqual([], found)
+        self.assertGreater(counts['Called'], 1_000)
+        self.assertGreater(counts['Executed'], 200)
+        for kind in ('Completed', 'NotRun', 'Unknown', 'freeze', 'kill'):
+            self.assertGreater(counts[kind], 50, kind)
+        for fault in _Fault:
+            self.assertGreater(counts[fault.value], 10, fault)
+
+    def test_storms_find_each_missing_safeguard(self) -> None:
+        """With a safeguard switched off, the same storms see a breach."""
+        for name, switched_off in _SAFEGUARDS.items():
+            with self.subTest(name), switched_off():
+                found, _ = self.storms(8)
+                self.assertTrue(found, f'{name}: no breach seen')
+
+
+def _keys_of_one_bucket(count: int, issued_at_ms: int) -> list[str]:
+    keys: dict[str, list[str]] = collections.defaultdict(list)
+    for number in range(count * state.BUCKETS_PER_SLICE * 2):
+        key = f'batch-{number}'
+        place = state.place_of('relief-payout', key, issued_at_ms)
+        keys[place.path].append(key)
+    return max(keys.values(), key=len)[:count]
+
+
+def _take_from_silent_holders() -> mock.Mock:
+    async def ask(
+        holders: object, token: str, until_ms: float
+    ) -> protocol.ClaimAnswer:
+        return protocol.ClaimAnswer(token, protocol.ClaimStatus.NEVER_SENT)
+
+    return mock.patch.object(_claim_holders.Holders, 'ask', ask)
+
+
+def _trust_lost_puts() -> mock.Mock:
+    put = _claim_bucket.BucketWriter._put
+
+    async def trusting(
+        writer: object, *arguments: object
+    ) -> transport.StoreError | None:
+        error = await put(writer, *arguments)
+        is_lost = error and error.kind is transport.StoreErrorKind.LOST
+        return None if is_lost else error
+
+    return mock.patch.object(_claim_bucket.BucketWriter, '_put', trusting)
+
+
+def _take_breaks_for_proof() -> mock.Mock:
+    def proves(report: protocol.RunReport) -> bool:
+        return report.status is not protocol.SubStatus.ANSWERED
+
+    return mock.patch.object(_run_orders, 'proves_not_begun', proves)
+
+
+_SAFEGUARDS = {
+    'claims are not taken from silent holders': _take_from_silent_holders,
+    'a lost put is read back': _trust_lost_puts,
+    'only proof leads to another target': _take_breaks_for_proof,
+}
--- a/tests/fakes_run.py
+++ b/tests/fakes_run.py
@@ -27,16 +27,28 @@
         for _ in range(_SETTLE_TURNS):
             await asyncio.sleep(0)
 
-    async def pass_ms(self, delta_ms: float) -> None:
+    async def pass_ms(
+        self,
+        delta_ms: float,
+        is_enough: typing.Callable[[], bool] = lambda: False,
+    ) -> None:
         """Move the clock from one due timer to the next."""
         end_ms = self.now_ms() + delta_ms
         await self.settle()
         while self._heap and self._heap[0][0] <= end_ms:
+            if is_enough():
+                return
             is_live = self._heap[0][2].callback is not None
             self.advance(max(0.0, self._heap[0][0] - self.now_ms()))
             if is_live:
                 await self.settle()
-        self.advance(end_ms - self.now_ms())
+        if not is_enough():
+            self.advance(end_ms - self.now_ms())
+
+
+def start(work: typing.Coroutine) -> asyncio.Task:
+    """Start work that needs the clock to move."""
+    return asyncio.get_running_loop().create_task(work)
 
 
 class Gate:
@@ -210,6 +222,7 @@
         self.behaviours: tuple[str, ...] = self.BEHAVIOURS
         self.orders: list[protocol.RunOrder] = []
         self.deaf_to_cancels = False
+        self.queue_ms = 4_000.0
         self._endpoint.subscribe(protocol.RunOrder, self._on_order)
         self._endpoint.subscribe(protocol.CancelAttempts, self._on_cancel)
 
@@ -249,7 +262,8 @@
             self._run(sender, order)
 
         self._queued[order.attempt_id] = self._clock.after(
-            self._random.uniform(50, 4_000), leave_queue
+            self._random.uniform(50, self.queue_ms),
+            leave_queue,
         )
 
     def _frozen(self, sender: str, order: protocol.RunOrder) -> None:
@@ -258,6 +272,9 @@
             lambda: self._run(sender, order),
         )
 
+    def _lose_target(self, sender: str, order: protocol.RunOrder) -> None:
+        self.report(sender, order, protocol.SubStatus.BROKEN, True)
+
     def _unread(self, sender: str, order: protocol.RunOrder) -> None:
         """Lose the order, as a dispatcher that dies with it does."""
 
@@ -304,10 +321,17 @@
         sender: str,
         order: protocol.RunOrder,
         status: protocol.SubStatus,
+        target_lost: bool = False,
     ) -> None:
         """Report that the order ended without an answer."""
         self._endpoint.send(
-            sender, protocol.RunReport(order.attempt_id, order.target, status)
+            sender,
+            protocol.RunReport(
+                order.attempt_id,
+                order.target,
+                status,
+                target_lost=target_lost,
+            ),
         )
 
 
--- a/tests/simulation_runs.py
+++ b/tests/simulation_runs.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import random
+import typing
 
 from samphiredock import coordination
 from samphiredock import metrics
@@ -58,13 +59,18 @@
             )
             for target in fakes_run.TARGETS
         ]
+        self.issued_at_ms = self.clock.wall_ms()
         self.daemons: dict[str, Daemon] = {}
         self.lives: list[Daemon] = []
         self.faults: collections.Counter[str] = collections.Counter()
         self._calls = itertools.count(1)
         self._incarnations = itertools.count(1)
 
-    def start(self, name: str) -> Daemon:
+    def start(
+        self,
+        name: str,
+        quarantine: coordination.RunQuarantine | None = None,
+    ) -> Daemon:
         """Start a daemon, or start it again with nothing kept."""
         gate = fakes_run.Gate()
         incarnation = next(self._incarnations)
@@ -78,6 +84,7 @@
             fakes_run.GatedTimers(self.clock, gate),
             self.metrics,
             self.random,
+            quarantine,
         )
         self.daemons[name] = Daemon(name, incarnation, gate, runner)
         self.lives.append(self.daemons[name])
@@ -110,7 +117,7 @@
             fakes_run.SERVICE,
             fakes_run.OPERATION,
             {'household': body},
-            self.clock.wall_ms() if issued_at_ms is None else issued_at_ms,
+            self.issued_at_ms if issued_at_ms is None else issued_at_ms,
             deadline_ms,
         )
         return asyncio.create_task(self._call(number, daemon, request, key))
@@ -126,15 +133,21 @@
         self.history.append(history_runs.Answered(number, outcome))
         return outcome
 
+    def start_drain(self, daemon: Daemon) -> asyncio.Task:
+        """Tell a daemon to leave."""
+        return asyncio.create_task(daemon.runner.drain())
+
     async def outcome(
         self, call: asyncio.Task, within_ms: float = 10_000.0
-    ) -> protocol.RunOutcome:
+    ) -> typing.Any:
         """Move time until a call is answered."""
-        end_ms = self.clock.now_ms() + within_ms
-        while not call.done() and self.clock.now_ms() < end_ms:
-            await self.clock.pass_ms(1.0)
+        await self.clock.pass_ms(within_ms, call.done)
         return call.result()
 
+    async def executed(self) -> None:
+        """Move time until a target has run a request."""
+        await self.clock.pass_ms(1_000, lambda: self.executions() > 0)
+
     def executions(self) -> int:
         """Return how many requests targets have run."""
         return sum(
@@ -164,7 +177,6 @@
     def __init__(self, seed: int, counters: metrics.Metrics) -> None:
         self.system = System(seed, counters, latency_ms=8.0)
         self._random = self.system.random
-        self._issued_at_ms = self.system.clock.wall_ms()
         self._steps = 0
 
     async def run(self) -> None:
@@ -212,8 +224,7 @@
             self.system.daemons[name or self._random.choice(self.NAMES)],
             key or self._random.choice(self._near()),
             'household-8' if other else 'household-7',
-            self._issued_at_ms,
-            self._random.choice((None, 300, 5_000)),
+            deadline_ms=self._random.choice((None, 300, 5_000)),
         )
 
     def _outage(self) -> None:
--- /dev/null
+++ b/tests/unit/test_claim_holders.py
@@ -0,0 +1,89 @@
+"""A holder's word on its claims."""
+
+import random
+import unittest
+
+from samphiredock.coordination import _claim_holders
+from samphiredock import metrics
+from samphiredock import protocol
+from tests import fakes_run
+
+_Status = protocol.ClaimStatus
+_TOKEN = 'entry-1/1/1'
+_DONE = protocol.Completed({'receipt': 'r-1'}, True, False)
+
+
+class HoldersTest(unittest.IsolatedAsyncioTestCase):
+    """Two daemons, one holds a claim."""
+
+    def setUp(self) -> None:
+        """Connect both."""
+        self.clock = fakes_run.SteppedTimers()
+        self.hub = fakes_run.FakeHub(self.clock, random.Random(1))
+        self.metrics = metrics.Metrics('test')
+        self.holder = self.make('entry-1')
+        self.asker = self.make('entry-2')
+
+    def make(self, name: str) -> _claim_holders.Holders:
+        """Return one daemon's side."""
+        endpoint = self.hub.join(name, fakes_run.Gate())
+        return _claim_holders.Holders(endpoint, self.clock, self.metrics)
+
+    async def test_end_is_pushed_to_who_waits(self) -> None:
+        """The asker hears of the end in milliseconds, not at its next ask."""
+        self.holder.begin(_TOKEN)
+        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        await self.clock.pass_ms(3_000)
+        self.assertFalse(ask.done())
+        self.holder.change(_TOKEN, _Status.DONE, _DONE)
+        await self.clock.pass_ms(5)
+        self.assertEqual(_DONE, ask.result().outcome)
+
+    async def test_silent_and_restarted_holders(self) -> None:
+        """Neither gives a word that frees the claim."""
+        self.holder.begin(_TOKEN)
+        self.hub.loss = 1.0
+        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        await self.clock.pass_ms(_claim_holders.SILENT_MS + 300)
+        self.assertIsNone(ask.result())
+        self.hub.loss = 0.0
+        self.make('entry-1')
+        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        await self.clock.pass_ms(10)
+        self.assertIs(_Status.UNTRACKED, ask.result().status)
+
+    async def test_word_of_another_member_does_not_count(self) -> None:
+        """Only the holder itself can say that it never sent."""
+        self.hub.join('entry-9', fakes_run.Gate())
+        self.holder.begin(_TOKEN)
+        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        await self.clock.pass_ms(1)
+        self.hub.send(
+            'entry-9',
+            'entry-2',
+            protocol.ClaimAnswer(_TOKEN, _Status.NEVER_SENT),
+        )
+        await self.clock.pass_ms(100)
+        self.assertEqual(1, self.metrics.total('claim_answers_refused'))
+        self.assertFalse(ask.done())
+        self.holder.change(_TOKEN, _Status.DONE, _DONE)
+        await self.clock.pass_ms(10)
+        self.assertIs(_Status.DONE, ask.result().status)
+
+    def test_final_words_are_never_taken_back(self) -> None:
+        """Every change away from a final word stops the request."""
+        for final in (_Status.DONE, _Status.NEVER_SENT):
+            for status in _Status:
+                token = f'entry-1/{final.value}/{status.value}'
+                self.holder.begin(token)
+                self.holder.change(token, final)
+                with self.assertRaises(AssertionError):
+                    self.holder.change(token, status)
+
+    def test_unsettled_claims_are_bounded(self) -> None:
+        """The oldest is forgotten; to its askers that means "unknown"."""
+        for number in range(_claim_holders.UNSETTLED_LIMIT + 1):
+            self.holder.begin(f'entry-1/1/{number}')
+            self.holder.change(f'entry-1/1/{number}', _Status.UNSETTLED)
+        self.assertIs(_Status.UNTRACKED, self.holder.status('entry-1/1/0'))
+        self.assertIs(_Status.UNSETTLED, self.holder.status('entry-1/1/1'))
