--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -1,16 +1,59 @@
 """The decisions and the tasks that carry them out."""
 
 from samphiredock.coordination._accept import Acceptor
+from samphiredock.coordination._accept import RECENT_CHANGES
+from samphiredock.coordination._accept import Standing
+from samphiredock.coordination._accept import standing_of
+from samphiredock.coordination._claim_book import ClaimBook
+from samphiredock.coordination._claim_book import OpenResult
+from samphiredock.coordination._claim_bucket import BucketWriter
+from samphiredock.coordination._claim_bucket import Change
+from samphiredock.coordination._claim_bucket import CloseChange
+from samphiredock.coordination._claim_bucket import FRESH_MS
+from samphiredock.coordination._claim_bucket import OpenChange
+from samphiredock.coordination._claim_bucket import READ_BACK_LIMIT
+from samphiredock.coordination._claim_bucket import Unavailable
+from samphiredock.coordination._claim_bucket import wait_until
+from samphiredock.coordination._claim_holders import ASK_PERIOD_MS
+from samphiredock.coordination._claim_holders import Holders
+from samphiredock.coordination._claim_holders import SILENT_MS
+from samphiredock.coordination._claim_holders import UNSETTLED_LIMIT
+from samphiredock.coordination._claim_sweeper import BACKLOG_MS
+from samphiredock.coordination._claim_sweeper import ClaimSweeper
+from samphiredock.coordination._claim_sweeper import KEEP_MARGIN_MS
+from samphiredock.coordination._claim_sweeper import KEEP_MS
+from samphiredock.coordination._claim_sweeper import SWEEP_PERIOD_MS
 from samphiredock.coordination._coordinator import Coordinator
+from samphiredock.coordination._directory import Directory
 from samphiredock.coordination._directory import MEMBERS_PREFIX
 from samphiredock.coordination._dispatcher import Dispatcher
+from samphiredock.coordination._exchange import ObjectExchange
+from samphiredock.coordination._gossip import Forgotten
+from samphiredock.coordination._gossip import Gossip
+from samphiredock.coordination._gossip import GOSSIP_MESSAGES
+from samphiredock.coordination._gossip import GossipEffect
+from samphiredock.coordination._gossip import health_of
+from samphiredock.coordination._gossip import Learned
+from samphiredock.coordination._gossip import PeerAnswered
+from samphiredock.coordination._gossip import PeerHolds
+from samphiredock.coordination._gossip import ResetPeer
+from samphiredock.coordination._gossip import SendTo
+from samphiredock.coordination._gossip import TICK_MS
 from samphiredock.coordination._knowledge import CONFIGURATION_KEY
 from samphiredock.coordination._knowledge import Knowledge
 from samphiredock.coordination._knowledge import SNAPSHOT_KEY
 from samphiredock.coordination._lane import Lane
 from samphiredock.coordination._lane import StartExchange
 from samphiredock.coordination._lane import Work
+from samphiredock.coordination._member_table import bucket_of
+from samphiredock.coordination._member_table import BUCKETS
+from samphiredock.coordination._member_table import member_of
+from samphiredock.coordination._member_table import MemberTable
+from samphiredock.coordination._member_table import order_of
+from samphiredock.coordination._member_table import row_of
+from samphiredock.coordination._member_table import with_state
 from samphiredock.coordination._membership import Membership
+from samphiredock.coordination._membership import watchers_of
 from samphiredock.coordination._merge import coverage_of
 from samphiredock.coordination._merge import covered_ranges
 from samphiredock.coordination._merge import merge_records
@@ -19,43 +62,164 @@
 from samphiredock.coordination._planner import fingerprint_of
 from samphiredock.coordination._planner import make_plan
 from samphiredock.coordination._planner import Plan
+from samphiredock.coordination._relay import children_of
+from samphiredock.coordination._relay import DIRECT_LIMIT
+from samphiredock.coordination._relay import FAN_OUT
+from samphiredock.coordination._relay import PeerLinks
+from samphiredock.coordination._relay import Relay
+from samphiredock.coordination._relay import tree_of
+from samphiredock.coordination._run_admission import admit
+from samphiredock.coordination._run_admission import Admitted
+from samphiredock.coordination._run_admission import FUTURE_SKEW_MS
+from samphiredock.coordination._run_admission import KEY_LIMIT_CHARS
+from samphiredock.coordination._run_admission import RETENTION_LIMIT_MS
+from samphiredock.coordination._run_admission import stale_key
+from samphiredock.coordination._run_claiming import Claiming
+from samphiredock.coordination._run_once import DRAIN_LIMIT_MS
 from samphiredock.coordination._run_once import Runner
+from samphiredock.coordination._run_orders import CANCEL_WAIT_MS
+from samphiredock.coordination._run_orders import is_final
+from samphiredock.coordination._run_orders import LateReport
+from samphiredock.coordination._run_orders import Orders
+from samphiredock.coordination._run_orders import OUTSTANDING_LIMIT
+from samphiredock.coordination._run_orders import proves_not_begun
+from samphiredock.coordination._run_request import Endings
+from samphiredock.coordination._run_request import key_reused
+from samphiredock.coordination._run_request import NoQuarantine
+from samphiredock.coordination._run_request import replayed
+from samphiredock.coordination._run_request import RETRY_AFTER_MS
+from samphiredock.coordination._run_request import Run
+from samphiredock.coordination._run_request import RunQuarantine
+from samphiredock.coordination._run_sending import CANCEL_MARGIN_LIMIT_MS
+from samphiredock.coordination._run_sending import CANCEL_SHARE
+from samphiredock.coordination._run_sending import Sending
+from samphiredock.coordination._run_sending import TARGET_LIMIT
+from samphiredock.coordination._run_states import MAY_ANSWER_NOT_RUN
+from samphiredock.coordination._run_states import new_progress
+from samphiredock.coordination._run_states import release
+from samphiredock.coordination._run_states import RunProgress
+from samphiredock.coordination._run_states import RunState
+from samphiredock.coordination._run_states import step
 from samphiredock.coordination._scatter import DropAttempts
 from samphiredock.coordination._scatter import Finish
 from samphiredock.coordination._scatter import Scatter
 from samphiredock.coordination._scatter import SendAttempts
+from samphiredock.coordination._settling import Settling
 from samphiredock.coordination._watcher import follow_knowledge
 from samphiredock.coordination._watcher import ObjectHandler
 from samphiredock.coordination._watcher import Spread
 from samphiredock.coordination._watcher import Watcher
+from samphiredock.coordination._watcher import WATCHERS_PER_SITE
 
 __all__ = [
+    'ASK_PERIOD_MS',
     'Acceptor',
+    'Admitted',
+    'BACKLOG_MS',
+    'BUCKETS',
+    'BucketWriter',
+    'CANCEL_MARGIN_LIMIT_MS',
+    'CANCEL_SHARE',
+    'CANCEL_WAIT_MS',
     'CONFIGURATION_KEY',
+    'Change',
+    'ClaimBook',
+    'ClaimSweeper',
+    'Claiming',
+    'CloseChange',
     'Coordinator',
+    'DIRECT_LIMIT',
+    'DRAIN_LIMIT_MS',
+    'Directory',
     'Dispatcher',
     'DropAttempts',
+    'Endings',
+    'FAN_OUT',
+    'FRESH_MS',
+    'FUTURE_SKEW_MS',
     'Finish',
+    'Forgotten',
+    'GOSSIP_MESSAGES',
+    'Gossip',
+    'GossipEffect',
+    'Holders',
+    'KEEP_MARGIN_MS',
+    'KEEP_MS',
+    'KEY_LIMIT_CHARS',
     'Knowledge',
     'Lane',
+    'LateReport',
+    'Learned',
+    'MAY_ANSWER_NOT_RUN',
     'MEMBERS_PREFIX',
+    'MemberTable',
     'Membership',
+    'NoQuarantine',
+    'OUTSTANDING_LIMIT',
+    'ObjectExchange',
     'ObjectHandler',
+    'OpenChange',
+    'OpenResult',
+    'Orders',
+    'PeerAnswered',
+    'PeerHolds',
+    'PeerLinks',
     'Plan',
+    'READ_BACK_LIMIT',
+    'RECENT_CHANGES',
+    'RETENTION_LIMIT_MS',
+    'RETRY_AFTER_MS',
+    'Relay',
+    'ResetPeer',
+    'Run',
+    'RunProgress',
+    'RunQuarantine',
+    'RunState',
     'Runner',
+    'SILENT_MS',
     'SNAPSHOT_KEY',
+    'SWEEP_PERIOD_MS',
     'Scatter',
     'SendAttempts',
+    'SendTo',
+    'Sending',
+    'Settling',
     'Spread',
+    'Standing',
     'StartExchange',
+    'TARGET_LIMIT',
+    'TICK_MS',
+    'UNSETTLED_LIMIT',
+    'Unavailable',
+    'WATCHERS_PER_SITE',
     'Watcher',
     'Work',
+    'admit',
+    'bucket_of',
+    'children_of',
     'coverage_of',
     'covered_ranges',
     'fingerprint_of',
     'follow_knowledge',
+    'health_of',
+    'is_final',
+    'key_reused',
     'make_plan',
+    'member_of',
     'merge_records',
     'missing_ranges',
+    'new_progress',
+    'order_of',
     'owner_of',
+    'proves_not_begun',
+    'release',
+    'replayed',
+    'row_of',
+    'stale_key',
+    'standing_of',
+    'step',
+    'tree_of',
+    'wait_until',
+    'watchers_of',
+    'with_state',
 ]
--- a/samphiredock/coordination/_run_once.py
+++ b/samphiredock/coordination/_run_once.py
@@ -1,178 +1,212 @@
-"""Run an unrepeatable request at most once."""
+"""Run an unrepeatable request at most once, and say truly what became of it.
+
+The order of steps is the safeguard: a claim is in the platform's store
+before anything is sent, only its holder ends it, and what the holder says
+to a caller or a peer about it is never taken back.
+"""
 
 import asyncio
 import itertools
-import typing
-
-import msgspec
-from returns import result
-import xxhash
-
-from samphiredock.coordination import _planner
+import random
+
+from samphiredock.coordination import _claim_book
+from samphiredock.coordination import _claim_bucket
+from samphiredock.coordination import _claim_holders
+from samphiredock.coordination import _run_admission
+from samphiredock.coordination import _run_claiming
+from samphiredock.coordination import _run_orders
+from samphiredock.coordination import _run_request
+from samphiredock.coordination import _run_sending
+from samphiredock.coordination import _run_states
+from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
-from samphiredock import state
 from samphiredock import timers
 from samphiredock import transport
 
+DRAIN_LIMIT_MS = 10_000.0
 
-class View(typing.Protocol):
-    """What the runner reads of the daemon's knowledge."""
-
-    @property
-    def configuration(self) -> state.Configuration | None:
-        """The revision in force here."""
-
-    def owner(self, target: str) -> str | None:
-        """The daemon that dispatches for a target."""
-
-    def is_usable(self, target: str) -> bool:
-        """Whether a target may get new work."""
-
-
-class _Claim(msgspec.Struct, frozen=True):
-    holder: str
-    outcome: protocol.Completed | None = None
+_Status = protocol.ClaimStatus
+_log = logs.logger('run-once')
 
 
 class Runner:
-    """Claim a key in the platform's store, run it, record the outcome."""
+    """Claim a key in the platform's store, run it, record the outcome.
+
+    Parameters
+    ----------
+    name, site, incarnation
+        Of this daemon; name and incarnation are part of every claim.
+    randomness
+        Seeded; spreads retries and the choice of targets.
+    quarantine
+        Refuses requests that crashed their targets.
+    """
 
     def __init__(
         self,
         name: str,
         site: str,
         incarnation: int,
-        view: View,
+        view: _run_sending.View,
         peers: transport.Peers,
         platform: transport.Platform,
         clock: timers.Timers,
         counters: metrics.Metrics,
+        randomness: random.Random | None = None,
+        quarantine: _run_request.RunQuarantine | None = None,
     ) -> None:
-        self._holder = f'{name}-{incarnation}'
-        self._site = site
+        self._name = name
+        self._incarnation = incarnation
         self._view = view
-        self._peers = peers
-        self._platform = platform
         self._clock = clock
         self._metrics = counters
+        randomness = randomness or random.Random(incarnation)
+        self._quarantine = quarantine or _run_request.NoQuarantine()
         self._numbers = itertools.count(1)
-        self._waiting: dict[str, asyncio.Future] = {}
-        peers.subscribe(protocol.RunReport, self._on_report)
+        self._live: dict[str, _run_request.Run] = {}
+        self._draining = False
+        self._book = _claim_book.ClaimBook(
+            platform, clock, randomness, counters
+        )
+        self._holders = _claim_holders.Holders(peers, clock, counters)
+        self._endings = _run_request.Endings(
+            self._book, self._holders, self._quarantine, counters
+        )
+        orders = _run_orders.Orders(
+            peers, clock, counters, self._endings.on_late_report
+        )
+        self._claiming = _run_claiming.Claiming(
+            self._book, self._holders, self._endings, counters
+        )
+        self._sending = _run_sending.Sending(
+            site,
+            view,
+            orders,
+            self._holders,
+            self._endings,
+            clock,
+            randomness,
+            counters,
+        )
 
     def in_flight(self) -> int:
         """Return how many requests are not answered yet."""
-        return len(self._waiting)
+        return len(self._live)
+
+    def unrecorded(self) -> int:
+        """Return how many ends of claims are not in the store yet."""
+        return self._book.unrecorded()
 
     async def run(
         self, request: protocol.RunRequest, idempotency_key: str
     ) -> protocol.RunOutcome:
         """Run one unrepeatable request to its outcome."""
-        configuration = self._view.configuration
-        if configuration is None:
-            return protocol.NotRun(
-                protocol.NotRunReason.NOT_READY, 'no configuration yet', 500
-            )
-        service = configuration.services.get(request.service)
-        if service is None:
-            return protocol.NotRun(
-                protocol.NotRunReason.UNKNOWN_SERVICE,
-                f'got service {request.service!r}',
-                0,
-            )
-        operation = service.operations.get(request.operation)
-        if operation is None:
-            return protocol.NotRun(
-                protocol.NotRunReason.UNKNOWN_OPERATION,
-                f'got operation {request.operation!r}',
-                0,
-            )
-        digest = xxhash.xxh3_128_hexdigest(
-            f'{request.service}\0{idempotency_key}'.encode()
+        admitted = _run_admission.admit(
+            request,
+            idempotency_key,
+            self._view.configuration,
+            self._clock.now_ms(),
+            self._clock.wall_ms(),
         )
-        path = f'claims/{digest}'
-        claim = await self._platform.put(
-            path,
-            msgspec.json.encode(_Claim(self._holder)),
-            transport.CREATE_ONLY,
+        if isinstance(admitted, protocol.NotRun):
+            return self._counted(admitted)
+        live = self._live.get(admitted.place.digest)
+        if live is not None:
+            return self._counted(await self._join(live, admitted))
+        if self._draining:
+            return self._counted(
+                protocol.NotRun(
+                    protocol.NotRunReason.SHUTTING_DOWN,
+                    'this daemon is leaving; this attempt was not run',
+                    _run_request.RETRY_AFTER_MS,
+                )
+            )
+        run = self._start(admitted)
+        # The request goes on when its caller is gone: a caller that the
+        # balancer cut off must find the recorded outcome when it retries.
+        return self._counted(await asyncio.shield(run.task))
+
+    async def drain(self, limit_ms: float = DRAIN_LIMIT_MS) -> int:
+        """Take no new request; finish and record those there are.
+
+        Returns how many outcomes could not be recorded in time.
+        """
+        self._draining = True
+        until_ms = self._clock.now_ms() + limit_ms
+        for run in list(self._live.values()):
+            await _claim_bucket.wait_until(self._clock, run.task, until_ms)
+        await self._book.settled(until_ms)
+        left = self._book.unrecorded()
+        if left:
+            _log.warning('outcomes not recorded', count=left)
+        return left
+
+    def close(self) -> None:
+        """Stop everything at once."""
+        for run in self._live.values():
+            run.task.cancel()
+        self._book.stop()
+
+    def _start(self, admitted: _run_admission.Admitted) -> _run_request.Run:
+        token = protocol.ClaimToken(
+            self._name, self._incarnation, next(self._numbers)
         )
-        if isinstance(claim, result.Failure):
-            return await self._explain(path, claim.failure())
-        return await self._send(
-            request, idempotency_key, operation, path, claim.unwrap()
+        run = _run_request.Run(
+            admitted, str(token), _run_states.new_progress()
         )
+        self._live[admitted.place.digest] = run
+        self._holders.begin(run.token)
+        run.task = asyncio.create_task(self._drive(run))
+        return run
 
-    async def _explain(
-        self, path: str, error: transport.StoreError
-    ) -> protocol.RunOutcome:
-        if error.kind is not transport.StoreErrorKind.CONFLICT:
-            return protocol.NotRun(
-                protocol.NotRunReason.PLATFORM_UNAVAILABLE,
-                error.detail,
-                1_000,
-            )
-        found = await self._platform.get(path)
-        if isinstance(found, result.Failure):
-            return protocol.Unknown(found.failure().detail, 1_000)
-        claim = msgspec.json.decode(found.unwrap().value, type=_Claim)
-        if claim.outcome is None:
-            return protocol.Unknown('claimed, no outcome recorded', 1_000)
-        return msgspec.structs.replace(claim.outcome, replayed=True)
-
-    async def _send(
-        self,
-        request: protocol.RunRequest,
-        idempotency_key: str,
-        operation: state.Operation,
-        path: str,
-        version: int,
+    async def _join(
+        self, run: _run_request.Run, admitted: _run_admission.Admitted
     ) -> protocol.RunOutcome:
-        usable = [
-            name for name in operation.targets if self._view.is_usable(name)
-        ]
-        deadline_ms = request.deadline_ms or operation.deadline_ms
-        target = usable[0] if usable else operation.targets[0]
-        owner = self._view.owner(target)
-        order = protocol.RunOrder(
-            f'{self._holder}-run-{next(self._numbers)}',
-            request.service,
-            self._site,
-            operation.request_class,
-            request.operation,
-            target,
-            idempotency_key,
-            request.body,
-            _planner.fingerprint_of(
-                request.service, request.operation, request.body
-            ),
-            deadline_ms,
-        )
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[order.attempt_id] = future
-        if owner is None or not self._peers.send(owner, order):
-            future.cancel()
-            return protocol.Unknown('no dispatcher can be reached', 1_000)
-        try:
-            report: protocol.RunReport = await asyncio.wait_for(
-                future, deadline_ms / 1000.0
+        """Give a second request the outcome of the one that is running."""
+        self._metrics.add('run_joined')
+        if run.admitted.content != admitted.content:
+            return _run_request.key_reused()
+        assert run.task is not None
+        if not await _claim_bucket.wait_until(
+            self._clock, run.task, admitted.deadline_at_ms
+        ):
+            return protocol.Unknown(
+                'the same request is running', _run_request.RETRY_AFTER_MS
             )
-        except asyncio.TimeoutError:
-            return protocol.Unknown('no answer in time', 1_000)
-        finally:
-            self._waiting.pop(order.attempt_id, None)
-        if report.status is not protocol.SubStatus.ANSWERED:
+        if run.task.cancelled():
             return protocol.Unknown(
-                f'{report.status.value}: {report.detail}', 1_000
+                'this daemon stopped', _run_request.RETRY_AFTER_MS
             )
-        outcome = protocol.Completed(report.result, report.accepted, False)
-        await self._platform.put(
-            path,
-            msgspec.json.encode(_Claim(self._holder, outcome)),
-            version,
-        )
+        outcome = run.task.result()
+        if isinstance(outcome, protocol.Completed):
+            return _run_request.replayed(outcome)
         return outcome
 
-    def _on_report(self, sender: str, report: protocol.RunReport) -> None:
-        future = self._waiting.get(report.attempt_id)
-        if future is not None and not future.done():
-            future.set_result(report)
+    async def _drive(self, run: _run_request.Run) -> protocol.RunOutcome:
+        started_ms = self._clock.now_ms()
+        try:
+            refusal = self._quarantine.refusal(run.admitted.fingerprint)
+            if refusal is not None:
+                return self._endings.refuse(run, refusal)
+            outcome = await self._claiming.obtain(run)
+            if outcome is None:
+                outcome = await self._sending.execute(run)
+            return outcome
+        finally:
+            if self._holders.status(run.token) is _Status.RUNNING:
+                # Stopped from outside: the claim stays, nobody reruns it.
+                self._holders.change(run.token, _Status.UNSETTLED)
+            _run_states.release(run.progress)
+            del self._live[run.admitted.place.digest]
+            self._metrics.observe(
+                'request_latency_ms',
+                self._clock.now_ms() - started_ms,
+                service=run.admitted.request.service,
+                request_class=run.admitted.operation.request_class,
+            )
+
+    def _counted(self, outcome: protocol.RunOutcome) -> protocol.RunOutcome:
+        if isinstance(outcome, protocol.NotRun):
+            self._metrics.add('runs_not_run', reason=outcome.reason.value)
+        return outcome
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -22,6 +22,22 @@
 from samphiredock.state._checks import text
 from samphiredock.state._checks import texts_where
 from samphiredock.state._checks import url
+from samphiredock.state._claims import Bucket
+from samphiredock.state._claims import BUCKETS_PER_SLICE
+from samphiredock.state._claims import Claim
+from samphiredock.state._claims import CLAIMS_PREFIX
+from samphiredock.state._claims import ClaimState
+from samphiredock.state._claims import closed_claim
+from samphiredock.state._claims import content_digest
+from samphiredock.state._claims import decode_bucket
+from samphiredock.state._claims import FULL_BYTES
+from samphiredock.state._claims import Opened
+from samphiredock.state._claims import OUTCOME_LIMIT_BYTES
+from samphiredock.state._claims import Place
+from samphiredock.state._claims import place_of
+from samphiredock.state._claims import SLICE_MS
+from samphiredock.state._claims import slice_prefix
+from samphiredock.state._claims import Verdict
 from samphiredock.state._compiler import compile_source
 from samphiredock.state._compiler import Compiled
 from samphiredock.state._compiler import ConfigurationSource
@@ -53,10 +69,16 @@
 from samphiredock.state._snapshots import Snapshot
 
 __all__ = [
+    'BUCKETS_PER_SLICE',
+    'Bucket',
+    'CLAIMS_PREFIX',
+    'Claim',
+    'ClaimState',
     'Compiled',
     'Configuration',
     'ConfigurationSource',
     'CurvePair',
+    'FULL_BYTES',
     'IndexSnapshot',
     'KEY_SPACE_SIZE',
     'Keys',
@@ -64,7 +86,10 @@
     'Limits',
     'Member',
     'MergeKind',
+    'OUTCOME_LIMIT_BYTES',
+    'Opened',
     'Operation',
+    'Place',
     'Problem',
     'REQUEST_CLASSES',
     'REQUIRED',
@@ -72,6 +97,7 @@
     'Rows',
     'Rule',
     'Rules',
+    'SLICE_MS',
     'Search',
     'Service',
     'Settings',
@@ -81,10 +107,14 @@
     'TOKEN_LEAST_LENGTH',
     'Target',
     'TlsSettings',
+    'Verdict',
     'address',
     'apply_overlay',
     'choice',
+    'closed_claim',
     'compile_source',
+    'content_digest',
+    'decode_bucket',
     'flag',
     'integer',
     'is_name',
@@ -97,10 +127,12 @@
     'number',
     'parse_text',
     'peer_address',
+    'place_of',
     'positive',
     'read_file',
     'rules_of',
     'shown',
+    'slice_prefix',
     'text',
     'texts_where',
     'url',
