--- /dev/null
+++ b/samphiredock/coordination/_admission.py
@@ -0,0 +1,132 @@
+"""Which requests a daemon takes on; the others are refused at once."""
+
+import collections
+
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+
+# Batch work leaves the last part of the daemon to interactive requests.
+_CLASS_SHARE = {'interactive': 1.0, 'batch': 0.8}
+
+_RATE_WINDOW = 200
+_DRAIN_SHARE = 0.1
+_LEAST_RETRY_MS = 50
+_MOST_RETRY_MS = 5_000
+
+# Of the requests that look too late, one in this many is run all the same:
+# without it a slow minute would be remembered for ever, since refused
+# requests measure nothing.
+_PROBE_EVERY = 20
+
+
+class Admission:
+    """Requests in flight at this daemon, by service."""
+
+    def __init__(self, clock: timers.Timers) -> None:
+        self._clock = clock
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._total = 0
+        self._ended_ms: collections.deque[float] = collections.deque(
+            maxlen=_RATE_WINDOW
+        )
+        self._too_short = 0
+
+    def in_flight(self) -> int:
+        """Return how many admitted requests have not ended."""
+        return self._total
+
+    def admit(
+        self,
+        service: state.Service,
+        limits: state.Limits,
+        request_class: str,
+        deadline_ms: float,
+        least_ms: float = 0.0,
+    ) -> protocol.NotRun | None:
+        """Take a request on, or say why not; nothing is queued here.
+
+        Parameters
+        ----------
+        deadline_ms
+            What the caller gives.
+        least_ms
+            What the fastest of such requests take, 0 if not known.
+
+        Returns
+        -------
+        None if admitted: :meth:`ended` must follow.
+        """
+        if deadline_ms < least_ms and not self._is_probe():
+            return protocol.NotRun(
+                protocol.NotRunReason.DEADLINE_TOO_SHORT,
+                f'got deadline_ms {deadline_ms:.0f}, expected at least '
+                f'{least_ms:.0f}: the fastest answers take that long now',
+                self._retry_after_ms(limits.in_flight_per_daemon),
+            )
+        share = _CLASS_SHARE.get(request_class, 1.0)
+        limit = int(limits.in_flight_per_daemon * share)
+        if self._total >= limit:
+            return protocol.NotRun(
+                protocol.NotRunReason.OVERLOADED,
+                f'got {self._total} requests in flight, '
+                f'expected fewer than {limit} for class {request_class}',
+                self._retry_after_ms(limit),
+            )
+        held = self._in_flight[service.name]
+        if held >= service.max_in_flight:
+            return protocol.NotRun(
+                protocol.NotRunReason.SHARE_EXCEEDED,
+                f'got {held} requests of {service.name} in flight, '
+                f'expected fewer than {service.max_in_flight}',
+                self._retry_after_ms(service.max_in_flight),
+            )
+        self._enter(service.name)
+        return None
+
+    def admit_run(
+        self,
+        request: protocol.RunRequest,
+        configuration: state.Configuration,
+    ) -> protocol.NotRun | None:
+        """Take an unrepeatable request on, as :meth:`admit` does.
+
+        One of an unknown service or operation counts as well; the runner
+        refuses it with its own reason.
+        """
+        service = configuration.services.get(request.service)
+        operation = service and service.operations.get(request.operation)
+        if service is None or operation is None:
+            self._enter(request.service)
+            return None
+        return self.admit(
+            service,
+            configuration.limits,
+            operation.request_class,
+            request.deadline_ms or operation.deadline_ms,
+        )
+
+    def ended(self, service: str) -> None:
+        """An admitted request has its outcome."""
+        self._in_flight[service] -= 1
+        if not self._in_flight[service]:
+            del self._in_flight[service]
+        self._total -= 1
+        self._ended_ms.append(self._clock.now_ms())
+
+    def _enter(self, service: str) -> None:
+        self._in_flight[service] += 1
+        self._total += 1
+
+    def _is_probe(self) -> bool:
+        self._too_short += 1
+        return self._too_short % _PROBE_EVERY == 0
+
+    def _retry_after_ms(self, limit: int) -> int:
+        """Return when a tenth of the limit will have drained."""
+        if len(self._ended_ms) < 2:
+            return _LEAST_RETRY_MS
+        span_ms = max(1.0, self._clock.now_ms() - self._ended_ms[0])
+        per_ms = len(self._ended_ms) / span_ms
+        wait_ms = int(max(1.0, limit * _DRAIN_SHARE) / per_ms)
+        return min(_MOST_RETRY_MS, max(_LEAST_RETRY_MS, wait_ms))
--- a/samphiredock/coordination/_coordinator.py
+++ b/samphiredock/coordination/_coordinator.py
@@ -1,39 +1,46 @@
 """The task that turns a caller's search into one outcome."""
 
 import asyncio
-import collections
 import dataclasses
 import itertools
+import math
+import random
 import typing
 
 from returns import result
 
+from samphiredock.coordination import _admission
+from samphiredock.coordination import _budget
+from samphiredock.coordination import _canary
+from samphiredock.coordination import _hedging
 from samphiredock.coordination import _planner
+from samphiredock.coordination import _quarantine
+from samphiredock.coordination import _replicas
 from samphiredock.coordination import _scatter
+from samphiredock.coordination import _scatter_types
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
 from samphiredock import transport
 
+_FASTEST_SHARE = 0.05
 
-class View(typing.Protocol):
+_OUTCOME_NAMES = {
+    protocol.Answered: 'answered',
+    protocol.Partial: 'partial',
+    protocol.NotRun: 'not-run',
+    protocol.Unknown: 'unknown',
+}
+
+
+class View(_scatter_types.Routes, typing.Protocol):
     """What the coordinator reads of the daemon's knowledge."""
 
     @property
     def configuration(self) -> state.Configuration | None:
         """The revision in force here."""
 
-    @property
-    def snapshot(self) -> state.Snapshot | None:
-        """The newest snapshot known here."""
-
-    def owner(self, target: str) -> str | None:
-        """The daemon that dispatches for a target."""
-
-    def is_usable(self, target: str) -> bool:
-        """Whether a target may get new work."""
-
 
 @dataclasses.dataclass(slots=True)
 class _Search:
@@ -41,10 +48,31 @@
     plan: _planner.Plan
     done: asyncio.Future
     timer: timers.Subscription | None = None
+    armed_ms: float = math.inf
 
 
 class Coordinator:
-    """Admit, plan, scatter, merge and answer searches."""
+    """Admit, plan, scatter, merge and answer searches.
+
+    Parameters
+    ----------
+    name, site, incarnation
+        This daemon; name and incarnation make query ids unique.
+    view
+        Configuration, snapshot and owners as known here.
+    peers
+        Where sub-queries go and answers come from.
+    clock
+        The timer service.
+    counters
+        Metrics of this daemon.
+    quarantine
+        Contents that may not run.
+    admission
+        Limits on requests in flight, shared with unrepeatable requests.
+    rng
+        Seeded source of randomness.
+    """
 
     def __init__(
         self,
@@ -55,6 +83,9 @@
         peers: transport.Peers,
         clock: timers.Timers,
         counters: metrics.Metrics,
+        quarantine: _quarantine.Quarantine,
+        admission: _admission.Admission,
+        rng: random.Random,
     ) -> None:
         self._prefix = f'{name}-{incarnation}'
         self._site = site
@@ -62,6 +93,16 @@
         self._peers = peers
         self._clock = clock
         self._metrics = counters
+        self._quarantine = quarantine
+        self._admission = admission
+        self._verdicts = _canary.Verdicts(quarantine, clock)
+        self._tools = _scatter_types.Tools(
+            view,
+            _replicas.Replicas(rng, self._is_near),
+            _hedging.Latencies(),
+            _budget.ExtraBudget(),
+            self._verdicts,
+        )
         self._numbers = itertools.count(1)
         self._searches: dict[str, _Search] = {}
         peers.subscribe(protocol.SubAnswerBatch, self._on_answers)
@@ -70,96 +111,168 @@
         """Return how many searches are not answered yet."""
         return len(self._searches)
 
+    def member_lost(self, member: str) -> None:
+        """Send elsewhere what a dispatcher had when it was lost."""
+        now_ms = self._clock.now_ms()
+        for search in list(self._searches.values()):
+            effects = search.scatter.on_member_lost(member, now_ms)
+            self._carry_out(search, effects)
+
     async def search(
         self, request: protocol.SearchRequest
     ) -> protocol.SearchOutcome:
         """Run one search to its outcome."""
         started_ms = self._clock.now_ms()
+        outcome = await self._search(request, started_ms)
+        self._metrics.add(
+            'search_outcomes',
+            service=request.service,
+            outcome=_OUTCOME_NAMES[type(outcome)],
+        )
+        return outcome
+
+    async def _search(
+        self, request: protocol.SearchRequest, started_ms: float
+    ) -> protocol.SearchOutcome:
         configuration = self._view.configuration
         if configuration is None:
             return protocol.NotRun(
                 protocol.NotRunReason.NOT_READY, 'no configuration yet', 500
             )
-        query_id = f'{self._prefix}-{next(self._numbers)}'
         planned = _planner.make_plan(
             request,
             configuration,
             self._view.snapshot,
-            query_id,
+            f'{self._prefix}-{next(self._numbers)}',
             self._site,
             started_ms,
         )
         if isinstance(planned, result.Failure):
             return planned.failure()
-        return await self._run(planned.unwrap(), started_ms)
+        plan = planned.unwrap()
+        index = plan.search.index
+        refusal = self._quarantine.refusal(
+            plan.fingerprint
+        ) or self._admission.admit(
+            configuration.services[plan.service],
+            configuration.limits,
+            plan.search.request_class,
+            plan.deadline_at_ms - started_ms,
+            self._tools.latencies.quantile_ms(index, _FASTEST_SHARE),
+        )
+        if refusal is not None:
+            return refusal
+        try:
+            outcome = await self._run_with_care(plan, configuration.limits)
+        finally:
+            self._admission.ended(plan.service)
+        self._observe(plan, outcome, started_ms)
+        return outcome
+
+    async def _run_with_care(
+        self, plan: _planner.Plan, limits: state.Limits
+    ) -> protocol.SearchOutcome:
+        """Run a content that is new, or under suspicion, alone first."""
+        verdicts = self._verdicts
+        fingerprint = plan.fingerprint
+        canary = plan.search.canary and not verdicts.is_known(fingerprint)
+        if canary and not verdicts.begin(fingerprint):
+            left_ms = plan.deadline_at_ms - self._clock.now_ms()
+            await verdicts.wait(fingerprint, left_ms)
+            refusal = self._quarantine.refusal(fingerprint)
+            if refusal is not None:
+                return refusal
+            canary = not verdicts.is_known(fingerprint)
+            if canary:
+                verdicts.begin(fingerprint)
+        left_ms = plan.deadline_at_ms - self._clock.now_ms()
+        care = self._quarantine.admit(fingerprint, left_ms)
+        suspect = care is _quarantine.Care.SUSPECT
+        scatter = _scatter.Scatter(plan, self._tools, limits, canary, suspect)
+        try:
+            return await self._run(plan, scatter)
+        finally:
+            if canary:
+                verdicts.end(fingerprint)
 
     async def _run(
-        self, plan: _planner.Plan, started_ms: float
+        self, plan: _planner.Plan, scatter: _scatter.Scatter
     ) -> protocol.SearchOutcome:
-        scatter = _scatter.Scatter(plan, self._view.is_usable)
         future = asyncio.get_running_loop().create_future()
         search = _Search(scatter, plan, future)
         self._searches[plan.query_id] = search
-        search.timer = self._clock.after(
-            plan.deadline_at_ms - started_ms,
-            lambda: self._carry_out(search, scatter.on_deadline()),
-        )
         try:
-            self._carry_out(search, scatter.start())
-            finish: _scatter.Finish = await future
+            self._carry_out(search, scatter.start(self._clock.now_ms()))
+            outcome: protocol.SearchOutcome = await future
         finally:
-            search.timer.cancel()
+            if search.timer is not None:
+                search.timer.cancel()
             del self._searches[plan.query_id]
-        self._record(plan, finish, started_ms)
-        return finish.outcome
-
-    def _record(
-        self,
-        plan: _planner.Plan,
-        finish: _scatter.Finish,
-        started_ms: float,
-    ) -> None:
-        labels = {
-            'service': plan.service,
-            'request_class': plan.search.request_class,
-        }
-        took_ms = self._clock.now_ms() - started_ms
-        self._metrics.observe('request_latency_ms', took_ms, **labels)
-        coverage = getattr(finish.outcome, 'coverage', 0.0)
-        self._metrics.observe('request_coverage', coverage, **labels)
-        extra = finish.sent / max(1, finish.needed)
-        self._metrics.observe('request_extra_load', extra, **labels)
+        self._count(plan, scatter.tally)
+        return outcome
 
     def _on_answers(self, sender: str, batch: protocol.SubAnswerBatch) -> None:
         search = self._searches.get(batch.query_id)
-        if search is None:
+        if search is None or search.done.done():
             self._metrics.add('late_answers', len(batch.answers))
             return
-        self._carry_out(search, search.scatter.on_answers(batch.answers))
+        now_ms = self._clock.now_ms()
+        effects = search.scatter.on_answers(batch.answers, now_ms)
+        self._carry_out(search, effects)
+
+    def _on_due(self, search: _Search) -> None:
+        search.timer = None
+        search.armed_ms = math.inf
+        if not search.done.done():
+            now_ms = self._clock.now_ms()
+            self._carry_out(search, search.scatter.on_tick(now_ms))
 
     def _carry_out(
-        self, search: _Search, effects: list[_scatter.Effect]
+        self, search: _Search, effects: list[_scatter_types.Effect]
     ) -> None:
+        unsent: list[protocol.SubQuery] = []
         for effect in effects:
-            if isinstance(effect, _scatter.SendAttempts):
-                self._send(search, effect.items)
-            elif isinstance(effect, _scatter.DropAttempts):
-                self._drop(search.plan, effect.attempts)
+            if isinstance(effect, _scatter_types.SendAttempts):
+                if not self._send(search.plan, effect):
+                    unsent.extend(effect.items)
+            elif isinstance(effect, _scatter_types.DropAttempts):
+                self._peers.send(
+                    effect.dispatcher,
+                    protocol.CancelAttempts(
+                        search.plan.query_id, effect.attempt_ids
+                    ),
+                )
             elif not search.done.done():
-                search.done.set_result(effect)
+                search.done.set_result(effect.outcome)
+        if search.done.done():
+            return
+        if unsent:
+            now_ms = self._clock.now_ms()
+            answers = [_unsent(item) for item in unsent]
+            self._carry_out(search, search.scatter.on_answers(answers, now_ms))
+            return
+        self._arm(search)
+
+    def _arm(self, search: _Search) -> None:
+        """Keep one timer a search, at the next thing that falls due."""
+        due_ms = search.scatter.next_due_ms()
+        if due_ms >= search.armed_ms:
+            return
+        if search.timer is not None:
+            search.timer.cancel()
+        search.armed_ms = due_ms
+        search.timer = self._clock.after(
+            due_ms - self._clock.now_ms(), lambda: self._on_due(search)
+        )
 
     def _send(
-        self, search: _Search, items: tuple[protocol.SubQuery, ...]
-    ) -> None:
-        plan = search.plan
-        by_owner = collections.defaultdict(list)
-        unsent = []
-        for item in items:
-            owner = self._view.owner(item.target)
-            by_owner[owner].append(item)
-        budget_ms = plan.deadline_at_ms - self._clock.now_ms()
-        for owner, owned in by_owner.items():
-            message = protocol.SubQueryBatch(
+        self, plan: _planner.Plan, effect: _scatter_types.SendAttempts
+    ) -> bool:
+        if effect.dispatcher is None:
+            return False
+        return self._peers.send(
+            effect.dispatcher,
+            protocol.SubQueryBatch(
                 plan.query_id,
                 plan.service,
                 plan.site,
@@ -168,32 +281,54 @@
                 plan.terms,
                 plan.limit,
                 plan.fingerprint,
-                budget_ms,
-                owned,
-            )
-            if owner is None or not self._peers.send(owner, message):
-                unsent.extend(owned)
-        if unsent:
-            answers = [
-                protocol.SubAnswer(
-                    item.attempt_id,
-                    item.target,
-                    protocol.SubStatus.NOT_OWNER,
-                    detail='no dispatcher can be reached',
-                )
-                for item in unsent
-            ]
-            self._carry_out(search, search.scatter.on_answers(answers))
+                plan.deadline_at_ms - self._clock.now_ms(),
+                effect.items,
+                effect.alone,
+            ),
+        )
 
-    def _drop(
-        self, plan: _planner.Plan, attempts: tuple[protocol.SubQuery, ...]
+    def _is_near(self, target: str) -> bool:
+        configuration = self._view.configuration
+        if configuration is None:
+            return False
+        found = configuration.targets.get(target)
+        return found is not None and found.site == self._site
+
+    def _count(self, plan: _planner.Plan, tally: _scatter_types.Tally) -> None:
+        for name in _scatter_types.COUNTED:
+            amount = getattr(tally, name)
+            if amount:
+                self._metrics.add_bulk(name, amount, service=plan.service)
+        self._metrics.observe(
+            'request_extra_load',
+            tally.sent / max(1, tally.needed),
+            service=plan.service,
+            request_class=plan.search.request_class,
+        )
+
+    def _observe(
+        self,
+        plan: _planner.Plan,
+        outcome: protocol.SearchOutcome,
+        started_ms: float,
     ) -> None:
-        by_owner = collections.defaultdict(list)
-        for item in attempts:
-            owner = self._view.owner(item.target)
-            if owner is not None:
-                by_owner[owner].append(item.attempt_id)
-        for owner, attempt_ids in by_owner.items():
-            self._peers.send(
-                owner, protocol.CancelAttempts(plan.query_id, attempt_ids)
-            )
+        """Record what the caller saw; a refusal has no latency to show."""
+        if isinstance(outcome, protocol.NotRun):
+            return
+        labels = {
+            'service': plan.service,
+            'request_class': plan.search.request_class,
+        }
+        took_ms = self._clock.now_ms() - started_ms
+        self._metrics.observe('request_latency_ms', took_ms, **labels)
+        coverage = getattr(outcome, 'coverage', 0.0)
+        self._metrics.observe('request_coverage', coverage, **labels)
+
+
+def _unsent(item: protocol.SubQuery) -> protocol.SubAnswer:
+    return protocol.SubAnswer(
+        item.attempt_id,
+        item.target,
+        protocol.SubStatus.NOT_OWNER,
+        detail='no dispatcher can be reached',
+    )
--- /dev/null
+++ b/samphiredock/coordination/_hedging.py
@@ -0,0 +1,110 @@
+"""When a sub-query is late enough for a hedge, and when none may be sent."""
+
+import collections
+
+from samphiredock import protocol
+
+_WINDOW = 512
+_LEAST_SAMPLES = 64
+_RECOMPUTE_EVERY = 64
+_LEAST_DELAY_MS = 1.0
+
+# Signs of overload are a decayed share of the last hundred or so answers.
+_DECAY = 0.99
+_OVERLOADED_SHARE = 0.10
+_WAITED_FACTOR = 2.0
+_WAITED_LEAST_MS = 10.0
+
+_SIGN_WEIGHT = {
+    protocol.SubStatus.SHED: 1.0,
+    protocol.SubStatus.EXPIRED: 1.0,
+    # Hedges are a few per cent of the attempts, so each counts for more.
+    protocol.SubStatus.NO_IDLE_SLOT: 4.0,
+}
+
+
+class _IndexRecord:
+    """Latencies and signs of overload of one index."""
+
+    __slots__ = ('_samples', '_new', '_sorted', '_signs')
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[float] = collections.deque(
+            maxlen=_WINDOW
+        )
+        self._new = 0
+        self._sorted: list[float] = []
+        self._signs = 0.0
+
+    def observe(self, took_ms: float) -> None:
+        self._samples.append(took_ms)
+        self._new += 1
+
+    def sign(self, weight: float) -> None:
+        self._signs = self._signs * _DECAY + weight * (1.0 - _DECAY)
+
+    def is_overloaded(self) -> bool:
+        return self._signs > _OVERLOADED_SHARE
+
+    def quantile(self, share: float) -> float | None:
+        if len(self._samples) < _LEAST_SAMPLES:
+            return None
+        if self._new >= _RECOMPUTE_EVERY or not self._sorted:
+            self._sorted = sorted(self._samples)
+            self._new = 0
+        last = len(self._sorted) - 1
+        return self._sorted[min(last, int(share * len(self._sorted)))]
+
+
+class Latencies:
+    """Sub-query latency by index, as this coordinator sees it.
+
+    Time in the dispatcher's queue is part of it: a hedge is for whatever
+    makes an answer late.  Samples are per index, since one shard alone has
+    too few for a tail quantile.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _IndexRecord] = collections.defaultdict(
+            _IndexRecord
+        )
+
+    def observe(self, index: str, took_ms: float) -> None:
+        """Record an attempt that ended, or was cancelled, after this long.
+
+        A cancelled loser counts with the time it had taken: leaving it out
+        would pull the quantile down and send ever more hedges.
+        """
+        self._records[index].observe(took_ms)
+
+    def note(
+        self,
+        index: str,
+        status: protocol.SubStatus,
+        waited_ms: float,
+        service_ms: float,
+    ) -> None:
+        """Take one ending in as a sign for or against overload."""
+        weight = _SIGN_WEIGHT.get(status, 0.0)
+        if (
+            waited_ms > _WAITED_LEAST_MS
+            and waited_ms > _WAITED_FACTOR * service_ms
+        ):
+            weight = max(weight, 1.0)
+        self._records[index].sign(weight)
+
+    def is_overloaded(self, index: str) -> bool:
+        """Whether hedges would only add to a queue."""
+        return self._records[index].is_overloaded()
+
+    def hedge_delay_ms(self, index: str, quantile: float) -> float | None:
+        """Return after how long to hedge; None while no hedge may be sent."""
+        record = self._records[index]
+        if record.is_overloaded():
+            return None
+        delay_ms = record.quantile(quantile)
+        return None if delay_ms is None else max(_LEAST_DELAY_MS, delay_ms)
+
+    def quantile_ms(self, index: str, quantile: float) -> float:
+        """Return a quantile of the latency, 0 while too little is known."""
+        return self._records[index].quantile(quantile) or 0.0
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -3,42 +3,35 @@
 A pure object: answers and ticks go in, effects come out.
 """
 
-import collections
-import dataclasses
+import math
 import typing
 
 from samphiredock.coordination import _merge
 from samphiredock.coordination import _planner
+from samphiredock.coordination import _scatter_attempts
+from samphiredock.coordination import _scatter_round
+from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
 from samphiredock import state
 
 _RETRY_AFTER_MS = 1_000
+_PASSES = 2
+_PAUSE_MS = 10.0
+_RESTARTS = 2
+_CANARY_SHARDS = 2
+_SNAPSHOT_WAIT_SHARE = 0.5
+_SNAPSHOT_POLL_MS = 5.0
 
+# Before a content that lost a target is tried again: in this time the news
+# of a copy that another daemon ran at the same moment arrives.
+_SUSPECT_PAUSE_MS = 20.0
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendAttempts:
-    """Send these sub-queries to the dispatchers of their targets."""
+_Status = protocol.SubStatus
 
-    items: tuple[protocol.SubQuery, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DropAttempts:
-    """Cancel these attempts."""
-
-    attempts: tuple[protocol.SubQuery, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
-    """Give the caller this outcome; nothing follows it."""
-
-    outcome: protocol.SearchOutcome
-    sent: int
-    needed: int
-
-
-Effect = SendAttempts | DropAttempts | Finish
+# Refusals of the moment: the same replica may be asked once more.
+_PASSING = frozenset(
+    {_Status.SHED, _Status.NOT_LOADED, _Status.NOT_OWNER, _Status.UNREACHABLE}
+)
 
 
 class Scatter:
@@ -47,123 +40,473 @@
     Parameters
     ----------
     plan
-        What the search is; its snapshot never changes.
-    is_usable
-        Whether a target may be sent new work now.
+        What the search is; every merged answer is read at one snapshot.
+    tools
+        Shared records and the budget.
+    limits
+        Limits in force when the search was planned.
+    canary
+        Send one shard alone first; the others follow when it succeeded.
+    suspect
+        One target was lost to this content: no two attempts at a time
+        until one has succeeded.
     """
 
     def __init__(
         self,
         plan: _planner.Plan,
-        is_usable: typing.Callable[[str], bool],
+        tools: _scatter_types.Tools,
+        limits: state.Limits,
+        canary: bool = False,
+        suspect: bool = False,
     ) -> None:
         self._plan = plan
-        self._is_usable = is_usable
-        self._out: dict[str, tuple[state.Shard, protocol.SubQuery]] = {}
-        self._answers: dict[str, protocol.SubAnswer] = {}
-        self._tried: dict[str, set[str]] = collections.defaultdict(set)
-        self._sent = 0
-        self._finished = False
-
-    def start(self) -> list[Effect]:
-        """Send the first attempt of every shard."""
-        items = [self._attempt(shard) for shard in self._plan.shards]
-        first = tuple(item for item in items if item is not None)
-        effects: list[Effect] = [SendAttempts(first)] if first else []
-        return effects + self._finish_if_settled()
+        self._tools = tools
+        self._limits = limits
+        self._index = plan.search.index
+        self._round = _scatter_round.Round(plan, plan.snapshot)
+        self._older: _scatter_round.Round | None = None
+        self._attempts = _scatter_attempts.Attempts(
+            plan.query_id, tools.replicas
+        )
+        self._seen: dict[_Status, int] = {}
+        self._began = False
+        self._finish_effect: _scatter_types.Finish | None = None
+        self._may_restart = True
+        self._stuck_until_ms = math.inf
+        self._look_again_ms = math.inf
+        self._hedge_due_ms = math.inf
+        self._again_due_ms = math.inf
+        self._canary = canary or suspect
+        self._canaries = 0
+        self._held: list[_scatter_round.ShardState] = []
+        self._careful = self._canary
+        self._suspect = suspect
+        self._alone_queue: list[_scatter_round.ShardState] = []
+        self.tally = _scatter_types.Tally(needed=len(self._round.shards))
+
+    # Inputs.
+
+    def start(self, now_ms: float) -> list[_scatter_types.Effect]:
+        """Send the first attempt of every shard, or the canary's."""
+        self._begin_round(now_ms)
+        return self._done(now_ms)
 
     def on_answers(
-        self, answers: typing.Iterable[protocol.SubAnswer]
-    ) -> list[Effect]:
+        self, answers: typing.Iterable[protocol.SubAnswer], now_ms: float
+    ) -> list[_scatter_types.Effect]:
         """Take ended attempts in; retry those that may be."""
-        again = []
         for answer in answers:
-            found = self._out.pop(answer.attempt_id, None)
-            if found is None or self._finished:
-                continue
-            shard = found[0]
-            if self._is_good(answer):
-                self._answers[shard.shard_id] = answer
+            attempt = self._attempts.get(answer.attempt_id)
+            if attempt is None:
+                self.tally.late_answers += 1
+            elif answer.target != attempt.item.target:
+                # Not the answer to this attempt, which may still come.
+                self.tally.mismatched_answers += 1
             else:
-                again.append(self._attempt(shard))
-        items = tuple(item for item in again if item is not None)
-        effects: list[Effect] = [SendAttempts(items)] if items else []
-        return effects + self._finish_if_settled()
-
-    def on_deadline(self) -> list[Effect]:
-        """Answer with what there is."""
-        if self._finished:
-            return []
-        return self._finish()
-
-    def _is_good(self, answer: protocol.SubAnswer) -> bool:
-        return (
-            answer.status is protocol.SubStatus.ANSWERED
-            and answer.snapshot_id == self._plan.snapshot.snapshot_id
-            and bool(answer.ranges)
+                self._take(attempt, answer, now_ms)
+        return self._done(now_ms)
+
+    def on_tick(self, now_ms: float) -> list[_scatter_types.Effect]:
+        """Do what has fallen due: deadline, hedges, second tries."""
+        if now_ms >= self._plan.deadline_at_ms:
+            self._finish()
+        if now_ms >= self._hedge_due_ms:
+            self._send_hedges(now_ms)
+        if now_ms >= self._again_due_ms:
+            self._try_again(now_ms)
+        return self._done(now_ms)
+
+    def on_member_lost(
+        self, member: str, now_ms: float
+    ) -> list[_scatter_types.Effect]:
+        """Retry elsewhere what a lost dispatcher had."""
+        for attempt in self._attempts.outstanding():
+            if attempt.dispatcher == member and not self._finish_effect:
+                self._attempts.end(attempt, None)
+                self._began = True
+                self._tools.budget.owe()
+                self._retry(attempt.shard, False, now_ms)
+        return self._done(now_ms)
+
+    def next_due_ms(self) -> float:
+        """Return when :meth:`on_tick` has something to do."""
+        return min(
+            self._plan.deadline_at_ms,
+            self._hedge_due_ms,
+            self._again_due_ms,
+            self._look_again_ms,
+        )
+
+    # Attempts.
+
+    def _begin_round(self, now_ms: float) -> None:
+        delay_ms = self._hedge_delay_ms()
+        if delay_ms is not None:
+            self._hedge_due_ms = now_ms + delay_ms
+        shards = self._round.shards
+        self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
+        self._canary = self._careful
+        if not self._canary:
+            for shard in shards:
+                self._attempt(shard, now_ms)
+            return
+        first = self._tools.replicas.pick(len(shards))
+        self._held = shards[first + 1 :] + shards[:first]
+        self._canaries = 1
+        self._attempt(shards[first], now_ms)
+
+    def _hedge_delay_ms(self) -> float | None:
+        if self._suspect:
+            return None
+        return self._tools.latencies.hedge_delay_ms(
+            self._index, self._limits.hedge_quantile
         )
 
-    def _attempt(self, shard: state.Shard) -> protocol.SubQuery | None:
-        tried = self._tried[shard.shard_id]
-        open_to = [
+    def _open_to(self, shard: _scatter_round.ShardState) -> list[str]:
+        is_usable = self._tools.routes.is_usable
+        tried = shard.tried
+        return [
             name
-            for name in shard.replicas
-            if name not in tried and self._is_usable(name)
+            for name in shard.shard.replicas
+            if name not in tried and is_usable(name)
         ]
-        if not open_to:
-            return None
-        # Queries start at different replicas, so that load spreads.
-        start = hash(self._plan.query_id) % len(open_to)
-        target = open_to[start]
-        tried.add(target)
-        self._sent += 1
-        index = self._plan.snapshot.indexes[self._plan.search.index]
-        item = protocol.SubQuery(
-            f'{self._plan.query_id}.{self._sent}',
-            self._plan.search.index,
-            index.version,
-            self._plan.snapshot.snapshot_id,
-            shard.shard_id,
+
+    def _attempt(
+        self,
+        shard: _scatter_round.ShardState,
+        now_ms: float,
+        candidates: list[str] | None = None,
+        hedge: bool = False,
+    ) -> None:
+        candidates = candidates or self._open_to(shard)
+        if not candidates:
+            self._give_up(shard, now_ms)
+            return
+        target = self._tools.replicas.choose(candidates)
+        dispatcher = self._tools.routes.owner(target)
+        self._attempts.send(
+            shard,
+            self._round,
             target,
+            dispatcher,
+            now_ms,
+            self._careful,
+            hedge,
         )
-        self._out[item.attempt_id] = (shard, item)
-        return item
-
-    def _finish_if_settled(self) -> list[Effect]:
-        if self._finished or self._out:
-            return []
-        return self._finish()
-
-    def _finish(self) -> list[Effect]:
-        self._finished = True
-        effects: list[Effect] = []
-        if self._out:
-            open_items = tuple(item for _, item in self._out.values())
-            effects.append(DropAttempts(open_items))
-        needed = len(self._plan.shards)
-        effects.append(Finish(self._outcome(), self._sent, needed))
+
+    def _take(
+        self,
+        attempt: _scatter_round.Attempt,
+        answer: protocol.SubAnswer,
+        now_ms: float,
+    ) -> None:
+        status = answer.status
+        self._tools.latencies.note(
+            self._index, status, answer.waited_ms, answer.service_ms
+        )
+        if status is _Status.ANSWERED:
+            took_ms = now_ms - attempt.sent_ms
+            self._attempts.end(attempt, took_ms)
+            self._tools.latencies.observe(self._index, took_ms)
+            self._began = True
+            self._take_content(attempt, answer, now_ms)
+            return
+        self._attempts.end(attempt, None)
+        self._seen[status] = max(
+            self._seen.get(status, 0), answer.retry_after_ms
+        )
+        if status in protocol.NEVER_STARTED:
+            self._take_refusal(attempt, answer, now_ms)
+            return
+        self._began = True
+        if answer.target_lost:
+            self._take_loss(attempt.shard, answer, now_ms)
+        else:
+            self._retry(attempt.shard, True, now_ms)
+
+    def _take_content(
+        self,
+        attempt: _scatter_round.Attempt,
+        answer: protocol.SubAnswer,
+        now_ms: float,
+    ) -> None:
+        shard = attempt.shard
+        if attempt.alone:
+            self._note_success(now_ms)
+        if answer.snapshot_id != self._round.snapshot.snapshot_id:
+            # Merging it would mix two versions of the index in one answer.
+            self.tally.wrong_snapshot_answers += 1
+            shard.gone = True
+            self._retry(shard, True, now_ms)
+            return
+        asked = shard.shard.key_range
+        if not _merge.is_within(answer.ranges, asked):
+            self.tally.bad_answers += 1
+            self._retry(shard, True, now_ms)
+            return
+        if not answer.ranges:
+            # A target that has not loaded its shard finds nothing in it.
+            self._seen.setdefault(_Status.NOT_LOADED, 0)
+            self._retry(shard, True, now_ms)
+            return
+        shard.answers.append(answer)
+        if not answer.truncated:
+            shard.ranges.extend(answer.ranges)
+        if not _merge.covers(shard.ranges, asked):
+            self._retry(shard, True, now_ms)
+            return
+        self.tally.hedges_won += attempt.item.hedge
+        self._settle(shard, now_ms)
+
+    def _take_refusal(
+        self,
+        attempt: _scatter_round.Attempt,
+        answer: protocol.SubAnswer,
+        now_ms: float,
+    ) -> None:
+        shard = attempt.shard
+        if answer.status is _Status.QUARANTINED:
+            self._finish()
+            return
+        if attempt.item.hedge:
+            self._tools.budget.refund()
+        if answer.status is _Status.SNAPSHOT_GONE:
+            shard.gone = True
+        elif answer.status is _Status.NO_IDLE_SLOT:
+            shard.tried.discard(answer.target)
+        elif answer.status in _PASSING:
+            shard.again.add(answer.target)
+            shard.pause_ms = max(shard.pause_ms, answer.retry_after_ms)
+        self._retry(shard, False, now_ms)
+
+    def _take_loss(
+        self,
+        shard: _scatter_round.ShardState,
+        answer: protocol.SubAnswer,
+        now_ms: float,
+    ) -> None:
+        """A target died under this content, or under a neighbour's.
+
+        Only a loss while the content ran alone counts against it; else it
+        is run again alone, one shard at a time, which tells the two apart.
+        """
+        self._suspect = True
+        self._careful = True
+        self._hedge_due_ms = math.inf
+        if answer.ran_alone:
+            self._tools.suspicions.note_lost(
+                self._plan.fingerprint, answer.target, self._plan.service
+            )
+        self._tools.budget.owe()
+        shard.again_at_ms = now_ms + _SUSPECT_PAUSE_MS
+        self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
+
+    def _note_success(self, now_ms: float) -> None:
+        """The content ran alone and its target lives: go on as usual."""
+        self._tools.suspicions.note_succeeded(self._plan.fingerprint)
+        self._suspect = False
+        self._release(now_ms)
+
+    def _release(self, now_ms: float) -> None:
+        self._canary = False
+        self._careful = False
+        held, self._held = self._held, []
+        queue, self._alone_queue = self._alone_queue, []
+        for shard in held:
+            self._attempt(shard, now_ms)
+        for shard in queue:
+            self._retry(shard, False, now_ms)
+
+    def _retry(
+        self, shard: _scatter_round.ShardState, costly: bool, now_ms: float
+    ) -> None:
+        """Try another replica, unless one is still at it."""
+        if self._finish_effect or shard.settled or shard.outstanding:
+            return
+        if self._careful:
+            if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+                self._finish()
+                return
+            if self._attempts.has_alone():
+                self._alone_queue.append(shard)
+                return
+        candidates = self._open_to(shard)
+        if not candidates:
+            self._give_up(shard, now_ms)
+            return
+        if costly and not self._tools.budget.spend_retry():
+            self.tally.retries_denied += 1
+            self._settle(shard, now_ms)
+            return
+        self.tally.retries += 1
+        self._attempt(shard, now_ms, candidates)
+
+    def _give_up(
+        self, shard: _scatter_round.ShardState, now_ms: float
+    ) -> None:
+        """No replica is left: pause, wait for a snapshot, or settle."""
+        if shard.again and shard.passes < _PASSES:
+            shard.passes += 1
+            shard.tried -= shard.again
+            shard.again.clear()
+            shard.again_at_ms = now_ms + max(_PAUSE_MS, shard.pause_ms)
+            self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
+        elif shard.gone and self._may_restart:
+            if self._stuck_until_ms == math.inf:
+                left_ms = self._plan.deadline_at_ms - now_ms
+                self._stuck_until_ms = now_ms + left_ms * _SNAPSHOT_WAIT_SHARE
+        else:
+            self._settle(shard, now_ms)
+
+    def _settle(self, shard: _scatter_round.ShardState, now_ms: float) -> None:
+        self._round.settle(shard)
+        if shard.outstanding:
+            losers = [
+                row
+                for row in self._attempts.outstanding()
+                if row.shard is shard
+            ]
+            self._drop(losers, now_ms)
+        if self._canary and not self._finish_effect:
+            self._next_canary(now_ms)
+
+    def _next_canary(self, now_ms: float) -> None:
+        """The canary's shard gave no verdict: ask another, or go on."""
+        if self._canaries >= _CANARY_SHARDS and not self._suspect:
+            self._release(now_ms)
+        elif self._held:
+            self._canaries += 1
+            self._attempt(self._held.pop(0), now_ms)
+
+    def _drop(
+        self, attempts: list[_scatter_round.Attempt], now_ms: float
+    ) -> None:
+        """Cancel losers; the time they took so far is a latency too."""
+        for attempt in attempts:
+            self._tools.latencies.observe(
+                self._index, now_ms - attempt.sent_ms
+            )
+        self._attempts.drop(attempts, lambda row: now_ms - row.sent_ms)
+
+    # Time.
+
+    def _send_hedges(self, now_ms: float) -> None:
+        """Ask another replica where the first is later than most are."""
+        self._hedge_due_ms = math.inf
+        delay_ms = self._hedge_delay_ms()
+        if delay_ms is None:
+            return
+        for attempt in self._attempts.outstanding():
+            shard = attempt.shard
+            if shard.hedged or shard.outstanding != 1:
+                continue
+            due_ms = attempt.sent_ms + delay_ms
+            if due_ms > now_ms:
+                self._hedge_due_ms = min(self._hedge_due_ms, due_ms)
+            else:
+                self._hedge(attempt, now_ms)
+
+    def _hedge(self, attempt: _scatter_round.Attempt, now_ms: float) -> None:
+        shard = attempt.shard
+        candidates = self._open_to(shard)
+        if not candidates:
+            return
+        shard.hedged = True
+        if not self._tools.budget.spend_hedge():
+            self.tally.hedges_denied += 1
+            return
+        owner = self._tools.routes.owner
+        elsewhere = [
+            name for name in candidates if owner(name) != attempt.dispatcher
+        ]
+        self.tally.hedges_sent += 1
+        self._attempt(shard, now_ms, elsewhere or candidates, hedge=True)
+
+    def _try_again(self, now_ms: float) -> None:
+        self._again_due_ms = math.inf
+        for shard in self._round.shards:
+            at_ms = shard.again_at_ms
+            if at_ms > now_ms:
+                self._again_due_ms = min(self._again_due_ms, at_ms)
+            elif at_ms:
+                shard.again_at_ms = 0.0
+                self._retry(shard, False, now_ms)
+
+    # The end.
+
+    def _done(self, now_ms: float) -> list[_scatter_types.Effect]:
+        if not self._finish_effect and self._stuck_until_ms < math.inf:
+            self._resolve_stuck(now_ms)
+        while self._alone_queue and not self._attempts.has_alone():
+            self._retry(self._alone_queue.pop(0), False, now_ms)
+        if not self._round.unsettled:
+            self._finish()
+        effects = self._attempts.collect()
+        if self._finish_effect:
+            effects.append(self._finish_effect)
         return effects
 
+    def _resolve_stuck(self, now_ms: float) -> None:
+        """Restart whole on a newer snapshot, or stop waiting for one."""
+        self._look_again_ms = now_ms + _SNAPSHOT_POLL_MS
+        newest = self._tools.routes.snapshot
+        left_ms = self._plan.deadline_at_ms - now_ms
+        if (
+            newest is not None
+            and newest.snapshot_id > self._round.snapshot.snapshot_id
+            and self._index in newest.indexes
+            and left_ms > self._tools.latencies.quantile_ms(self._index, 0.5)
+        ):
+            self._restart(newest, now_ms)
+        elif now_ms >= self._stuck_until_ms:
+            self._stuck_until_ms = math.inf
+            self._look_again_ms = math.inf
+            self._may_restart = False
+            for shard in self._round.shards:
+                waits = shard.outstanding or shard.again_at_ms
+                if shard.gone and not waits:
+                    self._settle(shard, now_ms)
+
+    def _restart(self, snapshot: state.Snapshot, now_ms: float) -> None:
+        self.tally.search_restarts += 1
+        self._may_restart = self.tally.search_restarts < _RESTARTS
+        self._stuck_until_ms = math.inf
+        self._look_again_ms = math.inf
+        self._again_due_ms = math.inf
+        self._began = self._began or len(self._attempts) > 0
+        self._drop(self._attempts.outstanding(), now_ms)
+        self._attempts.discard_unsent()
+        self._alone_queue.clear()
+        if self._older is None or self._older.keys() < self._round.keys():
+            self._older = self._round
+        self._round = _scatter_round.Round(self._plan, snapshot)
+        self._begin_round(now_ms)
+
+    def _finish(self) -> None:
+        if self._finish_effect:
+            return
+        self._began = self._began or len(self._attempts) > 0
+        self._attempts.discard_unsent()
+        self._attempts.drop(self._attempts.outstanding(), lambda row: None)
+        self._alone_queue.clear()
+        self._hedge_due_ms = math.inf
+        self._again_due_ms = math.inf
+        self.tally.sent = self._attempts.sent
+        self._finish_effect = _scatter_types.Finish(self._outcome())
+
     def _outcome(self) -> protocol.SearchOutcome:
-        answers = list(self._answers.values())
-        search = self._plan.search
-        covered = _merge.covered_ranges(answers)
-        coverage = _merge.coverage_of(covered)
-        missing = _merge.missing_ranges(covered)
-        snapshot_id = self._plan.snapshot.snapshot_id
-        records = _merge.merge_records(answers, search.merge, self._plan.limit)
-        if not missing:
-            return protocol.Answered(records, snapshot_id, 1.0)
-        if coverage >= search.least_coverage and answers:
-            return protocol.Partial(
-                records,
-                snapshot_id,
-                coverage,
-                missing,
-                f'{len(missing)} key ranges gave no answer in time',
-            )
-        return protocol.Unknown(
-            f'got coverage {coverage:.4f}, '
-            f'expected at least {search.least_coverage}',
-            _RETRY_AFTER_MS,
+        best = self._round
+        if self._older is not None and self._older.keys() > best.keys():
+            best = self._older
+        answer = best.answer()
+        if answer is not None:
+            return answer
+        detail = (
+            f'got coverage {best.keys() / state.KEY_SPACE_SIZE:.4f}, '
+            f'expected at least {self._plan.search.least_coverage}; '
+            f'endings: {sorted(status.value for status in self._seen)}'
         )
+        if self._began:
+            return protocol.Unknown(detail, _RETRY_AFTER_MS)
+        return _scatter_round.refusal_of(self._seen, detail)
--- /dev/null
+++ b/samphiredock/coordination/_scatter_attempts.py
@@ -0,0 +1,116 @@
+"""The attempts of one search that have not ended."""
+
+import typing
+
+from samphiredock.coordination import _replicas
+from samphiredock.coordination import _scatter_round
+from samphiredock.coordination import _scatter_types
+from samphiredock import protocol
+
+_Drops = dict[str, list[str]]
+
+
+class Attempts:
+    """Outstanding attempts by id, and what is to be sent about them."""
+
+    def __init__(self, query_id: str, replicas: _replicas.Replicas) -> None:
+        self._query_id = query_id
+        self._replicas = replicas
+        self._out: dict[str, _scatter_round.Attempt] = {}
+        self._outbox: dict[
+            tuple[str | None, bool], list[protocol.SubQuery]
+        ] = {}
+        self._drops: _Drops = {}
+        self._alone = 0
+        self.sent = 0
+
+    def __len__(self) -> int:
+        return len(self._out)
+
+    def outstanding(self) -> list[_scatter_round.Attempt]:
+        """Return the attempts that have not ended."""
+        return list(self._out.values())
+
+    def has_alone(self) -> bool:
+        """Whether an attempt that runs alone has not ended."""
+        return self._alone > 0
+
+    def send(
+        self,
+        shard: _scatter_round.ShardState,
+        round_: _scatter_round.Round,
+        target: str,
+        dispatcher: str | None,
+        now_ms: float,
+        alone: bool,
+        hedge: bool,
+    ) -> None:
+        """Add one attempt, to go out with the next :meth:`collect`."""
+        self.sent += 1
+        self._alone += alone
+        item = protocol.SubQuery(
+            f'{self._query_id}.{self.sent}',
+            round_.plan.search.index,
+            round_.index_version,
+            round_.snapshot.snapshot_id,
+            shard.shard.shard_id,
+            target,
+            hedge,
+        )
+        self._out[item.attempt_id] = _scatter_round.Attempt(
+            shard, item, dispatcher, now_ms, alone
+        )
+        shard.tried.add(target)
+        shard.outstanding += 1
+        self._replicas.sent(target)
+        key = (dispatcher, alone)
+        box = self._outbox.get(key)
+        if box is None:
+            self._outbox[key] = [item]
+        else:
+            box.append(item)
+
+    def get(self, attempt_id: str) -> _scatter_round.Attempt | None:
+        """Return an attempt that has not ended."""
+        return self._out.get(attempt_id)
+
+    def end(
+        self, attempt: _scatter_round.Attempt, took_ms: float | None
+    ) -> None:
+        """Take an attempt out; None if its time says nothing."""
+        item = attempt.item
+        del self._out[item.attempt_id]
+        self._alone -= attempt.alone
+        attempt.shard.outstanding -= 1
+        self._replicas.ended(item.target, took_ms)
+
+    def drop(
+        self,
+        attempts: typing.Iterable[_scatter_round.Attempt],
+        took_ms: typing.Callable[[_scatter_round.Attempt], float | None],
+    ) -> None:
+        """End attempts and have them cancelled where they were sent."""
+        for attempt in attempts:
+            self.end(attempt, took_ms(attempt))
+            if attempt.dispatcher is not None:
+                self._drops.setdefault(attempt.dispatcher, []).append(
+                    attempt.item.attempt_id
+                )
+
+    def discard_unsent(self) -> None:
+        """Forget what :meth:`collect` has not given out yet."""
+        self._outbox.clear()
+
+    def collect(self) -> list[_scatter_types.Effect]:
+        """Return what is to be cancelled and sent now."""
+        effects: list[_scatter_types.Effect] = [
+            _scatter_types.DropAttempts(name, attempt_ids)
+            for name, attempt_ids in self._drops.items()
+        ]
+        effects += [
+            _scatter_types.SendAttempts(dispatcher, items, alone)
+            for (dispatcher, alone), items in self._outbox.items()
+        ]
+        self._drops = {}
+        self._outbox = {}
+        return effects
--- /dev/null
+++ b/samphiredock/coordination/_scatter_round.py
@@ -0,0 +1,126 @@
+"""What one search knows of its shards at one snapshot."""
+
+import dataclasses
+
+from samphiredock.coordination import _merge
+from samphiredock.coordination import _planner
+from samphiredock import protocol
+from samphiredock import state
+
+_RETRY_AFTER_MS = 1_000
+
+# The first of these that was seen says why a search was not run.
+_REASONS = (
+    (protocol.SubStatus.QUARANTINED, protocol.NotRunReason.QUARANTINED),
+    (protocol.SubStatus.SHED, protocol.NotRunReason.OVERLOADED),
+    (protocol.SubStatus.EXPIRED, protocol.NotRunReason.OVERLOADED),
+    (protocol.SubStatus.NO_IDLE_SLOT, protocol.NotRunReason.OVERLOADED),
+    (protocol.SubStatus.SNAPSHOT_GONE, protocol.NotRunReason.NO_SNAPSHOT),
+    (protocol.SubStatus.NOT_LOADED, protocol.NotRunReason.NO_SNAPSHOT),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One sub-query that has not ended."""
+
+    shard: 'ShardState'
+    item: protocol.SubQuery
+    dispatcher: str | None
+    sent_ms: float
+    alone: bool
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ShardState:
+    """One shard: what was tried and what was answered.
+
+    ``again`` are replicas that refused for a reason that passes; they may
+    be tried once more.  ``again_at_ms`` is when, 0 if no pause is on.
+    """
+
+    shard: state.Shard
+    tried: set[str] = dataclasses.field(default_factory=set)
+    again: set[str] = dataclasses.field(default_factory=set)
+    answers: list[protocol.SubAnswer] = dataclasses.field(default_factory=list)
+    ranges: list[protocol.KeyRange] = dataclasses.field(default_factory=list)
+    outstanding: int = 0
+    passes: int = 1
+    pause_ms: float = 0.0
+    again_at_ms: float = 0.0
+    hedged: bool = False
+    gone: bool = False
+    settled: bool = False
+
+
+class Round:
+    """The shards of one search at one snapshot, and their answers."""
+
+    def __init__(self, plan: _planner.Plan, snapshot: state.Snapshot) -> None:
+        self.plan = plan
+        self.snapshot = snapshot
+        index = snapshot.indexes[plan.search.index]
+        self.index_version = index.version
+        self.shards = [ShardState(shard) for shard in index.shards]
+        self.unsettled = len(self.shards)
+
+    def settle(self, shard: ShardState) -> None:
+        """Expect nothing more of this shard."""
+        if not shard.settled:
+            shard.settled = True
+            shard.again_at_ms = 0.0
+            self.unsettled -= 1
+
+    def covered(self) -> list[protocol.KeyRange]:
+        """Return the key ranges that the accepted answers searched."""
+        return _merge.union_of(
+            row for shard in self.shards for row in shard.ranges
+        )
+
+    def keys(self) -> int:
+        """Return how many places of the key space were searched."""
+        return _merge.covered_keys(self.covered())
+
+    def answer(self) -> protocol.Answered | protocol.Partial | None:
+        """Return the answer at this snapshot, None below the least."""
+        plan = self.plan
+        covered = self.covered()
+        answers = [row for shard in self.shards for row in shard.answers]
+        keys = _merge.covered_keys(covered)
+        if not answers or keys < needed_keys(plan.search.least_coverage):
+            return None
+        records = _merge.merge_records(answers, plan.search.merge, plan.limit)
+        snapshot_id = self.snapshot.snapshot_id
+        if keys == state.KEY_SPACE_SIZE:
+            return protocol.Answered(records, snapshot_id, 1.0)
+        missing = _merge.missing_ranges(covered)
+        return protocol.Partial(
+            records,
+            snapshot_id,
+            keys / state.KEY_SPACE_SIZE,
+            missing,
+            f'{len(missing)} key ranges gave no answer in time',
+        )
+
+
+def needed_keys(least_coverage: float) -> int:
+    """Return the least coverage as a count of keys, rounded up."""
+    keys = least_coverage * state.KEY_SPACE_SIZE
+    return int(keys) + (keys > int(keys))
+
+
+def refusal_of(
+    seen: dict[protocol.SubStatus, int], detail: str
+) -> protocol.NotRun:
+    """Return the refusal of a search that no target began.
+
+    ``seen`` holds, for each ending, the longest ``retry_after_ms`` given.
+    """
+    for status, reason in _REASONS:
+        if status in seen:
+            return protocol.NotRun(
+                reason, detail, seen[status] or _RETRY_AFTER_MS
+            )
+    return protocol.NotRun(
+        protocol.NotRunReason.NO_TARGET, detail, _RETRY_AFTER_MS
+    )
--- /dev/null
+++ b/samphiredock/coordination/_scatter_types.py
@@ -0,0 +1,97 @@
+"""What a scatter takes in and gives out."""
+
+import dataclasses
+import typing
+
+from samphiredock.coordination import _budget
+from samphiredock.coordination import _hedging
+from samphiredock.coordination import _replicas
+from samphiredock import protocol
+from samphiredock import state
+
+
+class Routes(typing.Protocol):
+    """Where attempts may go."""
+
+    def owner(self, target: str) -> str | None:
+        """The daemon that dispatches for a target."""
+
+    def is_usable(self, target: str) -> bool:
+        """Whether a target may get new work."""
+
+    @property
+    def snapshot(self) -> state.Snapshot | None:
+        """The newest snapshot known here."""
+
+
+class Suspicions(typing.Protocol):
+    """Where losses of targets are judged; see the quarantine."""
+
+    def note_lost(self, fingerprint: str, target: str, service: str) -> None:
+        """Count a target lost while it ran this content alone."""
+
+    def note_succeeded(self, fingerprint: str) -> None:
+        """The content ran and its target lives."""
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Whether the content is refused from now on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAttempts:
+    """Send these sub-queries to one dispatcher."""
+
+    dispatcher: str | None
+    items: list[protocol.SubQuery]
+    alone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropAttempts:
+    """Cancel these attempts at the dispatcher they were sent to."""
+
+    dispatcher: str
+    attempt_ids: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """Give the caller this outcome; nothing follows it."""
+
+    outcome: protocol.SearchOutcome
+
+
+Effect = SendAttempts | DropAttempts | Finish
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What one search did; added to the metrics once, at its end."""
+
+    sent: int = 0
+    needed: int = 0
+    retries: int = 0
+    retries_denied: int = 0
+    hedges_sent: int = 0
+    hedges_won: int = 0
+    hedges_denied: int = 0
+    search_restarts: int = 0
+    late_answers: int = 0
+    mismatched_answers: int = 0
+    wrong_snapshot_answers: int = 0
+    bad_answers: int = 0
+
+
+COUNTED = tuple(field.name for field in dataclasses.fields(Tally))
+"""The metrics that a search's tally is added to."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What the searches of one coordinator share."""
+
+    routes: Routes
+    replicas: _replicas.Replicas
+    latencies: _hedging.Latencies
+    budget: _budget.ExtraBudget
+    suspicions: Suspicions
--- /dev/null
+++ b/samphiredock/coordination/_suspects.py
@@ -0,0 +1,170 @@
+"""The judgement on contents that ran while a target was lost.
+
+A pure object: losses and successes go in, verdicts come out.
+"""
+
+import dataclasses
+
+from samphiredock import protocol
+
+QUARANTINE_MS = 600_000
+TRIAL_MS = 1_000.0
+
+_SUSPICION_MS = 600_000.0
+_SAME_CRASH_MS = 2_000.0
+_LOSSES = 2
+_CASES = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Loss:
+    """A target lost; ``sure`` unless another content ran there too."""
+
+    at_ms: float
+    sure: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Case:
+    """What is known against one content.
+
+    ``is_final`` marks a verdict that was published: it is not withdrawn.
+    """
+
+    fingerprint: str
+    service: str = ''
+    losses: dict[str, _Loss] = dataclasses.field(default_factory=dict)
+    seen_ms: float = 0.0
+    trial_until_ms: float = 0.0
+    entry: protocol.QuarantineEntry | None = None
+    is_final: bool = False
+
+    def is_convicted(self) -> bool:
+        """Whether two targets were lost, at least one beyond doubt."""
+        return len(self.losses) >= _LOSSES and any(
+            loss.sure for loss in self.losses.values()
+        )
+
+
+class Suspects:
+    """Cases by content.
+
+    One crash can take two contents that each ran alone in an exchange, in
+    two slots of the target.  Such a loss is unsure for both: it makes them
+    suspects, and only a further loss, beside nobody, convicts.  The
+    innocent one is cleared by its next run.
+    """
+
+    def __init__(self, quarantine_ms: int = QUARANTINE_MS) -> None:
+        self._quarantine_ms = quarantine_ms
+        self._cases: dict[str, Case] = {}
+        self._losses_at: dict[str, list[tuple[float, str]]] = {}
+
+    def get(self, fingerprint: str, now_ms: float) -> Case | None:
+        """Return the case against a content, unless it has lapsed."""
+        case = self._cases.get(fingerprint)
+        if case is None:
+            return None
+        if case.entry is None and now_ms - case.seen_ms > _SUSPICION_MS:
+            del self._cases[fingerprint]
+            return None
+        return case
+
+    def entry_of(
+        self, fingerprint: str, now_ms: float, wall_ms: int
+    ) -> protocol.QuarantineEntry | None:
+        """Return the quarantine in force against a content."""
+        case = self.get(fingerprint, now_ms)
+        if case is None or case.entry is None:
+            return None
+        if case.entry.until_ms <= wall_ms:
+            del self._cases[fingerprint]
+            return None
+        return case.entry
+
+    def entries(self, wall_ms: int) -> list[protocol.QuarantineEntry]:
+        """Return the quarantines in force."""
+        return [
+            case.entry
+            for case in self._cases.values()
+            if case.entry is not None and case.entry.until_ms > wall_ms
+        ]
+
+    def note_lost(
+        self,
+        fingerprint: str,
+        service: str,
+        target: str,
+        now_ms: float,
+        wall_ms: int,
+    ) -> Case:
+        """Count a target lost under a content that ran alone."""
+        case = self._case(fingerprint)
+        case.service = service or case.service
+        case.seen_ms = now_ms
+        if target not in case.losses:
+            case.losses[target] = _Loss(now_ms, True)
+            self._match(fingerprint, target, now_ms, wall_ms)
+        self._judge(case, wall_ms)
+        return case
+
+    def clear(self, fingerprint: str) -> None:
+        """Forget a content."""
+        self._cases.pop(fingerprint, None)
+
+    def put_entry(
+        self, entry: protocol.QuarantineEntry, now_ms: float
+    ) -> None:
+        """Take over a verdict from the store or another daemon."""
+        case = self._case(entry.fingerprint)
+        case.seen_ms = now_ms
+        case.entry = entry
+        case.is_final = True
+
+    def _case(self, fingerprint: str) -> Case:
+        case = self._cases.get(fingerprint)
+        if case is None:
+            if len(self._cases) >= _CASES:
+                self._evict()
+            case = self._cases[fingerprint] = Case(fingerprint)
+        return case
+
+    def _evict(self) -> None:
+        """Make room; a suspect goes before a convicted content."""
+        oldest = min(
+            self._cases.values(),
+            key=lambda case: (case.entry is not None, case.seen_ms),
+        )
+        del self._cases[oldest.fingerprint]
+
+    def _match(
+        self, fingerprint: str, target: str, now_ms: float, wall_ms: int
+    ) -> None:
+        """Mark losses unsure that one crash of the target explains."""
+        recent = [
+            row
+            for row in self._losses_at.get(target, ())
+            if now_ms - row[0] < _SAME_CRASH_MS
+        ]
+        others = [name for _, name in recent if name != fingerprint]
+        self._losses_at[target] = [*recent, (now_ms, fingerprint)]
+        for name in [*others, fingerprint] if others else []:
+            case = self._cases.get(name)
+            if case is not None and target in case.losses:
+                case.losses[target].sure = False
+                self._judge(case, wall_ms)
+
+    def _judge(self, case: Case, wall_ms: int) -> None:
+        if not case.is_convicted():
+            # A verdict of moments ago may rest on a loss now in doubt.
+            if not case.is_final:
+                case.entry = None
+            return
+        if case.entry is None:
+            case.entry = protocol.QuarantineEntry(
+                case.fingerprint,
+                case.service,
+                sorted(case.losses),
+                wall_ms,
+                wall_ms + self._quarantine_ms,
+            )
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -1,6 +1,7 @@
 """One daemon: its parts, wired together."""
 
 import pathlib
+import random
 import ssl
 import typing
 
@@ -21,6 +22,9 @@
     protocol.CancelAttempts,
     protocol.RunOrder,
     protocol.RunReport,
+    protocol.SuspectNotice,
+    protocol.QuarantineNotice,
+    protocol.ClearedNotice,
     coordination.Heartbeat,
 )
 """The closed table of messages between daemons."""
@@ -74,6 +78,18 @@
             self._hub, self._clock, self._metrics
         )
         self._knowledge.subscribe(self._dispatcher.configure)
+        self._snapshots = coordination.SnapshotDoor(self._metrics)
+        self._admission = coordination.Admission(self._clock)
+        self._quarantine = coordination.Quarantine(
+            self._hub,
+            self._membership,
+            self._platform,
+            self._clock,
+            self._metrics,
+        )
+        self._watcher.follow(
+            coordination.QUARANTINE_PREFIX, self._quarantine.on_stored
+        )
         self._coordinator = coordination.Coordinator(
             settings.name,
             settings.site,
@@ -82,6 +98,9 @@
             self._hub,
             self._clock,
             self._metrics,
+            self._quarantine,
+            self._admission,
+            random.Random(f'{settings.name}-{incarnation}'),
         )
         self._runner = coordination.Runner(
             settings.name,
@@ -106,7 +125,9 @@
     @property
     def snapshot(self) -> state.Snapshot | None:
         """The newest snapshot known here."""
-        return self._knowledge.snapshot
+        return self._snapshots.current(
+            self._knowledge.snapshot, self._knowledge.configuration
+        )
 
     def owner(self, target: str) -> str | None:
         """The daemon that dispatches for a target."""
@@ -136,7 +157,17 @@
         self, request: protocol.RunRequest, idempotency_key: str
     ) -> protocol.RunOutcome:
         """Run one unrepeatable request."""
-        return await self._runner.run(request, idempotency_key)
+        configuration = self.configuration
+        refusal = configuration and self._admission.admit_run(
+            request, configuration
+        )
+        if refusal:
+            return refusal
+        try:
+            return await self._runner.run(request, idempotency_key)
+        finally:
+            if configuration:
+                self._admission.ended(request.service)
 
     def is_ready(self) -> bool:
         """Whether the balancer should send requests here."""
@@ -200,6 +231,7 @@
             await runner.cleanup()
         self._watcher.close()
         self._membership.close()
+        self._quarantine.close()
         await self._dispatcher.close()
         self._hub.close()
         await self._session.close()
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -22,6 +22,10 @@
 from samphiredock.protocol._outcomes import RunOutcome
 from samphiredock.protocol._outcomes import SearchOutcome
 from samphiredock.protocol._outcomes import Unknown
+from samphiredock.protocol._quarantine import ClearedNotice
+from samphiredock.protocol._quarantine import QuarantineNotice
+from samphiredock.protocol._quarantine import StoredQuarantine
+from samphiredock.protocol._quarantine import SuspectNotice
 from samphiredock.protocol._queries import CancelAttempts
 from samphiredock.protocol._queries import NEVER_STARTED
 from samphiredock.protocol._queries import RunOrder
@@ -54,6 +58,7 @@
     'ChangeSummary',
     'ChangeUnavailable',
     'ChangeUnknown',
+    'ClearedNotice',
     'Codec',
     'CodecError',
     'Completed',
@@ -65,6 +70,7 @@
     'Outcome',
     'Partial',
     'QuarantineEntry',
+    'QuarantineNotice',
     'Record',
     'RunOrder',
     'RunOutcome',
@@ -72,11 +78,13 @@
     'RunRequest',
     'SearchOutcome',
     'SearchRequest',
+    'StoredQuarantine',
     'SubAnswer',
     'SubAnswerBatch',
     'SubQuery',
     'SubQueryBatch',
     'SubStatus',
+    'SuspectNotice',
     'TargetAnswer',
     'TargetBatch',
     'TargetBatchAnswer',
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -16,6 +16,7 @@
 from samphiredock.state._settings import Problem
 from samphiredock.state._settings import Settings
 from samphiredock.state._settings import TlsSettings
+from samphiredock.state._snapshots import check_snapshot
 from samphiredock.state._snapshots import IndexSnapshot
 from samphiredock.state._snapshots import KEY_SPACE_SIZE
 from samphiredock.state._snapshots import Shard
@@ -40,6 +41,7 @@
     'Snapshot',
     'Target',
     'TlsSettings',
+    'check_snapshot',
     'compile_source',
     'load_settings',
 ]
--- a/samphiredock/state/_snapshots.py
+++ b/samphiredock/state/_snapshots.py
@@ -1,5 +1,7 @@
 """The published snapshot: one version and shard map for every index."""
 
+import typing
+
 import msgspec
 
 from samphiredock.protocol import _outcomes
@@ -32,3 +34,58 @@
 
     snapshot_id: int
     indexes: dict[str, IndexSnapshot]
+
+
+def check_snapshot(
+    snapshot: Snapshot, targets: typing.Container[str]
+) -> list[str]:
+    """Return what is wrong with a published snapshot, empty if sound.
+
+    A gap between shards would be a hole in every answer, an overlap would
+    count keys twice, and a shard without known replicas cannot be read.
+    """
+    problems = []
+    if not snapshot.indexes:
+        problems.append('got no indexes, expected one or more')
+    for name, index in snapshot.indexes.items():
+        problems += _check_ranges(name, index)
+        for shard in index.shards:
+            problems += _check_replicas(name, shard, targets)
+    return problems
+
+
+def _check_ranges(name: str, index: IndexSnapshot) -> list[str]:
+    problems = []
+    identifiers = {shard.shard_id for shard in index.shards}
+    if len(identifiers) != len(index.shards):
+        problems.append(f'{name}: got a shard id twice, expected it once')
+    position = 0
+    rows = sorted(index.shards, key=lambda shard: shard.key_range.low)
+    for shard in rows:
+        low, high = shard.key_range.low, shard.key_range.high
+        if low != position or high <= low:
+            problems.append(
+                f'{name}/{shard.shard_id}: got range {low} to {high}, '
+                f'expected one that begins at {position}'
+            )
+        position = max(position, high)
+    if position != KEY_SPACE_SIZE:
+        problems.append(
+            f'{name}: got shards up to {position}, expected {KEY_SPACE_SIZE}'
+        )
+    return problems
+
+
+def _check_replicas(
+    name: str, shard: Shard, targets: typing.Container[str]
+) -> list[str]:
+    where = f'{name}/{shard.shard_id}'
+    if not shard.replicas:
+        return [f'{where}: got no replicas, expected one or more']
+    if len(set(shard.replicas)) != len(shard.replicas):
+        return [f'{where}: got a replica twice, expected it once']
+    return [
+        f'{where}: got target {target!r}, expected a configured one'
+        for target in shard.replicas
+        if target not in targets
+    ]
