--- /dev/null
+++ b/benchmarks/scatter_cost.py
@@ -0,0 +1,162 @@
+"""Processor time of a search's decisions, without sockets or records.
+
+Run as ``python -m benchmarks.scatter_cost``.  Each query is planned over
+55 shards with two replicas at 12 dispatchers; the answers come back in one
+message a dispatcher.  The time covers the scatter's decisions, the checks
+of the answers and the merge of coverage; records are left out.
+"""
+
+import json
+import random
+import statistics
+import time
+
+import click
+
+from samphiredock import coordination
+from samphiredock import protocol
+from samphiredock import state
+
+_SHARDS = 55
+_DISPATCHERS = 12
+_TARGETS = 110
+
+
+class _Routes:
+    """Fixed owners; every target is usable."""
+
+    def __init__(self, snapshot: state.Snapshot) -> None:
+        self.snapshot = snapshot
+        self._owners = {
+            f't{number}': f'd{number % _DISPATCHERS}'
+            for number in range(_TARGETS)
+        }
+
+    def owner(self, target: str) -> str | None:
+        """Return the dispatcher of a target."""
+        return self._owners[target]
+
+    def is_usable(self, target: str) -> bool:
+        """Whether a target may get new work."""
+        return target in self._owners
+
+
+class _NoSuspicions:
+    """Nothing crashes here."""
+
+    def note_lost(self, fingerprint: str, target: str, service: str) -> None:
+        """Ignore."""
+
+    def note_succeeded(self, fingerprint: str) -> None:
+        """Ignore."""
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return that nothing is refused."""
+        return False
+
+
+def _snapshot() -> state.Snapshot:
+    edges = [
+        state.KEY_SPACE_SIZE * number // _SHARDS
+        for number in range(_SHARDS + 1)
+    ]
+    shards = [
+        state.Shard(
+            f's{number}',
+            protocol.KeyRange(edges[number], edges[number + 1]),
+            [f't{number}', f't{number + _SHARDS}'],
+        )
+        for number in range(_SHARDS)
+    ]
+    return state.Snapshot(7, {'claims': state.IndexSnapshot(7, shards)})
+
+
+def _plan(snapshot: state.Snapshot, number: int) -> coordination.Plan:
+    search = state.Search(
+        'history',
+        'claims',
+        160,
+        0.9,
+        'interactive',
+        False,
+        state.MergeKind.BY_SCORE,
+        50,
+    )
+    return coordination.Plan(
+        f'q{number}', 'desk', 'site', search, {}, 50, 'f', snapshot, 1e12
+    )
+
+
+def _answers(
+    send: coordination.SendAttempts,
+    ranges: dict[str, protocol.KeyRange],
+) -> list[protocol.SubAnswer]:
+    return [
+        protocol.SubAnswer(
+            item.attempt_id,
+            item.target,
+            protocol.SubStatus.ANSWERED,
+            item.snapshot_id,
+            [ranges[item.shard_id]],
+            service_ms=3.0,
+            waited_ms=0.5,
+        )
+        for item in send.items
+    ]
+
+
+def measure(queries: int, seed: int) -> float:
+    """Return the microseconds of processor time a sub-query."""
+    snapshot = _snapshot()
+    shards = snapshot.indexes['claims'].shards
+    ranges = {shard.shard_id: shard.key_range for shard in shards}
+    routes = _Routes(snapshot)
+    tools = coordination.Tools(
+        routes,
+        coordination.Replicas(random.Random(seed), lambda target: True),
+        coordination.Latencies(),
+        coordination.ExtraBudget(),
+        _NoSuspicions(),
+    )
+    limits = state.Limits()
+    spent_ns = 0
+    for number in range(queries):
+        plan = _plan(snapshot, number)
+        began_ns = time.process_time_ns()
+        scatter = coordination.Scatter(plan, tools, limits)
+        sends = scatter.start(0.0)
+        spent_ns += time.process_time_ns() - began_ns
+        for send in sends:
+            # Making the answers is the dispatchers' cost, not counted.
+            answers = _answers(send, ranges)
+            began_ns = time.process_time_ns()
+            effects = scatter.on_answers(answers, 4.0)
+            scatter.next_due_ms()
+            spent_ns += time.process_time_ns() - began_ns
+        (finish,) = effects
+        if not isinstance(finish.outcome, protocol.Answered):
+            raise AssertionError(f'got {finish.outcome}, expected Answered')
+    return spent_ns / 1000.0 / queries / _SHARDS
+
+
+@click.command()
+@click.option('--queries', default=400, help='Queries in each round.')
+@click.option('--rounds', default=5, help='Rounds; the median is given.')
+@click.option('--seed', default=1)
+def main(queries: int, rounds: int, seed: int) -> None:
+    """Print microseconds of processor time a sub-query, as JSON."""
+    rows = [measure(queries, seed + number) for number in range(rounds)]
+    print(
+        json.dumps(
+            {
+                'shards': _SHARDS,
+                'queries': queries,
+                'us_per_sub_query': [round(row, 2) for row in rows],
+                'median_us': round(statistics.median(rows), 2),
+            }
+        )
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -6,9 +6,9 @@
 import math
 import typing
 
-from samphiredock.coordination import _merge
 from samphiredock.coordination import _planner
 from samphiredock.coordination import _scatter_attempts
+from samphiredock.coordination import _scatter_judge
 from samphiredock.coordination import _scatter_round
 from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
@@ -27,11 +27,7 @@
 _SUSPECT_PAUSE_MS = 20.0
 
 _Status = protocol.SubStatus
-
-# Refusals of the moment: the same replica may be asked once more.
-_PASSING = frozenset(
-    {_Status.SHED, _Status.NOT_LOADED, _Status.NOT_OWNER, _Status.UNREACHABLE}
-)
+_Verdict = _scatter_judge.Verdict
 
 
 class Scatter:
@@ -201,84 +197,60 @@
         answer: protocol.SubAnswer,
         now_ms: float,
     ) -> None:
+        shard = attempt.shard
         status = answer.status
         self._tools.latencies.note(
             self._index, status, answer.waited_ms, answer.service_ms
         )
         if status is _Status.ANSWERED:
-            took_ms = now_ms - attempt.sent_ms
-            self._attempts.end(attempt, took_ms)
-            self._tools.latencies.observe(self._index, took_ms)
-            self._began = True
-            self._take_content(attempt, answer, now_ms)
-            return
-        self._attempts.end(attempt, None)
-        self._seen[status] = max(
-            self._seen.get(status, 0), answer.retry_after_ms
-        )
-        if status in protocol.NEVER_STARTED:
-            self._take_refusal(attempt, answer, now_ms)
-            return
-        self._began = True
-        if answer.target_lost:
-            self._take_loss(attempt.shard, answer, now_ms)
+            self._tools.latencies.observe(
+                self._index, now_ms - attempt.sent_ms
+            )
         else:
-            self._retry(attempt.shard, True, now_ms)
-
-    def _take_content(
-        self,
-        attempt: _scatter_round.Attempt,
-        answer: protocol.SubAnswer,
-        now_ms: float,
-    ) -> None:
-        shard = attempt.shard
-        if attempt.alone:
+            self._seen[status] = max(
+                self._seen.get(status, 0), answer.retry_after_ms
+            )
+        verdict = _scatter_judge.judge(
+            answer, shard, self._round.snapshot.snapshot_id
+        )
+        # A quick empty answer is no sign of a quick replica.
+        useful = verdict is _Verdict.WHOLE
+        self._attempts.end(
+            attempt, now_ms - attempt.sent_ms if useful else None
+        )
+        if status not in protocol.NEVER_STARTED:
+            self._began = True
+        elif attempt.item.hedge:
+            self._tools.budget.refund()
+        if attempt.alone and status is _Status.ANSWERED:
             self._note_success(now_ms)
-        if answer.snapshot_id != self._round.snapshot.snapshot_id:
-            # Merging it would mix two versions of the index in one answer.
-            self.tally.wrong_snapshot_answers += 1
-            shard.gone = True
-            self._retry(shard, True, now_ms)
-            return
-        asked = shard.shard.key_range
-        if not _merge.is_within(answer.ranges, asked):
-            self.tally.bad_answers += 1
-            self._retry(shard, True, now_ms)
-            return
-        if not answer.ranges:
-            # A target that has not loaded its shard finds nothing in it.
-            self._seen.setdefault(_Status.NOT_LOADED, 0)
-            self._retry(shard, True, now_ms)
-            return
-        shard.answers.append(answer)
-        if not answer.truncated:
-            shard.ranges.extend(answer.ranges)
-        if not _merge.covers(shard.ranges, asked):
-            self._retry(shard, True, now_ms)
-            return
-        self.tally.hedges_won += attempt.item.hedge
-        self._settle(shard, now_ms)
+        if verdict is _Verdict.WHOLE:
+            self.tally.hedges_won += attempt.item.hedge
+            self._settle(shard, now_ms)
+        elif verdict is _Verdict.QUARANTINED:
+            self._finish()
+        elif verdict is _Verdict.LOST:
+            self._take_loss(shard, answer, now_ms)
+        else:
+            self._take_failure(shard, verdict, answer, now_ms)
 
-    def _take_refusal(
+    def _take_failure(
         self,
-        attempt: _scatter_round.Attempt,
+        shard: _scatter_round.ShardState,
+        verdict: _scatter_judge.Verdict,
         answer: protocol.SubAnswer,
         now_ms: float,
     ) -> None:
-        shard = attempt.shard
-        if answer.status is _Status.QUARANTINED:
-            self._finish()
-            return
-        if attempt.item.hedge:
-            self._tools.budget.refund()
-        if answer.status is _Status.SNAPSHOT_GONE:
-            shard.gone = True
-        elif answer.status is _Status.NO_IDLE_SLOT:
+        rule = _scatter_judge.RETRY_RULES[verdict]
+        shard.gone = shard.gone or rule.gone
+        if rule.unasked:
             shard.tried.discard(answer.target)
-        elif answer.status in _PASSING:
+        if rule.again:
             shard.again.add(answer.target)
             shard.pause_ms = max(shard.pause_ms, answer.retry_after_ms)
-        self._retry(shard, False, now_ms)
+        if rule.counter:
+            self.tally.count(rule.counter)
+        self._retry(shard, rule.costly, now_ms)
 
     def _take_loss(
         self,
--- a/samphiredock/coordination/_scatter_types.py
+++ b/samphiredock/coordination/_scatter_types.py
@@ -79,8 +79,13 @@
     late_answers: int = 0
     mismatched_answers: int = 0
     wrong_snapshot_answers: int = 0
+    empty_answers: int = 0
     bad_answers: int = 0
 
+    def count(self, name: str) -> None:
+        """Add one to a field."""
+        setattr(self, name, getattr(self, name) + 1)
+
 
 COUNTED = tuple(field.name for field in dataclasses.fields(Tally))
 """The metrics that a search's tally is added to."""
--- /dev/null
+++ b/tests/failure/test_one_snapshot.py
@@ -0,0 +1,138 @@
+"""Every answer comes from one snapshot of the indexes."""
+
+import unittest
+
+from samphiredock import coordination
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from tests import scripted
+
+Status = protocol.SubStatus
+
+
+class OneSnapshotTest(unittest.TestCase):
+    """A snapshot changes while a search is out."""
+
+    def test_answer_at_another_snapshot_is_not_merged(self) -> None:
+        """The caller gets records of the planned snapshot only.
+
+        A hedge or retry lands on a replica that is one version ahead; its
+        answer is refused and counted, and the other replica is asked.
+        """
+        desk = scripted.Desk()
+        first = next(iter(desk.waiting.values()))
+        ahead = desk.good(
+            first, snapshot_id=2, records=[protocol.Record('new', 9.0, {})]
+        )
+        (again,) = desk.give(ahead)
+        self.assertNotEqual(first.target, again.target)
+        desk.give_rest()
+        self.assertIsInstance(desk.outcome, protocol.Answered)
+        self.assertEqual(1, desk.outcome.snapshot_id)
+        self.assertNotIn('new', [row.key for row in desk.outcome.records])
+        self.assertEqual(1, desk.scatter.tally.wrong_snapshot_answers)
+
+    def test_gone_everywhere_restarts_whole_on_the_newer(self) -> None:
+        """The caller gets a whole answer, all of it at the newer snapshot.
+
+        Three shards have answered at the old one when both replicas of the
+        fourth say that it is gone.  The newer one is learned during the
+        wait; every shard is asked again, and the old answers are not used.
+        """
+        desk = scripted.Desk()
+        first, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        (second,) = desk.give(desk.failed(first, Status.SNAPSHOT_GONE))
+        desk.give(desk.failed(second, Status.SNAPSHOT_GONE))
+        self.assertIsNone(desk.outcome)
+        desk.snapshot = scripted.make_snapshot(2, 6)
+        again = desk.tick(10.0)
+        self.assertEqual(6, len(again))
+        self.assertEqual({2}, {row.snapshot_id for row in again})
+        self.assertEqual(6, len({row.shard_id for row in again}))
+        desk.give_rest()
+        self.assertIsInstance(desk.outcome, protocol.Answered)
+        self.assertEqual(2, desk.outcome.snapshot_id)
+
+    def test_no_newer_snapshot_gives_the_old_answer_in_time(self) -> None:
+        """The caller gets a truthful partial answer, not a late one.
+
+        One shard is gone at both replicas and the store is down, so no
+        newer snapshot is learned; half of the budget is spent waiting.
+        """
+        desk = scripted.Desk()
+        first, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        (second,) = desk.give(desk.failed(first, Status.SNAPSHOT_GONE))
+        desk.give(desk.failed(second, Status.SNAPSHOT_GONE))
+        desk.tick(79.0)
+        self.assertIsNone(desk.outcome)
+        desk.tick(2.0)
+        self.assertIsInstance(desk.outcome, protocol.Partial)
+        self.assertEqual(1, desk.outcome.snapshot_id)
+        self.assertEqual(0.75, desk.outcome.coverage)
+
+    def test_restarts_are_bounded(self) -> None:
+        """A search that never finds its snapshot ends, and says not run.
+
+        Each snapshot is gone by the time its sub-queries arrive, and a
+        newer one is always known.
+        """
+        desk = scripted.Desk()
+        sent = 0
+        while desk.outcome is None:
+            newer = desk.scatter.tally.search_restarts + 2
+            desk.snapshot = scripted.make_snapshot(newer)
+            rows = list(desk.waiting.values())
+            sent += len(rows)
+            desk.give(*[desk.failed(r, Status.SNAPSHOT_GONE) for r in rows])
+        self.assertEqual(2, desk.scatter.tally.search_restarts)
+        self.assertLessEqual(sent, 3 * 4 * 2)
+        self.assertIsInstance(desk.outcome, protocol.NotRun)
+        self.assertIs(protocol.NotRunReason.NO_SNAPSHOT, desk.outcome.reason)
+
+    def test_malformed_snapshot_leaves_the_older_in_force(self) -> None:
+        """Callers go on with the older snapshot while a new one is broken.
+
+        A publisher writes a snapshot with a gap, an overlap, a shard
+        without replicas, or one at an unknown target; it is counted.  The
+        last is taken once the configuration names the target.
+        """
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        door = coordination.SnapshotDoor(counters)
+        configuration = scripted.make_configuration(scripted.make_search())
+        old = scripted.make_snapshot(1)
+        self.assertIs(old, door.current(old, configuration))
+        shards = scripted.make_snapshot(2).indexes[scripted.INDEX].shards
+        first, second, *rest = shards
+        low = second.key_range.low
+        broken = {
+            'gap': [first, *rest],
+            'overlap': [
+                first,
+                _changed(second, key_range=protocol.KeyRange(low - 1, low)),
+                second,
+                *rest,
+            ],
+            'none': [_changed(first, replicas=[]), second, *rest],
+            'unknown': [_changed(first, replicas=['t99']), second, *rest],
+        }
+        for name, rows in broken.items():
+            index = {scripted.INDEX: state.IndexSnapshot(2, rows)}
+            offered = state.Snapshot(2, index)
+            with self.subTest(name):
+                self.assertIs(old, door.current(offered, configuration))
+        self.assertEqual(4, counters.total('snapshots_refused'))
+        wider = scripted.make_configuration(scripted.make_search(), 100)
+        self.assertIs(offered, door.current(offered, wider))
+
+
+def _changed(shard: state.Shard, **changes: object) -> state.Shard:
+    values = {
+        'shard_id': shard.shard_id,
+        'key_range': shard.key_range,
+        'replicas': shard.replicas,
+    }
+    return state.Shard(**{**values, **changes})
