--- /dev/null
+++ b/tests/failure/test_hedging.py
@@ -0,0 +1,134 @@
+"""Stragglers do not set the latency, and hedges do not add to overload."""
+
+import unittest
+
+from samphiredock import coordination
+from samphiredock import protocol
+from tests import scripted
+
+Status = protocol.SubStatus
+
+
+def _trained_desk() -> scripted.Desk:
+    """Return a desk whose index answers in 5 ms, in 9 of 10 cases."""
+    desk = scripted.Desk()
+    for number in range(200):
+        desk.tools.latencies.observe(
+            scripted.INDEX, 20.0 if number % 20 == 0 else 5.0
+        )
+    desk.begin()
+    return desk
+
+
+class HedgingTest(unittest.TestCase):
+    """One of four shards is late."""
+
+    def setUp(self) -> None:
+        """Answer three of four shards in 5 ms."""
+        self.desk = _trained_desk()
+        self.late, *others = self.desk.waiting.values()
+        self.desk.now_ms = 5.0
+        self.desk.give(*[self.desk.good(row) for row in others])
+
+    def test_one_hedge_elsewhere_and_the_loser_is_cancelled(self) -> None:
+        """The caller has the whole answer 4 ms after the hedge.
+
+        The hedge goes to the other replica, marked so that it only takes an
+        idle slot; the first attempt is cancelled where it was sent.
+        """
+        hedges = self.desk.tick(100.0)
+        self.assertEqual(1, len(hedges))
+        (hedge,) = hedges
+        self.assertTrue(hedge.hedge)
+        self.assertEqual(self.late.shard_id, hedge.shard_id)
+        self.assertNotEqual(self.late.target, hedge.target)
+        self.desk.give(self.desk.good(hedge))
+        self.assertIsInstance(self.desk.outcome, protocol.Answered)
+        (drop,) = self.desk.drops
+        self.assertEqual(self.desk.owner(self.late.target), drop.dispatcher)
+        self.assertEqual([self.late.attempt_id], drop.attempt_ids)
+        tally = self.desk.scatter.tally
+        self.assertEqual((1, 1), (tally.hedges_sent, tally.hedges_won))
+
+    def test_refused_hedge_leaves_the_first_attempt(self) -> None:
+        """No idle slot: nothing is lost but the hedge, nor paid for it."""
+        (hedge,) = self.desk.tick(100.0)
+        tokens = self.desk.tools.budget.tokens
+        self.desk.give(self.desk.failed(hedge, Status.NO_IDLE_SLOT))
+        self.assertEqual(tokens + 1.0, self.desk.tools.budget.tokens)
+        self.desk.give(self.desk.good(self.late))
+        self.assertIsInstance(self.desk.outcome, protocol.Answered)
+
+    def test_no_hedge_while_overloaded(self) -> None:
+        """With targets shedding, late shards wait: a hedge is more load."""
+        for _ in range(30):
+            self.desk.tools.latencies.note(
+                scripted.INDEX, Status.SHED, 0.0, 0.0
+            )
+        self.assertEqual([], self.desk.tick(100.0))
+
+    def test_queues_are_a_sign_of_overload_and_pass(self) -> None:
+        """Long waits stop hedges, quick answers bring them back."""
+        latencies = self.desk.tools.latencies
+        for _ in range(30):
+            latencies.note(scripted.INDEX, Status.ANSWERED, 60.0, 5.0)
+        self.assertTrue(latencies.is_overloaded(scripted.INDEX))
+        for _ in range(200):
+            latencies.note(scripted.INDEX, Status.ANSWERED, 0.1, 5.0)
+        self.assertFalse(latencies.is_overloaded(scripted.INDEX))
+
+    def test_no_hedge_beyond_the_budget(self) -> None:
+        """A slow replica set cannot draw more than the budget's share."""
+        while self.desk.tools.budget.spend_hedge():
+            pass
+        self.assertEqual([], self.desk.tick(100.0))
+        self.assertEqual(1, self.desk.scatter.tally.hedges_denied)
+
+    def test_cancelled_losers_keep_the_quantile_up(self) -> None:
+        """The delay does not creep down when the slow tenth is cancelled.
+
+        Left out, the losers would leave only quick samples, the delay would
+        fall, and more would be hedged each time.
+        """
+        before = self.desk.tools.latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+        for _ in range(100):
+            self.desk.begin()
+            late, *others = self.desk.waiting.values()
+            self.desk.now_ms += 5.0
+            self.desk.give(*[self.desk.good(row) for row in others])
+            for hedge in self.desk.tick(30.0):
+                self.desk.give(self.desk.good(hedge))
+            if self.desk.outcome is None:
+                self.desk.give(self.desk.good(late))
+        after = self.desk.tools.latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+        self.assertGreaterEqual(after, before)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Hedges and retries draw from one bucket."""
+
+    def test_extra_load_is_bounded_when_everything_breaks(self) -> None:
+        """A fault that breaks every attempt does not double the load.
+
+        400 searches of four shards, each attempt broken: beyond the burst
+        no more than the share of retries is sent.
+        """
+        desk = scripted.Desk()
+        sent = needed = 0
+        for _ in range(400):
+            desk.begin()
+            while desk.outcome is None:
+                rows = list(desk.waiting.values())
+                desk.give(*[desk.failed(r, Status.BROKEN) for r in rows])
+            sent += desk.scatter.tally.sent
+            needed += desk.scatter.tally.needed
+        share = desk.limits.hedge_budget
+        self.assertLessEqual(sent - needed, 20 + share * needed + 1)
+        self.assertGreater(sent, needed)
+
+    def test_hedges_leave_a_reserve_for_retries(self) -> None:
+        """A lost key range costs more than a late one."""
+        budget = coordination.ExtraBudget()
+        while budget.spend_hedge():
+            pass
+        self.assertTrue(budget.spend_retry())
--- /dev/null
+++ b/tests/failure/test_truthful_coverage.py
@@ -0,0 +1,174 @@
+"""The coverage an answer reports is the coverage it truly had."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from samphiredock import protocol
+from samphiredock import state
+from tests import scripted
+
+Status = protocol.SubStatus
+
+
+class TruthfulCoverageTest(unittest.TestCase):
+    """Targets answer less than they were asked, or claim more."""
+
+    def test_a_gap_of_one_key_is_not_rounded_away(self) -> None:
+        """The caller of a search with one key unread is told so.
+
+        2**32 - 1 of 2**32 keys is 0.9999999998, which a float of fewer
+        digits, or a rounding for display, would show as whole.
+        """
+        desk = scripted.Desk()
+        first, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        whole = desk.good(first).ranges[0]
+        short = [protocol.KeyRange(whole.low, whole.high - 1)]
+        (again,) = desk.give(desk.good(first, ranges=short))
+        desk.give(desk.good(again, ranges=short))
+        self.assertIsInstance(desk.outcome, protocol.Partial)
+        self.assertLess(desk.outcome.coverage, 1.0)
+        self.assertEqual(
+            [protocol.KeyRange(whole.high - 1, whole.high)],
+            desk.outcome.missing,
+        )
+
+    def test_a_wider_claim_is_not_believed(self) -> None:
+        """A target's false claim does not hide a shard that did not answer.
+
+        One target says it searched the whole key space, another shard's
+        targets are down; only what the sound answers read is covered.
+        """
+        desk = scripted.Desk()
+        first, second, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        everything = [protocol.KeyRange(0, state.KEY_SPACE_SIZE)]
+        (again,) = desk.give(desk.good(first, ranges=everything))
+        desk.give(desk.good(again))
+        (other,) = desk.give(desk.failed(second, Status.BROKEN))
+        desk.give(desk.failed(other, Status.BROKEN))
+        self.assertIsInstance(desk.outcome, protocol.Partial)
+        self.assertEqual(0.75, desk.outcome.coverage)
+        self.assertEqual(1, desk.scatter.tally.bad_answers)
+
+    def test_an_empty_answer_of_a_cold_target_is_asked_elsewhere(self) -> None:
+        """The caller gets the record that the cold target did not have.
+
+        A target that has not loaded its shard answers well-formed, without
+        records and without ranges; its replica has both.
+        """
+        desk = scripted.Desk()
+        first, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        (again,) = desk.give(desk.good(first, ranges=[], records=[]))
+        desk.give(desk.good(again))
+        self.assertIsInstance(desk.outcome, protocol.Answered)
+        self.assertEqual(4, len(desk.outcome.records))
+
+    def test_below_the_least_coverage_there_is_no_answer(self) -> None:
+        """A service that needs 90 % gets no answer at 75 %."""
+        search = scripted.make_search(least_coverage=0.9)
+        desk = scripted.Desk(search=search)
+        first, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        desk.tick(200.0)
+        self.assertIsInstance(desk.outcome, protocol.Unknown)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        strategies.integers(0, 2**32), strategies.sampled_from((0.0, 0.5))
+    )
+    def test_any_mix_of_faults(self, seed: int, least: float) -> None:
+        """Coverage is what an independent count of the targets' work gives.
+
+        Answers come in random order, twice, truncated, in parts, empty, at
+        the wrong snapshot, too wide, crossed or not at all, until the
+        deadline; the fakes note what each truly searched and delivered.
+        """
+        rng = random.Random(seed)
+        desk = scripted.Desk(
+            snapshot=scripted.make_snapshot(1, rng.randint(1, 7)),
+            search=scripted.make_search(least_coverage=least),
+        )
+        searched: list[tuple[int, int]] = []
+        while desk.outcome is None:
+            if not desk.waiting or rng.random() < 0.05:
+                desk.tick(20.0)
+                continue
+            item = rng.choice(list(desk.waiting.values()))
+            answer, truly = _faulty(desk, item, rng)
+            was_open = desk.outcome is None
+            desk.give(answer)
+            if rng.random() < 0.3:
+                desk.give(answer)
+            if was_open:
+                searched += truly
+        _check(self, desk.outcome, searched, least)
+
+
+def _faulty(
+    desk: scripted.Desk, item: protocol.SubQuery, rng: random.Random
+) -> tuple[scripted.Answer, list[tuple[int, int]]]:
+    """Return an answer and the ranges that it truly, wholly read."""
+    good = desk.good(item)
+    low, high = good.ranges[0].low, good.ranges[0].high
+    middle = rng.randint(low + 1, high - 1)
+    half = rng.choice([(low, middle), (middle, high)])
+    kind = rng.randrange(10)
+    if kind == 0:
+        return desk.good(item, truncated=True), []
+    if kind == 1:
+        return desk.good(item, ranges=[protocol.KeyRange(*half)]), [half]
+    if kind == 2:
+        return desk.good(item, snapshot_id=item.snapshot_id + 1), []
+    if kind == 3:
+        wide = [protocol.KeyRange(low, high + 1)]
+        return desk.good(item, ranges=wide), []
+    if kind == 4:
+        return desk.good(item, ranges=[], records=[]), []
+    if kind == 5:
+        status = rng.choice([row for row in Status if row.value != 'answered'])
+        return desk.failed(item, status), []
+    parts = [
+        protocol.KeyRange(middle, high),
+        protocol.KeyRange(low, min(high, middle + 1)),
+    ]
+    ranges = rng.choice([parts, good.ranges])
+    return desk.good(item, ranges=ranges), [(low, high)]
+
+
+def _check(
+    case: unittest.TestCase,
+    outcome: protocol.SearchOutcome,
+    searched: list[tuple[int, int]],
+    least: float,
+) -> None:
+    """Compare an outcome with a count over the edges of all ranges."""
+    edges = sorted({0, state.KEY_SPACE_SIZE, *sum(searched, ())})
+    gaps = [
+        (low, high)
+        for low, high in zip(edges, edges[1:])
+        if not any(a <= low and high <= b for a, b in searched)
+    ]
+    missing = sum(high - low for low, high in gaps)
+    covered = state.KEY_SPACE_SIZE - missing
+    if isinstance(outcome, protocol.Answered):
+        case.assertEqual((0, 1.0), (missing, outcome.coverage))
+    elif isinstance(outcome, protocol.Partial):
+        case.assertGreater(missing, 0)
+        case.assertEqual(covered / state.KEY_SPACE_SIZE, outcome.coverage)
+        case.assertEqual(
+            missing, sum(row.high - row.low for row in outcome.missing)
+        )
+        case.assertGreaterEqual(outcome.coverage, least)
+    elif isinstance(outcome, protocol.NotRun):
+        case.assertEqual([], searched)
+    else:
+        case.assertTrue(not searched or covered / 2**32 < least)
+    if isinstance(outcome, protocol.Answered | protocol.Partial):
+        case.assertEqual(1, outcome.snapshot_id)
+        keys = [row.key for row in outcome.records]
+        case.assertEqual(len(keys), len(set(keys)))
