--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -4,6 +4,10 @@
 from samphiredock.coordination._accept import RECENT_CHANGES
 from samphiredock.coordination._accept import Standing
 from samphiredock.coordination._accept import standing_of
+from samphiredock.coordination._admission import Admission
+from samphiredock.coordination._budget import ExtraBudget
+from samphiredock.coordination._canary import KnownContents
+from samphiredock.coordination._canary import Verdicts
 from samphiredock.coordination._claim_book import ClaimBook
 from samphiredock.coordination._claim_book import OpenResult
 from samphiredock.coordination._claim_bucket import BucketWriter
@@ -39,6 +43,7 @@
 from samphiredock.coordination._gossip import ResetPeer
 from samphiredock.coordination._gossip import SendTo
 from samphiredock.coordination._gossip import TICK_MS
+from samphiredock.coordination._hedging import Latencies
 from samphiredock.coordination._knowledge import CONFIGURATION_KEY
 from samphiredock.coordination._knowledge import Knowledge
 from samphiredock.coordination._knowledge import SNAPSHOT_KEY
@@ -54,20 +59,26 @@
 from samphiredock.coordination._member_table import with_state
 from samphiredock.coordination._membership import Membership
 from samphiredock.coordination._membership import watchers_of
-from samphiredock.coordination._merge import coverage_of
-from samphiredock.coordination._merge import covered_ranges
+from samphiredock.coordination._merge import covered_keys
+from samphiredock.coordination._merge import covers
+from samphiredock.coordination._merge import is_within
 from samphiredock.coordination._merge import merge_records
 from samphiredock.coordination._merge import missing_ranges
+from samphiredock.coordination._merge import union_of
 from samphiredock.coordination._ownership import owner_of
 from samphiredock.coordination._planner import fingerprint_of
 from samphiredock.coordination._planner import make_plan
 from samphiredock.coordination._planner import Plan
+from samphiredock.coordination._quarantine import Care
+from samphiredock.coordination._quarantine import Quarantine
+from samphiredock.coordination._quarantine import QUARANTINE_PREFIX
 from samphiredock.coordination._relay import children_of
 from samphiredock.coordination._relay import DIRECT_LIMIT
 from samphiredock.coordination._relay import FAN_OUT
 from samphiredock.coordination._relay import PeerLinks
 from samphiredock.coordination._relay import Relay
 from samphiredock.coordination._relay import tree_of
+from samphiredock.coordination._replicas import Replicas
 from samphiredock.coordination._run_admission import admit
 from samphiredock.coordination._run_admission import Admitted
 from samphiredock.coordination._run_admission import FUTURE_SKEW_MS
@@ -100,11 +111,31 @@
 from samphiredock.coordination._run_states import RunProgress
 from samphiredock.coordination._run_states import RunState
 from samphiredock.coordination._run_states import step
-from samphiredock.coordination._scatter import DropAttempts
-from samphiredock.coordination._scatter import Finish
 from samphiredock.coordination._scatter import Scatter
-from samphiredock.coordination._scatter import SendAttempts
+from samphiredock.coordination._scatter_attempts import Attempts
+from samphiredock.coordination._scatter_judge import judge
+from samphiredock.coordination._scatter_judge import RETRY_RULES
+from samphiredock.coordination._scatter_judge import RetryRule
+from samphiredock.coordination._scatter_judge import Verdict
+from samphiredock.coordination._scatter_round import Attempt
+from samphiredock.coordination._scatter_round import needed_keys
+from samphiredock.coordination._scatter_round import refusal_of
+from samphiredock.coordination._scatter_round import Round
+from samphiredock.coordination._scatter_round import ShardState
+from samphiredock.coordination._scatter_types import COUNTED
+from samphiredock.coordination._scatter_types import DropAttempts
+from samphiredock.coordination._scatter_types import Finish
+from samphiredock.coordination._scatter_types import Routes
+from samphiredock.coordination._scatter_types import SendAttempts
+from samphiredock.coordination._scatter_types import Suspicions
+from samphiredock.coordination._scatter_types import Tally
+from samphiredock.coordination._scatter_types import Tools
 from samphiredock.coordination._settling import Settling
+from samphiredock.coordination._snapshot_door import SnapshotDoor
+from samphiredock.coordination._suspects import Case
+from samphiredock.coordination._suspects import QUARANTINE_MS
+from samphiredock.coordination._suspects import Suspects
+from samphiredock.coordination._suspects import TRIAL_MS
 from samphiredock.coordination._watcher import follow_knowledge
 from samphiredock.coordination._watcher import ObjectHandler
 from samphiredock.coordination._watcher import Spread
@@ -114,7 +145,10 @@
 __all__ = [
     'ASK_PERIOD_MS',
     'Acceptor',
+    'Admission',
     'Admitted',
+    'Attempt',
+    'Attempts',
     'BACKLOG_MS',
     'BUCKETS',
     'BucketWriter',
@@ -122,6 +156,9 @@
     'CANCEL_SHARE',
     'CANCEL_WAIT_MS',
     'CONFIGURATION_KEY',
+    'COUNTED',
+    'Care',
+    'Case',
     'Change',
     'ClaimBook',
     'ClaimSweeper',
@@ -134,6 +171,7 @@
     'Dispatcher',
     'DropAttempts',
     'Endings',
+    'ExtraBudget',
     'FAN_OUT',
     'FRESH_MS',
     'FUTURE_SKEW_MS',
@@ -147,8 +185,10 @@
     'KEEP_MS',
     'KEY_LIMIT_CHARS',
     'Knowledge',
+    'KnownContents',
     'Lane',
     'LateReport',
+    'Latencies',
     'Learned',
     'MAY_ANSWER_NOT_RUN',
     'MEMBERS_PREFIX',
@@ -165,12 +205,20 @@
     'PeerHolds',
     'PeerLinks',
     'Plan',
+    'QUARANTINE_MS',
+    'QUARANTINE_PREFIX',
+    'Quarantine',
     'READ_BACK_LIMIT',
     'RECENT_CHANGES',
     'RETENTION_LIMIT_MS',
     'RETRY_AFTER_MS',
+    'RETRY_RULES',
     'Relay',
+    'Replicas',
     'ResetPeer',
+    'RetryRule',
+    'Round',
+    'Routes',
     'Run',
     'RunProgress',
     'RunQuarantine',
@@ -184,34 +232,47 @@
     'SendTo',
     'Sending',
     'Settling',
+    'ShardState',
+    'SnapshotDoor',
     'Spread',
     'Standing',
     'StartExchange',
+    'Suspects',
+    'Suspicions',
     'TARGET_LIMIT',
     'TICK_MS',
+    'TRIAL_MS',
+    'Tally',
+    'Tools',
     'UNSETTLED_LIMIT',
     'Unavailable',
+    'Verdict',
+    'Verdicts',
     'WATCHERS_PER_SITE',
     'Watcher',
     'Work',
     'admit',
     'bucket_of',
     'children_of',
-    'coverage_of',
-    'covered_ranges',
+    'covered_keys',
+    'covers',
     'fingerprint_of',
     'follow_knowledge',
     'health_of',
     'is_final',
+    'is_within',
+    'judge',
     'key_reused',
     'make_plan',
     'member_of',
     'merge_records',
     'missing_ranges',
+    'needed_keys',
     'new_progress',
     'order_of',
     'owner_of',
     'proves_not_begun',
+    'refusal_of',
     'release',
     'replayed',
     'row_of',
@@ -219,6 +280,7 @@
     'standing_of',
     'step',
     'tree_of',
+    'union_of',
     'wait_until',
     'watchers_of',
     'with_state',
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -48,6 +48,10 @@
 from samphiredock.protocol._outcomes import RunOutcome
 from samphiredock.protocol._outcomes import SearchOutcome
 from samphiredock.protocol._outcomes import Unknown
+from samphiredock.protocol._quarantine import ClearedNotice
+from samphiredock.protocol._quarantine import QuarantineNotice
+from samphiredock.protocol._quarantine import StoredQuarantine
+from samphiredock.protocol._quarantine import SuspectNotice
 from samphiredock.protocol._queries import CancelAttempts
 from samphiredock.protocol._queries import NEVER_STARTED
 from samphiredock.protocol._queries import RunOrder
@@ -85,6 +89,7 @@
     'ClaimAsk',
     'ClaimStatus',
     'ClaimToken',
+    'ClearedNotice',
     'Codec',
     'CodecError',
     'Completed',
@@ -111,6 +116,7 @@
     'ProbeAnswer',
     'ProbeAsk',
     'QuarantineEntry',
+    'QuarantineNotice',
     'Record',
     'RevisionHeld',
     'RunOrder',
@@ -122,11 +128,13 @@
     'StateAnswer',
     'StateAsk',
     'StatePush',
+    'StoredQuarantine',
     'SubAnswer',
     'SubAnswerBatch',
     'SubQuery',
     'SubQueryBatch',
     'SubStatus',
+    'SuspectNotice',
     'TargetAnswer',
     'TargetBatch',
     'TargetBatchAnswer',
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -63,6 +63,7 @@
 from samphiredock.state._settings import LOG_LEVELS
 from samphiredock.state._settings import Settings
 from samphiredock.state._settings import TlsSettings
+from samphiredock.state._snapshots import check_snapshot
 from samphiredock.state._snapshots import IndexSnapshot
 from samphiredock.state._snapshots import KEY_SPACE_SIZE
 from samphiredock.state._snapshots import Shard
@@ -110,6 +111,7 @@
     'Verdict',
     'address',
     'apply_overlay',
+    'check_snapshot',
     'choice',
     'closed_claim',
     'compile_source',
