Dispatcher: exact slots, fair queue, target life, signs of leaving, handover

The thin dispatcher freed a slot when its caller stopped waiting, matched answers by attempt only, had one queue for all sites and no notion of a leaving target. Decisions now lie in pure objects (lane, shares, record, signs, ownership, handover); the task only carries them out.

--- a/samphiredock/coordination/_ownership.py
+++ b/samphiredock/coordination/_ownership.py
@@ -3,37 +3,187 @@
 Ownership is an optimisation: it gives a target one queue and one counter
 of slots.  Two daemons may disagree for a few seconds after a change of
 membership, so no promise rests on it.
+
+Targets that the same searches touch are owned together, a few to a group,
+so that one message to a dispatcher carries several sub-queries.
 """
 
+import collections
+import dataclasses
 import typing
 
 import xxhash
 
 from samphiredock import state
+from samphiredock import timers
+
+GROUP_SIZE = 4
+_REFRESH_MS = 20.0
+
+_Sites = typing.Mapping[str, state.Site]
+_Targets = typing.Mapping[str, state.Target]
+
+
+def ownership_groups(
+    targets: _Targets, snapshot: state.Snapshot | None
+) -> list[tuple[str, ...]]:
+    """Return the targets in groups that are queried together.
+
+    Deterministic: the same configuration and snapshot give the same groups
+    at every daemon.  Targets of one site that hold shards of the same
+    indexes are split into groups of at most ``GROUP_SIZE``.
+    """
+    indexes = snapshot.indexes if snapshot is not None else {}
+    holds: dict[str, set[str]] = collections.defaultdict(set)
+    for index_name, index in indexes.items():
+        for shard in index.shards:
+            for replica in shard.replicas:
+                holds[replica].add(index_name)
+    alike: dict[tuple[str, tuple[str, ...]], list[str]] = (
+        collections.defaultdict(list)
+    )
+    for name in sorted(targets):
+        held = tuple(sorted(holds.get(name, ())))
+        alike[targets[name].site, held].append(name)
+    groups = []
+    for names in alike.values():
+        count = -(-len(names) // GROUP_SIZE)
+        groups.extend(tuple(names[start::count]) for start in range(count))
+    return groups
+
+
+def owners_of(
+    targets: _Targets,
+    snapshot: state.Snapshot | None,
+    members: typing.Iterable[state.Member],
+    sites: _Sites,
+) -> dict[str, str]:
+    """Return each target's dispatcher; targets without one are left out.
+
+    Rendezvous hashing of a group over the live daemons of its site, or of
+    its region, or of all, so that a leaving daemon moves only its own.
+    """
+    live = sorted(members, key=lambda member: member.name)
+    near: dict[str, list[state.Member]] = {}
+    owners = {}
+    for group in ownership_groups(targets, snapshot):
+        site = targets[group[0]].site
+        if site not in near:
+            near[site] = _nearest(site, live, sites)
+        if not near[site]:
+            continue
+        best = max(
+            near[site], key=lambda member: _weight(group[0], member.name)
+        )
+        owners.update(dict.fromkeys(group, best.name))
+    return owners
 
 
 def owner_of(
     target: state.Target,
     members: typing.Iterable[state.Member],
-    sites: typing.Mapping[str, state.Site],
+    sites: _Sites,
 ) -> str | None:
-    """Return the member that dispatches for ``target``, None if none lives.
+    """Return the member that dispatches for a target in no group."""
+    owners = owners_of({target.name: target}, None, members, sites)
+    return owners.get(target.name)
 
-    Rendezvous hashing over the live daemons of the target's site, or of
-    its region, or of all, so that a leaving daemon moves only its own.
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerChange:
+    """A target has another dispatcher than before; None if none."""
+
+    target: str
+    old: str | None
+    new: str | None
+    old_lives: bool
+
+
+class OwnershipTable:
+    """The owner of every target, computed when what it rests on changes.
+
+    Parameters
+    ----------
+    configuration, snapshot, live
+        Read what is in force; ``live`` lists the live members.
+    clock
+        The timer service.
     """
-    live = list(members)
-    home = sites.get(target.site)
+
+    def __init__(
+        self,
+        configuration: typing.Callable[[], state.Configuration | None],
+        snapshot: typing.Callable[[], state.Snapshot | None],
+        live: typing.Callable[[], list[state.Member]],
+        clock: timers.Timers,
+    ) -> None:
+        self._configuration = configuration
+        self._snapshot = snapshot
+        self._live = live
+        self._clock = clock
+        self._fresh_until_ms = float('-inf')
+        self._basis: tuple[int, int, frozenset[tuple[str, str]]] | None = None
+        self._owners: dict[str, str] = {}
+        self._listeners: list[typing.Callable[[list[OwnerChange]], None]] = []
+
+    def subscribe(
+        self, listener: typing.Callable[[list[OwnerChange]], None]
+    ) -> None:
+        """Call back with the changes of each new table."""
+        self._listeners.append(listener)
+
+    def owner(self, target: str) -> str | None:
+        """Return the daemon that dispatches for a target."""
+        # Asked for each sub-query, so the members are not listed each time.
+        if self._clock.now_ms() >= self._fresh_until_ms:
+            self.refresh()
+        return self._owners.get(target)
+
+    def refresh(self) -> None:
+        """Compute the table anew if its basis changed."""
+        self._fresh_until_ms = self._clock.now_ms() + _REFRESH_MS
+        configuration = self._configuration()
+        if configuration is None:
+            return
+        snapshot = self._snapshot()
+        live = self._live()
+        names = frozenset((row.name, row.site) for row in live)
+        snapshot_id = snapshot.snapshot_id if snapshot else 0
+        basis = (configuration.revision, snapshot_id, names)
+        if basis == self._basis:
+            return
+        self._basis = basis
+        old, self._owners = (
+            self._owners,
+            owners_of(
+                configuration.targets, snapshot, live, configuration.sites
+            ),
+        )
+        self._tell(old, {row.name for row in live})
+
+    def _tell(self, old: dict[str, str], live: set[str]) -> None:
+        changes = []
+        for target in sorted(old.keys() | self._owners.keys()):
+            before, after = old.get(target), self._owners.get(target)
+            if before != after:
+                changes.append(
+                    OwnerChange(target, before, after, before in live)
+                )
+        if changes:
+            for listener in self._listeners:
+                listener(changes)
+
+
+def _nearest(
+    site: str, live: list[state.Member], sites: _Sites
+) -> list[state.Member]:
+    home = sites.get(site)
     region = home.region if home else ''
-    nearest = (
-        [member for member in live if member.site == target.site]
+    return (
+        [member for member in live if member.site == site]
         or [member for member in live if member.region == region]
         or live
     )
-    if not nearest:
-        return None
-    best = max(nearest, key=lambda member: _weight(target.name, member.name))
-    return best.name
 
 
 def _weight(group: str, member: str) -> tuple[int, str]:
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -1,6 +1,7 @@
 """One daemon: its parts, wired together."""
 
 import pathlib
+import random
 import ssl
 import typing
 
@@ -22,11 +23,16 @@
     protocol.RunOrder,
     protocol.RunReport,
     coordination.Heartbeat,
+    protocol.TargetSign,
+    protocol.TargetSignsWanted,
+    protocol.Release,
+    protocol.Released,
 )
 """The closed table of messages between daemons."""
 
 _METRICS_FLUSH_MS = 1_000.0
 _BODY_LIMIT_BYTES = 65_536
+_OWNERSHIP_REFRESH_MS = 200.0
 
 _log = logs.logger('daemon')
 
@@ -70,8 +76,31 @@
             self._metrics,
             lambda: self._knowledge.revision,
         )
+        self._ownership = coordination.OwnershipTable(
+            lambda: self.configuration,
+            lambda: self.snapshot,
+            self._membership.live,
+            self._clock,
+        )
+        self._signs = coordination.TargetSigns(
+            self._platform,
+            self._hub,
+            self._membership,
+            self._clock,
+            self._metrics,
+            random.Random(settings.name),
+            self._other_members,
+        )
+        self._watcher.follow(
+            coordination.TARGETS_PREFIX, self._signs.on_object
+        )
         self._dispatcher = coordination.Dispatcher(
-            self._hub, self._clock, self._metrics
+            self._hub, self._clock, self._metrics, signs=self._signs
+        )
+        self._dispatcher.follow_ownership(
+            settings.name,
+            self._ownership,
+            lambda name: name in self._other_members(),
         )
         self._knowledge.subscribe(self._dispatcher.configure)
         self._coordinator = coordination.Coordinator(
@@ -110,19 +139,20 @@
 
     def owner(self, target: str) -> str | None:
         """The daemon that dispatches for a target."""
-        configuration = self._knowledge.configuration
-        if configuration is None or target not in configuration.targets:
-            return None
-        return coordination.owner_of(
-            configuration.targets[target],
-            self._membership.live(),
-            configuration.sites,
-        )
+        return self._ownership.owner(target)
+
+    def _other_members(self) -> list[str]:
+        names = [member.name for member in self._membership.live()]
+        return [name for name in names if name != self._settings.name]
 
     def is_usable(self, target: str) -> bool:
         """Whether a target may get new work."""
         configuration = self._knowledge.configuration
-        return configuration is not None and target in configuration.targets
+        return (
+            configuration is not None
+            and target in configuration.targets
+            and self._signs.is_usable(target)
+        )
 
     # What the HTTP interfaces ask for.
 
@@ -170,6 +200,8 @@
         self._clock.every(_METRICS_FLUSH_MS, self._metrics.flush)
         self._watcher.start()
         self._membership.start()
+        self._signs.start()
+        self._clock.every(_OWNERSHIP_REFRESH_MS, self._ownership.refresh)
         callers = transport.caller_application(self, _BODY_LIMIT_BYTES)
         operators = transport.operator_application(self, self._metrics, None)
         await self._listen(
@@ -198,7 +230,9 @@
         self._membership.leave()
         for runner in self._runners:
             await runner.cleanup()
+        await self._dispatcher.drain()
         self._watcher.close()
+        self._signs.close()
         self._membership.close()
         await self._dispatcher.close()
         self._hub.close()
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -2,6 +2,10 @@
 
 from samphiredock.protocol._codec import Codec
 from samphiredock.protocol._codec import CodecError
+from samphiredock.protocol._dispatch_messages import Release
+from samphiredock.protocol._dispatch_messages import Released
+from samphiredock.protocol._dispatch_messages import TargetSign
+from samphiredock.protocol._dispatch_messages import TargetSignsWanted
 from samphiredock.protocol._operations import ChangeAccepted
 from samphiredock.protocol._operations import ChangeConflict
 from samphiredock.protocol._operations import ChangeInvalid
@@ -66,6 +70,8 @@
     'Partial',
     'QuarantineEntry',
     'Record',
+    'Release',
+    'Released',
     'RunOrder',
     'RunOutcome',
     'RunReport',
@@ -86,6 +92,8 @@
     'TargetQuery',
     'TargetRun',
     'TargetRunAnswer',
+    'TargetSign',
+    'TargetSignsWanted',
     'TargetStatus',
     'Unknown',
 ]
--- a/samphiredock/protocol/_target_api.py
+++ b/samphiredock/protocol/_target_api.py
@@ -35,7 +35,10 @@
 
 
 class TargetBatch(msgspec.Struct, frozen=True):
-    """Body of ``POST /batch``; it takes one slot and runs in order."""
+    """Body of ``POST /batch``; it takes one slot and runs in order.
+
+    An empty one takes no slot; its answer shows the target's own signs.
+    """
 
     items: list[TargetQuery]
 
@@ -56,8 +59,8 @@
 class TargetBatchAnswer(msgspec.Struct, frozen=True):
     """Answer of ``POST /batch``.
 
-    ``running`` is the target's count of busy slots, ``draining`` its own
-    sign that it is leaving.
+    The answers are in the order of the items.  ``running`` is the target's
+    count of busy slots, ``draining`` its own sign that it is leaving.
     """
 
     answers: list[TargetAnswer]
@@ -94,9 +97,14 @@
 
 
 class TargetCancelAnswer(msgspec.Struct, frozen=True):
-    """Attempts that had not begun and now never will."""
+    """What the target will not run any more.
+
+    ``never_started`` had not begun and now never will; ``stopped`` had
+    begun and takes no slot any longer.
+    """
 
     never_started: list[str]
+    stopped: list[str] = []
 
 
 class TargetHealth(msgspec.Struct, frozen=True):
--- a/samphiredock/timers.py
+++ b/samphiredock/timers.py
@@ -45,6 +45,9 @@
     def on_gap(self, callback: typing.Callable[[float], None]) -> None:
         """Call back with the length in ms when the process was frozen."""
 
+    def frozen_for_ms(self) -> float:
+        """Return the length in ms of a freeze not yet reported, or 0."""
+
 
 class _Repeating:
     """Re-arms a one-shot timer until cancelled."""
@@ -144,6 +147,11 @@
         self._order = itertools.count()
         self._heap: list[tuple[float, int, _ManualTimer]] = []
         self._gap_callbacks: list[typing.Callable[[float], None]] = []
+        self.unseen_gap_ms = 0.0
+
+    def frozen_for_ms(self) -> float:
+        """Return the gap that a test says is not yet reported."""
+        return self.unseen_gap_ms
 
     def now_ms(self) -> float:
         """Return the time set by the test."""
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -1,6 +1,7 @@
 """The adapter to targets: the HTTP protocol of one target."""
 
 import asyncio
+import collections
 import dataclasses
 import enum
 import typing
@@ -14,6 +15,7 @@
 
 _KEEPALIVE_S = 30.0
 _SLACK_MS = 20.0
+_CONNECT_LIMIT_MS = 1_000.0
 
 _BATCH_ANSWER = msgspec.json.Decoder(protocol.TargetBatchAnswer)
 _RUN_ANSWER = msgspec.json.Decoder(protocol.TargetRunAnswer)
@@ -35,10 +37,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkError:
-    """A failed exchange with a target."""
+    """A failed exchange with a target.
+
+    ``ended`` says that the target ended the exchange itself, with an error,
+    so that nothing of it still runs there.
+    """
 
     kind: LinkErrorKind
     detail: str
+    ended: bool = False
 
 
 class TargetLink(typing.Protocol):
@@ -47,7 +54,10 @@
     async def batch(
         self, body: protocol.TargetBatch, timeout_ms: float
     ) -> result.Result[protocol.TargetBatchAnswer, LinkError]:
-        """Run sub-queries; they take one slot."""
+        """Run sub-queries; they take one slot.
+
+        An empty batch takes none and shows whether the target drains.
+        """
 
     async def run(
         self, body: protocol.TargetRun, timeout_ms: float
@@ -62,30 +72,72 @@
     async def health(
         self, timeout_ms: float
     ) -> result.Result[protocol.TargetHealth, LinkError]:
-        """Read the target's own view, which may lag or mislead."""
+        """Read the target's own view, on a new connection."""
 
     async def close(self) -> None:
         """Close every connection."""
 
 
+class _Connection:
+    """One HTTP connection; it exists from its first use to its close."""
+
+    def __init__(self, generation: int) -> None:
+        self.generation = generation
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=1, keepalive_timeout=_KEEPALIVE_S
+            ),
+            headers={'Content-Type': 'application/json'},
+            skip_auto_headers=('User-Agent', 'Accept-Encoding'),
+        )
+
+    async def close(self) -> None:
+        await self.session.close()
+        # The transport closes its socket in a later turn of the loop; until
+        # then the target still counts the connection.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+
 class HttpTargetLink:
-    """The HTTP connections to one target, never more than it allows.
+    """HTTP connections to one target, never more than it allows.
 
-    One of them is kept for cancels and health, so that a cancel does not
-    wait behind the work that it is meant to stop.
+    The library's pool bounds one session, but a session that went silent
+    has to be replaced while its other exchanges still run; so each
+    connection is a session of its own, counted here until it is closed.
     """
 
     def __init__(self, target: state.Target) -> None:
         self._url = target.url.rstrip('/')
-        self._work = _session(max(1, target.connections - 1))
-        self._side = _session(1)
+        self._limit = max(1, target.connections)
+        # One connection is kept free for cancels and probes.
+        self._work_limit = max(1, self._limit - 1)
+        self._idle: list[_Connection] = []
+        self._open = 0
+        self._generation = 0
+        self._waiters: collections.deque[asyncio.Future] = collections.deque()
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections count against the target's limit."""
+        return self._open
 
     async def batch(
         self, body: protocol.TargetBatch, timeout_ms: float
     ) -> result.Result[protocol.TargetBatchAnswer, LinkError]:
-        """Run sub-queries; they take one slot."""
-        return await self._post(
-            self._work, '/batch', body, timeout_ms, _BATCH_ANSWER
+        """Run sub-queries; the answers must match them one by one.
+
+        The target answers in the order it was asked.  Any other attempt in
+        a place means that answers were crossed, so none of them is used.
+        """
+        expected = [item.attempt_id for item in body.items]
+
+        def check(answer: protocol.TargetBatchAnswer) -> str:
+            got = [row.attempt_id for row in answer.answers]
+            return _mismatch(got, expected)
+
+        return await self._work(
+            '/batch', body, timeout_ms, _BATCH_ANSWER, check
         )
 
     async def run(
@@ -96,62 +148,154 @@
         The library re-sends only idempotent methods after a lost
         connection; POST is not one, so a run is never sent twice.
         """
-        return await self._post(
-            self._work, '/run', body, timeout_ms, _RUN_ANSWER
-        )
+
+        def check(answer: protocol.TargetRunAnswer) -> str:
+            return _mismatch([answer.attempt_id], [body.attempt_id])
+
+        return await self._work('/run', body, timeout_ms, _RUN_ANSWER, check)
 
     async def cancel(
         self, body: protocol.TargetCancel, timeout_ms: float
     ) -> result.Result[protocol.TargetCancelAnswer, LinkError]:
         """Cancel attempts; the answer names those that never began."""
-        return await self._post(
-            self._side, '/cancel', body, timeout_ms, _CANCEL_ANSWER
+        content = msgspec.json.encode(body)
+        return await self._aside(
+            'POST', '/cancel', content, timeout_ms, _CANCEL_ANSWER
         )
 
     async def health(
         self, timeout_ms: float
     ) -> result.Result[protocol.TargetHealth, LinkError]:
         """Read the target's own view, which may lag or mislead."""
-        return await self._exchange(
-            self._side, 'GET', '/health', None, timeout_ms, _HEALTH
-        )
+        return await self._aside('GET', '/health', None, timeout_ms, _HEALTH)
 
     async def close(self) -> None:
-        """Close every connection."""
-        await self._work.close()
-        await self._side.close()
+        """Close every idle connection; the others close as they end."""
+        self._generation += 1
+        await self._close_older()
 
-    async def _post(
+    async def _work(
         self,
-        session: aiohttp.ClientSession,
         path: str,
         body: msgspec.Struct,
         timeout_ms: float,
         decoder: msgspec.json.Decoder,
+        check: typing.Callable[[typing.Any], str],
     ) -> result.Result[typing.Any, LinkError]:
         content = msgspec.json.encode(body)
-        return await self._exchange(
-            session, 'POST', path, content, timeout_ms, decoder
-        )
+        connection = await self._acquire(self._work_limit, timeout_ms)
+        if connection is None:
+            return _failure(LinkErrorKind.UNREACHABLE, 'no free connection')
+        reply: result.Result[typing.Any, LinkError] | None = None
+        try:
+            reply = await self._exchange(
+                connection, 'POST', path, content, timeout_ms, decoder
+            )
+            if isinstance(reply, result.Success):
+                mismatch = check(reply.unwrap())
+                if mismatch:
+                    reply = _failure(LinkErrorKind.BAD_ANSWER, mismatch)
+        finally:
+            usable = isinstance(reply, result.Success)
+            await self._release(connection, usable)
+        if not usable and reply.failure().kind is LinkErrorKind.SILENT:
+            # What lost track of this connection, at some box between the
+            # two ends, has most likely lost those opened before it as well.
+            self._generation += 1
+            await self._close_older()
+        return reply
+
+    async def _aside(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None,
+        timeout_ms: float,
+        decoder: msgspec.json.Decoder,
+    ) -> result.Result[typing.Any, LinkError]:
+        """Exchange on a new connection, which is closed afterwards."""
+        connection = await self._acquire(self._limit, timeout_ms, fresh=True)
+        if connection is None:
+            return _failure(LinkErrorKind.UNREACHABLE, 'no free connection')
+        try:
+            return await self._exchange(
+                connection, method, path, content, timeout_ms, decoder
+            )
+        finally:
+            await self._release(connection, False)
+
+    async def _acquire(
+        self, limit: int, timeout_ms: float, fresh: bool = False
+    ) -> _Connection | None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timeout_ms / 1000.0
+        while True:
+            if self._idle and not fresh:
+                return self._idle.pop()
+            if self._open >= limit and self._idle:
+                await self._drop(self._idle.pop(0))
+                continue
+            if self._open < limit:
+                self._open += 1
+                return _Connection(self._generation)
+            left_s = until_s - loop.time()
+            waiter = loop.create_future()
+            self._waiters.append(waiter)
+            try:
+                await asyncio.wait_for(waiter, max(0.0, left_s))
+            except asyncio.TimeoutError:
+                return None
+
+    async def _release(self, connection: _Connection, usable: bool) -> None:
+        if usable and connection.generation == self._generation:
+            self._idle.append(connection)
+            self._wake_waiters()
+            return
+        # Shielded: a cancelled exchange must still be counted until closed.
+        await asyncio.shield(self._drop(connection))
+
+    async def _drop(self, connection: _Connection) -> None:
+        await connection.close()
+        self._open -= 1
+        self._wake_waiters()
+
+    async def _close_older(self) -> None:
+        older = [
+            row for row in self._idle if row.generation < self._generation
+        ]
+        self._idle = [row for row in self._idle if row not in older]
+        for connection in older:
+            await self._drop(connection)
+
+    def _wake_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, collections.deque()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     async def _exchange(
         self,
-        session: aiohttp.ClientSession,
+        connection: _Connection,
         method: str,
         path: str,
         content: bytes | None,
         timeout_ms: float,
         decoder: msgspec.json.Decoder,
     ) -> result.Result[typing.Any, LinkError]:
-        limit = aiohttp.ClientTimeout(total=(timeout_ms + _SLACK_MS) / 1000.0)
+        total_ms = timeout_ms + _SLACK_MS
+        limit = aiohttp.ClientTimeout(
+            total=total_ms / 1000.0,
+            sock_connect=min(total_ms * 0.9, _CONNECT_LIMIT_MS) / 1000.0,
+        )
         try:
-            async with session.request(
+            async with connection.session.request(
                 method, self._url + path, data=content, timeout=limit
             ) as response:
                 reply = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            return _failure(LinkErrorKind.UNREACHABLE, str(error))
-        except aiohttp.ConnectionTimeoutError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             return _failure(LinkErrorKind.UNREACHABLE, str(error))
         except asyncio.TimeoutError:
             return _failure(
@@ -162,7 +306,7 @@
         if response.status != 200:
             text = reply[:200].decode('utf-8', 'replace')
             return _failure(
-                LinkErrorKind.BAD_ANSWER, f'{response.status} {text}'
+                LinkErrorKind.BROKEN, f'{response.status} {text}', True
             )
         try:
             return result.Success(decoder.decode(reply))
@@ -170,16 +314,13 @@
             return _failure(LinkErrorKind.BAD_ANSWER, str(error))
 
 
-def _session(connections: int) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
-        limit=connections, keepalive_timeout=_KEEPALIVE_S
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        headers={'Content-Type': 'application/json'},
-        skip_auto_headers=('User-Agent', 'Accept-Encoding'),
-    )
+def _mismatch(got: list[str], expected: list[str]) -> str:
+    if got == expected:
+        return ''
+    return f'got answers to {got[:3]}, expected to {expected[:3]}'
 
 
-def _failure(kind: LinkErrorKind, detail: str) -> result.Failure[LinkError]:
-    return result.Failure(LinkError(kind, detail))
+def _failure(
+    kind: LinkErrorKind, detail: str, ended: bool = False
+) -> result.Failure[LinkError]:
+    return result.Failure(LinkError(kind, detail, ended))
--- a/standins/target.py
+++ b/standins/target.py
@@ -172,6 +172,12 @@
             await request.read(), type=protocol.TargetBatch
         )
         await self._hang_if_told()
+        if not batch.items:
+            return _json(
+                protocol.TargetBatchAnswer(
+                    [], self._faults.draining, self._running
+                )
+            )
         self._stats.batches += 1
         self._stats.items += len(batch.items)
         for item in batch.items:
