Tests of the dispatcher's parts; a new lane starts as after a dead owner

A restarted daemon knew nothing of its earlier self's work, which may still take the target's slots: its first exchange could breach them. A lane now asks the target (an empty batch takes no slot) before it sends anything.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -162,6 +162,11 @@
         post = self._post(target)
         return post.lane if post is not None else None
 
+    def existing_lane(self, target: str) -> _lane.Lane | None:
+        """Return the lane of a target if there has been work for it."""
+        post = self._posts.get(target)
+        return post.lane if post is not None else None
+
     def target(self, name: str) -> state.Target | None:
         """Return a target of the configuration in force."""
         if self._configuration is None:
@@ -316,6 +321,8 @@
             lane.set_leaving(True)
         post = _Post(lane, self._make_link(target), target)
         self._posts[name] = post
+        if self._handover is not None:
+            self._handover.on_new_lane(name, lane)
         return post
 
     def _make_ready(self, target: str) -> None:
@@ -445,8 +452,7 @@
         """Take in what a batch's answer says of the target itself."""
         statuses = {answer.status for answer in answers}
         if post.lane.foreign_slots(self._clock.now_ms()):
-            # This exchange has ended there, so it is not among `running`.
-            post.lane.observe_running(reply.running + 1)
+            post.lane.observe_running(reply.running)
         if reply.draining or protocol.TargetStatus.DRAINING in statuses:
             self._target_word(target, True)
             return _lane.Ending.FREE
--- a/samphiredock/coordination/_handover.py
+++ b/samphiredock/coordination/_handover.py
@@ -33,6 +33,9 @@
     def lane(self, target: str) -> _lane.Lane | None:
         """Return the lane of a target, None if there is no such target."""
 
+    def existing_lane(self, target: str) -> _lane.Lane | None:
+        """Return the lane of a target if there has been work for it."""
+
     def target(self, name: str) -> state.Target | None:
         """Return a target of the configuration in force."""
 
@@ -91,6 +94,18 @@
             elif change.old == self._name and change.new is not None:
                 self._give(change.target)
 
+    def on_new_lane(self, target: str, lane: _lane.Lane) -> None:
+        """Start a lane as if an unknown dispatcher had died before it.
+
+        This daemon may have been restarted a moment ago, and its earlier
+        self's work may still be taking slots.
+        """
+        if target in self._released:
+            lane.set_released(True)
+            return
+        if target not in self._taking:
+            self._taking[target] = self._from_dead(target, lane, '')
+
     def tick(self) -> None:
         """Ask again for what has not been confirmed."""
         now_ms = self._clock.now_ms()
@@ -99,7 +114,8 @@
             if lane is None or now_ms >= taking.until_ms:
                 self._finish(target)
             elif taking.old_lives and not self._lives(taking.old):
-                self._taking[target] = self._from_dead(target, lane, taking)
+                old = taking.old
+                self._taking[target] = self._from_dead(target, lane, old)
             elif taking.old_lives:
                 self._peers.send(taking.old, protocol.Release(target))
             elif lane.foreign_slots(now_ms):
@@ -111,36 +127,36 @@
         target = change.target
         self._owned.add(target)
         self._released.discard(target)
+        lane = self._lanes.existing_lane(target)
+        if lane is not None:
+            lane.set_released(False)
+        if change.old is None:
+            return
         lane = self._lanes.lane(target)
         if lane is None:
             return
-        lane.set_released(False)
-        if change.old is None or change.old == self._name:
-            return
         self._metrics.add('targets_taken_over', old_lives=change.old_lives)
         until_ms = self._clock.now_ms() + self._lanes.longest_deadline_ms()
         taking = _Taking(change.old, change.old_lives, until_ms)
         if not change.old_lives:
-            self._taking[target] = self._from_dead(target, lane, taking)
+            self._taking[target] = self._from_dead(target, lane, change.old)
             return
         self._taking[target] = taking
         half = max(1, self._slots(target) // 2)
         lane.take_over(0, until_ms, half)
         self._peers.send(change.old, protocol.Release(target))
 
-    def _from_dead(
-        self, target: str, lane: _lane.Lane, taking: _Taking
-    ) -> _Taking:
+    def _from_dead(self, target: str, lane: _lane.Lane, old: str) -> _Taking:
         until_ms = self._clock.now_ms() + self._lanes.longest_deadline_ms()
         lane.take_over(self._slots(target), until_ms)
         self._lanes.probe(target)
-        return _Taking(taking.old, False, until_ms)
+        return _Taking(old, False, until_ms)
 
     def _give(self, target: str) -> None:
         self._owned.discard(target)
         self._taking.pop(target, None)
         self._released.add(target)
-        lane = self._lanes.lane(target)
+        lane = self._lanes.existing_lane(target)
         if lane is not None:
             self._lanes.carry_out(target, lane.set_released(True))
 
@@ -159,7 +175,7 @@
         # Whoever asks owns it now; after the answer nothing new is sent,
         # even if this daemon never saw itself as the owner.
         self._give(release.target)
-        lane = self._lanes.lane(release.target)
+        lane = self._lanes.existing_lane(release.target)
         busy, busy_for_ms = 0, 0.0
         if lane is not None:
             busy, busy_for_ms = lane.busy_slots(self._clock.now_ms())
--- a/samphiredock/coordination/_lane.py
+++ b/samphiredock/coordination/_lane.py
@@ -241,10 +241,12 @@
         self._foreign = _Foreign(foreign, until_ms, most_own)
 
     def observe_running(self, running: int) -> None:
-        """The target itself says how many exchanges run there."""
-        own = len(self._busy)
-        others = max(0, running - own)
-        self._foreign.slots = min(self._foreign.slots, others)
+        """The target itself says how many exchanges run there.
+
+        Own ones are not subtracted: one that is still on its way there is
+        not among them, and would hide another's.
+        """
+        self._foreign.slots = min(self._foreign.slots, running)
 
     def idle_slots(self, now_ms: float) -> int:
         """Return how many exchanges may start now."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -101,7 +101,8 @@
         self._executions: list[Execution] = []
         self._running = 0
         self._slots = asyncio.Semaphore(capacity.slots)
-        self._waiting: dict[str, bool] = {}
+        self._waiting: dict[str, float] = {}
+        self._stops: dict[str, asyncio.Event] = {}
         self._seen: set[int] = set()
         self.server: web.Server | None = None
 
@@ -177,6 +178,7 @@
         batch = msgspec.json.decode(
             await request.read(), type=protocol.TargetBatch
         )
+        arrived_ms = _now_ms()
         await self._hang_if_told()
         if not batch.items:
             return _json(
@@ -187,7 +189,7 @@
         self._stats.batches += 1
         self._stats.items += len(batch.items)
         for item in batch.items:
-            self._waiting[item.attempt_id] = True
+            self._waiting[item.attempt_id] = arrived_ms + item.deadline_ms
         self._enter()
         try:
             async with self._slots:
@@ -229,15 +231,20 @@
             return protocol.TargetAnswer(
                 item.attempt_id, refusal, retry_after_ms=500
             )
-        self._waiting.pop(item.attempt_id, None)
-        execution = self._start('sub-query', item, number, '')
-        if self._faults.poison_term in item.terms.values():
-            os.kill(os.getpid(), signal.SIGKILL)
-        service_ms = await self._work()
-        execution.ended_ms = time.monotonic() * 1000.0
+        deadline_at_ms = self._waiting.pop(item.attempt_id)
+        # A newer snapshot may push this one out while the work is done.
         snapshot = self._snapshots[item.snapshot_id]
         shards = snapshot.indexes[item.index].shards
         held = next(s for s in shards if s.shard_id == item.shard_id)
+        execution = self._start('sub-query', item, number, '')
+        if self._faults.poison_term in item.terms.values():
+            os.kill(os.getpid(), signal.SIGKILL)
+        service_ms, cut_short = await self._search(
+            item.attempt_id, deadline_at_ms
+        )
+        execution.ended_ms = _now_ms()
+        if cut_short is not None:
+            return protocol.TargetAnswer(item.attempt_id, cut_short)
         found = data.find(
             item.index, held.key_range, item.terms, item.index_version
         )
@@ -265,6 +272,8 @@
     ) -> protocol.TargetStatus | None:
         if item.attempt_id not in self._waiting:
             return protocol.TargetStatus.CANCELLED
+        if self._waiting[item.attempt_id] <= _now_ms():
+            return protocol.TargetStatus.EXPIRED
         if self._faults.draining:
             return protocol.TargetStatus.DRAINING
         if self._faults.shed:
@@ -295,7 +304,7 @@
             item.attempt_id,
             key,
             item.service,
-            time.monotonic() * 1000.0,
+            _now_ms(),
             number,
         )
         if self._keep_log or kind == 'run':
@@ -306,23 +315,41 @@
             os.write(self._log_file, row + b'\n')
         return execution
 
-    async def _work(self) -> float:
+    def _draw_service_ms(self) -> float:
         median = self._faults.service_ms
         if not median:
             return 0.0
         took = median * self._random.lognormvariate(0.0, self._faults.sigma)
         if self._random.random() < self._faults.straggler:
             took *= 10.0
-        await asyncio.sleep(took / 1000.0)
         return took
 
+    async def _search(
+        self, attempt_id: str, deadline_at_ms: float
+    ) -> tuple[float, protocol.TargetStatus | None]:
+        """Work until done, cancelled or past the deadline."""
+        took_ms = self._draw_service_ms()
+        if not took_ms:
+            return 0.0, None
+        left_ms = deadline_at_ms - _now_ms()
+        stop = self._stops[attempt_id] = asyncio.Event()
+        try:
+            await asyncio.wait_for(stop.wait(), min(took_ms, left_ms) / 1000.0)
+        except asyncio.TimeoutError:
+            late = took_ms > left_ms
+            return took_ms, protocol.TargetStatus.EXPIRED if late else None
+        finally:
+            del self._stops[attempt_id]
+        return took_ms, protocol.TargetStatus.CANCELLED
+
     async def _run(self, request: web.Request) -> web.Response:
         number = await self._admit_connection(request)
         order = msgspec.json.decode(
             await request.read(), type=protocol.TargetRun
         )
+        arrived_ms = _now_ms()
         await self._hang_if_told()
-        self._waiting[order.attempt_id] = True
+        self._waiting[order.attempt_id] = arrived_ms + order.deadline_ms
         self._enter()
         try:
             async with self._slots:
@@ -341,6 +368,10 @@
                 order.attempt_id not in self._waiting,
                 protocol.TargetStatus.CANCELLED,
             ),
+            (
+                self._waiting.get(order.attempt_id, 0.0) <= _now_ms(),
+                protocol.TargetStatus.EXPIRED,
+            ),
             (self._faults.draining, protocol.TargetStatus.DRAINING),
             (self._faults.shed, protocol.TargetStatus.SHED),
         )
@@ -354,8 +385,8 @@
         execution = self._start('run', order, number, order.idempotency_key)
         if self._faults.poison_term in order.body.values():
             os.kill(os.getpid(), signal.SIGKILL)
-        await self._work()
-        execution.ended_ms = time.monotonic() * 1000.0
+        await asyncio.sleep(self._draw_service_ms() / 1000.0)
+        execution.ended_ms = _now_ms()
         receipt = f'{self._name}-{self._stats.runs}'
         return protocol.TargetRunAnswer(
             order.attempt_id,
@@ -371,9 +402,12 @@
         never = [
             attempt_id
             for attempt_id in order.attempt_ids
-            if self._waiting.pop(attempt_id, False)
+            if self._waiting.pop(attempt_id, None) is not None
         ]
-        return _json(protocol.TargetCancelAnswer(never))
+        stopped = [row for row in order.attempt_ids if row in self._stops]
+        for attempt_id in stopped:
+            self._stops[attempt_id].set()
+        return _json(protocol.TargetCancelAnswer(never, stopped))
 
     async def _health(self, request: web.Request) -> web.Response:
         draining = self._faults.draining and not self._faults.lie_healthy
@@ -396,6 +430,10 @@
         return _json(self._executions)
 
 
+def _now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
 def _json(value: object) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(value), content_type='application/json'
--- /dev/null
+++ b/tests/failure/test_shares.py
@@ -0,0 +1,110 @@
+"""No site takes more than its share."""
+
+import dataclasses
+import unittest
+
+from samphiredock.coordination import _lane
+from samphiredock.coordination import _shares
+from samphiredock import state
+from tests.unit import dispatching
+
+_SITES = {'a': 0.4, 'b': 0.3, 'c': 0.3}
+_SERVICE_MS = 10.0
+_SHARES = _shares.Shares(_SITES, {}, {'svc': 1.0}, {})
+
+
+class _Run:
+    """A target of two slots at 10 ms a batch of two, on a manual clock.
+
+    It serves 400 items a second.
+    """
+
+    def __init__(self, by_site: bool = True) -> None:
+        self._by_site = by_site
+        self._lane = _lane.Lane(
+            dispatching.target(slots=2),
+            state.Limits(queue_per_target=60, batch_items=2),
+            _SHARES,
+        )
+        self._ends: list[tuple[float, int, tuple[_lane.Work, ...]]] = []
+        self._numbers = 0
+        self.served = dict.fromkeys(_SITES, 0)
+        self.shed = dict.fromkeys(_SITES, 0)
+
+    def offer(self, from_ms: int, to_ms: int, rates: dict[str, float]) -> None:
+        """Offer items by site, each rate in items per ms."""
+        owed = dict.fromkeys(rates, 0.0)
+        for now_ms in range(from_ms, to_ms):
+            while self._ends and self._ends[0][0] <= now_ms:
+                _, ticket, works = self._ends.pop(0)
+                for work in works:
+                    self.served[work.request.site] += 1
+                ending = _lane.Ending.ANSWERED
+                self._take(self._lane.ended(ticket, ending, now_ms), now_ms)
+            for site, rate in rates.items():
+                owed[site] += rate
+                while owed[site] >= 1.0:
+                    owed[site] -= 1.0
+                    self._submit(site, now_ms)
+            self._take(self._lane.pump(now_ms), now_ms)
+
+    def _submit(self, site: str, now_ms: int) -> None:
+        self._numbers += 1
+        work = dispatching.work(
+            f'{self._numbers}', now_ms + 2_000.0, site=site
+        )
+        if not self._by_site:
+            one_line = _shares.Flow('svc', 'all')
+            work = dataclasses.replace(work, flow=one_line)
+        self._take(self._lane.submit(work, now_ms), now_ms)
+
+    def _take(self, effects: list[_lane.Effect], now_ms: int) -> None:
+        for effect in effects:
+            if isinstance(effect, _lane.StartExchange):
+                end = (now_ms + _SERVICE_MS, effect.ticket, effect.works)
+                self._ends.append(end)
+            else:
+                self.shed[effect.work.request.site] += 1
+
+
+class FloodTest(unittest.TestCase):
+    """One site floods one target."""
+
+    def test_flooding_site_leaves_the_others_their_share(self) -> None:
+        """Site a offers ten times the capacity, b and c half of theirs.
+
+        Callers of b and c get every answer; a gets what is left and is
+        refused the rest at once.  One queue for all sites would fill with
+        a's work and refuse b and c as often as a.
+        """
+        run = _Run()
+        run.offer(0, 5_000, {'a': 4.0, 'b': 0.06, 'c': 0.06})
+        self.assertEqual(0, run.shed['b'] + run.shed['c'])
+        for site in 'bc':
+            self.assertGreaterEqual(run.served[site], 290)
+        self.assertGreaterEqual(run.served['a'], 1_300)
+
+    def test_lent_share_comes_back_at_once(self) -> None:
+        """Site a alone uses everything; then b and c ask for their share.
+
+        Within the next second each is served at its share although a goes
+        on flooding: their work overtakes what a has queued.
+        """
+        run = _Run()
+        run.offer(0, 2_000, {'a': 4.0})
+        self.assertGreaterEqual(run.served['a'], 780)
+        before = dict(run.served)
+        run.offer(2_000, 3_000, {'a': 4.0, 'b': 4.0, 'c': 4.0})
+        got = {site: run.served[site] - before[site] for site in _SITES}
+        for site, share in _SITES.items():
+            self.assertAlmostEqual(share * 400, got[site], delta=16)
+
+    def test_one_line_for_all_sites_lets_the_others_starve(self) -> None:
+        """The same flood without the queue by site, to see what it does.
+
+        Callers of b and c are refused most of what they ask, although
+        together they want less than a third of the target.
+        """
+        run = _Run(by_site=False)
+        run.offer(0, 5_000, {'a': 4.0, 'b': 0.06, 'c': 0.06})
+        self.assertGreater(run.shed['b'] + run.shed['c'], 300)
--- /dev/null
+++ b/tests/unit/test_ownership.py
@@ -0,0 +1,204 @@
+"""Owners of targets, and the handover between them."""
+
+import collections
+import unittest
+
+from samphiredock.coordination import _dispatcher
+from samphiredock.coordination import _ownership
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from tests.unit import dispatching
+
+
+def _member(name: str, site: str = 'a', region: str = 'r') -> state.Member:
+    return state.Member(name, site, region, '', '', '', 1)
+
+
+def _snapshot(**shards: list[str]) -> state.Snapshot:
+    """Return a snapshot with one shard an index on some replicas."""
+    whole = protocol.KeyRange(0, state.KEY_SPACE_SIZE)
+    return state.Snapshot(
+        1,
+        {
+            name: state.IndexSnapshot(1, [state.Shard('s', whole, replicas)])
+            for name, replicas in shards.items()
+        },
+    )
+
+
+class OwnersTest(unittest.TestCase):
+    """Groups and rendezvous."""
+
+    def setUp(self) -> None:
+        names = [f't{number:02}' for number in range(24)]
+        self.targets = {name: dispatching.target(name) for name in names}
+        self.snapshot = _snapshot(i=names[:12], j=names[12:])
+        self.sites = dispatching.configuration().sites
+
+    def _owners(self, *members: state.Member) -> dict[str, str]:
+        return _ownership.owners_of(
+            self.targets, self.snapshot, members, self.sites
+        )
+
+    def test_targets_of_one_index_are_owned_in_groups(self) -> None:
+        groups = _ownership.ownership_groups(self.targets, self.snapshot)
+        self.assertEqual([4] * 6, [len(group) for group in groups])
+        halves = [{name < 't12' for name in group} for group in groups]
+        self.assertTrue(all(len(half) == 1 for half in halves))
+        members = [_member(f'd{number}') for number in range(8)]
+        owners = self._owners(*members)
+        for group in groups:
+            self.assertEqual(1, len({owners[name] for name in group}))
+
+    def test_leaving_daemon_moves_only_its_own(self) -> None:
+        members = [_member(f'd{number}') for number in range(8)]
+        before = self._owners(*members)
+        after = self._owners(*reversed(members[1:]))
+        moved = {name for name in before if before[name] != after[name]}
+        self.assertEqual(
+            {name for name in before if before[name] == 'd0'}, moved
+        )
+
+    def test_nearest_site_owns_if_none_lives_here(self) -> None:
+        near, far = _member('d1', 'b'), _member('d2', 'x', 'q')
+        owners = self._owners(near, far)
+        self.assertEqual({'d1'}, set(owners.values()))
+        self.assertEqual({'d2'}, set(self._owners(far).values()))
+        self.assertEqual({}, self._owners())
+
+
+class HandoverTest(unittest.IsolatedAsyncioTestCase):
+    """Daemon d1 takes t1 of four slots over, or gives it up."""
+
+    def setUp(self) -> None:
+        self.clock = timers.ManualTimers()
+        self.peers = dispatching.FakePeers()
+        self.counters = metrics.Metrics('test')
+        self.addCleanup(self.counters.close)
+        self.live = [_member('d1')]
+        self.configuration = dispatching.configuration(
+            dispatching.target(slots=4)
+        )
+        self.link = dispatching.FakeLink(dispatching.target())
+        self.table = _ownership.OwnershipTable(
+            lambda: self.configuration,
+            lambda: None,
+            lambda: self.live,
+            self.clock,
+        )
+        self.dispatcher = _dispatcher.Dispatcher(
+            self.peers, self.clock, self.counters, lambda _: self.link
+        )
+        self.dispatcher.configure(self.configuration)
+        self.dispatcher.follow_ownership(
+            'd1', self.table, lambda name: name in [r.name for r in self.live]
+        )
+        self.other = next(
+            name
+            for name in (f'd{number}' for number in range(2, 99))
+            if self._owner_with(name) == name
+        )
+
+    def _owner_with(self, name: str) -> str | None:
+        owners = _ownership.owners_of(
+            self.configuration.targets,
+            None,
+            [_member('d1'), _member(name)],
+            self.configuration.sites,
+        )
+        return owners['t1']
+
+    def _set_live(self, *names: str) -> None:
+        self.live = [_member(name) for name in names]
+        self.table.refresh()
+
+    def _idle(self) -> int:
+        lane = self.dispatcher.lane('t1')
+        for _ in range(4):
+            lane.record.on_answer(0, 0.0, 0.0)
+        return lane.idle_slots(self.clock.now_ms())
+
+    async def test_dead_owners_work_takes_slots_until_seen_free(self) -> None:
+        self._set_live('d1', self.other)
+        self.link.running = 3
+        self._set_live('d1')
+        self.assertEqual(0, self._idle())
+        await dispatching.settle()
+        self.assertEqual(1, self._idle())
+        self.link.running = 0
+        self.clock.advance(100.0)
+        await dispatching.settle()
+        self.assertEqual(4, self._idle())
+
+    async def test_restarted_daemon_asks_before_it_sends(self) -> None:
+        """Its earlier self may have died with work at the target."""
+        self._set_live('d1')
+        self.link.running = 4
+        self.peers.deliver(dispatching.batch(dispatching.item('1')))
+        await dispatching.settle()
+        self.assertEqual([], self.link.batches)
+        self.link.running = 0
+        self.clock.advance(100.0)
+        await dispatching.settle()
+        self.assertEqual(1, len(self.link.batches))
+
+    async def test_dead_owners_work_takes_slots_for_a_deadline(self) -> None:
+        self.link.running = 4
+        self._set_live('d1', self.other)
+        self._set_live('d1')
+        await dispatching.settle()
+        self.clock.advance(399.0)
+        self.assertEqual(0, self._idle())
+        self.clock.advance(1.0)
+        self.assertEqual(4, self._idle())
+
+    async def test_living_owner_confirms_before_all_slots_are_used(
+        self,
+    ) -> None:
+        """The earlier owner stays alive, say it moved to another site."""
+        taken_from = self.other
+        self._set_live('d1', taken_from)
+        self.live = [_member('d1'), _member(taken_from, 'b')]
+        self.table.refresh()
+        self.assertEqual(2, self._idle())
+        self.assertIn((taken_from, protocol.Release('t1')), self.peers.sent)
+        self.peers.deliver(protocol.Released('t1', 3, 50.0), taken_from)
+        self.assertEqual(1, self._idle())
+        self.peers.deliver(protocol.Released('t1', 0, 0.0), taken_from)
+        self.assertEqual(4, self._idle())
+
+    async def test_given_up_target_is_answered_not_owner(self) -> None:
+        self._set_live('d1')
+        message = dispatching.batch(dispatching.item('1'))
+        self.peers.deliver(message)
+        await dispatching.settle()
+        self.peers.deliver(protocol.Release('t1'), self.other)
+        self.assertEqual([], self.peers.of(protocol.Released))
+        self._set_live('d1', self.other)
+        self.peers.deliver(dispatching.batch(dispatching.item('2')))
+        self.peers.deliver(protocol.Release('t1'), self.other)
+        await dispatching.settle()
+        self.assertEqual({'2': ['not-owner']}, self.peers.statuses())
+        self.assertEqual(1, self.peers.of(protocol.Released)[0].busy)
+        self.link.answer()
+        await dispatching.settle()
+        self.peers.deliver(protocol.Release('t1'), self.other)
+        self.assertEqual(0, self.peers.of(protocol.Released)[1].busy)
+
+    async def test_work_is_served_by_a_daemon_that_never_owned(self) -> None:
+        self._set_live(self.other)
+        self.peers.deliver(dispatching.batch(dispatching.item('1')))
+        await dispatching.settle()
+        self.link.answer()
+        await dispatching.settle()
+        self.assertEqual({'1': ['answered']}, self.peers.statuses())
+
+    def test_table_is_computed_only_when_its_basis_changes(self) -> None:
+        calls = collections.Counter()
+        self.table.subscribe(lambda changes: calls.update(['change']))
+        for _ in range(5):
+            self.clock.advance(30.0)
+            self.assertEqual('d1', self.table.owner('t1'))
+        self.assertEqual(1, calls['change'])
--- /dev/null
+++ b/tests/unit/test_target_signs.py
@@ -0,0 +1,142 @@
+"""Signs of leaving and of return."""
+
+import random
+import unittest
+
+from returns import result
+
+from samphiredock.coordination import _target_signs
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import timers
+from samphiredock import transport
+from tests.unit import dispatching
+
+
+class FakeStore:
+    """One object with a conditional update."""
+
+    def __init__(self) -> None:
+        self.stored: transport.StoredObject | None = None
+        self.down = False
+
+    async def get(self, key: str) -> result.Result:
+        """Read it."""
+        kinds = transport.StoreErrorKind
+        if self.down:
+            return result.Failure(
+                transport.StoreError(kinds.UNAVAILABLE, 'down')
+            )
+        if self.stored is None:
+            return result.Failure(transport.StoreError(kinds.NOT_FOUND, ''))
+        return result.Success(self.stored)
+
+    async def put(
+        self, key: str, value: bytes, expected_version: int
+    ) -> result.Result:
+        """Write it if the version is as expected."""
+        version = self.stored.version if self.stored else 0
+        if version != expected_version:
+            kind = transport.StoreErrorKind.CONFLICT
+            return result.Failure(transport.StoreError(kind, 'raced'))
+        self.stored = transport.StoredObject(key, version + 1, value)
+        return result.Success(version + 1)
+
+
+class TargetSignsTest(unittest.IsolatedAsyncioTestCase):
+    """One daemon's knowledge of the signs."""
+
+    def setUp(self) -> None:
+        self.clock = timers.ManualTimers()
+        self.peers = dispatching.FakePeers()
+        self.counters = metrics.Metrics('test')
+        self.addCleanup(self.counters.close)
+        self.store = FakeStore()
+        self.signs = _target_signs.TargetSigns(
+            self.store,
+            self.peers,
+            self.peers,
+            self.clock,
+            self.counters,
+            random.Random(1),
+            lambda: ['d2'],
+        )
+
+    def _object(self, leaving: bool, at_ms: int) -> None:
+        value = b'{"leaving":%s,"at_ms":%d}' % (
+            str(leaving).lower().encode(),
+            at_ms,
+        )
+        self.signs.on_object(transport.StoredObject('targets/t1', 1, value))
+
+    def _hosts(self, leaving: bool) -> None:
+        self.signs.on_hosts([transport.Host('t1', leaving)])
+
+    def _assert_usable(self, usable: bool) -> None:
+        self.assertEqual(usable, self.signs.is_usable('t1'))
+
+    def test_newest_object_wins_in_any_order(self) -> None:
+        self._object(True, 20)
+        self._object(False, 10)
+        self._assert_usable(False)
+        self._object(False, 30)
+        self._assert_usable(True)
+
+    def test_unreadable_object_is_counted(self) -> None:
+        stored = transport.StoredObject('targets/t1', 1, b'{"leaving":1}')
+        self.signs.on_object(stored)
+        self.assertEqual(1, self.counters.total('target_objects_unreadable'))
+        self._assert_usable(True)
+
+    def test_list_that_lags_does_not_undo_the_targets_own_word(self) -> None:
+        self.signs.on_target_word('t1', True)
+        self._hosts(False)
+        self._assert_usable(False)
+        self.assertEqual(['t1'], self.signs.to_probe())
+
+    def test_return_in_the_list_needs_a_probe(self) -> None:
+        self._hosts(True)
+        self.assertEqual([], self.signs.to_probe())
+        self.clock.advance(1_000.0)
+        self._hosts(False)
+        self._assert_usable(False)
+        self.assertEqual(['t1'], self.signs.to_probe())
+        self.signs.on_target_word('t1', False)
+        self._assert_usable(True)
+
+    def test_new_sign_is_told_and_an_older_return_does_not_undo_it(
+        self,
+    ) -> None:
+        self.signs.on_target_word('t1', True)
+        sign = self.peers.of(protocol.TargetSign)[0]
+        self.peers.deliver(protocol.TargetSign('t1', False, sign.at_ms - 1))
+        self._assert_usable(False)
+        self.peers.deliver(protocol.TargetSign('t1', False, sign.at_ms + 1))
+        self._assert_usable(True)
+        self.signs.on_target_word('t1', True)
+        self._assert_usable(False)
+        self.assertGreater(
+            self.peers.of(protocol.TargetSign)[1].at_ms, sign.at_ms + 1
+        )
+
+    def test_peer_that_asks_is_told_what_is_known(self) -> None:
+        self.signs.on_target_word('t1', True)
+        self.peers.sent.clear()
+        self.peers.deliver(protocol.TargetSignsWanted(), 'd3')
+        self.assertEqual('d3', self.peers.sent[0][0])
+        self.assertTrue(self.peers.sent[0][1].leaving)
+
+    async def test_operator_writes_and_settles_the_targets_own_sign(
+        self,
+    ) -> None:
+        self.signs.on_target_word('t1', True)
+        self.clock.advance(5.0)
+        reply = await self.signs.set_leaving('t1', False)
+        self.assertEqual(1, reply.unwrap())
+        self._assert_usable(True)
+
+    async def test_store_that_is_down_is_an_error_value(self) -> None:
+        self.store.down = True
+        reply = await self.signs.set_leaving('t1', True)
+        self.assertIsInstance(reply, result.Failure)
+        self._assert_usable(True)
