--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -32,6 +32,7 @@
 from samphiredock.coordination._directory import MEMBERS_PREFIX
 from samphiredock.coordination._dispatcher import Dispatcher
 from samphiredock.coordination._exchange import ObjectExchange
+from samphiredock.coordination._freshness import Freshness
 from samphiredock.coordination._gossip import Forgotten
 from samphiredock.coordination._gossip import Gossip
 from samphiredock.coordination._gossip import GOSSIP_MESSAGES
@@ -43,10 +44,13 @@
 from samphiredock.coordination._gossip import ResetPeer
 from samphiredock.coordination._gossip import SendTo
 from samphiredock.coordination._gossip import TICK_MS
+from samphiredock.coordination._handover import Handover
+from samphiredock.coordination._handover import Lanes
 from samphiredock.coordination._hedging import Latencies
 from samphiredock.coordination._knowledge import CONFIGURATION_KEY
 from samphiredock.coordination._knowledge import Knowledge
 from samphiredock.coordination._knowledge import SNAPSHOT_KEY
+from samphiredock.coordination._lane import Ending
 from samphiredock.coordination._lane import Lane
 from samphiredock.coordination._lane import StartExchange
 from samphiredock.coordination._lane import Work
@@ -65,7 +69,12 @@
 from samphiredock.coordination._merge import merge_records
 from samphiredock.coordination._merge import missing_ranges
 from samphiredock.coordination._merge import union_of
+from samphiredock.coordination._ownership import GROUP_SIZE
 from samphiredock.coordination._ownership import owner_of
+from samphiredock.coordination._ownership import OwnerChange
+from samphiredock.coordination._ownership import owners_of
+from samphiredock.coordination._ownership import ownership_groups
+from samphiredock.coordination._ownership import OwnershipTable
 from samphiredock.coordination._planner import fingerprint_of
 from samphiredock.coordination._planner import make_plan
 from samphiredock.coordination._planner import Plan
@@ -131,11 +140,32 @@
 from samphiredock.coordination._scatter_types import Tally
 from samphiredock.coordination._scatter_types import Tools
 from samphiredock.coordination._settling import Settling
+from samphiredock.coordination._shares import FairQueue
+from samphiredock.coordination._shares import Flow
+from samphiredock.coordination._shares import NO_SHARES
+from samphiredock.coordination._shares import Queued
+from samphiredock.coordination._shares import Shares
+from samphiredock.coordination._shares import shares_of
 from samphiredock.coordination._snapshot_door import SnapshotDoor
 from samphiredock.coordination._suspects import Case
 from samphiredock.coordination._suspects import QUARANTINE_MS
 from samphiredock.coordination._suspects import Suspects
 from samphiredock.coordination._suspects import TRIAL_MS
+from samphiredock.coordination._target_answers import failed_answer
+from samphiredock.coordination._target_answers import LINK_STATUS
+from samphiredock.coordination._target_answers import refusal_message
+from samphiredock.coordination._target_answers import run_report
+from samphiredock.coordination._target_answers import sub_answer
+from samphiredock.coordination._target_answers import target_query
+from samphiredock.coordination._target_answers import target_run
+from samphiredock.coordination._target_answers import TARGET_STATUS
+from samphiredock.coordination._target_record import TARGET_STATES
+from samphiredock.coordination._target_record import TARGET_TRANSITIONS
+from samphiredock.coordination._target_record import TargetRecord
+from samphiredock.coordination._target_signs import SignSource
+from samphiredock.coordination._target_signs import TargetObject
+from samphiredock.coordination._target_signs import TARGETS_PREFIX
+from samphiredock.coordination._target_signs import TargetSigns
 from samphiredock.coordination._watcher import follow_knowledge
 from samphiredock.coordination._watcher import ObjectHandler
 from samphiredock.coordination._watcher import Spread
@@ -170,23 +200,31 @@
     'Directory',
     'Dispatcher',
     'DropAttempts',
+    'Ending',
     'Endings',
     'ExtraBudget',
     'FAN_OUT',
     'FRESH_MS',
     'FUTURE_SKEW_MS',
+    'FairQueue',
     'Finish',
+    'Flow',
     'Forgotten',
+    'Freshness',
     'GOSSIP_MESSAGES',
+    'GROUP_SIZE',
     'Gossip',
     'GossipEffect',
+    'Handover',
     'Holders',
     'KEEP_MARGIN_MS',
     'KEEP_MS',
     'KEY_LIMIT_CHARS',
     'Knowledge',
     'KnownContents',
+    'LINK_STATUS',
     'Lane',
+    'Lanes',
     'LateReport',
     'Latencies',
     'Learned',
@@ -194,6 +232,7 @@
     'MEMBERS_PREFIX',
     'MemberTable',
     'Membership',
+    'NO_SHARES',
     'NoQuarantine',
     'OUTSTANDING_LIMIT',
     'ObjectExchange',
@@ -201,6 +240,8 @@
     'OpenChange',
     'OpenResult',
     'Orders',
+    'OwnerChange',
+    'OwnershipTable',
     'PeerAnswered',
     'PeerHolds',
     'PeerLinks',
@@ -208,6 +249,7 @@
     'QUARANTINE_MS',
     'QUARANTINE_PREFIX',
     'Quarantine',
+    'Queued',
     'READ_BACK_LIMIT',
     'RECENT_CHANGES',
     'RETENTION_LIMIT_MS',
@@ -233,16 +275,25 @@
     'Sending',
     'Settling',
     'ShardState',
+    'Shares',
+    'SignSource',
     'SnapshotDoor',
     'Spread',
     'Standing',
     'StartExchange',
     'Suspects',
     'Suspicions',
+    'TARGETS_PREFIX',
     'TARGET_LIMIT',
+    'TARGET_STATES',
+    'TARGET_STATUS',
+    'TARGET_TRANSITIONS',
     'TICK_MS',
     'TRIAL_MS',
     'Tally',
+    'TargetObject',
+    'TargetRecord',
+    'TargetSigns',
     'Tools',
     'UNSETTLED_LIMIT',
     'Unavailable',
@@ -256,6 +307,7 @@
     'children_of',
     'covered_keys',
     'covers',
+    'failed_answer',
     'fingerprint_of',
     'follow_knowledge',
     'health_of',
@@ -271,14 +323,22 @@
     'new_progress',
     'order_of',
     'owner_of',
+    'owners_of',
+    'ownership_groups',
     'proves_not_begun',
+    'refusal_message',
     'refusal_of',
     'release',
     'replayed',
     'row_of',
+    'run_report',
+    'shares_of',
     'stale_key',
     'standing_of',
     'step',
+    'sub_answer',
+    'target_query',
+    'target_run',
     'tree_of',
     'union_of',
     'wait_until',
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -7,6 +7,10 @@
 from samphiredock.protocol._claims import parse_token
 from samphiredock.protocol._codec import Codec
 from samphiredock.protocol._codec import CodecError
+from samphiredock.protocol._dispatch_messages import Release
+from samphiredock.protocol._dispatch_messages import Released
+from samphiredock.protocol._dispatch_messages import TargetSign
+from samphiredock.protocol._dispatch_messages import TargetSignsWanted
 from samphiredock.protocol._membership import CONTROL_MESSAGES
 from samphiredock.protocol._membership import Envelope
 from samphiredock.protocol._membership import HeldVersions
@@ -118,6 +122,8 @@
     'QuarantineEntry',
     'QuarantineNotice',
     'Record',
+    'Release',
+    'Released',
     'RevisionHeld',
     'RunOrder',
     'RunOutcome',
@@ -145,6 +151,8 @@
     'TargetRow',
     'TargetRun',
     'TargetRunAnswer',
+    'TargetSign',
+    'TargetSignsWanted',
     'TargetStatus',
     'Unknown',
     'parse_token',
