Wire the parts of a daemon: daemon._parts makes them, _node starts and stops them

Cause: each part came with a few lines in one constructor; together they made a class of which no reader sees what depends on what.

Change: _parts.Parts makes the parts in the order of their needs and is the view that the coordination layer reads; _operations.OperatorDesk answers operators from them; _node.Node keeps the interfaces and the life.

--- a/samphiredock/daemon/_operations.py
+++ b/samphiredock/daemon/_operations.py
@@ -2,167 +2,143 @@
 
 import typing
 
-import msgspec
 from returns import result
 
-from samphiredock import coordination
+from samphiredock.daemon import _parts
 from samphiredock import protocol
 from samphiredock import state
-from samphiredock import timers
 from samphiredock import transport
 
 _RETRY_AFTER_MS = 1_000
 
-_SOURCE = msgspec.json.Decoder(state.ConfigurationSource)
-_ErrorKind = transport.StoreErrorKind
+_Kind = protocol.OperatorErrorKind
+_STORE_ERRORS = {
+    transport.StoreErrorKind.NOT_FOUND: _Kind.NOT_FOUND,
+    transport.StoreErrorKind.CONFLICT: _Kind.UNAVAILABLE,
+    transport.StoreErrorKind.UNAVAILABLE: _Kind.UNAVAILABLE,
+    transport.StoreErrorKind.LOST: _Kind.UNKNOWN,
+    transport.StoreErrorKind.REFUSED: _Kind.BAD_REQUEST,
+}
 
 
 class OperatorDesk:
-    """Configuration changes by one conditional write, and confirmations."""
+    """Answers the operators' interface from the parts of the daemon."""
 
     def __init__(
         self,
-        knowledge: coordination.Knowledge,
-        membership: coordination.Membership,
-        platform: transport.Platform,
-        clock: timers.Timers,
+        parts: _parts.Parts,
+        settings: state.Settings,
+        is_ready: typing.Callable[[], bool],
     ) -> None:
-        self._knowledge = knowledge
-        self._membership = membership
-        self._platform = platform
-        self._clock = clock
+        self._parts = parts
+        self._settings = settings
+        self._is_ready = is_ready
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return the daemon's view of members, sites and targets."""
+        parts = self._parts
+        configuration = parts.configuration
+        targets = configuration.targets if configuration else {}
+        snapshot = parts.snapshot
+        return {
+            'name': parts.me.name,
+            'site': parts.me.site,
+            'incarnation': parts.me.incarnation,
+            'ready': self._is_ready(),
+            'revision': parts.knowledge.revision,
+            'snapshot_id': snapshot.snapshot_id if snapshot else 0,
+            'members': parts.membership.live(),
+            'health': parts.membership.health(),
+            'revisions': parts.membership.revisions(),
+            'targets': {name: parts.owner(name) for name in targets},
+            'target_rows': [self._target_row(row) for row in targets.values()],
+            'caller_url': self._caller_url(),
+            'counters': parts.metrics.totals(),
+        }
 
     def configuration_source(self) -> state.ConfigurationSource | None:
         """Return what is in force here, as operators wrote it."""
-        return self._knowledge.source
+        return self._parts.knowledge.source
 
     async def apply(
         self, change: protocol.ConfigurationChange
     ) -> protocol.ChangeOutcome:
-        """Write a change if nothing was accepted since its base."""
-        source = state.ConfigurationSource(
-            change.base_revision + 1,
-            change.change_id,
-            change.author,
-            self._clock.wall_ms(),
-            change.base,
-            change.overlays,
-        )
-        compiled = state.compile_source(source)
-        if isinstance(compiled, result.Failure):
-            problems = [str(row) for row in compiled.failure()]
-            return protocol.ChangeInvalid(problems)
-        stored = await self._stored()
-        if isinstance(stored, result.Failure):
-            return protocol.ChangeUnavailable(
-                stored.failure(), _RETRY_AFTER_MS
-            )
-        version, held = stored.unwrap()
-        decided = _decided(change, held)
-        if decided is not None:
-            return decided
-        return await self._write(change, source, version)
+        """Accept a configuration change and push it to all daemons."""
+        outcome = await self._parts.acceptor.apply(change)
+        if isinstance(outcome, protocol.ChangeAccepted):
+            self._parts.spread.announce_configuration()
+        return outcome
 
-    async def _write(
-        self,
-        change: protocol.ConfigurationChange,
-        source: state.ConfigurationSource,
-        version: int,
-    ) -> protocol.ChangeOutcome:
-        put = await self._platform.put(
-            coordination.CONFIGURATION_KEY,
-            msgspec.json.encode(source),
-            version,
-        )
-        if isinstance(put, result.Success):
-            self._knowledge.offer_source(source)
-            return protocol.ChangeAccepted(source.revision)
-        error = put.failure()
-        if error.kind is _ErrorKind.UNAVAILABLE:
-            return protocol.ChangeUnavailable(error.detail, _RETRY_AFTER_MS)
-        if error.kind is _ErrorKind.REFUSED:
-            return protocol.ChangeInvalid([error.detail])
-        # The answer may be lost after the write took effect, and another
-        # change may have been written since: what is stored tells.
-        stored = await self._stored()
-        if isinstance(stored, result.Failure):
-            return protocol.ChangeUnknown(error.detail, _RETRY_AFTER_MS)
-        decided = _decided(change, stored.unwrap()[1])
-        return decided or protocol.ChangeUnknown(error.detail, _RETRY_AFTER_MS)
-
-    async def _stored(
+    async def history(
         self,
-    ) -> result.Result[tuple[int, state.ConfigurationSource | None], str]:
-        found = await self._platform.get(coordination.CONFIGURATION_KEY)
-        if isinstance(found, result.Failure):
-            error = found.failure()
-            if error.kind is _ErrorKind.NOT_FOUND:
-                return result.Success((transport.CREATE_ONLY, None))
-            return result.Failure(error.detail)
-        stored = found.unwrap()
-        try:
-            source = _SOURCE.decode(stored.value)
-        except msgspec.DecodeError as error:
-            return result.Failure(f'stored configuration: {error}')
-        return result.Success((stored.version, source))
+    ) -> result.Result[
+        typing.Sequence[protocol.ChangeSummary], protocol.OperatorError
+    ]:
+        """Return the accepted changes, the newest first."""
+        return result.Success(await self._parts.acceptor.history())
 
     def confirmations(self) -> protocol.Confirmations:
         """Return the revision that each live daemon reported."""
-        revisions = self._membership.revisions()
+        revisions = self._parts.membership.revisions()
         daemons = [
             protocol.DaemonRevision(
                 member.name, member.site, revisions.get(member.name, 0)
             )
-            for member in self._membership.live()
+            for member in self._parts.membership.live()
         ]
-        return protocol.Confirmations(self._knowledge.revision, daemons)
-
-    async def history(
-        self,
-    ) -> result.Result[
-        typing.Sequence[protocol.ChangeSummary], protocol.OperatorError
-    ]:
-        """Say that this build keeps no history."""
-        return _not_offered('the history of changes')
+        return protocol.Confirmations(self._parts.knowledge.revision, daemons)
 
     async def set_leaving(
         self, target: str, leaving: bool
     ) -> result.Result[None, protocol.OperatorError]:
-        """Say that this build cannot mark targets."""
-        return _not_offered('draining of targets')
+        """Say that a target gets no new work, or gets it again."""
+        configuration = self._parts.configuration
+        if configuration is None or target not in configuration.targets:
+            return result.Failure(
+                protocol.OperatorError(
+                    _Kind.NOT_FOUND,
+                    f'got target {target!r}, expected a configured one',
+                )
+            )
+        put = await self._parts.signs.set_leaving(target, leaving)
+        if isinstance(put, result.Failure):
+            error = put.failure()
+            return result.Failure(
+                protocol.OperatorError(
+                    _STORE_ERRORS[error.kind], error.detail, _RETRY_AFTER_MS
+                )
+            )
+        return result.Success(None)
 
     def quarantined(
         self,
     ) -> result.Result[
         typing.Sequence[protocol.QuarantineEntry], protocol.OperatorError
     ]:
-        """Say that this build keeps no quarantine."""
-        return _not_offered('the quarantine')
+        """Return the request contents that are refused."""
+        return result.Success(self._parts.quarantine.listed())
 
     async def release(
         self, fingerprint: str
     ) -> result.Result[None, protocol.OperatorError]:
-        """Say that this build keeps no quarantine."""
-        return _not_offered('the quarantine')
-
-
-def _decided(
-    change: protocol.ConfigurationChange,
-    held: state.ConfigurationSource | None,
-) -> protocol.ChangeOutcome | None:
-    if held is not None and held.change_id == change.change_id:
-        return protocol.ChangeAccepted(held.revision)
-    revision = held.revision if held else 0
-    if revision != change.base_revision:
-        author = held.author if held else ''
-        return protocol.ChangeConflict(revision, author)
-    return None
-
-
-def _not_offered(what: str) -> result.Failure[protocol.OperatorError]:
-    return result.Failure(
-        protocol.OperatorError(
-            protocol.OperatorErrorKind.NOT_OFFERED,
-            f'this daemon does not offer {what}',
+        """Take one request content out of quarantine."""
+        listed = {row.fingerprint for row in self._parts.quarantine.listed()}
+        released = await self._parts.quarantine.release(fingerprint)
+        if isinstance(released, result.Success):
+            return result.Success(None)
+        kind = _Kind.UNKNOWN if fingerprint in listed else _Kind.NOT_FOUND
+        return result.Failure(protocol.OperatorError(kind, released.failure()))
+
+    def _caller_url(self) -> str:
+        scheme = 'https' if self._settings.tls else 'http'
+        return f'{scheme}://{self._settings.caller_address}'
+
+    def _target_row(self, target: state.Target) -> protocol.TargetRow:
+        return protocol.TargetRow(
+            target.name,
+            target.site,
+            self._parts.owner(target.name),
+            target.slots,
+            target.connections,
+            self._parts.is_usable(target.name),
         )
-    )
--- /dev/null
+++ b/samphiredock/daemon/_parts.py
@@ -0,0 +1,261 @@
+"""The parts of one daemon, made in the order in which they need another."""
+
+import random
+import typing
+
+import aiohttp
+
+from samphiredock import coordination
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+PEER_MESSAGES = (
+    protocol.SubQueryBatch,
+    protocol.SubAnswerBatch,
+    protocol.CancelAttempts,
+    protocol.RunOrder,
+    protocol.RunReport,
+    protocol.ClaimAsk,
+    protocol.ClaimAnswer,
+    protocol.SuspectNotice,
+    protocol.QuarantineNotice,
+    protocol.ClearedNotice,
+    protocol.TargetSign,
+    protocol.TargetSignsWanted,
+    protocol.Release,
+    protocol.Released,
+    *protocol.CONTROL_MESSAGES,
+)
+"""The closed table of messages between daemons."""
+
+_METRICS_FLUSH_MS = 1_000.0
+_OWNERSHIP_REFRESH_MS = 200.0
+
+
+class Parts:
+    """Everything a daemon consists of but its HTTP interfaces.
+
+    It also is the view that the coordination layer reads: what is in force
+    here, which targets are usable, and who dispatches for them.
+    """
+
+    def __init__(self, settings: state.Settings, keys: state.Keys) -> None:
+        self._settings = settings
+        self.clock = timers.LoopTimers()
+        self.metrics = metrics.Metrics(settings.name)
+        self._session = aiohttp.ClientSession()
+        self.platform = transport.HttpPlatform(
+            self._session, settings.platform_url
+        )
+        self.me = _member_of(settings, self.clock.wall_ms())
+        self._codec = protocol.Codec(PEER_MESSAGES)
+        self.hub = transport.PeerHub(
+            settings.name,
+            settings.peer_address,
+            self._codec,
+            self.metrics,
+            _curve_keys(keys),
+        )
+        self._make_control()
+        self._make_dispatching()
+        self._make_coordinating()
+        self._follow_changes()
+
+    # The view of the coordination layer.
+
+    @property
+    def configuration(self) -> state.Configuration | None:
+        """The revision in force here."""
+        return self.knowledge.configuration
+
+    @property
+    def snapshot(self) -> state.Snapshot | None:
+        """The newest sound snapshot known here."""
+        return self._snapshots.current(
+            self.knowledge.snapshot, self.knowledge.configuration
+        )
+
+    def owner(self, target: str) -> str | None:
+        """The daemon that dispatches for a target."""
+        return self.ownership.owner(target)
+
+    def is_usable(self, target: str) -> bool:
+        """Whether a target may get new work."""
+        configuration = self.configuration
+        return (
+            configuration is not None
+            and target in configuration.targets
+            and self.signs.is_usable(target)
+        )
+
+    # Making.
+
+    def _random(self, part: str) -> random.Random:
+        return random.Random(f'{part}-{self.me.name}-{self.me.incarnation}')
+
+    def _make_control(self) -> None:
+        self.knowledge = coordination.Knowledge(self.metrics)
+        self._snapshots = coordination.SnapshotDoor(self.metrics)
+        self.watcher = coordination.Watcher(
+            self.platform, self.clock, self.metrics
+        )
+        coordination.follow_knowledge(self.watcher, self.knowledge)
+        self.membership = coordination.Membership(
+            self.me,
+            self.hub,
+            self._codec,
+            self.platform,
+            self.clock,
+            self.metrics,
+            self.knowledge.versions,
+            self._random('membership'),
+            self._settings.peers,
+        )
+        self.spread = coordination.Spread(
+            self.me.name,
+            self.me.site,
+            self.knowledge,
+            self.watcher,
+            self.membership,
+            self.hub,
+            self.clock,
+            self.metrics,
+        )
+        self.acceptor = coordination.Acceptor(
+            self.platform, self.knowledge, self.clock, self.metrics
+        )
+
+    def _make_dispatching(self) -> None:
+        self.quarantine = coordination.Quarantine(
+            self.hub, self.membership, self.platform, self.clock, self.metrics
+        )
+        self.ownership = coordination.OwnershipTable(
+            lambda: self.configuration,
+            lambda: self.snapshot,
+            self.membership.live,
+            self.clock,
+        )
+        self.signs = coordination.TargetSigns(
+            self.platform,
+            self.hub,
+            self.membership,
+            self.clock,
+            self.metrics,
+            self._random('signs'),
+            self._other_members,
+        )
+        self.dispatcher = coordination.Dispatcher(
+            self.hub,
+            self.clock,
+            self.metrics,
+            is_quarantined=self.quarantine.is_quarantined,
+            signs=self.signs,
+        )
+        self.dispatcher.follow_ownership(
+            self.me.name,
+            self.ownership,
+            lambda name: name in self._other_members(),
+        )
+
+    def _make_coordinating(self) -> None:
+        self.admission = coordination.Admission(self.clock)
+        self.coordinator = coordination.Coordinator(
+            self.me.name,
+            self.me.site,
+            self.me.incarnation,
+            self,
+            self.hub,
+            self.clock,
+            self.metrics,
+            self.quarantine,
+            self.admission,
+            self._random('coordinator'),
+        )
+        self.runner = coordination.Runner(
+            self.me.name,
+            self.me.site,
+            self.me.incarnation,
+            self,
+            self.hub,
+            self.platform,
+            self.clock,
+            self.metrics,
+            self._random('runner'),
+            self.quarantine,
+        )
+        self._sweeper = coordination.ClaimSweeper(
+            self.me.name,
+            lambda: [member.name for member in self.membership.live()],
+            self.platform,
+            self.clock,
+            self.metrics,
+        )
+
+    def _follow_changes(self) -> None:
+        self.knowledge.subscribe(self.dispatcher.configure)
+        self.watcher.follow(coordination.TARGETS_PREFIX, self.signs.on_object)
+        self.watcher.follow(
+            coordination.QUARANTINE_PREFIX, self.quarantine.on_stored
+        )
+        self.membership.on_change(self._on_members)
+
+    def _other_members(self) -> list[str]:
+        names = [member.name for member in self.membership.live()]
+        return [name for name in names if name != self.me.name]
+
+    def _on_members(
+        self,
+        joined: typing.Sequence[state.Member],
+        lost: typing.Sequence[state.Member],
+    ) -> None:
+        self.ownership.refresh()
+        for member in lost:
+            self.coordinator.member_lost(member.name)
+
+    # Life.
+
+    def start(self) -> None:
+        """Begin to learn and to tell."""
+        self.clock.every(_METRICS_FLUSH_MS, self.metrics.flush)
+        self.clock.every(_OWNERSHIP_REFRESH_MS, self.ownership.refresh)
+        self.watcher.start()
+        self.membership.start()
+        self.signs.start()
+        self._sweeper.start()
+
+    async def close(self) -> None:
+        """Close every connection and stop every part."""
+        self.runner.close()
+        self._sweeper.close()
+        self.watcher.close()
+        self.signs.close()
+        self.membership.close()
+        self.quarantine.close()
+        await self.dispatcher.close()
+        self.hub.close()
+        await self._session.close()
+        self.clock.close()
+        self.metrics.close()
+
+
+def _member_of(settings: state.Settings, incarnation: int) -> state.Member:
+    return state.Member(
+        settings.name,
+        settings.site,
+        settings.region,
+        settings.peer_address,
+        settings.caller_address,
+        settings.operator_address,
+        incarnation,
+    )
+
+
+def _curve_keys(keys: state.Keys) -> transport.CurveKeys | None:
+    if keys.curve is None:
+        return None
+    return transport.CurveKeys(
+        keys.curve.public, keys.curve.secret, dict(keys.admitted)
+    )
