--- /dev/null
+++ b/samphiredock/cli/_client.py
@@ -0,0 +1,100 @@
+"""Calls to daemons, trying the next address where that is safe."""
+
+import asyncio
+import dataclasses
+import typing
+
+import aiohttp
+
+_CONNECT_TIMEOUT_S = 3.0
+DEFAULT_TIMEOUT_MS = 15_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer of a daemon."""
+
+    url: str
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoReply:
+    """No daemon answered.
+
+    ``sent`` tells that one of them may have received the request.
+    """
+
+    detail: str
+    sent: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One request.
+
+    A call that is not ``repeatable`` goes to the next address only if no
+    connection was made, for else it may have been received and begun.
+    """
+
+    method: str
+    path: str
+    body: bytes | None = None
+    headers: typing.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    repeatable: bool = True
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
+
+
+def send(urls: typing.Sequence[str], call: Call) -> Reply | NoReply:
+    """Send a call to the first of ``urls`` that answers."""
+    return asyncio.run(_send(urls, call))
+
+
+async def _send(urls: typing.Sequence[str], call: Call) -> Reply | NoReply:
+    failures = []
+    sent = False
+    limit = aiohttp.ClientTimeout(
+        total=call.timeout_ms / 1000.0, sock_connect=_CONNECT_TIMEOUT_S
+    )
+    for url in urls:
+        # A session each: a kept connection that broke would be retried
+        # by the library without a word.
+        async with aiohttp.ClientSession(timeout=limit) as session:
+            try:
+                return await _exchange(session, url, call)
+            except _NOT_SENT as error:
+                failures.append(f'{url}: {_words(error)}')
+                continue
+            except (
+                aiohttp.ClientError,
+                OSError,
+                asyncio.TimeoutError,
+            ) as error:
+                failures.append(f'{url}: {_words(error)}')
+                sent = True
+        if not call.repeatable:
+            break
+    return NoReply('; '.join(failures), sent)
+
+
+_NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
+
+
+async def _exchange(
+    session: aiohttp.ClientSession, url: str, call: Call
+) -> Reply:
+    headers = {'Content-Type': 'application/json', **call.headers}
+    async with session.request(
+        call.method, url.rstrip('/') + call.path, data=call.body,
+        headers=headers, allow_redirects=False,
+    ) as response:  # fmt: skip
+        return Reply(url, response.status, await response.read())
+
+
+def _words(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/samphiredock/cli/_context.py
@@ -0,0 +1,198 @@
+"""What every command shares: addresses, token, and how to print."""
+
+import dataclasses
+import functools
+import pathlib
+import sys
+import typing
+
+import click
+import msgspec
+from returns import result
+import tabulate
+
+from samphiredock.cli import _client
+from samphiredock.cli import _exits
+from samphiredock import protocol
+from samphiredock import state
+
+_OPERATOR_ERROR = msgspec.json.Decoder(protocol.OperatorError)
+
+
+def finish(code: _exits.Exit) -> typing.NoReturn:
+    """End the program."""
+    sys.exit(int(code))
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """The options that stand before or after a command's name."""
+
+    daemons: tuple[str, ...]
+    token_file: pathlib.Path | None
+    as_json: bool
+
+    @functools.cached_property
+    def token(self) -> str | None:
+        """The operators' token, if a file was named.
+
+        The file holds the token alone or is a daemon's keys file.
+        """
+        if self.token_file is None:
+            return None
+        try:
+            text = self.token_file.read_text(encoding='utf-8').strip()
+        except (OSError, UnicodeDecodeError) as error:
+            raise click.UsageError(f'{self.token_file}: {error}') from None
+        if not text.startswith(('{', '/')):
+            return text
+        loaded = state.load_keys(self.token_file)
+        if isinstance(loaded, result.Failure):
+            rows = '\n'.join(str(row) for row in loaded.failure())
+            raise click.UsageError(rows)
+        return loaded.unwrap().operator_token
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        kind: typing.Any,
+        body: object = None,
+    ) -> typing.Any:
+        """Call an operator address and return the typed answer.
+
+        Ends the program if no daemon answers or one answers an error.
+        """
+        return self.read(self.call(method, path, body), kind)
+
+    def call(
+        self, method: str, path: str, body: object = None
+    ) -> _client.Reply:
+        """Call an operator address; ends the program if none answers."""
+        if not self.daemons:
+            raise click.UsageError(
+                'got no daemon, expected --daemon URL or SAMPHIREDOCK_DAEMON'
+            )
+        headers = {}
+        if self.token:
+            headers['Authorization'] = f'Bearer {self.token}'
+        data = None if body is None else msgspec.json.encode(body)
+        call = _client.Call(method, path, data, headers)
+        reply = _client.send(self.daemons, call)
+        if isinstance(reply, _client.NoReply):
+            self.unreachable(reply, harmless=method == 'GET')
+        return reply
+
+    def unreachable(
+        self, reply: _client.NoReply, harmless: bool
+    ) -> typing.NoReturn:
+        """Say that no daemon answered, and end the program."""
+        unknown = reply.sent and not harmless
+        kind = 'unknown' if unknown else 'unreachable'
+        self.show(
+            {'type': kind, 'detail': reply.detail}, f'{kind}: {reply.detail}'
+        )
+        exits = _exits.Exit
+        finish(exits.UNKNOWN if unknown else exits.UNREACHABLE)
+
+    def read(self, reply: _client.Reply, kind: typing.Any) -> typing.Any:
+        """Return a reply as a typed value; an error ends the program."""
+        value = decode(reply, kind)
+        if isinstance(value, protocol.OperatorError):
+            self.end_with(value)
+        return value
+
+    def end_with(self, outcome: object) -> typing.NoReturn:
+        """Show an outcome and end with its exit code."""
+        self.show(outcome, describe(outcome))
+        finish(_exits.exit_of(outcome))
+
+    def show(self, value: object, words: str) -> None:
+        """Print a value: JSON for programs, words for people."""
+        if self.as_json:
+            click.echo(msgspec.json.encode(value).decode())
+        else:
+            click.echo(words)
+
+    def note(self, words: str) -> None:
+        """Print progress to standard error, apart from the result."""
+        click.echo(words, err=True)
+
+
+def decode(reply: _client.Reply, kind: typing.Any) -> typing.Any:
+    """Return a reply as a value of ``kind``, or the error that it is."""
+    try:
+        return _OPERATOR_ERROR.decode(reply.body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        pass
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return protocol.OperatorError(
+            protocol.OperatorErrorKind.UNKNOWN,
+            f'{reply.url} answered {reply.status} with a body that cannot '
+            f'be read: {error}',
+        )
+
+
+def table(
+    headers: typing.Sequence[str], rows: typing.Iterable[typing.Sequence]
+) -> str:
+    """Return rows as a table for people."""
+    return tabulate.tabulate(list(rows), headers, disable_numparse=True)
+
+
+def describe(outcome: typing.Any) -> str:
+    """Return an outcome in words."""
+    fields = msgspec.to_builtins(outcome)
+    kind = fields.pop('type')
+    lines = [f'{kind.replace("-", " ")}']
+    retry_after_ms = fields.pop('retry_after_ms', 0)
+    for name, value in fields.items():
+        if value not in ('', None, [], {}):
+            lines.append(f'  {name}: {_plain(value)}')
+    if retry_after_ms:
+        lines.append(f'  ask again after {retry_after_ms} ms')
+    return '\n'.join(lines)
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, dict):
+        return ', '.join(f'{key}={each}' for key, each in value.items())
+    if isinstance(value, list):
+        return ''.join(f'\n    {each}' for each in value)
+    return str(value)
+
+
+def with_context(command: typing.Callable) -> typing.Callable:
+    """Give a command the shared options and a :class:`Context`.
+
+    The options may be stated after the command's name, too.
+    """
+
+    @click.option(
+        '--daemon',
+        'daemons',
+        multiple=True,
+        envvar='SAMPHIREDOCK_DAEMON',
+        metavar='URL',
+        help='Operator address of a daemon; may be given more than once, '
+        'the next is tried if one cannot be reached.',
+    )
+    @click.option(
+        '--token-file',
+        type=click.Path(path_type=pathlib.Path),
+        envvar='SAMPHIREDOCK_TOKEN_FILE',
+        help='File with the operator token, or a keys file.',
+    )
+    @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+    @functools.wraps(command)
+    def wrapped(
+        daemons: tuple[str, ...],
+        token_file: pathlib.Path | None,
+        as_json: bool,
+        **options: typing.Any,
+    ) -> typing.Any:
+        return command(Context(daemons, token_file, as_json), **options)
+
+    return wrapped
--- /dev/null
+++ b/samphiredock/cli/_difference.py
@@ -0,0 +1,59 @@
+"""Differences between two configurations, path by path."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from samphiredock import state
+
+ABSENT = '(absent)'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """One path whose value differs."""
+
+    path: str
+    old: str
+    new: str
+
+    def __str__(self) -> str:
+        if self.old == ABSENT:
+            return f'+ {self.path}: {self.new}'
+        if self.new == ABSENT:
+            return f'- {self.path}: {self.old}'
+        return f'~ {self.path}: {self.old} -> {self.new}'
+
+
+def between(
+    old: state.ConfigurationSource | None,
+    base: dict,
+    overlays: typing.Mapping[str, dict],
+) -> list[Difference]:
+    """Return what a new base and overlays would change."""
+    before = _flat_source(old.base, old.overlays) if old else {}
+    after = _flat_source(base, overlays)
+    return [
+        Difference(path, before.get(path, ABSENT), after.get(path, ABSENT))
+        for path in sorted(before.keys() | after.keys())
+        if before.get(path) != after.get(path)
+    ]
+
+
+def _flat_source(
+    base: dict, overlays: typing.Mapping[str, dict]
+) -> dict[str, str]:
+    flat: dict[str, str] = {}
+    _flatten('base', base, flat)
+    for site, overlay in overlays.items():
+        _flatten(f'overlay {site}', overlay, flat)
+    return flat
+
+
+def _flatten(path: str, value: object, flat: dict[str, str]) -> None:
+    if not isinstance(value, dict) or not value:
+        flat[path] = msgspec.json.encode(value).decode()
+        return
+    for key, each in value.items():
+        _flatten(f'{path}.{key}', each, flat)
--- /dev/null
+++ b/samphiredock/cli/_requests.py
@@ -0,0 +1,191 @@
+"""``samphiredock search`` and ``samphiredock run``: ask as a caller."""
+
+import time
+import typing
+import uuid
+
+import click
+import msgspec
+
+from samphiredock.cli import _client
+from samphiredock.cli import _context
+from samphiredock import protocol
+from samphiredock import transport
+
+_ANSWER_SLACK_MS = 5_000
+_LONGEST_DEADLINE_MS = 30_000
+
+
+class _Pair(click.ParamType):
+    """``NAME=VALUE``."""
+
+    name = 'NAME=VALUE'
+
+    def convert(
+        self,
+        value: typing.Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> tuple[str, str]:
+        key, found, text = str(value).partition('=')
+        if not (key and found):
+            self.fail(f'got {value!r}, expected NAME=VALUE', param, ctx)
+        return key, text
+
+
+_CALLER = click.option(
+    '--caller',
+    'callers',
+    multiple=True,
+    envvar='SAMPHIREDOCK_CALLER',
+    metavar='URL',
+    help='Caller address; if not given, a daemon is asked for it.',
+)
+_DEADLINE = click.option(
+    '--deadline-ms',
+    type=click.IntRange(1),
+    help="Milliseconds; the configuration's own if not stated.",
+)
+
+
+@click.command()
+@click.argument('service')
+@click.argument('search_name', metavar='SEARCH')
+@click.argument('terms', nargs=-1, type=_Pair(), metavar='[FIELD=VALUE]...')
+@click.option('--limit', type=click.IntRange(1), help='Records at most.')
+@_DEADLINE
+@_CALLER
+@_context.with_context
+def search(
+    context: _context.Context,
+    service: str,
+    search_name: str,
+    terms: tuple[tuple[str, str], ...],
+    limit: int | None,
+    deadline_ms: int | None,
+    callers: tuple[str, ...],
+) -> None:
+    """Run a search and print its records, snapshot and true coverage."""
+    request = protocol.SearchRequest(
+        service, search_name, dict(terms), deadline_ms, limit
+    )
+    call = _client.Call(
+        'POST',
+        '/v1/search',
+        msgspec.json.encode(request),
+        timeout_ms=_timeout_ms(deadline_ms),
+    )
+    reply = _client.send(_caller_urls(context, callers), call)
+    if isinstance(reply, _client.NoReply):
+        context.unreachable(reply, harmless=True)
+    outcome = context.read(reply, protocol.SearchOutcome)
+    if not context.as_json and hasattr(outcome, 'records'):
+        click.echo(_records_table(outcome.records))
+        outcome = msgspec.structs.replace(outcome, records=[])
+    context.end_with(outcome)
+
+
+@click.command()
+@click.argument('service')
+@click.argument('operation')
+@click.argument('body', nargs=-1, type=_Pair(), metavar='[NAME=VALUE]...')
+@click.option('--key', help='Idempotency key; a new one if not stated.')
+@click.option(
+    '--issued-at-ms',
+    type=int,
+    help='When the key was made (ms since the epoch); give it with --key '
+    'to ask again.',
+)
+@_DEADLINE
+@_CALLER
+@_context.with_context
+def run(
+    context: _context.Context,
+    service: str,
+    operation: str,
+    body: tuple[tuple[str, str], ...],
+    key: str | None,
+    issued_at_ms: int | None,
+    deadline_ms: int | None,
+    callers: tuple[str, ...],
+) -> None:
+    """Run an unrepeatable request, at most once for a key."""
+    if issued_at_ms is None:
+        issued_at_ms = int(time.time() * 1000)
+    key = key or uuid.uuid4().hex
+    urls = _caller_urls(context, callers)
+    again = f'--key {key} --issued-at-ms {issued_at_ms}'
+    # Before it is sent: whatever happens next, the key is on the screen.
+    context.note(f'idempotency key {key}, issued at {issued_at_ms} ms')
+    request = protocol.RunRequest(
+        service, operation, dict(body), issued_at_ms, deadline_ms
+    )
+    call = _client.Call(
+        'POST',
+        '/v1/run',
+        msgspec.json.encode(request),
+        {transport.IDEMPOTENCY_KEY_HEADER: key},
+        repeatable=False,
+        timeout_ms=_timeout_ms(deadline_ms),
+    )
+    reply = _client.send(urls, call)
+    if isinstance(reply, _client.NoReply):
+        if reply.sent:
+            _say_again(context, again)
+        context.unreachable(reply, harmless=False)
+    outcome = _run_outcome(reply)
+    if isinstance(outcome, protocol.Unknown):
+        _say_again(context, again)
+    context.end_with(outcome)
+
+
+def _run_outcome(reply: _client.Reply) -> protocol.RunOutcome:
+    try:
+        return msgspec.json.decode(reply.body, type=protocol.RunOutcome)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        # Something answered that cannot be read, perhaps a balancer: it
+        # may have come after the request had been passed on.
+        return protocol.Unknown(
+            f'{reply.url} answered {reply.status}, not readable: {error}', 0
+        )
+
+
+def _say_again(context: _context.Context, again: str) -> None:
+    context.note(
+        'it may or may not have run; the same request is safe to send '
+        f'again with: {again}'
+    )
+
+
+def _timeout_ms(deadline_ms: int | None) -> int:
+    return (deadline_ms or _LONGEST_DEADLINE_MS) + _ANSWER_SLACK_MS
+
+
+def _caller_urls(
+    context: _context.Context, given: tuple[str, ...]
+) -> list[str]:
+    if given:
+        return list(given)
+    status = context.ask('GET', '/v1/status', dict)
+    own = status['caller_url']
+    scheme = own.partition(':')[0]
+    others = [
+        f'{scheme}://{member["caller_address"]}'
+        for member in status['members']
+    ]
+    return [own, *(url for url in others if url != own)]
+
+
+def _records_table(records: list[protocol.Record]) -> str:
+    names = sorted({name for row in records for name in row.fields})
+    return _context.table(
+        ['key', 'score', *names],
+        [
+            [
+                row.key,
+                f'{row.score:.3f}',
+                *(row.fields.get(n, '') for n in names),
+            ]
+            for row in records
+        ],
+    )
--- a/samphiredock/cli/main.py
+++ b/samphiredock/cli/main.py
@@ -2,11 +2,48 @@
 
 import click
 
+from samphiredock.cli import _config
+from samphiredock.cli import _exits
+from samphiredock.cli import _fleet
+from samphiredock.cli import _keys
+from samphiredock.cli import _requests
 
-@click.group()
+_HELP = f"""Operate a samphiredock query tier.
+
+Commands talk to the operator address of a daemon: give --daemon URL, more
+than once for others to try, or set SAMPHIREDOCK_DAEMON. Daemons with a
+keys file want --token-file (or SAMPHIREDOCK_TOKEN_FILE). Tables are for
+people; --json prints one JSON value for programs. Progress and questions
+go to standard error.
+
+\b
+Examples:
+  samphiredock config check --folder examples/gebeya
+  samphiredock config apply --base base.json --overlay bole-a=bole-a.json
+  samphiredock status
+  samphiredock search field-claims claimant-history kebele=bole
+  samphiredock run relief-payout release-payout household=household-7
+  samphiredock target drain desk-1
+
+{_exits.EXIT_HELP}"""
+
+
+@click.group(help=_HELP, context_settings={'max_content_width': 79})
 def main() -> None:
     """Operate a samphiredock query tier."""
 
 
+for _command in (
+    _config.config,
+    _fleet.status,
+    _requests.search,
+    _requests.run,
+    _fleet.target,
+    _fleet.quarantine,
+    _keys.keys,
+):
+    main.add_command(_command)
+
+
 if __name__ == '__main__':
     main()
