Tests of the command line and of operators with real processes

test_operators: two operators race from one base while the platform loses the answer to the first write; and the quick start itself, with keys.

--- /dev/null
+++ b/tests/process/test_operators.py
@@ -0,0 +1,96 @@
+"""What an operator does, with real processes and the real command line."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import typing
+import unittest
+
+from standins import cluster
+from tests.process import test_thin_path
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+async def command(
+    place: cluster.DaemonPlace, *arguments: str
+) -> tuple[int, typing.Any]:
+    """Run the command line against one daemon; return status and JSON."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'samphiredock.cli',
+        *arguments,
+        '--json',
+        '--daemon',
+        place.operator_url,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await process.communicate()
+    assert output, errors.decode()
+    return process.returncode, json.loads(output.decode())
+
+
+class OperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """Three daemons and a platform stand-in that loses answers."""
+
+    async def test_changes_race_and_answers_are_lost(self) -> None:
+        """Two operators change from one base; the platform loses an answer.
+
+        The first change takes effect in the store while its answer is
+        lost: the daemon reads it back and says accepted.  The second was
+        made from the same revision and is a conflict that names the one
+        in force.  The first, sent again by its id, is accepted once more
+        as the same revision.
+        """
+        async with cluster.Cluster() as system:
+            await test_thin_path.start_small_system(system, 3)
+            first, second = list(system.daemons.values())[:2]
+            _, shown = await command(first, 'config', 'show')
+            files = [self._write(system, shown['base'], w) for w in (3.0, 5.0)]
+            await system.store_faults(lose_answers=1)
+            apply = ('config', 'apply', '--yes', '--base-revision', '1')
+            sent = (*apply, '--change-id', 'one', '--base', files[0])
+            status, done = await command(first, *sent)
+            self.assertEqual((0, 'confirmed'), (status, done['type']))
+            self.assertEqual(2, done['revision'])
+            status, done = await command(second, *apply, '--base', files[1])
+            self.assertEqual((4, 2), (status, done['revision']))
+            status, done = await command(second, *sent)
+            self.assertEqual((0, 2), (status, done['revision']))
+            _, fleet = await command(second, 'status')
+            self.assertEqual({2}, set(fleet['revisions'].values()))
+
+    def _write(
+        self, system: cluster.Cluster, base: dict, weight: float
+    ) -> str:
+        base['services']['field-claims']['weight'] = weight
+        path = system.folder / f'base-{weight}.json'
+        path.write_text(json.dumps(base), encoding='utf-8')
+        return str(path)
+
+    async def test_quick_start_ends_well_and_leaves_nothing(self) -> None:
+        """The newcomer's first command, with keys between the daemons."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'standins.quickstart',
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        text = output.decode()
+        self.assertEqual(0, process.returncode, text)
+        for expected in (
+            'revision 1 confirmed',
+            'coverage: 1.0',
+            'replayed: False',
+            'replayed: True',
+            'all stopped',
+        ):
+            self.assertIn(expected, text)
+        self.assertEqual(3, text.count('drained, exit 0'))
