--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -27,7 +27,7 @@
 """The closed table of messages between daemons."""
 
 _METRICS_FLUSH_MS = 1_000.0
-_BODY_LIMIT_BYTES = 65_536
+_BODY_LIMIT_BYTES = 1_000_000
 
 _log = logs.logger('daemon')
 
@@ -182,6 +182,10 @@
             'counters': self._metrics.totals(),
         }
 
+    def _body_limit_bytes(self) -> int:
+        limits = self.configuration.limits if self.configuration else None
+        return (limits or state.Limits()).body_limit_bytes
+
     def _caller_url(self) -> str:
         scheme = 'https' if self._settings.tls else 'http'
         return f'{scheme}://{self._settings.caller_address}'
@@ -202,7 +206,7 @@
         self._watcher.start()
         self._membership.start()
         callers = transport.caller_application(
-            self, _BODY_LIMIT_BYTES, self._metrics
+            self, _BODY_LIMIT_BYTES, self._metrics, self._body_limit_bytes
         )
         operators = transport.operator_application(
             self, self._metrics, self._keys.operator_token
--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -82,13 +82,18 @@
     service: Service,
     body_limit_bytes: int,
     counters: metrics.Metrics | None = None,
+    limit_in_force: typing.Callable[[], int] | None = None,
 ) -> web.Application:
     """Return the application that serves callers and the balancer.
 
+    ``body_limit_bytes`` is never passed; ``limit_in_force`` may give a
+    lower limit that changes with the configuration.
+
     Every request is read whole before anything is started.  A failure of
     a handler is answered as unknown, for it may have started something.
     """
-    handlers = _Handlers(service)
+    limit = limit_in_force or (lambda: body_limit_bytes)
+    handlers = _Handlers(service, limit)
     counters = counters or metrics.Metrics('callers')
     app = web.Application(
         client_max_size=body_limit_bytes,
@@ -104,17 +109,20 @@
 class _Handlers:
     """One method a route."""
 
-    def __init__(self, service: Service) -> None:
+    def __init__(
+        self, service: Service, body_limit_bytes: typing.Callable[[], int]
+    ) -> None:
         self._service = service
+        self._body_limit_bytes = body_limit_bytes
 
     async def search(self, request: web.Request) -> web.Response:
-        body = await _read(request, _SEARCH)
+        body = await _read(request, _SEARCH, self._body_limit_bytes())
         if isinstance(body, _Refusal):
             return body.response(self._service)
         return _respond(self._service, await self._service.search(body))
 
     async def run(self, request: web.Request) -> web.Response:
-        body = await _read(request, _RUN)
+        body = await _read(request, _RUN, self._body_limit_bytes())
         if isinstance(body, _Refusal):
             return body.response(self._service)
         key = _idempotency_key(request)
@@ -132,7 +140,9 @@
 
 
 async def _read(
-    request: web.Request, decoder: msgspec.json.Decoder
+    request: web.Request,
+    decoder: msgspec.json.Decoder,
+    body_limit_bytes: int,
 ) -> typing.Any:
     if not _http_guard.has_json_type(request):
         return _Refusal(
@@ -141,6 +151,11 @@
             f'expected {_http_guard.JSON_TYPE}',
         )
     content = await request.read()
+    if len(content) > body_limit_bytes:
+        return _Refusal(
+            413,
+            f'got {len(content)} bytes, expected at most {body_limit_bytes}',
+        )
     try:
         body = decoder.decode(content)
     except msgspec.ValidationError as error:
--- a/tests/unit/test_caller_http.py
+++ b/tests/unit/test_caller_http.py
@@ -118,6 +118,17 @@
         status, answer, _ = await self._post('/v1/search', SEARCH)
         self.assertEqual((200, 'answered'), (status, answer['type']))
 
+    async def test_the_limit_in_force_may_be_lower(self) -> None:
+        """It changes with the configuration, not with a restart."""
+        limit = [10]
+        app = transport.caller_application(
+            self.service, BODY_LIMIT_BYTES, self.counters, lambda: limit[0]
+        )
+        async with test_utils.TestClient(test_utils.TestServer(app)) as client:
+            for expected, limit[0] in ((413, 10), (200, 500)):
+                async with client.post('/v1/search', json=SEARCH) as got:
+                    self.assertEqual(expected, got.status)
+
     async def test_each_reason_has_a_status_and_a_retry(self) -> None:
         """``Retry-After`` is in whole seconds, rounded up."""
         for reason in protocol.NotRunReason:
