Pages for users and operators, checked against the code

README, CONFIGURATION, OPERATIONS, GLOSSARY, HOUSE-STYLE, whats-new. A test finds fields and counters in the code and fails if a page lacks one; it failed first for the settings' tls. Configuration changes are no longer counted by the HTTP layer as well: the Acceptor counts them.

--- a/samphiredock/transport/_operator_http.py
+++ b/samphiredock/transport/_operator_http.py
@@ -168,8 +168,6 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return _failure(_Kind.BAD_REQUEST, str(error))
         outcome = await self._operations.apply(change)
-        kind = type(outcome).__name__
-        self._metrics.add('configuration_changes', outcome=kind)
         return _json(outcome, _CHANGE_STATUS[type(outcome)])
 
     async def history(self, request: web.Request) -> web.Response:
