A peer's name must belong to its key; daemon says which address is taken

Cause: any admitted daemon could send under another member's name, for example answer for the holder of a claim. An address in use gave a traceback, and a file name with a zero character raised out of load_settings (found by the settings fuzz). Change: with keys, the sender's frame is compared with the key that the connection was admitted by; others are dropped and counted. Shown: with the comparison off, test_a_member_cannot_speak_for_another fails. A test of the taken address inside the test process hung at the collection of the zmq context (a failed start closes nothing); as a process it exits 1, so the test is a process test.

--- a/samphiredock/daemon/main.py
+++ b/samphiredock/daemon/main.py
@@ -8,11 +8,13 @@
 
 import click
 from returns import result
+import zmq
 
 from samphiredock.daemon import _node
 from samphiredock import logs
 from samphiredock import state
 
+_CANNOT_RUN_STATUS = 1
 _INVALID_STATUS = 2
 
 
@@ -28,9 +30,9 @@
 def main(settings_path: pathlib.Path, check: bool) -> None:
     """Run one samphiredock daemon until SIGTERM or SIGINT.
 
-    Exit status: 0 after an orderly stop, 2 for settings or keys that are
-    not valid; every mistake is printed with file, path, what was got and
-    what was expected.
+    Exit status: 0 after an orderly stop, 1 if an address cannot be
+    listened on, 2 for settings or keys that are not valid; every mistake
+    is printed with file, path, what was got and what was expected.
     """
     settings = _read(settings_path, state.load_settings)
     keys = state.Keys()
@@ -40,7 +42,11 @@
         click.echo(f'{settings_path}: valid')
         return
     logs.set_up(settings.log_level)
-    asyncio.run(_serve(settings, keys))
+    try:
+        asyncio.run(_serve(settings, keys))
+    except (OSError, zmq.ZMQError) as error:
+        click.echo(f'cannot run with {settings_path}: {error}', err=True)
+        sys.exit(_CANNOT_RUN_STATUS)
 
 
 def _read(
--- a/samphiredock/state/_files.py
+++ b/samphiredock/state/_files.py
@@ -17,8 +17,8 @@
     """Return the value that a file of JSON with comments holds."""
     try:
         data = path.read_bytes()
-    except OSError as error:
-        return _failure(path, error.strerror or str(error), 'a readable file')
+    except (OSError, ValueError) as error:
+        return _failure(path, str(error), 'a readable file')
     if len(data) > _SIZE_LIMIT_BYTES:
         return _failure(
             path,
--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -280,12 +280,30 @@
             if self._closed:
                 return
             try:
-                frames = self._incoming.recv_multipart(zmq.NOBLOCK)
+                frames = self._receive()
             except zmq.Again:
                 return
-            self._read(frames)
+            if frames is not None:
+                self._read(frames)
         self._loop.call_soon(self._drain)
 
+    def _receive(self) -> list[bytes] | None:
+        """Return the next message, None if its sender is not who it says.
+
+        A connection is admitted by its key, but the sender is a frame of
+        the message: without a check, any admitted daemon could speak for
+        another, for example say that it never sent a claimed request.
+        """
+        if self._keys is None:
+            return self._incoming.recv_multipart(zmq.NOBLOCK)
+        parts = self._incoming.recv_multipart(zmq.NOBLOCK, copy=False)
+        frames = [part.bytes for part in parts]
+        sender = frames[0].decode('utf-8', 'replace')
+        if self._keys.admitted.get(sender) == parts[0].get('User-Id'):
+            return frames
+        self._metrics.add('peer_senders_refused')
+        return None
+
     def _read(self, frames: list[bytes]) -> None:
         if len(frames) < 3 or len(frames) % 2 == 0:
             self._metrics.add('peer_messages_unreadable')
--- a/tests/process/test_operators.py
+++ b/tests/process/test_operators.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import socket
 import sys
 import typing
 import unittest
@@ -72,6 +73,27 @@
         path.write_text(json.dumps(base), encoding='utf-8')
         return str(path)
 
+    async def test_an_address_in_use_is_said_in_words(self) -> None:
+        """No traceback, and no daemon that hangs half started."""
+        async with cluster.Cluster() as system:
+            system.store_url = 'http://127.0.0.1:9'
+            system.place_daemon('entry-1', 'bole-a', 'addis')
+            for key, scheme in (
+                ('peer_address', 'tcp://'),
+                ('operator_address', ''),
+            ):
+                with socket.create_server(('127.0.0.1', 0)) as taken:
+                    port = taken.getsockname()[1]
+                    address = f'{scheme}127.0.0.1:{port}'
+                    system.write_settings('entry-1', **{key: address})
+                    system.start_daemon('entry-1')
+                    process = system.processes['entry-1']
+                    code = await asyncio.to_thread(process.wait)
+                self.assertEqual(1, code)
+                log = (system.folder / 'entry-1.log').read_text()
+                self.assertIn(f'{port}', log)
+                self.assertNotIn('Traceback', log)
+
     async def test_quick_start_ends_well_and_leaves_nothing(self) -> None:
         """The newcomer's first command, with keys between the daemons."""
         process = await asyncio.create_subprocess_exec(
--- a/tests/unit/test_curve.py
+++ b/tests/unit/test_curve.py
@@ -84,6 +84,23 @@
         await self._until(lambda: counters.total('peer_messages_dropped'))
         self.assertEqual([], self.heard)
 
+    async def test_a_member_cannot_speak_for_another(self) -> None:
+        """Its key is admitted, but under another name.
+
+        Believed, it could say for the holder of a claim that the request
+        was never sent, and have it run a second time.
+        """
+        _, counters, address = self._hub('a', self.pairs[0])
+        liar, _, _ = self._hub('a', self.pairs[1])
+        second, _, _ = self._hub('b', self.pairs[1])
+        for hub, number in ((liar, 666), (second, 1)):
+            hub.set_address('x', address)
+            hub._keys.admitted['x'] = self.pairs[0][0]
+            hub.send('x', Hello(number))
+        await self._until(lambda: counters.total('peer_senders_refused'))
+        await self._until(lambda: self.heard)
+        self.assertEqual([('b', 1)], self.heard)
+
     async def test_a_plain_peer_is_not_heard(self) -> None:
         """A member with keys takes nothing from a peer without."""
         _, counters, address = self._hub('a', self.pairs[0])
--- a/tests/unit/test_fuzz_compiler.py
+++ b/tests/unit/test_fuzz_compiler.py
@@ -11,13 +11,13 @@
 from samphiredock import state
 from tests.unit import bases
 
-_SETTINGS = hypothesis.settings(
+SETTINGS = hypothesis.settings(
     derandomize=True,
     deadline=None,
     max_examples=100,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
-_JSON = strategies.recursive(
+JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
@@ -68,15 +68,15 @@
 class CompilerFuzzTest(unittest.TestCase):
     """The compiler never raises and never passes the common limit."""
 
-    @_SETTINGS
+    @SETTINGS
     @hypothesis.given(bases.valid_bases())
     def test_a_valid_base_compiles(self, raw: dict) -> None:
         """What keeps every rule is accepted."""
         made = state.compile_source(bases.source(raw))
         self.assertIsInstance(made, result.Success, str(made))
 
-    @_SETTINGS
-    @hypothesis.given(bases.valid_bases(), _JSON, strategies.integers(0))
+    @SETTINGS
+    @hypothesis.given(bases.valid_bases(), JSON, strategies.integers(0))
     def test_a_mutation_never_raises(
         self, raw: dict, value: object, seed: int
     ) -> None:
@@ -88,8 +88,8 @@
             sites = made.unwrap().sites.values()
             self.assertLessEqual(sum(row.share for row in sites), 1 + 1e-6)
 
-    @_SETTINGS
-    @hypothesis.given(_JSON, _JSON)
+    @SETTINGS
+    @hypothesis.given(JSON, JSON)
     def test_anything_at_all_never_raises(
         self, raw: object, overlay: object
     ) -> None:
@@ -97,7 +97,7 @@
         state.compile_source(bases.source(raw, {'bole-a': overlay}))
         state.compile_source(bases.source(bases.base(), {'bole-a': overlay}))
 
-    @_SETTINGS
+    @SETTINGS
     @hypothesis.given(strategies.data())
     def test_no_overlay_passes_the_common_limit(
         self, data: strategies.DataObject
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -11,7 +11,7 @@
 
 from samphiredock import state
 
-_SOUND = {
+SOUND = {
     'name': 'entry-1',
     'site': 'bole-a',
     'region': 'addis',
@@ -38,7 +38,7 @@
         return path
 
     def _problems(self, **changes: object) -> dict[str, state.Problem]:
-        text = json.dumps({**_SOUND, **changes})
+        text = json.dumps({**SOUND, **changes})
         loaded = state.load_settings(self._write('settings.json', text))
         if isinstance(loaded, result.Success):
             return {}
@@ -58,7 +58,7 @@
     def test_sound_file_with_comments_and_keys(self) -> None:
         """Paths are taken from the settings file's own folder."""
         self.assertIsInstance(self._keys(), result.Success)
-        text = json.dumps({**_SOUND, 'keys_file': 'keys.json'})
+        text = json.dumps({**SOUND, 'keys_file': 'keys.json'})
         path = self._write('settings.json', '// entry host 1\n' + text)
         loaded = state.load_settings(path).unwrap()
         self.assertEqual(str(self.folder / 'keys.json'), loaded.keys_file)
