A row that is wrong in the base is not reported again by its overlay

Cause: rows with a mistake were dropped, so an overlay of that site or target was told that the base does not have it.

--- a/samphiredock/state/_compiler.py
+++ b/samphiredock/state/_compiler.py
@@ -128,12 +128,10 @@
     problems = list(report.problems)
     for site, raw in source.overlays.items():
         overlay = _checks.Report(files.get(site, f'overlay {site}'))
-        # A base without sound sites says nothing on which are known.
-        if parts.sites or not problems:
-            _overlay.apply_overlay(
-                overlay, site, raw, parts.service_names, parts.sites,
-                parts.targets,
-            )  # fmt: skip
+        # A site that is wrong in the base has its mistake already.
+        if parts.is_named('sites', site) and site not in parts.sites:
+            continue
+        _overlay.apply_overlay(overlay, site, raw, parts)
         problems += overlay.problems
     if problems:
         return result.Failure(tuple(problems))
@@ -150,7 +148,6 @@
         self._report = report
         self.limits = _configuration.Limits()
         self.services: dict[str, _configuration.Service] = {}
-        self.service_names: frozenset[str] = frozenset()
         self.sites: _overlay.Rows = {}
         self.targets: _overlay.Rows = {}
         self._indexes: tuple[str, ...] = ()
@@ -186,6 +183,10 @@
             self.limits,
         )
 
+    def is_named(self, part: str, name: str) -> bool:
+        """Whether the base states a row, be it sound or not."""
+        return name in self._part(part)
+
     def _part(self, name: str) -> dict:
         # A part of the wrong type is already reported with the base.
         part = self._base.get(name, {})
@@ -229,7 +230,6 @@
 
     def _read_services(self) -> None:
         raw = self._part('services')
-        self.service_names = frozenset(raw)
         for name, row in self._report.rows('services', raw, _SERVICE).items():
             path = f'services.{name}'
             searches = {
--- a/samphiredock/state/_overlay.py
+++ b/samphiredock/state/_overlay.py
@@ -31,23 +31,28 @@
 Rows = dict[str, dict[str, typing.Any]]
 
 
+class Base(typing.Protocol):
+    """The base's rows, of which an overlay changes its own site's."""
+
+    sites: Rows
+    targets: Rows
+
+    def is_named(self, part: str, name: str) -> bool:
+        """Whether the base states a row, be it sound or not."""
+
+
 def apply_overlay(
-    report: _checks.Report,
-    site: str,
-    raw: object,
-    services: typing.Container[str],
-    sites: Rows,
-    targets: Rows,
+    report: _checks.Report, site: str, raw: object, base: Base
 ) -> None:
-    """Change the rows of ``sites`` and ``targets`` by one overlay.
+    """Change the rows of ``base`` by one overlay.
 
     Mistakes go to ``report``; a row is changed only by a sound value.
     """
-    if site not in sites:
+    if site not in base.sites:
         report.note(
             '$',
             f'an overlay for site {site!r}',
-            'a site of the base: ' + ', '.join(sites),
+            'a site of the base: ' + ', '.join(base.sites),
         )
         return
     if isinstance(raw, dict):
@@ -58,9 +63,9 @@
     row = report.row('$', raw, _OVERLAY)
     if row is None:
         return
-    _lower_share_cap(report, sites[site], row['share_cap'])
-    _apply_services(report, sites[site], services, row['services'])
-    _apply_targets(report, site, targets, row['targets'])
+    _lower_share_cap(report, base.sites[site], row['share_cap'])
+    _apply_services(report, base, base.sites[site], row['services'])
+    _apply_targets(report, base, site, row['targets'])
 
 
 def _lower_share_cap(
@@ -83,13 +88,13 @@
 
 def _apply_services(
     report: _checks.Report,
+    base: Base,
     site: dict[str, typing.Any],
-    services: typing.Container[str],
     raw: dict,
 ) -> None:
     for name, row in report.rows('services', raw, _SERVICE).items():
         path = f'services.{name}'
-        if name not in services:
+        if not base.is_named('services', name):
             report.note(path, f'service {name!r}', 'a service of the base')
         elif row['cap'] > site['share_cap']:
             report.add(
@@ -100,13 +105,15 @@
 
 
 def _apply_targets(
-    report: _checks.Report, site: str, targets: Rows, raw: dict
+    report: _checks.Report, base: Base, site: str, raw: dict
 ) -> None:
     for name, row in report.rows('targets', raw, _TARGET).items():
         path = f'targets.{name}'
-        target = targets.get(name)
-        if target is None:
+        target = base.targets.get(name)
+        if not base.is_named('targets', name):
             report.note(path, f'target {name!r}', 'a target of the base')
+        elif target is None:
+            continue
         elif target['site'] != site:
             report.note(
                 path,
--- a/tests/unit/test_compiler.py
+++ b/tests/unit/test_compiler.py
@@ -88,6 +88,9 @@
             {row.path for row in found},
         )
         self.assertIn("'share_cap'", found[0].got)
+        # What is wrong in the base is not said again of its overlay.
+        overlay = {'targets': {'desk-1': {'slots': 1}}, 'share_cap': 0.5}
+        self.assertEqual(2, len(_problems(raw, {'bole-a': overlay})))
         self.assertEqual('overlay yeka-c', found[-1].file)
 
     def test_two_targets_do_not_share_a_url(self) -> None:
