--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -1,27 +1,6 @@
 """Snapshots, configuration and other state that daemons hold."""
 
-from samphiredock.state._checks import address
-from samphiredock.state._checks import choice
-from samphiredock.state._checks import flag
-from samphiredock.state._checks import integer
-from samphiredock.state._checks import is_name
-from samphiredock.state._checks import join
-from samphiredock.state._checks import mapping
-from samphiredock.state._checks import name
-from samphiredock.state._checks import names
-from samphiredock.state._checks import number
-from samphiredock.state._checks import peer_address
-from samphiredock.state._checks import positive
 from samphiredock.state._checks import Problem
-from samphiredock.state._checks import Report
-from samphiredock.state._checks import REQUIRED
-from samphiredock.state._checks import Rule
-from samphiredock.state._checks import Rules
-from samphiredock.state._checks import rules_of
-from samphiredock.state._checks import shown
-from samphiredock.state._checks import text
-from samphiredock.state._checks import texts_where
-from samphiredock.state._checks import url
 from samphiredock.state._claims import Bucket
 from samphiredock.state._claims import BUCKETS_PER_SLICE
 from samphiredock.state._claims import Claim
@@ -39,7 +18,6 @@
 from samphiredock.state._claims import slice_prefix
 from samphiredock.state._claims import Verdict
 from samphiredock.state._compiler import compile_source
-from samphiredock.state._compiler import Compiled
 from samphiredock.state._compiler import ConfigurationSource
 from samphiredock.state._configuration import Configuration
 from samphiredock.state._configuration import Limits
@@ -57,8 +35,6 @@
 from samphiredock.state._keys import Keys
 from samphiredock.state._keys import load_keys
 from samphiredock.state._keys import TOKEN_LEAST_LENGTH
-from samphiredock.state._overlay import apply_overlay
-from samphiredock.state._overlay import Rows
 from samphiredock.state._settings import load_settings
 from samphiredock.state._settings import LOG_LEVELS
 from samphiredock.state._settings import Settings
@@ -75,7 +51,6 @@
     'CLAIMS_PREFIX',
     'Claim',
     'ClaimState',
-    'Compiled',
     'Configuration',
     'ConfigurationSource',
     'CurvePair',
@@ -93,11 +68,6 @@
     'Place',
     'Problem',
     'REQUEST_CLASSES',
-    'REQUIRED',
-    'Report',
-    'Rows',
-    'Rule',
-    'Rules',
     'SLICE_MS',
     'Search',
     'Service',
@@ -109,33 +79,15 @@
     'Target',
     'TlsSettings',
     'Verdict',
-    'address',
-    'apply_overlay',
     'check_snapshot',
-    'choice',
     'closed_claim',
     'compile_source',
     'content_digest',
     'decode_bucket',
-    'flag',
-    'integer',
-    'is_name',
-    'join',
     'load_keys',
     'load_settings',
-    'mapping',
-    'name',
-    'names',
-    'number',
     'parse_text',
-    'peer_address',
     'place_of',
-    'positive',
     'read_file',
-    'rules_of',
-    'shown',
     'slice_prefix',
-    'text',
-    'texts_where',
-    'url',
 ]
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -4,10 +4,6 @@
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_HEADER
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_LIMIT
 from samphiredock.transport._caller_http import Service
-from samphiredock.transport._http_guard import ErrorBody
-from samphiredock.transport._http_guard import guard
-from samphiredock.transport._http_guard import has_json_type
-from samphiredock.transport._http_guard import JSON_TYPE
 from samphiredock.transport._operator_http import Operations
 from samphiredock.transport._operator_http import operator_application
 from samphiredock.transport._peers import Broadcaster
@@ -36,7 +32,6 @@
     'Broadcaster',
     'CREATE_ONLY',
     'CurveKeys',
-    'ErrorBody',
     'Handler',
     'Host',
     'HostRow',
@@ -44,7 +39,6 @@
     'HttpTargetLink',
     'IDEMPOTENCY_KEY_HEADER',
     'IDEMPOTENCY_KEY_LIMIT',
-    'JSON_TYPE',
     'LinkError',
     'LinkErrorKind',
     'ObjectPage',
@@ -61,7 +55,5 @@
     'VALUE_LIMIT_BYTES',
     'WatchPage',
     'caller_application',
-    'guard',
-    'has_json_type',
     'operator_application',
 ]
