--- a/samphiredock/coordination/_run_admission.py
+++ b/samphiredock/coordination/_run_admission.py
@@ -109,6 +109,13 @@
             f'idempotency key: got {len(key)} characters, '
             f'expected 1 to {KEY_LIMIT_CHARS}',
         )
+    if not (key.isascii() and key.isprintable()):
+        # A header may hold bytes that no message can carry on.
+        return _refused(
+            protocol.NotRunReason.BAD_REQUEST,
+            f'idempotency key: got {ascii(key)}, '
+            'expected printable ASCII characters',
+        )
     deadline_ms = request.deadline_ms
     if deadline_ms is None:
         return None
--- /dev/null
+++ b/tests/unit/test_run_orders.py
@@ -0,0 +1,72 @@
+"""Reports are matched to orders, and none that settles one is missed."""
+
+import random
+import unittest
+
+from samphiredock.coordination import _run_orders
+from samphiredock import metrics
+from samphiredock import protocol
+from tests import fakes_run
+
+_Status = protocol.SubStatus
+_ORDER = protocol.RunOrder(
+    'entry-1/1/1/1', 's', 'bole-a', 'batch', 'o', 'desk-1', 'k', {}, 'f', 100
+)
+
+
+class OrdersTest(unittest.IsolatedAsyncioTestCase):
+    """One order at one dispatcher."""
+
+    def setUp(self) -> None:
+        """Send it."""
+        self.clock = fakes_run.SteppedTimers()
+        self.hub = fakes_run.FakeHub(self.clock, random.Random(1))
+        self.metrics = metrics.Metrics('test')
+        self.late: list[protocol.RunReport] = []
+        self.orders = _run_orders.Orders(
+            self.hub.join('entry-1', fakes_run.Gate()),
+            self.clock,
+            self.metrics,
+            lambda token, report: self.late.append(report),
+        )
+        self.hub.join('owner', fakes_run.Gate())
+        self.assertTrue(self.orders.send('entry-1/1/1', 'owner', _ORDER))
+
+    async def report(
+        self, status: protocol.SubStatus, sender: str = 'owner'
+    ) -> None:
+        """Deliver one report."""
+        report = protocol.RunReport(_ORDER.attempt_id, 'desk-1', status)
+        self.hub.send(sender, 'entry-1', report)
+        await self.clock.pass_ms(10)
+
+    async def test_settling_report_is_not_lost_to_another(self) -> None:
+        """Both come before either is read; the one that settles counts."""
+        for first, second in (
+            (_Status.BROKEN, _Status.CANCELLED),
+            (_Status.CANCELLED, _Status.BROKEN),
+        ):
+            await self.report(first)
+            await self.report(second)
+            read = await self.orders.report(_ORDER.attempt_id, 5_000)
+            self.assertIs(_Status.CANCELLED, read.status)
+
+    async def test_only_the_dispatcher_reports(self) -> None:
+        """A report of another daemon proves nothing."""
+        await self.report(_Status.CANCELLED, 'entry-9')
+        self.assertEqual(1, self.metrics.total('run_reports_refused'))
+        reading = fakes_run.start(self.orders.report(_ORDER.attempt_id, 2_000))
+        await self.clock.pass_ms(2_000)
+        self.assertIsNone(reading.result())
+
+    async def test_late_report_is_handed_on_once(self) -> None:
+        """Whether it comes before or after the caller was answered."""
+        await self.report(_Status.ANSWERED)
+        self.orders.leave(_ORDER.attempt_id)
+        await self.report(_Status.ANSWERED)
+        self.assertEqual([_Status.ANSWERED], [row.status for row in self.late])
+        self.assertEqual(1, self.metrics.total('run_reports_unmatched'))
+
+    async def test_order_to_an_unknown_member_never_left(self) -> None:
+        """It is not kept."""
+        self.assertFalse(self.orders.send('t', 'nobody', _ORDER))
