A conflict may be with the own put: its claim is freed when the request is given up

Cause: aiohttp sends a PUT again after a lost persistent connection (PUT is in its IDEMPOTENT_METHODS), so the second one can meet the version that the first one made. A claim refused after that stayed open for good: safe, but every retry read 'unknown'. test_conflict_with_the_own_put failed so.

--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -19,6 +19,12 @@
 _BACKOFF_MS = 4.0
 _BACKOFF_LIMIT_MS = 2_000.0
 
+_PERHAPS_APPLIED = frozenset(
+    {transport.StoreErrorKind.LOST, transport.StoreErrorKind.CONFLICT}
+)
+"""A conflict too: an HTTP client may send a PUT again after a lost
+connection and meet the version that its own first one made."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
@@ -243,8 +249,7 @@
         error = written.failure()
         self._fresh = None
         for change in opens:
-            # Any other kind says for certain that the put had no effect.
-            change.lost |= error.kind is transport.StoreErrorKind.LOST
+            change.lost |= error.kind in _PERHAPS_APPLIED
             change.in_put = False
         return error
 
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -171,6 +171,24 @@
         self.assertEqual(1, self.metrics.total('claims_passed_on'))
         self.assert_ran(await self.ask(self.first), 1)
 
+    async def test_conflict_with_the_own_put(self) -> None:
+        """The caller is refused truthfully, and the retry runs.
+
+        The HTTP client sends the put again after a lost connection, meets
+        its own first one and reports a conflict; then the store goes down.
+        The claim is in the store all the same, and must be freed.
+        """
+        self.system.platform.script.append(_Fault.CONFLICT_AFTER)
+        call = await self.hold_claimed()
+        self.system.platform.outage = True
+        self.first.gate.wake(self.system.random)
+        outcome = await self.system.outcome(call)
+        self.assertIsInstance(outcome, protocol.NotRun)
+        self.system.platform.outage = False
+        await self.system.clock.pass_ms(3_000)
+        self.system.kill(self.first)
+        self.assert_ran(await self.ask(self.second), 1)
+
     async def test_put_that_arrives_late(self) -> None:
         """A refused claim that reaches the store afterwards stops nobody.
 
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -20,6 +20,7 @@
     """What can befall one call."""
 
     CONFLICT = 'conflict'
+    CONFLICT_AFTER = 'conflict with the own effect'
     LOST_BEFORE = 'lost before the effect'
     LOST_AFTER = 'lost after the effect'
     LATE = 'lost, with the effect some time later'
@@ -105,6 +106,10 @@
             return _failed(transport.StoreErrorKind.LOST)
         version = self._write(key, value, expected_version)
         await self._pass('')
+        if fault is Fault.CONFLICT_AFTER:
+            # An HTTP client that sends a PUT again after a lost connection
+            # meets its own first one.
+            return _failed(transport.StoreErrorKind.CONFLICT)
         if fault is Fault.LOST_AFTER:
             return _failed(transport.StoreErrorKind.LOST)
         if version is None:
@@ -201,6 +206,7 @@
             return fault
         kinds = (
             Fault.CONFLICT,
+            Fault.CONFLICT_AFTER,
             Fault.LOST_BEFORE,
             Fault.LOST_AFTER,
             Fault.LATE,
