--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,116 @@
+"""Store calls, conflicts and bytes of claims, for docs/design/claims.md.
+
+The claim books of many daemons share one fake store; time is moved by
+hand, so that the figures do not depend on the machine.
+"""
+
+import asyncio
+import random
+
+import click
+
+from samphiredock.coordination import _claim_book
+from samphiredock import metrics
+from samphiredock import state
+from samphiredock.state import _claims
+from tests import fakes_platform
+from tests import fakes_run
+
+_RECEIPT = {'receipt': 'r' * 24, 'desk': 'desk-1'}
+
+
+async def _measure(
+    daemons: int, rate_per_s: float, seconds: float, seed: int
+) -> dict[str, float]:
+    clock = fakes_run.SteppedTimers()
+    platform = fakes_platform.FakePlatform(clock, random.Random(seed), 10.0)
+    counters = metrics.Metrics('benchmark')
+    randomness = random.Random(seed + 1)
+    books = [
+        _claim_book.ClaimBook(platform, clock, randomness, counters)
+        for _ in range(daemons)
+    ]
+    waits_ms: list[float] = []
+    granted: list[bool] = []
+
+    async def one(number: int, book: _claim_book.ClaimBook) -> None:
+        token = f'entry-{number % daemons}/1700000000000/{number}'
+        place = state.place_of('payout', f'key-{number}', clock.wall_ms())
+        content = state.content_digest('release', {'n': str(number)})
+        started_ms = clock.now_ms()
+        opened = await book.open(place, token, content, started_ms + 2_000)
+        waits_ms.append(clock.now_ms() - started_ms)
+        granted.append(
+            isinstance(opened.opened, state.Opened)
+            and opened.opened.verdict is state.Verdict.GRANTED
+        )
+        await fakes_run.pause(clock, randomness.uniform(5, 50))
+        closed = state.closed_claim(token, content, True, _RECEIPT)
+        await book.close(place, closed)
+
+    tasks = []
+    due_ms = 0.0
+    while due_ms < seconds * 1_000:
+        gap_ms = randomness.expovariate(rate_per_s) * 1_000
+        due_ms += gap_ms
+        await clock.pass_ms(gap_ms)
+        book = randomness.choice(books)
+        tasks.append(fakes_run.start(one(len(tasks), book)))
+    await clock.pass_ms(5_000)
+    count = len(tasks)
+    sizes = [len(found.value) for found in platform.objects.values()]
+    waits_ms.sort()
+    counters.close()
+    return {
+        'requests': count,
+        'granted': sum(granted),
+        'gets': platform.calls['get'] / count,
+        'puts': platform.calls['put'] / count,
+        'conflicts': counters.total('claim_conflicts') / count,
+        'p50_ms': waits_ms[count // 2],
+        'p99_ms': waits_ms[int(count * 0.99)],
+        'objects_per_s': len(sizes) / seconds,
+        'mean_bytes': sum(sizes) / len(sizes),
+    }
+
+
+@click.command()
+@click.option('--daemons', default=490)
+@click.option('--rate', 'rates', multiple=True, default=(20.0, 100.0))
+@click.option('--buckets', multiple=True, default=(4, 16, 64))
+@click.option('--slice-ms', 'slices_ms', multiple=True, default=(5_000,))
+@click.option('--seconds', default=20.0)
+@click.option('--seeds', default=5)
+def main(
+    daemons: int,
+    rates: tuple[float, ...],
+    buckets: tuple[int, ...],
+    slices_ms: tuple[int, ...],
+    seconds: float,
+    seeds: int,
+) -> None:
+    """Print medians over the seeds, one line for each setting."""
+    for rate in rates:
+        for count in buckets:
+            for slice_ms in slices_ms:
+                _claims.BUCKETS_PER_SLICE = count
+                _claims.SLICE_MS = slice_ms
+                rows = [
+                    asyncio.run(_measure(daemons, rate, seconds, seed))
+                    for seed in range(seeds)
+                ]
+                medians = {
+                    name: sorted(row[name] for row in rows)[seeds // 2]
+                    for name in rows[0]
+                }
+                text = ' '.join(
+                    f'{name}={value:.2f}' for name, value in medians.items()
+                )
+                click.echo(
+                    f'daemons={daemons} rate={rate} buckets={count} '
+                    f'slice_ms={slice_ms} {text}'
+                )
+
+
+if __name__ == '__main__':
+    main()
--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -68,16 +68,6 @@
 Change = OpenChange | CloseChange
 
 
-async def pause(clock: timers.Timers, delay_ms: float) -> None:
-    """Wait on the timer service."""
-    waker = asyncio.get_running_loop().create_future()
-    timer = clock.after(delay_ms, lambda: _wake(waker))
-    try:
-        await waker
-    finally:
-        timer.cancel()
-
-
 async def wait_until(
     clock: timers.Timers, future: asyncio.Future, at_ms: float
 ) -> bool:
--- a/tests/fakes_run.py
+++ b/tests/fakes_run.py
@@ -51,6 +51,13 @@
     return asyncio.get_running_loop().create_task(work)
 
 
+async def pause(clock: timers.Timers, delay_ms: float) -> None:
+    """Wait until the clock has moved."""
+    future = asyncio.get_running_loop().create_future()
+    clock.after(delay_ms, lambda: future.done() or future.set_result(None))
+    await future
+
+
 class Gate:
     """A host that can be frozen or dead: nothing passes meanwhile."""
 
