A claim offered in any put is freed; token numbers start at random

Cause: a refused put may have taken effect too (the HTTP client re-sends PUT); its claim stayed open for good. And tokens rested on the incarnation alone: two lives of one millisecond, or two daemons of one name, could take each other's claim for their own.

--- a/samphiredock/coordination/_claim_book.py
+++ b/samphiredock/coordination/_claim_book.py
@@ -76,7 +76,7 @@
         granted = _is_granted(opened)
         if granted:
             self._metrics.add('claims_written')
-        return OpenResult(opened, granted or change.may_be_stored)
+        return OpenResult(opened, granted or change.offered)
 
     def close(
         self, place: state.Place, final: state.Claim
--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -19,12 +19,6 @@
 _BACKOFF_MS = 4.0
 _BACKOFF_LIMIT_MS = 2_000.0
 
-_PERHAPS_APPLIED = frozenset(
-    {transport.StoreErrorKind.LOST, transport.StoreErrorKind.CONFLICT}
-)
-"""A conflict too: an HTTP client may send a PUT again after a lost
-connection and meet the version that its own first one made."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
@@ -37,8 +31,11 @@
 class OpenChange:
     """A claim to open.
 
-    ``lost`` and ``in_put`` say that a put with this change has been sent
-    whose effect is not known: the claim may be in the store.
+    ``offered`` says that a put with this change has been sent, so that the
+    claim may be in the store whatever the answer was: an HTTP client may
+    send a PUT again after a lost connection, and the second one meets a
+    conflict with the first, or an outage.  ``lost`` says that a put got no
+    answer: the claim is looked for before the request is refused.
     """
 
     digest: str
@@ -46,15 +43,10 @@
     content: str
     replaces: str | None
     answer: asyncio.Future
+    offered: bool = False
     lost: bool = False
-    in_put: bool = False
     failures: int = 0
 
-    @property
-    def may_be_stored(self) -> bool:
-        """Whether the claim may be in the store or come to it."""
-        return self.lost or self.in_put
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class CloseChange:
@@ -227,7 +219,7 @@
     ) -> transport.StoreError | None:
         opens = [item for item in batch if isinstance(item, OpenChange)]
         for change in opens:
-            change.in_put = True
+            change.offered = True
         value = bucket.encode()
         self._metrics.add('claim_writes')
         self._metrics.add('claim_changes', len(batch))
@@ -239,8 +231,7 @@
         error = written.failure()
         self._fresh = None
         for change in opens:
-            change.lost |= error.kind in _PERHAPS_APPLIED
-            change.in_put = False
+            change.lost |= error.kind is transport.StoreErrorKind.LOST
         return error
 
     def _on_put_error(self, error: transport.StoreError) -> float:
--- a/samphiredock/coordination/_run_once.py
+++ b/samphiredock/coordination/_run_once.py
@@ -63,7 +63,10 @@
         self._metrics = counters
         randomness = randomness or random.Random(incarnation)
         self._quarantine = quarantine or _run_request.NoQuarantine()
-        self._numbers = itertools.count(1)
+        # Two lives that began in one millisecond of a clock set back, or
+        # two daemons with one name, must not take each other's claims for
+        # their own.
+        self._numbers = itertools.count(randomness.getrandbits(48))
         self._live: dict[str, _run_request.Run] = {}
         self._draining = False
         self._book = _claim_book.ClaimBook(
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -1,6 +1,7 @@
 """One daemon: its parts, wired together."""
 
 import pathlib
+import random
 import ssl
 import typing
 
@@ -94,6 +95,7 @@
             self._platform,
             self._clock,
             self._metrics,
+            random.Random(),
         )
         self._sweeper = coordination.ClaimSweeper(
             settings.name,
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -171,14 +171,11 @@
         self.assertEqual(1, self.metrics.total('claims_passed_on'))
         self.assert_ran(await self.ask(self.first), 1)
 
-    async def test_conflict_with_the_own_put(self) -> None:
-        """The caller is refused truthfully, and the retry runs.
-
-        The HTTP client sends the put again after a lost connection, meets
-        its own first one and reports a conflict; then the store goes down.
-        The claim is in the store all the same, and must be freed.
-        """
-        self.system.platform.script.append(_Fault.CONFLICT_AFTER)
+    async def assert_refused_and_freed(
+        self, fault: fakes_platform.Fault
+    ) -> None:
+        """Assert that a put with a wrong answer leaves the key usable."""
+        self.system.platform.script.append(fault)
         call = await self.hold_claimed()
         self.system.platform.outage = True
         self.first.gate.wake(self.system.random)
@@ -189,6 +186,23 @@
         self.system.kill(self.first)
         self.assert_ran(await self.ask(self.second), 1)
 
+    async def test_conflict_with_the_own_put(self) -> None:
+        """The caller is refused truthfully, and the retry runs.
+
+        The HTTP client sends the put again after a lost connection, meets
+        its own first one and reports a conflict; then the store goes down.
+        The claim is in the store all the same, and must be freed.
+        """
+        await self.assert_refused_and_freed(_Fault.CONFLICT_AFTER)
+
+    async def test_outage_after_the_own_put(self) -> None:
+        """The caller is refused truthfully, and the retry runs.
+
+        As above, but the second put meets an outage: the daemon reads that
+        the store took nothing.
+        """
+        await self.assert_refused_and_freed(_Fault.OUTAGE_AFTER)
+
     async def test_put_that_arrives_late(self) -> None:
         """A refused claim that reaches the store afterwards stops nobody.
 
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -21,6 +21,7 @@
 
     CONFLICT = 'conflict'
     CONFLICT_AFTER = 'conflict with the own effect'
+    OUTAGE_AFTER = 'refused, with the own effect'
     LOST_BEFORE = 'lost before the effect'
     LOST_AFTER = 'lost after the effect'
     LATE = 'lost, with the effect some time later'
@@ -106,10 +107,12 @@
             return _failed(transport.StoreErrorKind.LOST)
         version = self._write(key, value, expected_version)
         await self._pass('')
+        # An HTTP client that sends a PUT again after a lost connection
+        # meets its own first one, or an outage.
         if fault is Fault.CONFLICT_AFTER:
-            # An HTTP client that sends a PUT again after a lost connection
-            # meets its own first one.
             return _failed(transport.StoreErrorKind.CONFLICT)
+        if fault is Fault.OUTAGE_AFTER:
+            return _failed(transport.StoreErrorKind.UNAVAILABLE)
         if fault is Fault.LOST_AFTER:
             return _failed(transport.StoreErrorKind.LOST)
         if version is None:
@@ -207,6 +210,7 @@
         kinds = (
             Fault.CONFLICT,
             Fault.CONFLICT_AFTER,
+            Fault.OUTAGE_AFTER,
             Fault.LOST_BEFORE,
             Fault.LOST_AFTER,
             Fault.LATE,
--- a/tests/simulation_runs.py
+++ b/tests/simulation_runs.py
@@ -188,6 +188,7 @@
         system.platform.chances = {
             fakes_platform.Fault.CONFLICT: 0.10,
             fakes_platform.Fault.CONFLICT_AFTER: 0.05,
+            fakes_platform.Fault.OUTAGE_AFTER: 0.05,
             fakes_platform.Fault.LOST_BEFORE: 0.05,
             fakes_platform.Fault.LOST_AFTER: 0.08,
             fakes_platform.Fault.LATE: 0.05,
