--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -33,6 +33,7 @@
 _METRICS_FLUSH_MS = 1_000.0
 _BODY_LIMIT_BYTES = 65_536
 _SHUTDOWN_TICK_MS = 50.0
+_LAST_RECORD_MS = 1_000.0
 
 _log = logs.logger('daemon')
 
@@ -256,7 +257,8 @@
         self._clock.every(
             _SHUTDOWN_TICK_MS,
             lambda: self._shutdown.on_tick(
-                self._clock.now_ms(), self.in_flight()
+                self._clock.now_ms(),
+                self.in_flight() + self._runner.unrecorded(),
             ),
         )
 
@@ -274,7 +276,7 @@
         """Close every connection and stop every part."""
         for runner in self._runners:
             await runner.cleanup()
-        await self._runner.drain()
+        await self._runner.drain(_LAST_RECORD_MS)
         self._runner.close()
         self._sweeper.close()
         self._watcher.close()
