The key alone places a claim: a retry with a new issue time no longer runs twice

Cause: buckets carried the time slice of the key's issue time, so a caller that retried its key with a new issued_at_ms met another bucket and the request ran again. Change: 2**18 buckets by key alone; claims older than the retention limit and an hour leave with the next write of their bucket, so the sweeper of old slices is gone. Group commit remains for the claims of one bucket.

--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -1,6 +1,5 @@
 """The decisions and the tasks that carry them out."""
 
-from samphiredock.coordination._claim_sweeper import ClaimSweeper
 from samphiredock.coordination._coordinator import Coordinator
 from samphiredock.coordination._dispatcher import Dispatcher
 from samphiredock.coordination._lane import Lane
@@ -32,7 +31,6 @@
 
 __all__ = [
     'CONFIGURATION_KEY',
-    'ClaimSweeper',
     'Coordinator',
     'Dispatcher',
     'DropAttempts',
--- a/samphiredock/coordination/_claim_book.py
+++ b/samphiredock/coordination/_claim_book.py
@@ -47,8 +47,7 @@
     async def open(
         self,
         place: state.Place,
-        token: str,
-        content: str,
+        wanted: state.Claim,
         deadline_at_ms: float,
         replaces: str | None = None,
         distrust: bool = False,
@@ -63,7 +62,7 @@
             return OpenResult(None, False)
         answer = asyncio.get_running_loop().create_future()
         change = _claim_bucket.OpenChange(
-            place.digest, token, content, replaces, answer
+            place.digest, wanted, replaces, answer
         )
         writer = self._writer(place.path)
         if distrust:
--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -39,8 +39,7 @@
     """
 
     digest: str
-    token: str
-    content: str
+    wanted: state.Claim
     replaces: str | None
     answer: asyncio.Future
     offered: bool = False
@@ -170,6 +169,7 @@
             return self._on_store_error(read)
         version, bucket = read
         batch = [change for change in self._queue if not change.answer.done()]
+        bucket.expire(self._clock.wall_ms())
         verdicts = [self._apply(bucket, change) for change in batch]
         if bucket.changed:
             error = await self._put(version, bucket, batch)
@@ -186,9 +186,7 @@
     ) -> state.Opened | bool:
         if isinstance(change, CloseChange):
             return bucket.close(change.digest, change.final)
-        return bucket.open(
-            change.digest, change.token, change.content, change.replaces
-        )
+        return bucket.open(change.digest, change.wanted, change.replaces)
 
     async def _read(
         self,
--- a/samphiredock/coordination/_run_admission.py
+++ b/samphiredock/coordination/_run_admission.py
@@ -6,13 +6,6 @@
 from samphiredock import protocol
 from samphiredock import state
 
-RETENTION_LIMIT_MS = 48 * 3_600_000
-"""No key is older than this, whatever ``key_retention_ms`` says.
-
-Claims are kept for this and a margin, so that a change of the setting
-cannot make a key acceptable whose claim has been deleted.
-"""
-
 FUTURE_SKEW_MS = 300_000
 """How far a caller's clock may be ahead of ours."""
 
@@ -30,6 +23,7 @@
     content: str
     fingerprint: str
     retention_ms: int
+    since_ms: int
     deadline_at_ms: float
 
 
@@ -62,7 +56,7 @@
     problem = _problem_with(request, key, limits)
     if problem is not None:
         return problem
-    retention_ms = min(limits.key_retention_ms, RETENTION_LIMIT_MS)
+    retention_ms = min(limits.key_retention_ms, state.RETENTION_LIMIT_MS)
     stale = stale_key(request, retention_ms, wall_ms)
     if stale is not None:
         return stale
@@ -75,12 +69,13 @@
         request,
         key,
         operation,
-        state.place_of(request.service, key, request.issued_at_ms),
+        state.place_of(request.service, key),
         state.content_digest(request.operation, request.body),
         _planner.fingerprint_of(
             request.service, request.operation, request.body
         ),
         retention_ms,
+        max(wall_ms, request.issued_at_ms),
         now_ms + deadline_ms,
     )
 
--- a/samphiredock/coordination/_run_claiming.py
+++ b/samphiredock/coordination/_run_claiming.py
@@ -37,8 +37,7 @@
         while True:
             ended = await self._book.open(
                 run.admitted.place,
-                run.token,
-                run.admitted.content,
+                run.claim,
                 run.admitted.deadline_at_ms,
                 replaces,
                 distrust=met is not None,
@@ -54,8 +53,8 @@
                 return self._endings.not_run(
                     run,
                     protocol.NotRunReason.OVERLOADED,
-                    'too many keys were issued in the same seconds; this '
-                    'request was not run, send it with a new key',
+                    'the bucket of this key is full of open claims; this '
+                    'attempt was not run',
                     _run_request.RETRY_AFTER_MS,
                 )
             if opened.verdict is state.Verdict.KEY_REUSED:
@@ -83,7 +82,7 @@
     def _unclaimed(
         self, run: _run_request.Run, failure: _claim_bucket.Unavailable | None
     ) -> protocol.RunOutcome:
-        if run.state is _run_states.RunState.ASKING:
+        if run.progress.state is _run_states.RunState.ASKING:
             return self._endings.lose(
                 run, 'claimed by another, its end not known'
             )
@@ -103,7 +102,7 @@
         )
 
     def _reused(self, run: _run_request.Run) -> protocol.RunOutcome:
-        if run.state is _run_states.RunState.ASKING:
+        if run.progress.state is _run_states.RunState.ASKING:
             return self._endings.lose(
                 run, 'the claim changed while it was awaited'
             )
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -101,13 +101,6 @@
             self._metrics,
             random.Random(),
         )
-        self._sweeper = coordination.ClaimSweeper(
-            settings.name,
-            lambda: [member.name for member in self._membership.live()],
-            self._platform,
-            self._clock,
-            self._metrics,
-        )
         self._shutdown = _shutdown.Shutdown(
             settings.balancer_lag_ms,
             settings.shutdown_limit_ms,
@@ -206,7 +199,6 @@
         self._clock.every(_METRICS_FLUSH_MS, self._metrics.flush)
         self._watcher.start()
         self._membership.start()
-        self._sweeper.start()
         callers = transport.caller_application(self, _BODY_LIMIT_BYTES)
         operators = transport.operator_application(self, self._metrics, None)
         await self._listen(
@@ -278,7 +270,6 @@
             await runner.cleanup()
         await self._runner.drain(_LAST_RECORD_MS)
         self._runner.close()
-        self._sweeper.close()
         self._watcher.close()
         self._membership.close()
         await self._dispatcher.close()
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -1,20 +1,21 @@
 """Snapshots, configuration and other state that daemons hold."""
 
 from samphiredock.state._claims import Bucket
-from samphiredock.state._claims import BUCKETS_PER_SLICE
+from samphiredock.state._claims import BUCKETS
 from samphiredock.state._claims import Claim
 from samphiredock.state._claims import CLAIMS_PREFIX
 from samphiredock.state._claims import ClaimState
-from samphiredock.state._claims import closed_claim
 from samphiredock.state._claims import content_digest
 from samphiredock.state._claims import decode_bucket
+from samphiredock.state._claims import done_claim
 from samphiredock.state._claims import FULL_BYTES
+from samphiredock.state._claims import KEEP_MS
+from samphiredock.state._claims import not_run_claim
 from samphiredock.state._claims import Opened
 from samphiredock.state._claims import OUTCOME_LIMIT_BYTES
 from samphiredock.state._claims import Place
 from samphiredock.state._claims import place_of
-from samphiredock.state._claims import SLICE_MS
-from samphiredock.state._claims import slice_prefix
+from samphiredock.state._claims import RETENTION_LIMIT_MS
 from samphiredock.state._claims import Verdict
 from samphiredock.state._compiler import compile_source
 from samphiredock.state._compiler import ConfigurationSource
@@ -38,7 +39,7 @@
 from samphiredock.state._snapshots import Snapshot
 
 __all__ = [
-    'BUCKETS_PER_SLICE',
+    'BUCKETS',
     'Bucket',
     'CLAIMS_PREFIX',
     'Claim',
@@ -47,6 +48,7 @@
     'ConfigurationSource',
     'FULL_BYTES',
     'IndexSnapshot',
+    'KEEP_MS',
     'KEY_SPACE_SIZE',
     'Limits',
     'Member',
@@ -57,7 +59,7 @@
     'Place',
     'Problem',
     'REQUEST_CLASSES',
-    'SLICE_MS',
+    'RETENTION_LIMIT_MS',
     'Search',
     'Service',
     'Settings',
@@ -67,11 +69,11 @@
     'Target',
     'TlsSettings',
     'Verdict',
-    'closed_claim',
     'compile_source',
     'content_digest',
     'decode_bucket',
+    'done_claim',
     'load_settings',
+    'not_run_claim',
     'place_of',
-    'slice_prefix',
 ]
--- a/samphiredock/state/_claims.py
+++ b/samphiredock/state/_claims.py
@@ -11,9 +11,16 @@
 import msgspec
 
 CLAIMS_PREFIX = 'claims/'
-SLICE_MS = 5_000
-BUCKETS_PER_SLICE = 16
-"""Why these two numbers: docs/design/claims.md, section 3."""
+BUCKETS = 2**18
+"""Why this number: docs/design/claims.md, section 3."""
+
+RETENTION_LIMIT_MS = 24 * 3_600_000
+"""No key is older than this, whatever ``key_retention_ms`` says."""
+
+KEEP_MS = RETENTION_LIMIT_MS + 3_600_000
+"""A claim is dropped when it is older, never by a setting, so that a
+change of the setting cannot make a key acceptable whose claim is gone.  The
+hour is much more than clocks differ and than the longest deadline."""
 
 FULL_BYTES = 900_000
 OUTCOME_LIMIT_BYTES = 4_096
@@ -35,12 +42,14 @@
 class Claim(msgspec.Struct, frozen=True, array_like=True):
     """One claim; ``content`` is the digest of the request it was made for.
 
+    ``since_ms`` is the later of the claim's and the key's wall time;
     ``result_dropped`` marks an outcome that was too large to be kept.
     """
 
     token: str
     content: str
     state: ClaimState
+    since_ms: int
     accepted: bool = False
     result: dict[str, str] = {}
     result_dropped: bool = False
@@ -87,9 +96,19 @@
         self.changed = False
         self._size_bytes = size_bytes
 
-    def open(
-        self, digest: str, token: str, content: str, replaces: str | None
-    ) -> Opened:
+    def expire(self, wall_ms: int) -> None:
+        """Drop the claims of keys that nobody accepts any more.
+
+        They go with the next write, so that no object grows for ever and
+        none needs a write of its own.
+        """
+        self.claims = {
+            digest: claim
+            for digest, claim in self.claims.items()
+            if wall_ms - claim.since_ms <= KEEP_MS
+        }
+
+    def open(self, digest: str, wanted: Claim, replaces: str | None) -> Opened:
         """Write an open claim unless another's is in the way.
 
         ``replaces`` is the token of an open claim whose holder has said
@@ -99,14 +118,14 @@
         """
         held = self.claims.get(digest)
         if held is None:
-            return self._add(digest, token, content)
-        if held.token == token and held.state is ClaimState.OPEN:
+            return self._add(digest, wanted)
+        if held.token == wanted.token and held.state is ClaimState.OPEN:
             return Opened(Verdict.GRANTED)
-        if held.content != content:
+        if held.content != wanted.content:
             return Opened(Verdict.KEY_REUSED, held)
         given_up = held.state is ClaimState.OPEN and held.token == replaces
         if held.state is ClaimState.NOT_RUN or given_up:
-            self._set(digest, Claim(token, content, ClaimState.OPEN))
+            self._set(digest, wanted)
             return Opened(Verdict.GRANTED)
         return Opened(Verdict.MET, held)
 
@@ -128,14 +147,14 @@
         """Return the object's value."""
         return msgspec.json.encode(_Stored(_FORMAT, self.claims))
 
-    def _add(self, digest: str, token: str, content: str) -> Opened:
+    def _add(self, digest: str, wanted: Claim) -> Opened:
         open_claims = sum(
             claim.state is ClaimState.OPEN for claim in self.claims.values()
         )
         reserved_bytes = (open_claims + 1) * OUTCOME_LIMIT_BYTES
         if self._size_bytes + reserved_bytes > FULL_BYTES:
             return Opened(Verdict.FULL)
-        self._set(digest, Claim(token, content, ClaimState.OPEN))
+        self._set(digest, wanted)
         return Opened(Verdict.GRANTED)
 
     def _set(self, digest: str, claim: Claim) -> None:
@@ -160,17 +179,14 @@
     return Bucket(stored.claims, len(value))
 
 
-def place_of(service: str, key: str, issued_at_ms: int) -> Place:
-    """Return where the claim of a service's idempotency key lives."""
-    digest = _digest([service, key])
-    bucket = int(digest, 16) % BUCKETS_PER_SLICE
-    prefix = slice_prefix(issued_at_ms // SLICE_MS)
-    return Place(f'{prefix}{bucket}', digest)
+def place_of(service: str, key: str) -> Place:
+    """Return where the claim of a service's idempotency key lives.
 
-
-def slice_prefix(number: int) -> str:
-    """Return the prefix of all buckets of one time slice."""
-    return f'{CLAIMS_PREFIX}{number}/'
+    The key alone decides: a caller that retries with the same key and a
+    new issue time must meet the claim of its first try.
+    """
+    digest = _digest([service, key])
+    return Place(f'{CLAIMS_PREFIX}{int(digest, 16) % BUCKETS:05x}', digest)
 
 
 def content_digest(operation: str, body: typing.Mapping[str, str]) -> str:
@@ -178,22 +194,24 @@
     return _digest([operation, sorted(body.items())])
 
 
-def closed_claim(
-    token: str, content: str, accepted: bool, result: dict[str, str]
-) -> Claim:
-    """Return a finished claim, without a result that is too large."""
+def done_claim(opened: Claim, accepted: bool, result: dict[str, str]) -> Claim:
+    """Return a claim with its outcome, without a result too large."""
     size_bytes = len(msgspec.json.encode(result))
     fits = size_bytes + 2 * _OVERHEAD_BYTES <= OUTCOME_LIMIT_BYTES
-    return Claim(
-        token,
-        content,
-        ClaimState.DONE,
-        accepted,
-        result if fits else {},
-        not fits,
+    return msgspec.structs.replace(
+        opened,
+        state=ClaimState.DONE,
+        accepted=accepted,
+        result=result if fits else {},
+        result_dropped=not fits,
     )
 
 
+def not_run_claim(opened: Claim) -> Claim:
+    """Return a claim that its holder has given up."""
+    return msgspec.structs.replace(opened, state=ClaimState.NOT_RUN)
+
+
 def _digest(parts: list) -> str:
     # A caller chooses the key and body: a digest that it could make
     # collide would replay another request's outcome to it.
