--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -22,11 +22,6 @@
 from samphiredock.coordination._claim_holders import Holders
 from samphiredock.coordination._claim_holders import SILENT_MS
 from samphiredock.coordination._claim_holders import UNSETTLED_LIMIT
-from samphiredock.coordination._claim_sweeper import BACKLOG_MS
-from samphiredock.coordination._claim_sweeper import ClaimSweeper
-from samphiredock.coordination._claim_sweeper import KEEP_MARGIN_MS
-from samphiredock.coordination._claim_sweeper import KEEP_MS
-from samphiredock.coordination._claim_sweeper import SWEEP_PERIOD_MS
 from samphiredock.coordination._coordinator import Coordinator
 from samphiredock.coordination._directory import Directory
 from samphiredock.coordination._directory import MEMBERS_PREFIX
@@ -75,6 +70,7 @@
 from samphiredock.coordination._ownership import owners_of
 from samphiredock.coordination._ownership import ownership_groups
 from samphiredock.coordination._ownership import OwnershipTable
+from samphiredock.coordination._pause import pause
 from samphiredock.coordination._planner import fingerprint_of
 from samphiredock.coordination._planner import make_plan
 from samphiredock.coordination._planner import Plan
@@ -92,7 +88,6 @@
 from samphiredock.coordination._run_admission import Admitted
 from samphiredock.coordination._run_admission import FUTURE_SKEW_MS
 from samphiredock.coordination._run_admission import KEY_LIMIT_CHARS
-from samphiredock.coordination._run_admission import RETENTION_LIMIT_MS
 from samphiredock.coordination._run_admission import stale_key
 from samphiredock.coordination._run_claiming import Claiming
 from samphiredock.coordination._run_once import DRAIN_LIMIT_MS
@@ -106,6 +101,7 @@
 from samphiredock.coordination._run_request import Endings
 from samphiredock.coordination._run_request import key_reused
 from samphiredock.coordination._run_request import NoQuarantine
+from samphiredock.coordination._run_request import open_claim
 from samphiredock.coordination._run_request import replayed
 from samphiredock.coordination._run_request import RETRY_AFTER_MS
 from samphiredock.coordination._run_request import Run
@@ -179,7 +175,6 @@
     'Admitted',
     'Attempt',
     'Attempts',
-    'BACKLOG_MS',
     'BUCKETS',
     'BucketWriter',
     'CANCEL_MARGIN_LIMIT_MS',
@@ -191,7 +186,6 @@
     'Case',
     'Change',
     'ClaimBook',
-    'ClaimSweeper',
     'Claiming',
     'CloseChange',
     'Coordinator',
@@ -217,8 +211,6 @@
     'GossipEffect',
     'Handover',
     'Holders',
-    'KEEP_MARGIN_MS',
-    'KEEP_MS',
     'KEY_LIMIT_CHARS',
     'Knowledge',
     'KnownContents',
@@ -252,7 +244,6 @@
     'Queued',
     'READ_BACK_LIMIT',
     'RECENT_CHANGES',
-    'RETENTION_LIMIT_MS',
     'RETRY_AFTER_MS',
     'RETRY_RULES',
     'Relay',
@@ -268,7 +259,6 @@
     'Runner',
     'SILENT_MS',
     'SNAPSHOT_KEY',
-    'SWEEP_PERIOD_MS',
     'Scatter',
     'SendAttempts',
     'SendTo',
@@ -321,10 +311,12 @@
     'missing_ranges',
     'needed_keys',
     'new_progress',
+    'open_claim',
     'order_of',
     'owner_of',
     'owners_of',
     'ownership_groups',
+    'pause',
     'proves_not_begun',
     'refusal_message',
     'refusal_of',
--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -31,24 +31,21 @@
 class OpenChange:
     """A claim to open.
 
-    ``lost`` and ``in_put`` say that a put with this change has been sent
-    whose effect is not known: the claim may be in the store.
+    ``offered`` says that a put with this change has been sent, so that the
+    claim may be in the store whatever the answer was: an HTTP client may
+    send a PUT again after a lost connection, and the second one meets a
+    conflict with the first, or an outage.  ``lost`` says that a put got no
+    answer: the claim is looked for before the request is refused.
     """
 
     digest: str
-    token: str
-    content: str
+    wanted: state.Claim
     replaces: str | None
     answer: asyncio.Future
+    offered: bool = False
     lost: bool = False
-    in_put: bool = False
     failures: int = 0
 
-    @property
-    def may_be_stored(self) -> bool:
-        """Whether the claim may be in the store or come to it."""
-        return self.lost or self.in_put
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class CloseChange:
@@ -62,16 +59,6 @@
 Change = OpenChange | CloseChange
 
 
-async def pause(clock: timers.Timers, delay_ms: float) -> None:
-    """Wait on the timer service."""
-    waker = asyncio.get_running_loop().create_future()
-    timer = clock.after(delay_ms, lambda: _wake(waker))
-    try:
-        await waker
-    finally:
-        timer.cancel()
-
-
 async def wait_until(
     clock: timers.Timers, future: asyncio.Future, at_ms: float
 ) -> bool:
@@ -182,6 +169,7 @@
             return self._on_store_error(read)
         version, bucket = read
         batch = [change for change in self._queue if not change.answer.done()]
+        bucket.expire(self._clock.wall_ms())
         verdicts = [self._apply(bucket, change) for change in batch]
         if bucket.changed:
             error = await self._put(version, bucket, batch)
@@ -198,9 +186,7 @@
     ) -> state.Opened | bool:
         if isinstance(change, CloseChange):
             return bucket.close(change.digest, change.final)
-        return bucket.open(
-            change.digest, change.token, change.content, change.replaces
-        )
+        return bucket.open(change.digest, change.wanted, change.replaces)
 
     async def _read(
         self,
@@ -231,7 +217,7 @@
     ) -> transport.StoreError | None:
         opens = [item for item in batch if isinstance(item, OpenChange)]
         for change in opens:
-            change.in_put = True
+            change.offered = True
         value = bucket.encode()
         self._metrics.add('claim_writes')
         self._metrics.add('claim_changes', len(batch))
@@ -243,9 +229,7 @@
         error = written.failure()
         self._fresh = None
         for change in opens:
-            # Any other kind says for certain that the put had no effect.
             change.lost |= error.kind is transport.StoreErrorKind.LOST
-            change.in_put = False
         return error
 
     def _on_put_error(self, error: transport.StoreError) -> float:
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -2,20 +2,21 @@
 
 from samphiredock.state._checks import Problem
 from samphiredock.state._claims import Bucket
-from samphiredock.state._claims import BUCKETS_PER_SLICE
+from samphiredock.state._claims import BUCKETS
 from samphiredock.state._claims import Claim
 from samphiredock.state._claims import CLAIMS_PREFIX
 from samphiredock.state._claims import ClaimState
-from samphiredock.state._claims import closed_claim
 from samphiredock.state._claims import content_digest
 from samphiredock.state._claims import decode_bucket
+from samphiredock.state._claims import done_claim
 from samphiredock.state._claims import FULL_BYTES
+from samphiredock.state._claims import KEEP_MS
+from samphiredock.state._claims import not_run_claim
 from samphiredock.state._claims import Opened
 from samphiredock.state._claims import OUTCOME_LIMIT_BYTES
 from samphiredock.state._claims import Place
 from samphiredock.state._claims import place_of
-from samphiredock.state._claims import SLICE_MS
-from samphiredock.state._claims import slice_prefix
+from samphiredock.state._claims import RETENTION_LIMIT_MS
 from samphiredock.state._claims import Verdict
 from samphiredock.state._compiler import compile_source
 from samphiredock.state._compiler import ConfigurationSource
@@ -46,7 +47,7 @@
 from samphiredock.state._snapshots import Snapshot
 
 __all__ = [
-    'BUCKETS_PER_SLICE',
+    'BUCKETS',
     'Bucket',
     'CLAIMS_PREFIX',
     'Claim',
@@ -56,6 +57,7 @@
     'CurvePair',
     'FULL_BYTES',
     'IndexSnapshot',
+    'KEEP_MS',
     'KEY_SPACE_SIZE',
     'Keys',
     'LOG_LEVELS',
@@ -68,7 +70,7 @@
     'Place',
     'Problem',
     'REQUEST_CLASSES',
-    'SLICE_MS',
+    'RETENTION_LIMIT_MS',
     'Search',
     'Service',
     'Settings',
@@ -80,14 +82,14 @@
     'TlsSettings',
     'Verdict',
     'check_snapshot',
-    'closed_claim',
     'compile_source',
     'content_digest',
     'decode_bucket',
+    'done_claim',
     'load_keys',
     'load_settings',
+    'not_run_claim',
     'parse_text',
     'place_of',
     'read_file',
-    'slice_prefix',
 ]
