Failure tests: limits of a target, shares, leaving targets

The leaving test found that a probe sent before a sign came could undo it; a word now counts from when the target was asked. The limits test has the naive release of slots beside the real one and sees it breach.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -454,7 +454,7 @@
         if post.lane.foreign_slots(self._clock.now_ms()):
             post.lane.observe_running(reply.running)
         if reply.draining or protocol.TargetStatus.DRAINING in statuses:
-            self._target_word(target, True)
+            self._target_leaves(target)
             return _lane.Ending.FREE
         if protocol.TargetStatus.OK in statuses:
             return _lane.Ending.ANSWERED
@@ -495,7 +495,7 @@
         else:
             status = reply.unwrap().status
             if reply.unwrap().draining:
-                self._target_word(target, True)
+                self._target_leaves(target)
             ending = _lane.Ending.FREE
             if status is protocol.TargetStatus.OK:
                 ending = _lane.Ending.ANSWERED
@@ -535,9 +535,9 @@
 
     # Signs of leaving.
 
-    def _target_word(self, target: str, leaving: bool) -> None:
+    def _target_leaves(self, target: str) -> None:
         if self._signs is not None:
-            self._signs.on_target_word(target, leaving)
+            self._signs.on_target_word(target, True)
 
     def _on_sign(self, target: str, leaving: bool) -> None:
         post = self._posts.get(target)
@@ -552,12 +552,14 @@
                 self.probe(target)
 
     async def _probe(self, target: str, post: _Post) -> None:
+        asked_at_ms = self._clock.wall_ms()
         reply = await post.link.batch(protocol.TargetBatch([]), _PROBE_MS)
         if isinstance(reply, result.Failure):
             return
         answer = reply.unwrap()
         post.lane.observe_running(answer.running)
-        self._target_word(target, answer.draining)
+        if self._signs is not None:
+            self._signs.on_target_word(target, answer.draining, asked_at_ms)
         self._make_ready(target)
 
 
--- a/samphiredock/coordination/_target_signs.py
+++ b/samphiredock/coordination/_target_signs.py
@@ -139,15 +139,25 @@
             status = TargetObject(host.leaving, now_ms)
             self._learn(host.name, SignSource.HOST_LIST, status)
 
-    def on_target_word(self, target: str, leaving: bool) -> None:
-        """Take what a target itself answered, and tell the others."""
+    def on_target_word(
+        self, target: str, leaving: bool, asked_at_ms: int | None = None
+    ) -> None:
+        """Take what a target itself answered, and tell the others.
+
+        ``asked_at_ms`` is the wall-clock time at which it was asked: a word
+        that was on its way when a newer sign came is no return.
+        """
         known = self._signs.get(target, {}).get(SignSource.TARGET)
         if known is None and not leaving:
             return
         if known is not None and known.leaving == leaving:
             return
-        after_ms = known.at_ms + 1 if known is not None else 0
-        at_ms = max(self._clock.wall_ms(), after_ms)
+        known_ms = known.at_ms if known is not None else 0
+        at_ms = asked_at_ms or self._clock.wall_ms()
+        if leaving:
+            at_ms = max(at_ms, known_ms + 1)
+        if at_ms <= known_ms:
+            return
         self._learn(target, SignSource.TARGET, TargetObject(leaving, at_ms))
         self._broadcaster.broadcast(
             protocol.TargetSign(target, leaving, at_ms)
--- /dev/null
+++ b/tests/failure/test_limits.py
@@ -0,0 +1,152 @@
+"""A target's slots and connections are never exceeded."""
+
+import asyncio
+import os
+import random
+import typing
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from samphiredock.coordination import _dispatcher
+from samphiredock.coordination import _lane
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from standins import target as standin
+from tests.unit import dispatching
+
+_SLOTS = 2
+_CONNECTIONS = 4
+_QUERIES = 400
+
+
+class _Bench:
+    """One dispatcher against one stand-in target, both in this process."""
+
+    def __init__(self) -> None:
+        self.random = random.Random(os.environ['SAMPHIREDOCK_SEED'])
+        capacity = standin.Capacity(_SLOTS, _CONNECTIONS, 2.0)
+        self.target = standin.Target('t1', capacity, 1, True)
+        whole = protocol.KeyRange(0, state.KEY_SPACE_SIZE)
+        shard = state.Shard('shard', whole, ['t1'])
+        index = state.IndexSnapshot(1, [shard])
+        self.target.learn(state.Snapshot(1, {'i': index}))
+        self.faults = standin.Faults(service_ms=4.0, straggler=0.02)
+        self.target._faults = self.faults
+        self.peers = dispatching.FakePeers()
+        self.counters = metrics.Metrics('test')
+
+    async def __aenter__(self) -> typing.Self:
+        self.runner = web.AppRunner(
+            self.target.application(), access_log=None, shutdown_timeout=0.5
+        )
+        await self.runner.setup()
+        self.target.server = self.runner.server
+        await web.TCPSite(self.runner, '127.0.0.1', 0).start()
+        url = f'http://127.0.0.1:{self.runner.addresses[0][1]}'
+        configured = state.Target('t1', 'a', url, _SLOTS, _CONNECTIONS, 2)
+        self.clock = timers.LoopTimers()
+        self.dispatcher = _dispatcher.Dispatcher(
+            self.peers, self.clock, self.counters
+        )
+        self.dispatcher.configure(
+            dispatching.configuration(
+                configured, batch_items=4, silent_after_ms=80
+            )
+        )
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.dispatcher.close()
+        self.clock.close()
+        await self.runner.cleanup()
+        self.counters.close()
+
+    async def load(self) -> None:
+        """Offer queries; cancel some, swallow the answers of others."""
+        for number in range(_QUERIES):
+            budget_ms = self.random.choice([40.0, 150.0, 400.0])
+            message = dispatching.batch(
+                dispatching.item(f'{number}'),
+                budget_ms=budget_ms,
+                alone=number % 9 == 0,
+            )
+            self.peers.deliver(message)
+            if number % 5 == 0:
+                cancel = protocol.CancelAttempts('q', [f'{number - 3}'])
+                self.peers.deliver(cancel)
+            if number % 80 == 40:
+                self.faults.swallow_answers += 1
+            await asyncio.sleep(0.002)
+        await self.dispatcher.drain()
+
+    @property
+    def stats(self) -> standin.Stats:
+        """What the target counted."""
+        return self.target._stats
+
+
+class LimitsTest(unittest.IsolatedAsyncioTestCase):
+    """One target of two slots and four connections under bad luck."""
+
+    async def test_no_breach_under_lost_answers_and_cancels(self) -> None:
+        """Callers give up or cancel, connections go silent with answers due.
+
+        Each attempt is answered exactly once, and the target itself counts
+        no breach: a slot whose exchange was lost stays taken until the
+        deadline at the target, and a retired connection counts until it is
+        closed.
+        """
+        async with _Bench() as bench:
+            await bench.load()
+            statuses = bench.peers.statuses()
+            self.assertGreater(bench.stats.items, 40)
+            self.assertGreater(bench.counters.total('target_errors'), 2)
+        self.assertEqual(0, bench.stats.slot_breaches)
+        self.assertEqual(0, bench.stats.connection_breaches)
+        answered_once = {name: 1 for name in map(str, range(_QUERIES))}
+        counts = {name: len(rows) for name, rows in statuses.items()}
+        unanswered = answered_once.keys() - counts.keys()
+        cancelled = {f'{number - 3}' for number in range(0, _QUERIES, 5)}
+        self.assertLessEqual(unanswered, cancelled)
+        self.assertEqual({1}, set(counts.values()))
+
+    async def test_target_that_works_on_is_breached_without_the_hold(
+        self,
+    ) -> None:
+        """A slow target keeps working after its connection went silent.
+
+        The dispatcher gives up after 80 ms, the target works for up to
+        400.  With the slot held the target sees no breach; freed at the
+        caller's end, as a naive pool does, it sees several.
+        """
+        counts = []
+        for naive in (False, True):
+            async with _Bench() as bench:
+                bench.faults.service_ms, bench.faults.sigma = 300.0, 0.0
+                ended = _lane.Lane.ended
+
+                def free(lane, ticket, ending, now_ms):
+                    return ended(lane, ticket, _lane.Ending.FREE, now_ms)
+
+                patched = mock.patch.object(_lane.Lane, 'ended', free)
+                if naive:
+                    patched.start()
+                try:
+                    for number in range(30):
+                        bench.peers.deliver(
+                            dispatching.batch(
+                                dispatching.item(f'{number}'), alone=True
+                            )
+                        )
+                        await asyncio.sleep(0.01)
+                    await bench.dispatcher.drain()
+                finally:
+                    if naive:
+                        patched.stop()
+                counts.append(bench.stats.slot_breaches)
+        self.assertEqual(0, counts[0])
+        self.assertGreater(counts[1], 0)
--- a/tests/unit/test_target_signs.py
+++ b/tests/unit/test_target_signs.py
@@ -101,6 +101,7 @@
         self._hosts(False)
         self._assert_usable(False)
         self.assertEqual(['t1'], self.signs.to_probe())
+        self.clock.advance(1.0)
         self.signs.on_target_word('t1', False)
         self._assert_usable(True)
 
@@ -119,6 +120,15 @@
             self.peers.of(protocol.TargetSign)[1].at_ms, sign.at_ms + 1
         )
 
+    def test_word_asked_before_a_sign_came_is_no_return(self) -> None:
+        asked_at_ms = self.clock.wall_ms()
+        self.clock.advance(5.0)
+        self.signs.on_target_word('t1', True)
+        self.signs.on_target_word('t1', False, asked_at_ms)
+        self._assert_usable(False)
+        self.signs.on_target_word('t1', False, asked_at_ms + 6)
+        self._assert_usable(True)
+
     def test_peer_that_asks_is_told_what_is_known(self) -> None:
         self.signs.on_target_word('t1', True)
         self.peers.sent.clear()
