drain() waits for the answers that leave in the next turn of the loop

It returned once no attempt was left, with the last answers still to be sent in the next turn; a daemon that then closed its sockets lost them.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -148,7 +148,7 @@
         owners every target goes to another daemon: queued work is given
         back as ``NOT_OWNER``, which proves that it was never sent.
         """
-        while self.in_flight():
+        while self._places or self._replies:
             await asyncio.sleep(_DRAIN_POLL_MS / 1000.0)
 
     def in_flight(self) -> int:
--- a/tests/failure/test_limits.py
+++ b/tests/failure/test_limits.py
@@ -107,12 +107,9 @@
             self.assertGreater(bench.counters.total('target_errors'), 2)
         self.assertEqual(0, bench.stats.slot_breaches)
         self.assertEqual(0, bench.stats.connection_breaches)
-        answered_once = {name: 1 for name in map(str, range(_QUERIES))}
+        once = {name: 1 for name in map(str, range(_QUERIES))}
         counts = {name: len(rows) for name, rows in statuses.items()}
-        unanswered = answered_once.keys() - counts.keys()
-        cancelled = {f'{number - 3}' for number in range(0, _QUERIES, 5)}
-        self.assertLessEqual(unanswered, cancelled)
-        self.assertEqual({1}, set(counts.values()))
+        self.assertEqual(once, counts)
 
     async def test_target_that_works_on_is_breached_without_the_hold(
         self,
