--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -409,6 +409,8 @@
                 ending = await self._batch(target, post, start)
         finally:
             now_ms = self._clock.now_ms()
+            if ending is _lane.Ending.LOST:
+                self._metrics.add('slots_held_after_loss')
             effects = post.lane.ended(start.ticket, ending, now_ms)
             effects += post.lane.lost_contact(now_ms)
             self.carry_out(target, effects)
--- a/samphiredock/coordination/_lane.py
+++ b/samphiredock/coordination/_lane.py
@@ -3,6 +3,7 @@
 A pure object: work and ends of exchanges go in, effects come out.
 """
 
+import collections
 import dataclasses
 import enum
 import itertools
@@ -187,14 +188,16 @@
         exchange = self._busy.pop(ticket, None)
         if exchange is None:
             return []
-        until_ms = exchange.deadline_at_ms + _DEADLINE_SLACK_MS
+        slack_ms = _DEADLINE_SLACK_MS + self._target.connect_ms
+        until_ms = exchange.deadline_at_ms + slack_ms
         if ending is Ending.LOST and exchange.unsettled:
             # The caller stopped waiting, the target perhaps did not.
             self._held[ticket] = until_ms
         busy_ms = now_ms - exchange.started_ms
         part_ms = busy_ms / max(1, len(exchange.works))
-        for work in exchange.works:
-            self._queue.charge(work.flow, part_ms, now_ms)
+        flows = collections.Counter([work.flow for work in exchange.works])
+        for flow, count in flows.items():
+            self._queue.charge(flow, part_ms * count, now_ms)
         if ending is Ending.ANSWERED:
             self.record.on_answer(len(exchange.works), busy_ms, now_ms)
         return self.pump(now_ms)
--- a/samphiredock/coordination/_shares.py
+++ b/samphiredock/coordination/_shares.py
@@ -162,10 +162,12 @@
         """
         self.capped_until_ms = None
         waiting = [site for site in self._sites.values() if site.backlog]
-        for site in sorted(waiting, key=_tag):
+        while waiting:
+            site = min(waiting, key=_tag)
             line = self._next_line(site, now_ms)
             if line is not None:
                 return line.items[0]
+            waiting.remove(site)
         return None
 
     def take(self, item: Queued) -> None:
@@ -236,9 +238,11 @@
         if not self._may_go(site.meter, now_ms):
             return None
         waiting = [line for line in site.lines.values() if line.items]
-        for line in sorted(waiting, key=_tag):
+        while waiting:
+            line = min(waiting, key=_tag)
             if self._may_go(line.meter, now_ms):
                 return line
+            waiting.remove(line)
         return None
 
     def _may_go(self, meter: _CapMeter, now_ms: float) -> bool:
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -183,7 +183,10 @@
         check: typing.Callable[[typing.Any], str],
     ) -> result.Result[typing.Any, LinkError]:
         content = msgspec.json.encode(body)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         connection = await self._acquire(self._work_limit, timeout_ms)
+        timeout_ms -= (loop.time() - started_s) * 1000.0
         if connection is None:
             return _failure(LinkErrorKind.UNREACHABLE, 'no free connection')
         reply: result.Result[typing.Any, LinkError] | None = None
