--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -177,3 +177,9 @@
         self.link.answer()
         await self.dispatcher.drain()
         self._assert_told(**{'1': 'answered'})
+
+    async def test_drain_waits_for_answers_that_leave_later(self) -> None:
+        """They are sent in the next turn; then the sockets are closed."""
+        self.peers.deliver(dispatching.batch(dispatching.item('1', 't9')))
+        await self.dispatcher.drain()
+        self._assert_told(**{'1': 'not-owner'})
--- a/tests/unit/test_target_signs.py
+++ b/tests/unit/test_target_signs.py
@@ -126,6 +126,8 @@
         self.signs.on_target_word('t1', True)
         self.signs.on_target_word('t1', False, asked_at_ms)
         self._assert_usable(False)
+        told = [row.leaving for row in self.peers.of(protocol.TargetSign)]
+        self.assertEqual([True], told)
         self.signs.on_target_word('t1', False, asked_at_ms + 6)
         self._assert_usable(True)
 
