--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -148,12 +148,15 @@
         owners every target goes to another daemon: queued work is given
         back as ``NOT_OWNER``, which proves that it was never sent.
         """
-        while self._places or self._replies:
+        while self.in_flight():
             await asyncio.sleep(_DRAIN_POLL_MS / 1000.0)
 
     def in_flight(self) -> int:
-        """Return how much work is queued or sent and not answered."""
-        return len(self._places)
+        """Return what is queued or sent and not answered.
+
+        Answers that leave in the next turn of the event loop count too.
+        """
+        return len(self._places) + len(self._replies)
 
     # What the handover does with lanes and targets.
 
--- a/samphiredock/coordination/_target_answers.py
+++ b/samphiredock/coordination/_target_answers.py
@@ -41,6 +41,7 @@
         item.snapshot_id,
         item.shard_id,
         int(work.expires_at_ms - now_ms),
+        request.fingerprint,
     )
 
 
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -127,13 +127,14 @@
     ) -> result.Result[protocol.TargetBatchAnswer, LinkError]:
         """Run sub-queries; the answers must match them one by one.
 
-        The target answers in the order it was asked.  Any other attempt in
-        a place means that answers were crossed, so none of them is used.
+        The target answers in the order it was asked and echoes attempt and
+        fingerprint.  Others in a place mean that answers were crossed: none
+        of them is used, nor the connection again.
         """
-        expected = [item.attempt_id for item in body.items]
+        expected = [(row.attempt_id, row.fingerprint) for row in body.items]
 
         def check(answer: protocol.TargetBatchAnswer) -> str:
-            got = [row.attempt_id for row in answer.answers]
+            got = [(row.attempt_id, row.fingerprint) for row in answer.answers]
             return _mismatch(got, expected)
 
         return await self._work(
@@ -150,7 +151,9 @@
         """
 
         def check(answer: protocol.TargetRunAnswer) -> str:
-            return _mismatch([answer.attempt_id], [body.attempt_id])
+            return _mismatch(
+                [(answer.attempt_id, '')], [(body.attempt_id, '')]
+            )
 
         return await self._work('/run', body, timeout_ms, _RUN_ANSWER, check)
 
@@ -317,7 +320,9 @@
             return _failure(LinkErrorKind.BAD_ANSWER, str(error))
 
 
-def _mismatch(got: list[str], expected: list[str]) -> str:
+def _mismatch(
+    got: list[tuple[str, str]], expected: list[tuple[str, str]]
+) -> str:
     if got == expected:
         return ''
     return f'got answers to {got[:3]}, expected to {expected[:3]}'
--- a/standins/target.py
+++ b/standins/target.py
@@ -229,7 +229,10 @@
         refusal = self._refusal(item)
         if refusal is not None:
             return protocol.TargetAnswer(
-                item.attempt_id, refusal, retry_after_ms=500
+                item.attempt_id,
+                refusal,
+                retry_after_ms=500,
+                fingerprint=item.fingerprint,
             )
         deadline_at_ms = self._waiting.pop(item.attempt_id)
         # A newer snapshot may push this one out while the work is done.
@@ -244,7 +247,9 @@
         )
         execution.ended_ms = _now_ms()
         if cut_short is not None:
-            return protocol.TargetAnswer(item.attempt_id, cut_short)
+            return protocol.TargetAnswer(
+                item.attempt_id, cut_short, fingerprint=item.fingerprint
+            )
         found = data.find(
             item.index, held.key_range, item.terms, item.index_version
         )
@@ -255,6 +260,7 @@
                 protocol.TargetStatus.OK,
                 item.snapshot_id,
                 service_ms=service_ms,
+                fingerprint=item.fingerprint,
             )
         echoed = item.snapshot_id + int(self._faults.wrong_snapshot)
         return protocol.TargetAnswer(
@@ -265,6 +271,7 @@
             self._faults.truncate,
             found[: item.limit],
             service_ms,
+            fingerprint=item.fingerprint,
         )
 
     def _refusal(
--- a/tests/unit/test_target_http.py
+++ b/tests/unit/test_target_http.py
@@ -24,7 +24,7 @@
         self.hold.set()
         self.swallow = 0
         self.stopped = asyncio.Event()
-        self.echo = lambda name: name
+        self.echo = self.echo_content = lambda name: name
         app = web.Application()
         app.router.add_post('/batch', self._batch)
         app.router.add_get('/health', self._health)
@@ -63,7 +63,9 @@
         await self.hold.wait()
         answers = [
             protocol.TargetAnswer(
-                self.echo(item.attempt_id), protocol.TargetStatus.OK
+                self.echo(item.attempt_id),
+                protocol.TargetStatus.OK,
+                fingerprint=self.echo_content(item.fingerprint),
             )
             for item in body.items
         ]
@@ -149,6 +151,12 @@
             await self._assert_fails('bad-answer', *names)
             self.assertEqual(0, self.link.open_connections)
 
+    async def test_answer_to_another_content_is_refused(self) -> None:
+        """The attempts are right, the requests' contents were exchanged."""
+        self.echo_content = lambda content: 'other'
+        await self._assert_fails('bad-answer', '1')
+        self.assertEqual(0, self.link.open_connections)
+
     async def test_error_answer_ends_the_exchange(self) -> None:
         def fail(name: str) -> str:
             raise ValueError(name)
