--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -152,8 +152,11 @@
             await asyncio.sleep(_DRAIN_POLL_MS / 1000.0)
 
     def in_flight(self) -> int:
-        """Return how much work is queued or sent and not answered."""
-        return len(self._places)
+        """Return what is queued or sent and not answered.
+
+        Answers that leave in the next turn of the event loop count too.
+        """
+        return len(self._places) + len(self._replies)
 
     # What the handover does with lanes and targets.
 
@@ -409,6 +412,8 @@
                 ending = await self._batch(target, post, start)
         finally:
             now_ms = self._clock.now_ms()
+            if ending is _lane.Ending.LOST:
+                self._metrics.add('slots_held_after_loss')
             effects = post.lane.ended(start.ticket, ending, now_ms)
             effects += post.lane.lost_contact(now_ms)
             self.carry_out(target, effects)
@@ -454,7 +459,7 @@
         if post.lane.foreign_slots(self._clock.now_ms()):
             post.lane.observe_running(reply.running)
         if reply.draining or protocol.TargetStatus.DRAINING in statuses:
-            self._target_word(target, True)
+            self._target_leaves(target)
             return _lane.Ending.FREE
         if protocol.TargetStatus.OK in statuses:
             return _lane.Ending.ANSWERED
@@ -495,7 +500,7 @@
         else:
             status = reply.unwrap().status
             if reply.unwrap().draining:
-                self._target_word(target, True)
+                self._target_leaves(target)
             ending = _lane.Ending.FREE
             if status is protocol.TargetStatus.OK:
                 ending = _lane.Ending.ANSWERED
@@ -535,9 +540,9 @@
 
     # Signs of leaving.
 
-    def _target_word(self, target: str, leaving: bool) -> None:
+    def _target_leaves(self, target: str) -> None:
         if self._signs is not None:
-            self._signs.on_target_word(target, leaving)
+            self._signs.on_target_word(target, True)
 
     def _on_sign(self, target: str, leaving: bool) -> None:
         post = self._posts.get(target)
@@ -552,12 +557,14 @@
                 self.probe(target)
 
     async def _probe(self, target: str, post: _Post) -> None:
+        asked_at_ms = self._clock.wall_ms()
         reply = await post.link.batch(protocol.TargetBatch([]), _PROBE_MS)
         if isinstance(reply, result.Failure):
             return
         answer = reply.unwrap()
         post.lane.observe_running(answer.running)
-        self._target_word(target, answer.draining)
+        if self._signs is not None:
+            self._signs.on_target_word(target, answer.draining, asked_at_ms)
         self._make_ready(target)
 
 
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -127,18 +127,14 @@
     ) -> result.Result[protocol.TargetBatchAnswer, LinkError]:
         """Run sub-queries; the answers must match them one by one.
 
-        The target answers in the order it was asked.  Any other attempt in
-        a place, or another request's fingerprint, means that answers were
-        crossed, so none of them is used.
+        The target answers in the order it was asked and echoes attempt and
+        fingerprint.  Others in a place mean that answers were crossed: none
+        of them is used, nor the connection again.
         """
-        expected = [
-            f'{item.attempt_id} {item.fingerprint}' for item in body.items
-        ]
+        expected = [(row.attempt_id, row.fingerprint) for row in body.items]
 
         def check(answer: protocol.TargetBatchAnswer) -> str:
-            got = [
-                f'{row.attempt_id} {row.fingerprint}' for row in answer.answers
-            ]
+            got = [(row.attempt_id, row.fingerprint) for row in answer.answers]
             return _mismatch(got, expected)
 
         return await self._work(
@@ -155,7 +151,9 @@
         """
 
         def check(answer: protocol.TargetRunAnswer) -> str:
-            return _mismatch([answer.attempt_id], [body.attempt_id])
+            return _mismatch(
+                [(answer.attempt_id, '')], [(body.attempt_id, '')]
+            )
 
         return await self._work('/run', body, timeout_ms, _RUN_ANSWER, check)
 
@@ -188,7 +186,10 @@
         check: typing.Callable[[typing.Any], str],
     ) -> result.Result[typing.Any, LinkError]:
         content = msgspec.json.encode(body)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         connection = await self._acquire(self._work_limit, timeout_ms)
+        timeout_ms -= (loop.time() - started_s) * 1000.0
         if connection is None:
             return _failure(LinkErrorKind.UNREACHABLE, 'no free connection')
         reply: result.Result[typing.Any, LinkError] | None = None
@@ -319,7 +320,9 @@
             return _failure(LinkErrorKind.BAD_ANSWER, str(error))
 
 
-def _mismatch(got: list[str], expected: list[str]) -> str:
+def _mismatch(
+    got: list[tuple[str, str]], expected: list[tuple[str, str]]
+) -> str:
     if got == expected:
         return ''
     return f'got answers to {got[:3]}, expected to {expected[:3]}'
--- a/standins/target.py
+++ b/standins/target.py
@@ -247,7 +247,9 @@
         )
         execution.ended_ms = _now_ms()
         if cut_short is not None:
-            return protocol.TargetAnswer(item.attempt_id, cut_short)
+            return protocol.TargetAnswer(
+                item.attempt_id, cut_short, fingerprint=item.fingerprint
+            )
         found = data.find(
             item.index, held.key_range, item.terms, item.index_version
         )
