Failure tests of the spread at seventy-two daemons

Shown: a change is in force at all within 1 s of simulated time, each daemon gets the object at most once and serves at most 16; frozen relays and a dead store delay nothing past 5 s; two watchers a site wait at the store and are replaced when frozen.

--- /dev/null
+++ b/tests/failure/test_spread.py
@@ -0,0 +1,190 @@
+"""Spread at a size where messages and watches go through relays."""
+
+import asyncio
+import collections
+import typing
+import unittest
+
+import msgspec
+
+from samphiredock import coordination
+from samphiredock.coordination import _relay
+from samphiredock import protocol
+from tests.failure import test_configuration
+from tests.failure import test_membership
+from tests import fakes_daemons
+
+SITES = {'bole-a': 'addis', 'sal-a': 'midtjylland'}
+COUNT = 72
+DRAIN_KEY = 'targets/shard-1'
+
+
+class SpreadTest(unittest.TestCase):
+    """Seventy-two daemons in two sites of two regions."""
+
+    async def start(
+        self, network: fakes_daemons.Network
+    ) -> list[fakes_daemons.SimDaemon]:
+        """Start all on revision 1 and wait until all know all."""
+        network.store.write(
+            coordination.CONFIGURATION_KEY, test_configuration.source(1, 'one')
+        )
+        fakes_daemons.start_sites(network, SITES, COUNT)
+        await network.run(6_000)
+        daemons = list(network.daemons.values())
+        self.assertEqual({COUNT}, {len(d.live_names()) for d in daemons})
+        for daemon in daemons:
+            daemon.counters.counts.clear()
+        return daemons
+
+    def run_with(
+        self,
+        body: typing.Callable[
+            [fakes_daemons.Network, list[fakes_daemons.SimDaemon]],
+            typing.Coroutine[None, None, None],
+        ],
+    ) -> None:
+        """Run a body on the started daemons."""
+
+        async def run(network: fakes_daemons.Network) -> None:
+            await body(network, await self.start(network))
+
+        test_membership.simulate(run)
+
+    async def accept(self, daemon: fakes_daemons.SimDaemon) -> None:
+        """Accept revision 2 at one daemon."""
+        outcome = await daemon.apply('two', 1)
+        self.assertEqual(protocol.ChangeAccepted(2), outcome)
+
+    def test_accepted_crosses_to_each_daemon_once(self) -> None:
+        """A change is in force everywhere in a second, each served once.
+
+        The accepting daemon tells the root of each site's tree; whoever
+        lacks the object asks who told it.  So no daemon serves more than
+        its children and nobody gets a large object twice, and the
+        accepting daemon hears from each that it is in force.
+        """
+
+        async def body(network, daemons) -> None:
+            task = asyncio.create_task(self.accept(daemons[5]))
+            await network.run(1_000)
+            await task
+            self.assertEqual({2}, {d.knowledge.revision for d in daemons})
+            got = [d.counters.counts['objects_received'] for d in daemons]
+            given = [d.counters.counts['objects_given'] for d in daemons]
+            self.assertLessEqual(max(got), 1)
+            self.assertLessEqual(max(given), 2 * _relay.FAN_OUT)
+            confirmed = daemons[5].membership.confirmations(2)
+            half = {'live': COUNT // 2, 'confirmed': COUNT // 2}
+            self.assertEqual({site: half for site in SITES}, confirmed)
+
+        self.run_with(body)
+
+    def test_frozen_relays_hide_nothing(self) -> None:
+        """A frozen root of a site's tree delays its site, no more.
+
+        Every tenth daemon is frozen as the change is accepted and the
+        store goes down: whole branches get no notice.  Probes tell the
+        version, and the rest of the daemons ask each other for it.
+        """
+
+        async def body(network, daemons) -> None:
+            for daemon in daemons[1::10]:
+                daemon.clock.frozen = True
+            task = asyncio.create_task(self.accept(daemons[0]))
+            await network.run(30)
+            network.store.faults.down = True
+            await task
+            await network.run(4_970)
+            revisions = collections.Counter(
+                d.knowledge.revision for d in daemons if not d.clock.frozen
+            )
+            self.assertEqual({2: COUNT - 8}, dict(revisions))
+
+        self.run_with(body)
+
+    def test_two_watchers_a_site_serve_the_others(self) -> None:
+        """A drain reaches all daemons though few wait at the store.
+
+        Then all watchers of one site freeze: the site chooses others once
+        it holds them dead, and the next drain is seen there too.
+        """
+
+        async def body(network, daemons) -> None:
+            seen: dict[str, int] = collections.defaultdict(int)
+            for daemon in daemons:
+                daemon.watcher.close()
+                daemon.watcher.follow(
+                    'targets/',
+                    lambda stored, name=daemon.name: seen.update(
+                        {name: max(seen[name], stored.version)}
+                    ),
+                )
+                daemon.watcher.start()
+            await network.run(2_000)
+            prefixes = 3
+            self.assertEqual(prefixes * 2 * 2, network.store.waiting)
+            version = network.store.write(DRAIN_KEY, b'{}')
+            await network.run(1_000)
+            self.assertEqual({version}, {seen[d.name] for d in daemons})
+            frozen = [
+                daemon
+                for daemon in daemons
+                if daemon.spread._is_watcher() and daemon.site == 'sal-a'
+            ]
+            self.assertEqual(2, len(frozen))
+            for daemon in frozen:
+                daemon.clock.frozen = True
+            await network.run(8_000)
+            version = network.store.write(DRAIN_KEY, b'{}')
+            await network.run(1_000)
+            running = [d for d in daemons if not d.clock.frozen]
+            self.assertEqual({version}, {seen[d.name] for d in running})
+
+        self.run_with(body)
+
+
+class RelayTest(unittest.TestCase):
+    """The tree of one message."""
+
+    def test_tree_reaches_each_member_once(self) -> None:
+        """Every member but the root has one parent."""
+        for count in (1, 2, 9, 61, 490):
+            names = [f'entry-{number}' for number in range(count)]
+            children = [
+                child
+                for name in names
+                for child in _relay.children_of(name, names, 'message-1')
+            ]
+            root = _relay.tree_of(names, 'message-1')[0]
+            self.assertEqual(sorted(names), sorted([root, *children]))
+
+    def test_repeats_are_dropped(self) -> None:
+        """A message that comes by two ways is delivered once."""
+        network = fakes_daemons.Network(1)
+        daemon = _Receiver(network)
+        envelope = protocol.Envelope(
+            'm-1',
+            'entry-9',
+            1,
+            b'ObjectChanged',
+            msgspec.msgpack.encode(protocol.ObjectChanged('k', 1, b'v')),
+        )
+        for sender in ('entry-8', 'entry-7'):
+            daemon.peers.deliver(sender, envelope)
+        self.assertEqual([('entry-9', 1)], daemon.got)
+
+
+class _Receiver:
+    def __init__(self, network: fakes_daemons.Network) -> None:
+        me = fakes_daemons.state.Member('me', 's', 'r', '', '', '', 1)
+        self.name = 'me'
+        self.got: list[tuple[str, int]] = []
+        self.peers = fakes_daemons.SimPeers(network, self)
+        self.peers.subscribe(
+            protocol.ObjectChanged,
+            lambda sender, changed: self.got.append((sender, changed.version)),
+        )
+        codec = protocol.Codec(protocol.CONTROL_MESSAGES)
+        counters = fakes_daemons.Counters()
+        _relay.Relay(me, self.peers, codec, lambda: (me,), counters)
--- a/tests/fakes_store.py
+++ b/tests/fakes_store.py
@@ -32,6 +32,7 @@
         self.objects: dict[str, transport.StoredObject] = {}
         self.previous: dict[str, transport.StoredObject] = {}
         self.calls = 0
+        self.waiting = 0
         self.bitten = {'down': 0, 'lose_answer': 0, 'stale_read': 0}
 
     def bites(self, name: str) -> bool:
@@ -114,6 +115,15 @@
         if failed := await self._call():
             return failed
         stale = position == 0 and self._store.bites('stale_read')
+        self._store.waiting += timeout_ms > 0
+        try:
+            return await self._wait(prefix, position, timeout_ms, stale)
+        finally:
+            self._store.waiting -= timeout_ms > 0
+
+    async def _wait(
+        self, prefix: str, position: int, timeout_ms: int, stale: bool
+    ) -> result.Result:
         until_ms = self._clock.now_ms() + timeout_ms
         while True:
             changed = self._below(prefix, position, stale)
--- /dev/null
+++ b/tests/unit/test_exchange.py
@@ -0,0 +1,92 @@
+"""One daemon's part in handing objects on."""
+
+import unittest
+
+from samphiredock import coordination
+from samphiredock.coordination import _exchange
+from samphiredock import protocol
+from samphiredock import timers
+from tests.failure import test_configuration
+from tests import fakes_daemons
+
+KEY = coordination.CONFIGURATION_KEY
+
+
+class Recorder:
+    """Peers that record what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, object]] = []
+        self.handlers: dict[type, object] = {}
+
+    def subscribe(self, kind: type, handler: object) -> None:
+        """Keep the handler."""
+        self.handlers[kind] = handler
+
+    def send(self, member: str, message: object) -> bool:
+        """Record a message."""
+        self.sent.append((member, message))
+        return True
+
+    def take(self) -> list[tuple[str, object]]:
+        """Return what was sent since the last call."""
+        sent, self.sent = self.sent, []
+        return sent
+
+
+class ExchangeTest(unittest.TestCase):
+    """A daemon that holds nothing yet."""
+
+    def setUp(self) -> None:
+        """Make the exchange with recorded peers."""
+        self.peers = Recorder()
+        self.clock = timers.ManualTimers()
+        counters = fakes_daemons.Counters()
+        self.knowledge = coordination.Knowledge(counters)
+        _exchange.ObjectExchange(
+            'me',
+            self.knowledge,
+            self.peers,
+            lambda message, site: None,
+            self.clock,
+            counters,
+        )
+
+    def receive(self, sender: str, message: object) -> None:
+        """Deliver a message."""
+        self.peers.handlers[type(message)](sender, message)
+
+    def test_asks_one_at_a_time_and_again_after_a_while(self) -> None:
+        """Many tell of a large object; only one has to send it."""
+        notice = protocol.ObjectVersion(KEY, 2, 'origin')
+        ask = protocol.ObjectAsk(KEY, 2)
+        self.receive('a', notice)
+        self.receive('b', notice)
+        self.assertEqual([('a', ask)], self.peers.take())
+        self.clock.advance(700)
+        self.receive('b', notice)
+        self.assertEqual([('b', ask)], self.peers.take())
+
+    def test_who_asks_too_early_is_served_later(self) -> None:
+        """A child asks before the object has reached its parent."""
+        value = test_configuration.source(2, 'two')
+        self.receive('a', protocol.ObjectVersion(KEY, 2, 'origin'))
+        self.receive('child', protocol.ObjectAsk(KEY, 2))
+        self.peers.take()
+        changed = protocol.ObjectChanged(KEY, 2, value)
+        self.receive('a', changed)
+        expected = [
+            ('child', changed),
+            ('origin', protocol.RevisionHeld(2)),
+        ]
+        self.assertEqual(expected, self.peers.take())
+
+    def test_unreadable_object_is_not_asked_for_again(self) -> None:
+        """A version that this daemon can't read is not fetched for ever."""
+        notice = protocol.ObjectVersion(KEY, 2, 'origin')
+        self.receive('a', notice)
+        self.receive('a', protocol.ObjectChanged(KEY, 2, b'{'))
+        self.peers.take()
+        self.clock.advance(700)
+        self.receive('a', notice)
+        self.assertEqual([], self.peers.take())
