--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -7,13 +7,13 @@
 """
 
 import collections
-import dataclasses
 import math
 import random
 import typing
 
 import msgspec
 
+from samphiredock.coordination import _gossip_parts
 from samphiredock.coordination import _member_table
 from samphiredock import protocol
 
@@ -26,15 +26,12 @@
 _INDIRECT_MS = 400.0
 _INDIRECT_PROBES = 3
 _SUSPICION_LEAST_MS = 1_000.0
-_ROWS_PER_MESSAGE = 8
 _LOST_PROBE_MS = 2_000.0
 _LOST_KEEP_MS = 2 * 3_600_000.0
 _EXCHANGE_MS = 30_000.0
 _VERIFY_PER_TICK = 5
 _ASK_UNKNOWN = 8
 _RELEARN_PEERS = 3
-_RELEARN_RETRY_MS = 500.0
-_RELEARN_LIMIT_MS = 3_000.0
 
 _ALIVE = protocol.MemberState.ALIVE
 _SUSPECT = protocol.MemberState.SUSPECT
@@ -42,64 +39,7 @@
 _LEFT = protocol.MemberState.LEFT
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendTo:
-    """Send this message to a member."""
-
-    member: str
-    message: msgspec.Struct
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ResetPeer:
-    """Make a new connection to a member; the open one is silent."""
-
-    member: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Learned:
-    """A member's row changed; its address may be new."""
-
-    row: protocol.MemberRow
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forgotten:
-    """A member has been dead so long that its row was dropped."""
-
-    member: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerHolds:
-    """What a peer says it holds of configuration and snapshots."""
-
-    member: str
-    versions: protocol.HeldVersions
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerAnswered:
-    """A peer has answered a full exchange."""
-
-    member: str
-    settled: bool
-
-
-GossipEffect = (
-    SendTo | ResetPeer | Learned | Forgotten | PeerHolds | PeerAnswered
-)
-_Effects = list[GossipEffect]
-
-
-@dataclasses.dataclass(slots=True)
-class _OpenProbe:
-    target: str
-    due_ms: float
-    indirect: bool = False
-    asked_by: str = ''
-    asked_number: int = 0
+_Effects = list[_gossip_parts.GossipEffect]
 
 
 class Gossip:
@@ -137,11 +77,11 @@
         self._settled = settled
         self._behind = behind
         self._numbers = 0
-        self._open: dict[int, _OpenProbe] = {}
-        self._round: list[str] = []
+        self._probes = _gossip_parts.Probes(rng)
         self._suspected_until: dict[str, float] = {}
         self._lost_since: dict[str, float] = {}
-        self._news: dict[str, int] = {}
+        self._news = _gossip_parts.News()
+        self._freshness = _gossip_parts.Freshness()
         self._verify: collections.deque[protocol.MemberRow] = (
             collections.deque()
         )
@@ -149,9 +89,6 @@
         self._next_probe_ms = now_ms
         self._next_lost_ms = now_ms + _LOST_PROBE_MS
         self._next_exchange_ms = now_ms + rng.uniform(0, _EXCHANGE_MS)
-        self._stale_since_ms: float | None = None
-        self._answered: set[str] = set()
-        self._next_relearn_ms = 0.0
         self._tell(me.name)
 
     @property
@@ -161,9 +98,8 @@
 
     def is_current(self, now_ms: float) -> bool:
         """Whether the view is not older than a gap in this process."""
-        return self._stale_since_ms is None and (
-            now_ms - self._last_ms < _GAP_MS
-        )
+        late_ms = now_ms - self._last_ms
+        return late_ms < _GAP_MS and not self._freshness.is_stale
 
     def period_ms(self) -> float:
         """Return the time between two probes at the present size."""
@@ -219,7 +155,7 @@
         """
         unknown = [row for row in rows if not self.table.is_live(row.name)]
         chosen = self._rng.sample(unknown, min(_ASK_UNKNOWN, len(unknown)))
-        effects: _Effects = [Learned(row) for row in chosen]
+        effects: _Effects = [_gossip_parts.Learned(row) for row in chosen]
         names = [row.name for row in chosen]
         return effects + self._ask_state(names, everything=True)
 
@@ -238,8 +174,7 @@
         if late_ms < _GAP_MS:
             # A short stall of this process is no fault of the others: it
             # must not count as time in which they were silent.
-            for probe in self._open.values():
-                probe.due_ms += late_ms
+            self._probes.postpone(late_ms)
             for name in self._suspected_until:
                 self._suspected_until[name] += late_ms
             self._last_ms = now_ms - TICK_MS
@@ -253,33 +188,19 @@
         would suspect everybody, and act on what it owned before.
         """
         self._last_ms = now_ms
-        if self._stale_since_ms is None:
+        if not self._freshness.is_stale:
             self._refute(self.me)
-        self._stale_since_ms = now_ms
-        self._open.clear()
-        self._answered.clear()
-        self._next_relearn_ms = now_ms
+        self._freshness.on_gap(now_ms)
+        self._probes.clear()
         for name in self._suspected_until:
             self._suspected_until[name] = now_ms + self.suspicion_ms()
         return []
 
     def _relearn(self, now_ms: float) -> _Effects:
-        if self._stale_since_ms is None:
-            return []
-        others = len(self.table.names() - {self._name})
-        enough = len(self._answered) >= min(_RELEARN_PEERS, others)
-        # All daemons may have been frozen at once, or all others be gone:
-        # nobody answers, and waiting longer would teach nothing.
-        late = now_ms - self._stale_since_ms >= _RELEARN_LIMIT_MS
-        # What the others told of must have come too, or the daemon would
-        # present the revision from before the freeze.
-        if (enough and not self._behind()) or late:
-            self._stale_since_ms = None
-            return []
-        if now_ms < self._next_relearn_ms:
-            return []
-        self._next_relearn_ms = now_ms + _RELEARN_RETRY_MS
-        return self._ask_state(self._others(2 * _RELEARN_PEERS))
+        wanted = min(_RELEARN_PEERS, len(self.table.names()) - 1)
+        if self._freshness.should_ask(now_ms, wanted, self._behind()):
+            return self._ask_state(self._others(2 * _RELEARN_PEERS))
+        return []
 
     # Probes.
 
@@ -295,25 +216,20 @@
         self, name: str, due_ms: float, asked_by: str = '', asked: int = 0
     ) -> _Effects:
         number = self._number()
-        self._open[number] = _OpenProbe(
-            name, due_ms, asked_by=asked_by, asked_number=asked
+        self._probes.add(
+            number,
+            _gossip_parts.OpenProbe(
+                name, due_ms, asked_by=asked_by, asked_number=asked
+            ),
         )
         message = protocol.Probe(
             number, self._versions(), self._rows_for(name)
         )
-        return [SendTo(name, message)]
+        return [_gossip_parts.SendTo(name, message)]
 
     def _probe_next(self, now_ms: float) -> _Effects:
-        while self._round:
-            name = self._round.pop()
-            if self.table.is_live(name):
-                return self._probe(name, now_ms + _DIRECT_MS)
-        # Each member comes once in a round, so that none is left out long.
-        self._round = sorted(self.table.names() - {self._name})
-        self._rng.shuffle(self._round)
-        if not self._round:
-            return []
-        return self._probe(self._round.pop(), now_ms + _DIRECT_MS)
+        name = self._probes.next_target(self.table.names() - {self._name})
+        return self._probe(name, now_ms + _DIRECT_MS) if name else []
 
     def _probe_lost(self, now_ms: float) -> _Effects:
         """Probe one dead member, so that the end of a cut is found."""
@@ -322,7 +238,7 @@
             if now_ms - since_ms >= _LOST_KEEP_MS:
                 del self._lost_since[name]
                 self.table.forget(name)
-                effects.append(Forgotten(name))
+                effects.append(_gossip_parts.Forgotten(name))
         if not self._lost_since:
             return effects
         name = self._rng.choice(sorted(self._lost_since))
@@ -330,13 +246,11 @@
 
     def _expire_probes(self, now_ms: float) -> _Effects:
         effects: _Effects = []
-        due = [n for n, probe in self._open.items() if probe.due_ms <= now_ms]
-        for number in due:
-            probe = self._open[number]
+        for number, probe in self._probes.due(now_ms):
             row = self.table.get(probe.target)
             known = row is not None and row.state in (_ALIVE, _SUSPECT)
             if probe.asked_by or probe.indirect or not known:
-                del self._open[number]
+                self._probes.close(number)
                 if probe.indirect and known and row.state is _ALIVE:
                     effects += self._suspect(row, now_ms)
                 continue
@@ -353,7 +267,7 @@
         ][:_INDIRECT_PROBES]
         versions = self._versions()
         return [
-            SendTo(
+            _gossip_parts.SendTo(
                 name,
                 protocol.ProbeAsk(
                     number, target, versions, self._rows_for(name)
@@ -385,24 +299,16 @@
             if not self.table.beats(row):
                 continue
             message = protocol.Probe(self._number(), self._versions(), [row])
-            effects.append(SendTo(row.name, message))
+            effects.append(_gossip_parts.SendTo(row.name, message))
         return effects
 
     # Rows.
 
     def _tell(self, name: str) -> None:
-        size = len(self.table.names()) + 1
-        self._news[name] = 3 * math.ceil(math.log2(size + 1))
+        self._news.add(name, len(self.table.names()))
 
     def _rows_for(self, receiver: str) -> list[protocol.MemberRow]:
-        """Choose the rows to send along, the least told ones first."""
-        chosen = sorted(self._news, key=self._news.get, reverse=True)
-        chosen = chosen[:_ROWS_PER_MESSAGE]
-        for name in chosen:
-            self._news[name] -= 1
-            if self._news[name] <= 0:
-                del self._news[name]
-        rows = [self.table.get(name) for name in chosen]
+        rows = [self.table.get(name) for name in self._news.take()]
         about = self.table.get(receiver)
         if about is not None and about.state is not _ALIVE:
             # Who is held suspect or dead is told so, to refute it.
@@ -472,7 +378,7 @@
             self._lost_since.setdefault(name, now_ms)
         else:
             self._lost_since.pop(name, None)
-        return [Learned(row)]
+        return [_gossip_parts.Learned(row)]
 
     # Messages.
 
@@ -483,7 +389,7 @@
         message = protocol.StateAsk(
             self._number(), self.me, digests, self._versions()
         )
-        return [SendTo(name, message) for name in names]
+        return [_gossip_parts.SendTo(name, message) for name in names]
 
     def state_ask(self) -> protocol.StateAsk:
         """Return the message that asks a bare address for all it knows."""
@@ -493,48 +399,48 @@
         self, sender: str, message: protocol.Probe, now_ms: float
     ) -> _Effects:
         effects = self._merge(message.rows, now_ms)
-        effects.append(PeerHolds(sender, message.versions))
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         rows = self._rows_for(sender)
         doubted = any(row.name == self._name for row in message.rows)
         if doubted and self.me not in rows:
             # The report may be older than the news of its refutation.
             rows.append(self.me)
         answer = protocol.ProbeAnswer(message.number, self._versions(), rows)
-        return [*effects, SendTo(sender, answer)]
+        return [*effects, _gossip_parts.SendTo(sender, answer)]
 
     def _on_probe_answer(
         self, sender: str, message: protocol.ProbeAnswer, now_ms: float
     ) -> _Effects:
         was_lost = sender in self._lost_since
         effects = self._merge(message.rows, now_ms)
-        effects.append(PeerHolds(sender, message.versions))
-        probe = self._open.get(message.number)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        probe = self._probes.get(message.number)
         if probe is not None and probe.target == sender:
-            del self._open[message.number]
+            self._probes.close(message.number)
             if probe.asked_by:
                 effects += self._pass_answer(probe, message)
         elif probe is not None and probe.indirect:
             # Another one reaches it: the connection between the two is
             # silent.  If it is so the other way, its probes find that.
-            del self._open[message.number]
-            effects.append(ResetPeer(probe.target))
+            self._probes.close(message.number)
+            effects.append(_gossip_parts.ResetPeer(probe.target))
         if was_lost and sender not in self._lost_since:
             effects += self._ask_state([sender])
         return effects
 
     def _pass_answer(
-        self, probe: _OpenProbe, message: protocol.ProbeAnswer
+        self, probe: _gossip_parts.OpenProbe, message: protocol.ProbeAnswer
     ) -> _Effects:
         answer = protocol.ProbeAnswer(
             probe.asked_number, self._versions(), message.rows
         )
-        return [SendTo(probe.asked_by, answer)]
+        return [_gossip_parts.SendTo(probe.asked_by, answer)]
 
     def _on_probe_ask(
         self, sender: str, message: protocol.ProbeAsk, now_ms: float
     ) -> _Effects:
         effects = self._merge(message.rows, now_ms)
-        effects.append(PeerHolds(sender, message.versions))
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         return effects + self._probe(
             message.target, now_ms + _DIRECT_MS, sender, message.number
         )
@@ -543,7 +449,7 @@
         self, sender: str, message: protocol.StateAsk, now_ms: float
     ) -> _Effects:
         effects = self._merge([message.row], now_ms)
-        effects.append(PeerHolds(sender, message.versions))
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         buckets = self.table.differing(message.digests)
         answer = protocol.StateAnswer(
             message.number,
@@ -552,7 +458,7 @@
             self._versions(),
             self._settled(),
         )
-        return [*effects, SendTo(sender, answer)]
+        return [*effects, _gossip_parts.SendTo(sender, answer)]
 
     def _on_state_answer(
         self, sender: str, message: protocol.StateAnswer, now_ms: float
@@ -561,9 +467,9 @@
             row.name: _member_table.order_of(row) for row in message.rows
         }
         effects = self._merge(message.rows, now_ms, hearsay=True)
-        effects.append(PeerHolds(sender, message.versions))
-        effects.append(PeerAnswered(sender, message.settled))
-        self._answered.add(sender)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        effects.append(_gossip_parts.PeerAnswered(sender, message.settled))
+        self._freshness.on_answer(sender)
         lacking = [
             row
             for row in self.table.in_buckets(message.buckets)
@@ -571,7 +477,9 @@
             or _member_table.order_of(row) > theirs[row.name]
         ]
         if lacking:
-            effects.append(SendTo(sender, protocol.StatePush(lacking)))
+            effects.append(
+                _gossip_parts.SendTo(sender, protocol.StatePush(lacking))
+            )
         return effects
 
     def _on_state_push(
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -13,6 +13,7 @@
 
 from samphiredock.coordination import _directory
 from samphiredock.coordination import _gossip
+from samphiredock.coordination import _gossip_parts
 from samphiredock.coordination import _member_table
 from samphiredock.coordination import _relay
 from samphiredock.coordination import _settling
@@ -250,7 +251,7 @@
 
     # Effects.
 
-    def _carry_out(self, effects: list[_gossip.GossipEffect]) -> None:
+    def _carry_out(self, effects: list[_gossip_parts.GossipEffect]) -> None:
         for effect in effects:
             _EFFECTS[type(effect)](self, effect)
         if self._gossip.table.version != self._seen_version:
@@ -279,25 +280,25 @@
         for callback in self._on_change:
             callback(joined, lost)
 
-    def _send(self, effect: _gossip.SendTo) -> None:
+    def _send(self, effect: _gossip_parts.SendTo) -> None:
         self._peers.send(effect.member, effect.message)
 
-    def _reset(self, effect: _gossip.ResetPeer) -> None:
+    def _reset(self, effect: _gossip_parts.ResetPeer) -> None:
         self._metrics.add('peer_connections_reset')
         self._peers.reset(effect.member)
 
-    def _learn(self, effect: _gossip.Learned) -> None:
+    def _learn(self, effect: _gossip_parts.Learned) -> None:
         row = effect.row
         self._peers.set_address(row.name, row.peer_address)
         before = self._seen.get(row.name)
         if before is not None and before.incarnation != row.incarnation:
             self._revisions.pop(row.name, None)
 
-    def _forget(self, effect: _gossip.Forgotten) -> None:
+    def _forget(self, effect: _gossip_parts.Forgotten) -> None:
         self._revisions.pop(effect.member, None)
         self._peers.reset(effect.member)
 
-    def _holds(self, effect: _gossip.PeerHolds) -> None:
+    def _holds(self, effect: _gossip_parts.PeerHolds) -> None:
         self._note_revision(effect.member, effect.versions.revision)
         self._settling.on_versions(effect.versions)
         for callback in self._on_holds:
@@ -309,18 +310,18 @@
         known = self._revisions.get(member, 0)
         self._revisions[member] = max(known, revision)
 
-    def _answered(self, effect: _gossip.PeerAnswered) -> None:
+    def _answered(self, effect: _gossip_parts.PeerAnswered) -> None:
         self._joined = True
         self._settling.on_answer(effect.member, effect.settled)
 
 
 _EFFECTS: dict[type, typing.Callable[..., None]] = {
-    _gossip.SendTo: Membership._send,
-    _gossip.ResetPeer: Membership._reset,
-    _gossip.Learned: Membership._learn,
-    _gossip.Forgotten: Membership._forget,
-    _gossip.PeerHolds: Membership._holds,
-    _gossip.PeerAnswered: Membership._answered,
+    _gossip_parts.SendTo: Membership._send,
+    _gossip_parts.ResetPeer: Membership._reset,
+    _gossip_parts.Learned: Membership._learn,
+    _gossip_parts.Forgotten: Membership._forget,
+    _gossip_parts.PeerHolds: Membership._holds,
+    _gossip_parts.PeerAnswered: Membership._answered,
 }
 
 
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from samphiredock.coordination import _gossip
+from samphiredock.coordination import _gossip_parts
 from samphiredock.coordination import _member_table
 from samphiredock import protocol
 from samphiredock import state
@@ -146,7 +147,7 @@
         self.push(changed(row('b'), state=STATES.LEFT))
         self.gossip._lost_since['b'] = -_gossip._LOST_KEEP_MS
         effects = self.tick_to(0, 2_200)
-        self.assertIn(_gossip.Forgotten('b'), effects)
+        self.assertIn(_gossip_parts.Forgotten('b'), effects)
         self.assertIsNone(self.gossip.table.get('b'))
 
     def test_live_is_cached_and_digests_follow(self) -> None:
