--- /dev/null
+++ b/benchmarks/control_slopes.py
@@ -0,0 +1,311 @@
+"""What control costs a daemon, measured at several sizes.
+
+Each size runs the product's own control parts (membership, directory,
+watcher, exchange) of that many daemons in this process, on a manual clock
+and a network in memory that counts the encoded bytes.  The sites are the 8
+data centres in 3 regions to design for.  Three loads: ``idle``;
+``changes``, a configuration of a given size accepted as often as 630 a day;
+``churn``, restarts and kills as often as 240 and 4 a day at 490 daemons.
+The loads' rates are raised by a factor, for a run of minutes, and their
+extra cost over ``idle`` is divided by it.
+"""
+
+import asyncio
+import gc
+import json
+import pathlib
+import random
+import sys
+import time
+import tracemalloc
+import typing
+
+import click
+import msgspec
+
+from samphiredock import coordination
+from samphiredock import protocol
+from samphiredock import state
+from tests import fakes_daemons
+
+REGIONS = {
+    'bole-a': 'addis',
+    'kirkos-b': 'addis',
+    'yeka-c': 'addis',
+    'sal-a': 'midtjylland',
+    'sal-b': 'midtjylland',
+    'sal-c': 'midtjylland',
+    'third-a': 'third',
+    'third-b': 'third',
+}
+PLANNED = 490
+CHANGES_A_DAY = 630
+RESTARTS_A_DAY = 240
+FAILURES_A_DAY = 4
+DAY_MS = 86_400_000.0
+SETTLE_MS = 10_000.0
+SEED = 20261202
+
+
+class Figures(msgspec.Struct):
+    """Costs of one daemon under one load at one size."""
+
+    daemons: int
+    load: str
+    bytes_s: float
+    messages_s: float
+    cpu_us_s: float
+    memory_bytes: float
+    store_calls_s: float
+    in_force_ms: list[float]
+    by_kind: dict[str, float]
+
+
+def base_of(size_bytes: int) -> dict:
+    """Return a base file of about a size, for the bytes it makes cross."""
+    filler = {'connections': 25, 'connect_ms': 6, 'slots': 2}
+    row = {'site': 'bole-a', 'url': 'http://10.0.0.1:8080', **filler}
+    count = max(0, size_bytes // (len(json.dumps(row)) + 16))
+    targets = {f'server-{number}': row for number in range(count)}
+    return {'services': {}, 'sites': {}, 'indexes': [], 'targets': targets}
+
+
+class Bench:
+    """One run at one size."""
+
+    def __init__(self, daemons: int, base: dict, loss: float) -> None:
+        self.network = fakes_daemons.Network(SEED)
+        self.network.drop = loss
+        self.rng = random.Random(SEED)
+        self.base = base
+        self.count = daemons
+        self.in_force_ms: list[float] = []
+        first = state.ConfigurationSource(1, 'one', 'bench', 0, base, {})
+        self.network.store.write(
+            coordination.CONFIGURATION_KEY, msgspec.json.encode(first)
+        )
+
+    async def start(self) -> None:
+        """Start the daemons in small groups, as a rollout does."""
+        names = list(REGIONS)
+        for number in range(self.count):
+            site = names[number % len(names)]
+            self.network.start(f'entry-{number}', site, REGIONS[site])
+            if number % 20 == 19:
+                await self.network.run(200)
+        await self.network.run(SETTLE_MS)
+        views = {len(d.live_names()) for d in self.running()}
+        assert views == {self.count}, views
+
+    def running(self) -> list[fakes_daemons.SimDaemon]:
+        """Return the daemons."""
+        return list(self.network.daemons.values())
+
+    async def change(self) -> None:
+        """Accept one change, and wait until it is in force everywhere."""
+        place = self.rng.choice(self.running())
+        revision = place.knowledge.revision
+        change = protocol.ConfigurationChange(
+            revision, f'change-{revision}', 'bench', self.base, {}
+        )
+        outcome = await place.acceptor.apply(change)
+        if not isinstance(outcome, protocol.ChangeAccepted):
+            return
+        accepted_ms = self.network.clock.now_ms()
+        place.spread.announce_configuration()
+        while any(
+            daemon.knowledge.revision < outcome.revision
+            for daemon in self.running()
+        ):
+            await asyncio.sleep(0)
+            if self.network.clock.now_ms() - accepted_ms > 60_000:
+                break
+        self.in_force_ms.append(self.network.clock.now_ms() - accepted_ms)
+
+    def restart(self, announced: bool) -> None:
+        """Replace one daemon by a fresh one of the same name."""
+        daemon = self.rng.choice(self.running())
+        if announced:
+            daemon.membership.leave()
+        daemon.kill()
+        self.network.start(daemon.name, daemon.site, daemon.region)
+
+    async def measure(
+        self, load: str, seconds: int, events: int
+    ) -> tuple[dict[str, float], dict[str, int]]:
+        """Run a load; return totals and bytes by kind."""
+        network = self.network
+        network.sent.clear()
+        network.sent_bytes.clear()
+        calls = network.store.calls
+        tasks = []
+        started = time.process_time()
+        steps = max(1, events)
+        for number in range(steps):
+            if load == 'changes' and events:
+                tasks.append(asyncio.create_task(self.change()))
+            if load == 'churn' and events:
+                self.restart(announced=number % 60 != 0)
+            await network.run(seconds * 1_000 / steps)
+        cpu_s = time.process_time() - started
+        for task in tasks:
+            task.cancel()
+        totals = {
+            'bytes': float(sum(network.sent_bytes.values())),
+            'messages': float(sum(network.sent.values())),
+            'cpu_us': cpu_s * 1e6,
+            'calls': float(network.store.calls - calls),
+        }
+        return totals, dict(network.sent_bytes)
+
+
+async def run_size(
+    daemons: int, base_bytes: int, seconds: int, loss: float
+) -> list[Figures]:
+    """Measure the three loads at one size."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    bench = Bench(daemons, base_of(base_bytes), loss)
+    await bench.start()
+    gc.collect()
+    memory = (tracemalloc.get_traced_memory()[0] - before) / daemons
+    tracemalloc.stop()
+    # Rates are raised so that a run of seconds sees some events; what they
+    # cost over idle is scaled back to the planned rate.
+    events = {'idle': 0, 'changes': 6, 'churn': max(2, daemons // 8)}
+    a_day = {
+        'idle': 0.0,
+        'changes': float(CHANGES_A_DAY),
+        'churn': (RESTARTS_A_DAY + FAILURES_A_DAY) * daemons / PLANNED,
+    }
+    rows = []
+    idle: dict[str, float] = {}
+    idle_kinds: dict[str, int] = {}
+    for load in ('idle', 'changes', 'churn'):
+        bench.in_force_ms.clear()
+        totals, kinds = await bench.measure(load, seconds, events[load])
+        if load == 'idle':
+            idle, idle_kinds = totals, kinds
+        planned_events = a_day[load] * seconds * 1_000 / DAY_MS
+        scale = planned_events / events[load] if events[load] else 0.0
+        each = daemons * seconds
+        planned = {
+            name: (idle[name] + max(0.0, totals[name] - idle[name]) * scale)
+            / each
+            for name in totals
+        }
+        by_kind = {
+            name: (
+                idle_kinds.get(name, 0)
+                + max(0, kinds.get(name, 0) - idle_kinds.get(name, 0)) * scale
+            )
+            / each
+            for name in {*kinds, *idle_kinds}
+        }
+        rows.append(
+            Figures(
+                daemons,
+                load,
+                planned['bytes'],
+                planned['messages'],
+                planned['cpu_us'],
+                memory,
+                planned['calls'] * daemons,
+                sorted(bench.in_force_ms),
+                dict(sorted(by_kind.items(), key=lambda row: -row[1])[:4]),
+            )
+        )
+    bench.network.close()
+    return rows
+
+
+def fit(points: typing.Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return intercept and slope of the least-squares line."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    if not spread:
+        return mean_y, 0.0
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return mean_y - slope * mean_x, slope
+
+
+_FITTED = ('bytes_s', 'messages_s', 'cpu_us_s', 'memory_bytes')
+
+
+def fits(rows: list[Figures]) -> list[dict]:
+    """Return the lines through the figures and their value when planned."""
+    found = []
+    for load in ('idle', 'changes', 'churn'):
+        for name in _FITTED:
+            points = [
+                (float(row.daemons), getattr(row, name))
+                for row in rows
+                if row.load == load and row.daemons < PLANNED
+            ]
+            start, slope = fit(points)
+            found.append(
+                {
+                    'load': load,
+                    'figure': name,
+                    'intercept': start,
+                    'slope': slope,
+                    'at_490': start + slope * PLANNED,
+                }
+            )
+    return found
+
+
+def table(rows: list[Figures], lines: list[dict]) -> str:
+    """Return the figures as text."""
+    out = [
+        'daemons load     bytes/s msgs/s cpu us/s mem KB store/s in force ms'
+    ]
+    for row in rows:
+        worst = f'{row.in_force_ms[-1]:.0f}' if row.in_force_ms else '-'
+        out.append(
+            f'{row.daemons:7} {row.load:8} {row.bytes_s:7.0f} '
+            f'{row.messages_s:6.1f} {row.cpu_us_s:8.0f} '
+            f'{row.memory_bytes / 1024:6.0f} {row.store_calls_s:7.1f} {worst}'
+        )
+    out.append('fit: figure = intercept + slope * daemons')
+    for line in lines:
+        out.append(
+            f'{line["load"]:8} {line["figure"]:13} '
+            f'{line["intercept"]:10.1f} + {line["slope"]:8.3f} n, '
+            f'at 490: {line["at_490"]:.0f}'
+        )
+    return '\n'.join(out)
+
+
+@click.command()
+@click.option('--sizes', default='8,16,32,64,128')
+@click.option('--seconds', default=60, help='Simulated, for each load.')
+@click.option('--base-bytes', default=50_000, help='Of the configuration.')
+@click.option('--loss', default=0.0, help='Part of the messages lost.')
+@click.option('--json', 'json_path', type=click.Path(path_type=pathlib.Path))
+def main(
+    sizes: str,
+    seconds: int,
+    base_bytes: int,
+    loss: float,
+    json_path: pathlib.Path | None,
+) -> None:
+    """Measure and print the control costs of one daemon."""
+    rows: list[Figures] = []
+    for size in sizes.split(','):
+        rows += asyncio.run(run_size(int(size), base_bytes, seconds, loss))
+        print(f'{size} daemons done', file=sys.stderr, flush=True)
+    lines = fits(rows)
+    print(f'seed {SEED}, {base_bytes} B of configuration, loss {loss}')
+    print(table(rows, lines))
+    if json_path is not None:
+        content = {'rows': [msgspec.to_builtins(row) for row in rows]}
+        content['fits'] = lines
+        json_path.write_text(json.dumps(content, indent=1), encoding='utf-8')
+
+
+if __name__ == '__main__':
+    main()
--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -6,8 +6,6 @@
 grow with the number of members.  Pure: ticks and messages in, effects out.
 """
 
-import collections
-import math
 import random
 import typing
 
@@ -15,17 +13,14 @@
 
 from samphiredock.coordination import _gossip_parts
 from samphiredock.coordination import _member_table
+from samphiredock.coordination import _reports
 from samphiredock import protocol
 
 TICK_MS = 100.0
 _GAP_MS = 1_500.0
-_SMALL = 16
-_PERIOD_MS = 500.0
-_SMALL_PERIOD_MS = 300.0
 _DIRECT_MS = 300.0
 _INDIRECT_MS = 400.0
 _INDIRECT_PROBES = 3
-_SUSPICION_LEAST_MS = 1_000.0
 _LOST_PROBE_MS = 2_000.0
 _LOST_KEEP_MS = 2 * 3_600_000.0
 _EXCHANGE_MS = 30_000.0
@@ -35,9 +30,6 @@
 
 _ALIVE = protocol.MemberState.ALIVE
 _SUSPECT = protocol.MemberState.SUSPECT
-_DEAD = protocol.MemberState.DEAD
-_LEFT = protocol.MemberState.LEFT
-
 
 _Effects = list[_gossip_parts.GossipEffect]
 
@@ -70,7 +62,8 @@
         behind: typing.Callable[[], bool],
         now_ms: float,
     ) -> None:
-        self.table = _member_table.MemberTable(me)
+        self._reports = _reports.Reports(me)
+        self.table = self._reports.table
         self._name = me.name
         self._rng = rng
         self._versions = versions
@@ -78,43 +71,22 @@
         self._behind = behind
         self._numbers = 0
         self._probes = _gossip_parts.Probes(rng)
-        self._suspected_until: dict[str, float] = {}
-        self._lost_since: dict[str, float] = {}
-        self._news = _gossip_parts.News()
         self._freshness = _gossip_parts.Freshness()
-        self._verify: collections.deque[protocol.MemberRow] = (
-            collections.deque()
-        )
         self._last_ms = now_ms
         self._next_probe_ms = now_ms
         self._next_lost_ms = now_ms + _LOST_PROBE_MS
         self._next_exchange_ms = now_ms + rng.uniform(0, _EXCHANGE_MS)
-        self._tell(me.name)
 
     @property
     def me(self) -> protocol.MemberRow:
         """This daemon's own row."""
-        return self.table.get(self._name)
+        return self._reports.me
 
     def is_current(self, now_ms: float) -> bool:
         """Whether the view is not older than a gap in this process."""
         late_ms = now_ms - self._last_ms
         return late_ms < _GAP_MS and not self._freshness.is_stale
 
-    def period_ms(self) -> float:
-        """Return the time between two probes at the present size."""
-        small = len(self.table.names()) <= _SMALL
-        return _SMALL_PERIOD_MS if small else _PERIOD_MS
-
-    def suspicion_ms(self) -> float:
-        """Return the time a suspect has to refute.
-
-        It grows with the logarithm of the size, as does the time in which
-        the suspicion reaches the suspect and its answer comes back.
-        """
-        rounds = math.log2(len(self.table.names()) + 1)
-        return max(_SUSPICION_LEAST_MS, self.period_ms() * rounds)
-
     # Inputs.
 
     def tick(self, now_ms: float) -> _Effects:
@@ -123,10 +95,10 @@
         self._last_ms = now_ms
         effects += self._relearn(now_ms)
         effects += self._expire_probes(now_ms)
-        effects += self._expire_suspicions(now_ms)
+        effects += self._reports.expire_suspicions(now_ms)
         effects += self._verify_some()
         if now_ms >= self._next_probe_ms:
-            self._next_probe_ms = now_ms + self.period_ms()
+            self._next_probe_ms = now_ms + self._reports.period_ms()
             effects += self._probe_next(now_ms)
         if now_ms >= self._next_lost_ms:
             self._next_lost_ms = now_ms + _LOST_PROBE_MS
@@ -161,9 +133,7 @@
 
     def leave(self) -> protocol.MemberRow:
         """Mark this daemon as leaving; return its row to be told."""
-        self.table.set(_member_table.with_state(self.me, _LEFT))
-        self._tell(self._name)
-        return self.me
+        return self._reports.leave()
 
     # A gap in this process.
 
@@ -175,8 +145,7 @@
             # A short stall of this process is no fault of the others: it
             # must not count as time in which they were silent.
             self._probes.postpone(late_ms)
-            for name in self._suspected_until:
-                self._suspected_until[name] += late_ms
+            self._reports.postpone_suspicions(late_ms)
             self._last_ms = now_ms - TICK_MS
             return []
         return self.on_gap(now_ms)
@@ -187,13 +156,13 @@
         Its view is old and the others may hold it dead: without this it
         would suspect everybody, and act on what it owned before.
         """
-        self._last_ms = now_ms
+        last_ms, self._last_ms = self._last_ms, now_ms
         if not self._freshness.is_stale:
-            self._refute(self.me)
+            self._reports.refute(self.me)
+        gap_ms = now_ms - last_ms
+        self._reports.postpone_suspicions(gap_ms)
         self._freshness.on_gap(now_ms)
         self._probes.clear()
-        for name in self._suspected_until:
-            self._suspected_until[name] = now_ms + self.suspicion_ms()
         return []
 
     def _relearn(self, now_ms: float) -> _Effects:
@@ -223,7 +192,7 @@
             ),
         )
         message = protocol.Probe(
-            number, self._versions(), self._rows_for(name)
+            number, self._versions(), self._reports.rows_for(name)
         )
         return [_gossip_parts.SendTo(name, message)]
 
@@ -234,14 +203,11 @@
     def _probe_lost(self, now_ms: float) -> _Effects:
         """Probe one dead member, so that the end of a cut is found."""
         effects: _Effects = []
-        for name, since_ms in list(self._lost_since.items()):
-            if now_ms - since_ms >= _LOST_KEEP_MS:
-                del self._lost_since[name]
-                self.table.forget(name)
-                effects.append(_gossip_parts.Forgotten(name))
-        if not self._lost_since:
+        for name in self._reports.forget_lost(now_ms - _LOST_KEEP_MS):
+            effects.append(_gossip_parts.Forgotten(name))
+        if not self._reports.lost_since:
             return effects
-        name = self._rng.choice(sorted(self._lost_since))
+        name = self._rng.choice(sorted(self._reports.lost_since))
         return effects + self._probe(name, now_ms + _DIRECT_MS)
 
     def _expire_probes(self, now_ms: float) -> _Effects:
@@ -252,7 +218,7 @@
             if probe.asked_by or probe.indirect or not known:
                 self._probes.close(number)
                 if probe.indirect and known and row.state is _ALIVE:
-                    effects += self._suspect(row, now_ms)
+                    effects += self._reports.suspect(row, now_ms)
                 continue
             probe.indirect = True
             probe.due_ms = now_ms + _INDIRECT_MS
@@ -270,116 +236,23 @@
             _gossip_parts.SendTo(
                 name,
                 protocol.ProbeAsk(
-                    number, target, versions, self._rows_for(name)
+                    number, target, versions, self._reports.rows_for(name)
                 ),
             )
             for name in helpers
         ]
 
-    def _suspect(self, row: protocol.MemberRow, now_ms: float) -> _Effects:
-        suspect = _member_table.with_state(row, _SUSPECT)
-        return self._merge([suspect], now_ms)
-
-    def _expire_suspicions(self, now_ms: float) -> _Effects:
-        due = [
-            name
-            for name, until_ms in self._suspected_until.items()
-            if until_ms <= now_ms
-        ]
-        dead = [
-            _member_table.with_state(self.table.get(name), _DEAD)
-            for name in due
-        ]
-        return self._merge(dead, now_ms)
-
     def _verify_some(self) -> _Effects:
         effects: _Effects = []
-        for _ in range(min(_VERIFY_PER_TICK, len(self._verify))):
-            row = self._verify.popleft()
+        doubtful = self._reports.doubtful
+        for _ in range(min(_VERIFY_PER_TICK, len(doubtful))):
+            row = doubtful.popleft()
             if not self.table.beats(row):
                 continue
             message = protocol.Probe(self._number(), self._versions(), [row])
             effects.append(_gossip_parts.SendTo(row.name, message))
         return effects
 
-    # Rows.
-
-    def _tell(self, name: str) -> None:
-        self._news.add(name, len(self.table.names()))
-
-    def _rows_for(self, receiver: str) -> list[protocol.MemberRow]:
-        rows = [self.table.get(name) for name in self._news.take()]
-        about = self.table.get(receiver)
-        if about is not None and about.state is not _ALIVE:
-            # Who is held suspect or dead is told so, to refute it.
-            rows.append(about)
-        return [row for row in rows if row is not None]
-
-    def _merge(
-        self,
-        rows: typing.Iterable[protocol.MemberRow],
-        now_ms: float,
-        hearsay: bool = False,
-    ) -> _Effects:
-        effects: _Effects = []
-        for row in rows:
-            if row.name == self._name:
-                self._take_own(row)
-            elif not self.table.beats(row):
-                continue
-            elif hearsay and self._is_doubtful(row):
-                # After a cut each side holds the other's members dead.
-                # Believing that would take every member out for a moment
-                # on both sides; the member itself is asked instead.
-                self._verify.append(row)
-            else:
-                effects += self._take(row, now_ms)
-        return effects
-
-    def _is_doubtful(self, row: protocol.MemberRow) -> bool:
-        held = self.table.get(row.name)
-        return (
-            held is not None
-            and held.state in (_ALIVE, _SUSPECT)
-            and held.incarnation == row.incarnation
-            and row.state in (_SUSPECT, _DEAD)
-        )
-
-    def _take_own(self, row: protocol.MemberRow) -> None:
-        mine = self.me
-        newer_start = row.incarnation > mine.incarnation
-        if mine.state is _LEFT and not newer_start:
-            return
-        if newer_start or (row.state is not _ALIVE and self.table.beats(row)):
-            self._refute(row)
-
-    def _refute(self, row: protocol.MemberRow) -> None:
-        mine = self.me
-        incarnation, refutation = mine.incarnation, row.refutation + 1
-        if row.incarnation > incarnation or row.state is _LEFT:
-            # An earlier start of this daemon ran with a later wall clock,
-            # or has left under the same number.
-            incarnation, refutation = row.incarnation + 1, 0
-        self.table.set(
-            msgspec.structs.replace(
-                mine, incarnation=incarnation, refutation=refutation
-            )
-        )
-        self._tell(self._name)
-
-    def _take(self, row: protocol.MemberRow, now_ms: float) -> _Effects:
-        name = row.name
-        self.table.set(row)
-        self._tell(name)
-        self._suspected_until.pop(name, None)
-        if row.state is _SUSPECT:
-            self._suspected_until[name] = now_ms + self.suspicion_ms()
-        if row.state in (_DEAD, _LEFT):
-            self._lost_since.setdefault(name, now_ms)
-        else:
-            self._lost_since.pop(name, None)
-        return [_gossip_parts.Learned(row)]
-
     # Messages.
 
     def _ask_state(
@@ -398,9 +271,9 @@
     def _on_probe(
         self, sender: str, message: protocol.Probe, now_ms: float
     ) -> _Effects:
-        effects = self._merge(message.rows, now_ms)
+        effects = self._reports.merge(message.rows, now_ms)
         effects.append(_gossip_parts.PeerHolds(sender, message.versions))
-        rows = self._rows_for(sender)
+        rows = self._reports.rows_for(sender)
         doubted = any(row.name == self._name for row in message.rows)
         if doubted and self.me not in rows:
             # The report may be older than the news of its refutation.
@@ -411,8 +284,8 @@
     def _on_probe_answer(
         self, sender: str, message: protocol.ProbeAnswer, now_ms: float
     ) -> _Effects:
-        was_lost = sender in self._lost_since
-        effects = self._merge(message.rows, now_ms)
+        was_lost = sender in self._reports.lost_since
+        effects = self._reports.merge(message.rows, now_ms)
         effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         probe = self._probes.get(message.number)
         if probe is not None and probe.target == sender:
@@ -424,7 +297,7 @@
             # silent.  If it is so the other way, its probes find that.
             self._probes.close(message.number)
             effects.append(_gossip_parts.ResetPeer(probe.target))
-        if was_lost and sender not in self._lost_since:
+        if was_lost and sender not in self._reports.lost_since:
             effects += self._ask_state([sender])
         return effects
 
@@ -439,7 +312,7 @@
     def _on_probe_ask(
         self, sender: str, message: protocol.ProbeAsk, now_ms: float
     ) -> _Effects:
-        effects = self._merge(message.rows, now_ms)
+        effects = self._reports.merge(message.rows, now_ms)
         effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         return effects + self._probe(
             message.target, now_ms + _DIRECT_MS, sender, message.number
@@ -448,7 +321,7 @@
     def _on_state_ask(
         self, sender: str, message: protocol.StateAsk, now_ms: float
     ) -> _Effects:
-        effects = self._merge([message.row], now_ms)
+        effects = self._reports.merge([message.row], now_ms)
         effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         buckets = self.table.differing(message.digests)
         answer = protocol.StateAnswer(
@@ -466,7 +339,7 @@
         theirs = {
             row.name: _member_table.order_of(row) for row in message.rows
         }
-        effects = self._merge(message.rows, now_ms, hearsay=True)
+        effects = self._reports.merge(message.rows, now_ms, hearsay=True)
         effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         effects.append(_gossip_parts.PeerAnswered(sender, message.settled))
         self._freshness.on_answer(sender)
@@ -485,7 +358,7 @@
     def _on_state_push(
         self, sender: str, message: protocol.StatePush, now_ms: float
     ) -> _Effects:
-        return self._merge(message.rows, now_ms, hearsay=True)
+        return self._reports.merge(message.rows, now_ms, hearsay=True)
 
 
 _HANDLERS: dict[type, typing.Callable[..., _Effects]] = {
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -120,16 +120,16 @@
         dead = changed(row('b'), state=STATES.DEAD)
         probe = protocol.Probe(1, HELD, [dead])
         self.gossip.on_message('c', probe, 0.0)
-        self.gossip._news.clear()
+        self.gossip._reports.news.clear()
         answer = self.gossip.on_message('b', protocol.Probe(2, HELD), 0.0)
         self.assertIn(dead, answer[-1].message.rows)
 
     def test_old_report_of_itself_is_answered(self) -> None:
         """The prober's report is older than the news of its refutation."""
-        self.gossip._news.clear()
+        self.gossip._reports.news.clear()
         dead = changed(row('a'), state=STATES.DEAD)
         for _ in range(2):
-            self.gossip._news.clear()
+            self.gossip._reports.news.clear()
             probe = protocol.Probe(1, HELD, [dead])
             answer = self.gossip.on_message('b', probe, 0.0)
             self.assertIn(self.gossip.me, answer[-1].message.rows)
@@ -145,10 +145,12 @@
     def test_lost_members_are_forgotten_in_the_end(self) -> None:
         """The list of lost members is bounded in time."""
         self.push(changed(row('b'), state=STATES.LEFT))
-        self.gossip._lost_since['b'] = -_gossip._LOST_KEEP_MS
+        self.gossip._reports.lost_since['b'] = -_gossip._LOST_KEEP_MS
         effects = self.tick_to(0, 2_200)
         self.assertIn(_gossip_parts.Forgotten('b'), effects)
         self.assertIsNone(self.gossip.table.get('b'))
+        self.push(changed(row('b'), state=STATES.LEFT))
+        self.assertIsNone(self.gossip.table.get('b'))
 
     def test_live_is_cached_and_digests_follow(self) -> None:
         """The tuple and version change with the members, and only then."""
