Rows of a full exchange are not told on; exchanges each ten seconds

Cause: at 128 daemons the bytes of an idle daemon grew by 17 B/s with each member (1833 B/s at 128, 8 KB/s at 490 by slope, over the limit of 6): after a start of many each told every row it had learned 24 times.

Change: rows from a full exchange are not told on, and a row is told 8 to 12 times.

--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -23,7 +23,7 @@
 _INDIRECT_PROBES = 3
 _LOST_PROBE_MS = 2_000.0
 _LOST_KEEP_MS = 2 * 3_600_000.0
-_EXCHANGE_MS = 30_000.0
+_EXCHANGE_MS = 10_000.0
 _VERIFY_PER_TICK = 5
 _ASK_UNKNOWN = 8
 _RELEARN_PEERS = 3
@@ -75,7 +75,7 @@
         self._last_ms = now_ms
         self._next_probe_ms = now_ms
         self._next_lost_ms = now_ms + _LOST_PROBE_MS
-        self._next_exchange_ms = now_ms + rng.uniform(0, _EXCHANGE_MS)
+        self._next_exchange_ms = now_ms + rng.uniform(0, _EXCHANGE_MS / 4)
 
     @property
     def me(self) -> protocol.MemberRow:
--- a/samphiredock/coordination/_gossip_parts.py
+++ b/samphiredock/coordination/_gossip_parts.py
@@ -12,6 +12,8 @@
 _RELEARN_RETRY_MS = 500.0
 _RELEARN_LIMIT_MS = 3_000.0
 _ROWS_PER_MESSAGE = 8
+_TELLINGS_PER_DECADE = 4
+_TELLINGS_LEAST = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,7 +144,8 @@
 
     def add(self, name: str, size: int) -> None:
         """Tell of a member to others from now on."""
-        self._left[name] = 3 * math.ceil(math.log2(size + 2))
+        tellings = _TELLINGS_PER_DECADE * math.ceil(math.log10(size + 2))
+        self._left[name] = max(_TELLINGS_LEAST, tellings)
 
     def take(self) -> list[str]:
         """Choose the names for one message, the least told ones first."""
--- a/samphiredock/coordination/_reports.py
+++ b/samphiredock/coordination/_reports.py
@@ -89,7 +89,9 @@
         """Take in what is said of members.
 
         ``hearsay`` marks the rows of a full exchange, which may be from
-        before a cut and are not believed when they report a death.
+        before a cut and are not believed when they report a death.  Nor
+        are they told on: the peer has them from others, and telling all
+        members' rows after each start would fill the probes for minutes.
         """
         effects: _Effects = []
         for row in rows:
@@ -104,6 +106,8 @@
                 self.doubtful.append(row)
             else:
                 effects += self._take(row, now_ms)
+                if not hearsay:
+                    self.tell(row.name)
         return effects
 
     def _is_past(self, row: protocol.MemberRow) -> bool:
@@ -146,7 +150,6 @@
     def _take(self, row: protocol.MemberRow, now_ms: float) -> _Effects:
         name = row.name
         self.table.set(row)
-        self.tell(name)
         self._suspected_until.pop(name, None)
         if row.state is _SUSPECT:
             self._suspected_until[name] = now_ms + self.suspicion_ms()
