--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -27,18 +27,20 @@
 from samphiredock.coordination._directory import MEMBERS_PREFIX
 from samphiredock.coordination._dispatcher import Dispatcher
 from samphiredock.coordination._exchange import ObjectExchange
-from samphiredock.coordination._freshness import Freshness
-from samphiredock.coordination._gossip import Forgotten
 from samphiredock.coordination._gossip import Gossip
 from samphiredock.coordination._gossip import GOSSIP_MESSAGES
-from samphiredock.coordination._gossip import GossipEffect
 from samphiredock.coordination._gossip import health_of
-from samphiredock.coordination._gossip import Learned
-from samphiredock.coordination._gossip import PeerAnswered
-from samphiredock.coordination._gossip import PeerHolds
-from samphiredock.coordination._gossip import ResetPeer
-from samphiredock.coordination._gossip import SendTo
 from samphiredock.coordination._gossip import TICK_MS
+from samphiredock.coordination._gossip_parts import Forgotten
+from samphiredock.coordination._gossip_parts import GossipEffect
+from samphiredock.coordination._gossip_parts import Learned
+from samphiredock.coordination._gossip_parts import News
+from samphiredock.coordination._gossip_parts import OpenProbe
+from samphiredock.coordination._gossip_parts import PeerAnswered
+from samphiredock.coordination._gossip_parts import PeerHolds
+from samphiredock.coordination._gossip_parts import Probes
+from samphiredock.coordination._gossip_parts import ResetPeer
+from samphiredock.coordination._gossip_parts import SendTo
 from samphiredock.coordination._handover import Handover
 from samphiredock.coordination._handover import Lanes
 from samphiredock.coordination._hedging import Latencies
@@ -84,6 +86,7 @@
 from samphiredock.coordination._relay import Relay
 from samphiredock.coordination._relay import tree_of
 from samphiredock.coordination._replicas import Replicas
+from samphiredock.coordination._reports import Reports
 from samphiredock.coordination._run_admission import admit
 from samphiredock.coordination._run_admission import Admitted
 from samphiredock.coordination._run_admission import FUTURE_SKEW_MS
@@ -204,7 +207,6 @@
     'Finish',
     'Flow',
     'Forgotten',
-    'Freshness',
     'GOSSIP_MESSAGES',
     'GROUP_SIZE',
     'Gossip',
@@ -225,11 +227,13 @@
     'MemberTable',
     'Membership',
     'NO_SHARES',
+    'News',
     'NoQuarantine',
     'OUTSTANDING_LIMIT',
     'ObjectExchange',
     'ObjectHandler',
     'OpenChange',
+    'OpenProbe',
     'OpenResult',
     'Orders',
     'OwnerChange',
@@ -238,6 +242,7 @@
     'PeerHolds',
     'PeerLinks',
     'Plan',
+    'Probes',
     'QUARANTINE_MS',
     'QUARANTINE_PREFIX',
     'Quarantine',
@@ -248,6 +253,7 @@
     'RETRY_RULES',
     'Relay',
     'Replicas',
+    'Reports',
     'ResetPeer',
     'RetryRule',
     'Round',
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -15,7 +15,7 @@
 from samphiredock import state
 from samphiredock import transport
 
-_BODY_LIMIT_BYTES = 65_536
+_BODY_LIMIT_BYTES = 1_000_000
 _SHUTDOWN_TICK_MS = 50.0
 
 _SHUTTING_DOWN = protocol.NotRun(
@@ -118,7 +118,10 @@
         """Open the addresses and begin to learn."""
         self._parts.start()
         callers = transport.caller_application(
-            self, _BODY_LIMIT_BYTES, self._parts.metrics
+            self,
+            _BODY_LIMIT_BYTES,
+            self._parts.metrics,
+            self._body_limit_bytes,
         )
         desk = _operations.OperatorDesk(
             self._parts, self._settings, self.is_ready
@@ -134,6 +137,11 @@
         await self._listen(operators, self._settings.operator_address, None)
         _log.notice('started', name=self._settings.name)
 
+    def _body_limit_bytes(self) -> int:
+        configuration = self._parts.configuration
+        limits = configuration.limits if configuration else state.Limits()
+        return limits.body_limit_bytes
+
     async def _listen(
         self,
         application: web.Application,
--- a/samphiredock/daemon/_parts.py
+++ b/samphiredock/daemon/_parts.py
@@ -186,13 +186,6 @@
             self._random('runner'),
             self.quarantine,
         )
-        self._sweeper = coordination.ClaimSweeper(
-            self.me.name,
-            lambda: [member.name for member in self.membership.live()],
-            self.platform,
-            self.clock,
-            self.metrics,
-        )
 
     def _follow_changes(self) -> None:
         self.knowledge.subscribe(self.dispatcher.configure)
@@ -224,12 +217,10 @@
         self.watcher.start()
         self.membership.start()
         self.signs.start()
-        self._sweeper.start()
 
     async def close(self) -> None:
         """Close every connection and stop every part."""
         self.runner.close()
-        self._sweeper.close()
         self.watcher.close()
         self.signs.close()
         self.membership.close()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -197,13 +197,18 @@
     async def wait_ready(self, *names: str) -> None:
         """Wait until daemons (all, if none is named) are ready."""
         for name in names or self.daemons:
-            await self.wait_for(f'{self.daemons[name].caller_url}/ready')
+            url = f'{self.daemons[name].caller_url}/ready'
+            await self.wait_for(url, name)
 
-    async def wait_for(self, url: str) -> None:
-        """Wait until a GET of ``url`` gives 200."""
+    async def wait_for(self, url: str, process: str | None = None) -> None:
+        """Wait until a GET of ``url`` gives 200, while the process lives."""
         loop = asyncio.get_running_loop()
         end = loop.time() + _START_LIMIT_S
         while loop.time() < end:
+            if process and self.processes[process].poll() is not None:
+                log = self.folder / f'{process}.log'
+                text = log.read_text(encoding='utf-8')
+                raise RuntimeError(f'{process} has ended:\n{text[-2000:]}')
             try:
                 async with self.session.get(url) as response:
                     if response.status == 200:
