--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -35,18 +35,20 @@
 
     async def one(number: int, book: _claim_book.ClaimBook) -> None:
         token = f'entry-{number % daemons}/1700000000000/{number}'
-        place = state.place_of('payout', f'key-{number}', clock.wall_ms())
+        place = state.place_of('payout', f'key-{number}')
         content = state.content_digest('release', {'n': str(number)})
         started_ms = clock.now_ms()
-        opened = await book.open(place, token, content, started_ms + 2_000)
+        wanted = state.Claim(
+            token, content, state.ClaimState.OPEN, clock.wall_ms()
+        )
+        opened = await book.open(place, wanted, started_ms + 2_000)
         waits_ms.append(clock.now_ms() - started_ms)
         granted.append(
             isinstance(opened.opened, state.Opened)
             and opened.opened.verdict is state.Verdict.GRANTED
         )
         await fakes_run.pause(clock, randomness.uniform(5, 50))
-        closed = state.closed_claim(token, content, True, _RECEIPT)
-        await book.close(place, closed)
+        await book.close(place, state.done_claim(wanted, True, _RECEIPT))
 
     tasks = []
     due_ms = 0.0
@@ -69,47 +71,39 @@
         'conflicts': counters.total('claim_conflicts') / count,
         'p50_ms': waits_ms[count // 2],
         'p99_ms': waits_ms[int(count * 0.99)],
-        'objects_per_s': len(sizes) / seconds,
-        'mean_bytes': sum(sizes) / len(sizes),
+        'bytes_per_claim': sum(sizes) / count,
     }
 
 
 @click.command()
 @click.option('--daemons', default=490)
 @click.option('--rate', 'rates', multiple=True, default=(20.0, 100.0))
-@click.option('--buckets', multiple=True, default=(4, 16, 64))
-@click.option('--slice-ms', 'slices_ms', multiple=True, default=(5_000,))
+@click.option('--buckets', multiple=True, default=(16, 1_024, 2**18))
 @click.option('--seconds', default=20.0)
 @click.option('--seeds', default=5)
 def main(
     daemons: int,
     rates: tuple[float, ...],
     buckets: tuple[int, ...],
-    slices_ms: tuple[int, ...],
     seconds: float,
     seeds: int,
 ) -> None:
     """Print medians over the seeds, one line for each setting."""
     for rate in rates:
         for count in buckets:
-            for slice_ms in slices_ms:
-                _claims.BUCKETS_PER_SLICE = count
-                _claims.SLICE_MS = slice_ms
-                rows = [
-                    asyncio.run(_measure(daemons, rate, seconds, seed))
-                    for seed in range(seeds)
-                ]
-                medians = {
-                    name: sorted(row[name] for row in rows)[seeds // 2]
-                    for name in rows[0]
-                }
-                text = ' '.join(
-                    f'{name}={value:.2f}' for name, value in medians.items()
-                )
-                click.echo(
-                    f'daemons={daemons} rate={rate} buckets={count} '
-                    f'slice_ms={slice_ms} {text}'
-                )
+            _claims.BUCKETS = count
+            rows = [
+                asyncio.run(_measure(daemons, rate, seconds, seed))
+                for seed in range(seeds)
+            ]
+            medians = {
+                name: sorted(row[name] for row in rows)[seeds // 2]
+                for name in rows[0]
+            }
+            text = ' '.join(
+                f'{name}={value:.2f}' for name, value in medians.items()
+            )
+            click.echo(f'daemons={daemons} rate={rate} buckets={count} {text}')
 
 
 if __name__ == '__main__':
