A silent store refuses claims at once, but for a probe in 250 ms

Cause: requests waited for their whole deadline on a store that takes calls and answers none. test_store_silent fails without the check (the third request was refused as overloaded at its deadline). 61 passed.

--- a/samphiredock/coordination/_claim_book.py
+++ b/samphiredock/coordination/_claim_book.py
@@ -5,6 +5,7 @@
 import random
 
 from samphiredock.coordination import _claim_bucket
+from samphiredock.coordination import _claim_health
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock import timers
@@ -37,6 +38,7 @@
         self._clock = clock
         self._random = randomness
         self._metrics = counters
+        self._health = _claim_health.StoreHealth(clock)
         self._writers: dict[str, _claim_bucket.BucketWriter] = {}
         self._closing: set[asyncio.Future] = set()
 
@@ -60,6 +62,11 @@
         """
         if self._clock.now_ms() >= deadline_at_ms:
             return OpenResult(None, False)
+        if not self._health.admits():
+            self._metrics.add('claims_refused_unseen')
+            return OpenResult(
+                _claim_bucket.Unavailable('the store does not answer'), False
+            )
         answer = asyncio.get_running_loop().create_future()
         change = _claim_bucket.OpenChange(
             place.digest, wanted, replaces, answer
@@ -123,6 +130,7 @@
                 self._clock,
                 self._random,
                 self._metrics,
+                self._health,
                 lambda: self._on_idle(path),
             )
             self._writers[path] = writer
--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/_claim_bucket.py
@@ -7,6 +7,7 @@
 
 from returns import result
 
+from samphiredock.coordination import _claim_health
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock import timers
@@ -58,6 +59,8 @@
 
 Change = OpenChange | CloseChange
 
+_Reply = result.Result[typing.Any, transport.StoreError]
+
 
 async def wait_until(
     clock: timers.Timers, future: asyncio.Future, at_ms: float
@@ -80,6 +83,13 @@
     return future.done()
 
 
+def _is_lost(reply: _Reply) -> bool:
+    return (
+        isinstance(reply, result.Failure)
+        and reply.failure().kind is transport.StoreErrorKind.LOST
+    )
+
+
 def _wake(waker: asyncio.Future) -> None:
     if not waker.done():
         waker.set_result(None)
@@ -106,6 +116,7 @@
         clock: timers.Timers,
         randomness: random.Random,
         counters: metrics.Metrics,
+        health: _claim_health.StoreHealth,
         on_idle: typing.Callable[[], None],
     ) -> None:
         self._path = path
@@ -113,6 +124,7 @@
         self._clock = clock
         self._random = randomness
         self._metrics = counters
+        self._health = health
         self._on_idle = on_idle
         self._queue: list[Change] = []
         self._task: asyncio.Task | None = None
@@ -145,14 +157,21 @@
             self._task.cancel()
 
     async def _work(self) -> None:
-        while self._queue:
-            delay_ms = await self._commit()
-            self._queue = [
-                change for change in self._queue if not change.answer.done()
-            ]
-            if delay_ms and self._queue:
-                await self._sleep(delay_ms)
-        self._task = None
+        try:
+            while self._queue:
+                delay_ms = await self._commit()
+                self._queue = [
+                    change
+                    for change in self._queue
+                    if not change.answer.done()
+                ]
+                if delay_ms and self._queue:
+                    await self._sleep(delay_ms)
+        finally:
+            # If a broken invariant ends this task, the next change starts
+            # another: the keys of the bucket must not hang for good.
+            self._task = None
+            self._sleeper = None
         self._on_idle()
 
     async def _sleep(self, delay_ms: float) -> None:
@@ -196,7 +215,7 @@
             version, value = self._fresh
         else:
             self._metrics.add('claim_reads')
-            found = await self._platform.get(self._path)
+            found = await self._watched(self._platform.get(self._path))
             if isinstance(found, result.Failure):
                 error = found.failure()
                 if error.kind is transport.StoreErrorKind.NOT_FOUND:
@@ -221,7 +240,9 @@
         value = bucket.encode()
         self._metrics.add('claim_writes')
         self._metrics.add('claim_changes', len(batch))
-        written = await self._platform.put(self._path, value, version)
+        written = await self._watched(
+            self._platform.put(self._path, value, version)
+        )
         if isinstance(written, result.Success):
             self._fresh = (written.unwrap(), value)
             self._fresh_until_ms = self._clock.now_ms() + FRESH_MS
@@ -232,6 +253,18 @@
             change.lost |= error.kind is transport.StoreErrorKind.LOST
         return error
 
+    async def _watched(
+        self, call: typing.Coroutine[typing.Any, typing.Any, _Reply]
+    ) -> _Reply:
+        number = self._health.begin()
+        is_answered = False
+        try:
+            reply = await call
+            is_answered = not _is_lost(reply)
+            return reply
+        finally:
+            self._health.end(number, is_answered)
+
     def _on_put_error(self, error: transport.StoreError) -> float:
         if error.kind is transport.StoreErrorKind.CONFLICT:
             self._metrics.add('claim_conflicts')
--- a/tests/failure/test_not_run.py
+++ b/tests/failure/test_not_run.py
@@ -78,6 +78,23 @@
         self.system.platform.outage = False
         await self.assert_outcome(protocol.Completed, 1)
 
+    async def test_store_silent(self) -> None:
+        """Callers are refused at once, and a retry runs.
+
+        The store takes calls and answers none.  The first request waits
+        for it; then only one in a quarter of a second does.
+        """
+        self.system.use('answer')
+        self.system.platform.silent = True
+        await self.assert_not_run(_Reason.OVERLOADED, deadline_ms=1_100)
+        await self.assert_not_run(_Reason.OVERLOADED, deadline_ms=100)
+        before_ms = self.system.clock.now_ms()
+        await self.assert_not_run(_Reason.PLATFORM_UNAVAILABLE)
+        self.assertLess(self.system.clock.now_ms() - before_ms, 10)
+        self.system.platform.silent = False
+        await self.system.clock.pass_ms(200)
+        await self.assert_outcome(protocol.Completed, 1)
+
     async def test_store_down_after_the_run(self) -> None:
         """The caller has its outcome at once; the retry reads it later.
 
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -14,6 +14,7 @@
 
 from samphiredock import timers
 from samphiredock import transport
+from tests import fakes_run
 
 
 class Fault(enum.Enum):
@@ -40,7 +41,7 @@
 
     ``faults`` are drawn for each call with the given chances; ``script``
     holds faults for the next puts, whatever their chance; ``outage``
-    refuses every call.
+    refuses every call, ``silent`` answers none.
 
     Parameters
     ----------
@@ -63,6 +64,7 @@
         self.chances: dict[Fault, float] = {}
         self.script: collections.deque[Fault | None] = collections.deque()
         self.outage = False
+        self.silent = False
         self.calls: collections.Counter[str] = collections.Counter()
         self.faults: collections.Counter[Fault] = collections.Counter()
 
@@ -181,6 +183,8 @@
     async def _pass(self, call: str) -> None:
         if call:
             self.calls[call] += 1
+        while self.silent:
+            await fakes_run.pause(self._clock, 10)
         if not self._latency_ms:
             await asyncio.sleep(0)
             return
