Shutdown waits for outcomes that are not recorded yet

Cause: an outcome that is only in memory is lost with the process, and the caller's retry finds it unknown for good. Change: unrecorded outcomes count as in flight; the last second goes to recording.

--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -18,9 +18,10 @@
 from samphiredock.coordination._claim_bucket import READ_BACK_LIMIT
 from samphiredock.coordination._claim_bucket import Unavailable
 from samphiredock.coordination._claim_bucket import wait_until
+from samphiredock.coordination._claim_health import PROBE_MS
+from samphiredock.coordination._claim_health import StoreHealth
 from samphiredock.coordination._claim_holders import ASK_PERIOD_MS
 from samphiredock.coordination._claim_holders import Holders
-from samphiredock.coordination._claim_holders import SILENT_MS
 from samphiredock.coordination._claim_holders import UNSETTLED_LIMIT
 from samphiredock.coordination._coordinator import Coordinator
 from samphiredock.coordination._directory import Directory
@@ -238,6 +239,7 @@
     'Orders',
     'OwnerChange',
     'OwnershipTable',
+    'PROBE_MS',
     'PeerAnswered',
     'PeerHolds',
     'PeerLinks',
@@ -263,7 +265,6 @@
     'RunQuarantine',
     'RunState',
     'Runner',
-    'SILENT_MS',
     'SNAPSHOT_KEY',
     'Scatter',
     'SendAttempts',
@@ -277,6 +278,7 @@
     'Spread',
     'Standing',
     'StartExchange',
+    'StoreHealth',
     'Suspects',
     'Suspicions',
     'TARGETS_PREFIX',
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -17,6 +17,7 @@
 
 _BODY_LIMIT_BYTES = 1_000_000
 _SHUTDOWN_TICK_MS = 50.0
+_LAST_RECORD_MS = 1_000.0
 
 _SHUTTING_DOWN = protocol.NotRun(
     protocol.NotRunReason.SHUTTING_DOWN,
@@ -51,7 +52,6 @@
             self._on_phase,
         )
         self._stopped = asyncio.Event()
-        self._recording: asyncio.Task | None = None
         self._open_requests = 0
         self._runners: list[web.AppRunner] = []
 
@@ -164,17 +164,19 @@
         await self._stopped.wait()
         for runner in self._runners:
             await runner.cleanup()
+        # An outcome that is not in the store yet is lost with this process,
+        # and the caller's retry finds it unknown for good.
+        await self._parts.runner.drain(_LAST_RECORD_MS)
         await self._parts.close()
         _log.notice('stopped', name=self._settings.name)
 
     def in_flight(self) -> int:
         """Return the work that a graceful stop has to wait for."""
-        recording = self._recording
         return (
             self._open_requests
             + self._parts.dispatcher.in_flight()
             + self._parts.runner.in_flight()
-            + (recording is not None and not recording.done())
+            + self._parts.runner.unrecorded()
         )
 
     def _on_phase(self, phase: _shutdown.Phase) -> None:
@@ -194,9 +196,8 @@
         )
 
     def _begin_draining(self) -> None:
-        # An outcome that is not in the store yet would be lost with this
-        # process, and the caller's retry would find it unknown for good.
-        self._recording = asyncio.create_task(self._parts.runner.drain())
+        # New requests are refused by the phase alone.
+        self._parts.metrics.add('shutdowns_draining')
 
     def _end(self) -> None:
         left = self.in_flight()
