--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -88,7 +88,6 @@
 from samphiredock.coordination._relay import tree_of
 from samphiredock.coordination._replicas import Replicas
 from samphiredock.coordination._reports import Reports
-from samphiredock.coordination._run_admission import admit
 from samphiredock.coordination._run_admission import Admitted
 from samphiredock.coordination._run_admission import FUTURE_SKEW_MS
 from samphiredock.coordination._run_admission import KEY_LIMIT_CHARS
@@ -116,10 +115,8 @@
 from samphiredock.coordination._run_sending import TARGET_LIMIT
 from samphiredock.coordination._run_states import MAY_ANSWER_NOT_RUN
 from samphiredock.coordination._run_states import new_progress
-from samphiredock.coordination._run_states import release
 from samphiredock.coordination._run_states import RunProgress
 from samphiredock.coordination._run_states import RunState
-from samphiredock.coordination._run_states import step
 from samphiredock.coordination._scatter import Scatter
 from samphiredock.coordination._scatter_attempts import Attempts
 from samphiredock.coordination._scatter_judge import judge
@@ -300,7 +297,6 @@
     'WATCHERS_PER_SITE',
     'Watcher',
     'Work',
-    'admit',
     'bucket_of',
     'children_of',
     'covered_keys',
@@ -328,14 +324,12 @@
     'proves_not_begun',
     'refusal_message',
     'refusal_of',
-    'release',
     'replayed',
     'row_of',
     'run_report',
     'shares_of',
     'stale_key',
     'standing_of',
-    'step',
     'sub_answer',
     'target_query',
     'target_run',
