--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -22,6 +22,7 @@
 
 _PROBE_MS = 300.0
 _CANCEL_MS = 500.0
+_LEAST_CANCEL_MS = 10.0
 _RETURN_PROBE_PERIOD_MS = 500.0
 _DRAIN_POLL_MS = 20.0
 _SAMPLE_EVERY = 8
@@ -272,13 +273,23 @@
             if place is None:
                 continue
             if place.ticket is not None:
-                sent[place.target].append(place)
+                if self._worth_cancelling(place.work):
+                    sent[place.target].append(place)
                 continue
             self._posts[place.target].lane.cancel(attempt_id)
             self._cancelled(place)
         for target, places in sent.items():
             self._spawn(self._cancel_sent(target, places))
 
+    def _worth_cancelling(self, work: _lane.Work) -> bool:
+        """Whether a cancel would save the target anything.
+
+        Callers drop many attempts just at the deadline, at which the target
+        stops by itself; a cancel costs both sides an exchange.
+        """
+        left_ms = work.expires_at_ms - self._clock.now_ms()
+        return work.item is None or left_ms > _LEAST_CANCEL_MS
+
     async def _cancel_sent(self, target: str, places: list[_Place]) -> None:
         """Ask the target; only its word proves that it never began."""
         post = self._posts[target]
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -163,14 +163,16 @@
         """Cancel attempts; the answer names those that never began."""
         content = msgspec.json.encode(body)
         return await self._aside(
-            'POST', '/cancel', content, timeout_ms, _CANCEL_ANSWER
+            'POST', '/cancel', content, timeout_ms, _CANCEL_ANSWER, False
         )
 
     async def health(
         self, timeout_ms: float
     ) -> result.Result[protocol.TargetHealth, LinkError]:
         """Read the target's own view, which may lag or mislead."""
-        return await self._aside('GET', '/health', None, timeout_ms, _HEALTH)
+        return await self._aside(
+            'GET', '/health', None, timeout_ms, _HEALTH, True
+        )
 
     async def close(self) -> None:
         """Close every idle connection; the others close as they end."""
@@ -218,17 +220,21 @@
         content: bytes | None,
         timeout_ms: float,
         decoder: msgspec.json.Decoder,
+        fresh: bool,
     ) -> result.Result[typing.Any, LinkError]:
-        """Exchange on a new connection, which is closed afterwards."""
-        connection = await self._acquire(self._limit, timeout_ms, fresh=True)
+        """Exchange beside the work; a fresh connection is not kept."""
+        connection = await self._acquire(self._limit, timeout_ms, fresh)
         if connection is None:
             return _failure(LinkErrorKind.UNREACHABLE, 'no free connection')
+        reply: result.Result[typing.Any, LinkError] | None = None
         try:
-            return await self._exchange(
+            reply = await self._exchange(
                 connection, method, path, content, timeout_ms, decoder
             )
+            return reply
         finally:
-            await self._release(connection, False)
+            keep = isinstance(reply, result.Success) and not fresh
+            await self._release(connection, keep)
 
     async def _acquire(
         self, limit: int, timeout_ms: float, fresh: bool = False
