--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -5,8 +5,8 @@
 from samphiredock.coordination._freshness import Freshness
 from samphiredock.coordination._handover import Handover
 from samphiredock.coordination._lane import Lane
-from samphiredock.coordination._lane import StartExchange
-from samphiredock.coordination._lane import Work
+from samphiredock.coordination._lane_types import StartExchange
+from samphiredock.coordination._lane_types import Work
 from samphiredock.coordination._membership import Heartbeat
 from samphiredock.coordination._membership import MEMBERS_PREFIX
 from samphiredock.coordination._membership import Membership
--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -2,17 +2,18 @@
 
 import asyncio
 import collections
-import dataclasses
 import typing
 
 from returns import result
 
+from samphiredock.coordination import _exchanges
 from samphiredock.coordination import _freshness
 from samphiredock.coordination import _handover
 from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
+from samphiredock.coordination import _outbox
 from samphiredock.coordination import _ownership
 from samphiredock.coordination import _shares
-from samphiredock.coordination import _target_answers
 from samphiredock.coordination import _target_signs
 from samphiredock import metrics
 from samphiredock import protocol
@@ -20,39 +21,16 @@
 from samphiredock import timers
 from samphiredock import transport
 
-_PROBE_MS = 300.0
 _CANCEL_MS = 500.0
 _LEAST_CANCEL_MS = 10.0
 _RETURN_PROBE_PERIOD_MS = 500.0
 _DRAIN_POLL_MS = 20.0
-_SAMPLE_EVERY = 8
-"""Of the exchanges one in so many is recorded in the histogram."""
 
 
 def _never(fingerprint: str) -> bool:
     return False
 
 
-@dataclasses.dataclass(slots=True)
-class _Post:
-    """One target's lane, its link and the timer that wakes the lane."""
-
-    lane: _lane.Lane
-    link: transport.TargetLink
-    target: state.Target
-    wake_at_ms: float = 0.0
-    timer: timers.Subscription | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class _Place:
-    """Where an attempt is: queued in a lane, or in an exchange."""
-
-    target: str
-    work: _lane.Work
-    ticket: int | None = None
-
-
 class Dispatcher:
     """Run lanes against their targets and report to the coordinators.
 
@@ -94,13 +72,12 @@
         self._shares = _shares.NO_SHARES
         self._handover: _handover.Handover | None = None
         self._owns: typing.Callable[[str], bool] | None = None
-        self._posts: dict[str, _Post] = {}
-        self._places: dict[str, _Place] = {}
+        self._posts: dict[str, _exchanges.Post] = {}
+        self._outbox = _outbox.Outbox(peers, counters)
         self._ready: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
-        self._exchanges = 0
-        self._replies: dict[tuple[str, str], list[protocol.SubAnswer]] = (
-            collections.defaultdict(list)
+        self._exchanges = _exchanges.Exchanges(
+            clock, counters, signs, self._outbox.answer, self._silent_after_ms
         )
         peers.subscribe(protocol.SubQueryBatch, self._on_batch)
         peers.subscribe(protocol.RunOrder, self._on_run)
@@ -157,7 +134,7 @@
 
         Answers that leave in the next turn of the event loop count too.
         """
-        return len(self._places) + len(self._replies)
+        return self._outbox.in_flight()
 
     # What the handover does with lanes and targets.
 
@@ -198,14 +175,24 @@
         if post is not None:
             self._spawn(self._probe(target, post))
 
-    def carry_out(self, target: str, effects: list[_lane.Effect]) -> None:
+    async def _probe(self, target: str, post: _exchanges.Post) -> None:
+        await self._exchanges.probe(post)
+        self._make_ready(target)
+
+    def _silent_after_ms(self) -> float:
+        if self._configuration is None:
+            return float(state.Limits().silent_after_ms)
+        return float(self._configuration.limits.silent_after_ms)
+
+    def carry_out(
+        self, target: str, effects: list[_lane_types.Effect]
+    ) -> None:
         """Carry out what a lane decided, and let it start more."""
         for effect in effects:
-            if isinstance(effect, _lane.Refuse):
-                self._refuse(target, effect)
+            if isinstance(effect, _lane_types.Refuse):
+                self._outbox.refuse(target, effect)
             else:
-                for work in effect.works:
-                    self._places[work.attempt_id].ticket = effect.ticket
+                self._outbox.sent(effect)
                 self._spawn(self._exchange(target, effect))
         self._make_ready(target)
 
@@ -216,7 +203,7 @@
         expires_at_ms = now_ms + batch.budget_ms - self._freshness.age_ms()
         flow = _shares.Flow(batch.service, batch.site)
         for item in batch.items:
-            work = _lane.Work(
+            work = _lane_types.Work(
                 sender,
                 batch.query_id,
                 item.attempt_id,
@@ -230,7 +217,7 @@
 
     def _on_run(self, sender: str, order: protocol.RunOrder) -> None:
         now_ms = self._clock.now_ms()
-        work = _lane.Work(
+        work = _lane_types.Work(
             sender,
             '',
             order.attempt_id,
@@ -244,22 +231,24 @@
             # The order may have waited in the socket while this process was
             # frozen, and its sender has perhaps given it up since.
             self._metrics.add('runs_refused_after_freeze')
-            refusal = _lane.Refuse(
+            refusal = _lane_types.Refuse(
                 work, protocol.SubStatus.CANCELLED, 'read after a freeze'
             )
-            self._refuse(order.target, refusal)
+            self._outbox.refuse(order.target, refusal)
             return
         self._submit(order.target, work, now_ms)
 
-    def _submit(self, target: str, work: _lane.Work, now_ms: float) -> None:
+    def _submit(
+        self, target: str, work: _lane_types.Work, now_ms: float
+    ) -> None:
         post = self._post(target)
         if post is None:
-            refusal = _lane.Refuse(
+            refusal = _lane_types.Refuse(
                 work, protocol.SubStatus.NOT_OWNER, 'unknown target'
             )
-            self._refuse(target, refusal)
+            self._outbox.refuse(target, refusal)
             return
-        self._places[work.attempt_id] = _Place(target, work)
+        self._outbox.track(target, work)
         effects = post.lane.submit(work, now_ms)
         if effects:
             self.carry_out(target, effects)
@@ -267,9 +256,9 @@
             self._make_ready(target)
 
     def _on_cancel(self, sender: str, cancel: protocol.CancelAttempts) -> None:
-        sent: dict[str, list[_Place]] = collections.defaultdict(list)
+        sent: dict[str, list[_outbox.Place]] = collections.defaultdict(list)
         for attempt_id in cancel.attempt_ids:
-            place = self._places.get(attempt_id)
+            place = self._outbox.place(attempt_id)
             if place is None:
                 continue
             if place.ticket is not None:
@@ -281,7 +270,7 @@
         for target, places in sent.items():
             self._spawn(self._cancel_sent(target, places))
 
-    def _worth_cancelling(self, work: _lane.Work) -> bool:
+    def _worth_cancelling(self, work: _lane_types.Work) -> bool:
         """Whether a cancel would save the target anything.
 
         Callers drop many attempts just at the deadline, at which the target
@@ -290,7 +279,9 @@
         left_ms = work.expires_at_ms - self._clock.now_ms()
         return work.item is None or left_ms > _LEAST_CANCEL_MS
 
-    async def _cancel_sent(self, target: str, places: list[_Place]) -> None:
+    async def _cancel_sent(
+        self, target: str, places: list[_outbox.Place]
+    ) -> None:
         """Ask the target; only its word proves that it never began."""
         post = self._posts[target]
         order = protocol.TargetCancel(
@@ -307,18 +298,18 @@
             attempt_id = place.work.attempt_id
             if place.ticket is not None and attempt_id in ended:
                 post.lane.settled(place.ticket, [attempt_id])
-            if attempt_id in never and attempt_id in self._places:
+            if attempt_id in never and self._outbox.place(attempt_id):
                 self._cancelled(place)
 
-    def _cancelled(self, place: _Place) -> None:
-        refusal = _lane.Refuse(
+    def _cancelled(self, place: _outbox.Place) -> None:
+        refusal = _lane_types.Refuse(
             place.work, protocol.SubStatus.CANCELLED, 'never started'
         )
-        self._refuse(place.target, refusal)
+        self._outbox.refuse(place.target, refusal)
 
     # Lanes.
 
-    def _post(self, name: str) -> _Post | None:
+    def _post(self, name: str) -> _exchanges.Post | None:
         post = self._posts.get(name)
         if post is not None:
             return post
@@ -333,7 +324,7 @@
         )
         if self._signs is not None and not self._signs.is_usable(name):
             lane.set_leaving(True)
-        post = _Post(lane, self._make_link(target), target)
+        post = _exchanges.Post(lane, self._make_link(target), target)
         self._posts[name] = post
         if self._handover is not None:
             self._handover.on_new_lane(name, lane)
@@ -361,7 +352,7 @@
                 self.carry_out(target, effects)
             self._arm(target, post, now_ms)
 
-    def _arm(self, target: str, post: _Post, now_ms: float) -> None:
+    def _arm(self, target: str, post: _exchanges.Post, now_ms: float) -> None:
         wake_at_ms = post.lane.wake_at_ms(now_ms)
         if wake_at_ms is None:
             return
@@ -379,182 +370,23 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    # Answers that go out; each attempt gets exactly one.
-
-    def _refuse(self, target: str, refusal: _lane.Refuse) -> None:
-        self._metrics.add('dispatch_refused', status=refusal.status.value)
-        message = _target_answers.refusal_message(target, refusal)
-        self._places.setdefault(
-            refusal.work.attempt_id, _Place(target, refusal.work)
-        )
-        self._answer(refusal.work, message)
-
-    def _answer(
-        self,
-        work: _lane.Work,
-        answer: protocol.SubAnswer | protocol.RunReport,
-    ) -> None:
-        if self._places.pop(work.attempt_id, None) is None:
-            return
-        if isinstance(answer, protocol.RunReport):
-            self._peers.send(work.origin, answer)
-            return
-        if not self._replies:
-            asyncio.get_running_loop().call_soon(self._flush_answers)
-        self._replies[work.origin, work.query_id].append(answer)
-
-    def _flush_answers(self) -> None:
-        replies = dict(self._replies)
-        self._replies.clear()
-        for (origin, query_id), answers in replies.items():
-            self._peers.send(
-                origin, protocol.SubAnswerBatch(query_id, answers)
-            )
-
     # Exchanges with targets.
 
-    async def _exchange(self, target: str, start: _lane.StartExchange) -> None:
+    async def _exchange(
+        self, target: str, start: _lane_types.StartExchange
+    ) -> None:
         post = self._posts[target]
-        ending = _lane.Ending.LOST
+        ending = _lane_types.Ending.LOST
         try:
-            if start.works[0].item is None:
-                ending = await self._run(target, post, start)
-            else:
-                ending = await self._batch(target, post, start)
+            ending = await self._exchanges.run(post, start)
         finally:
             now_ms = self._clock.now_ms()
-            if ending is _lane.Ending.LOST:
-                self._metrics.add('slots_held_after_loss')
             effects = post.lane.ended(start.ticket, ending, now_ms)
             effects += post.lane.lost_contact(now_ms)
             self.carry_out(target, effects)
 
-    async def _batch(
-        self, target: str, post: _Post, start: _lane.StartExchange
-    ) -> _lane.Ending:
-        started_ms = self._clock.now_ms()
-        works = start.works
-        items = [
-            _target_answers.target_query(work, started_ms) for work in works
-        ]
-        self._metrics.add('target_batches')
-        self._metrics.add('target_items', len(items))
-        reply = await post.link.batch(
-            protocol.TargetBatch(items),
-            min(start.deadline_at_ms - started_ms, self._silent_after_ms()),
-        )
-        if isinstance(reply, result.Failure):
-            return await self._batch_failed(
-                target, post, works, reply.failure()
-            )
-        answers = reply.unwrap().answers
-        for work, answer in zip(works, answers):
-            self._answer(
-                work,
-                _target_answers.sub_answer(
-                    target, answer, started_ms - work.arrived_ms
-                ),
-            )
-        self._sample(works[0], started_ms)
-        return self._learn(target, post, reply.unwrap(), answers)
-
-    def _learn(
-        self,
-        target: str,
-        post: _Post,
-        reply: protocol.TargetBatchAnswer,
-        answers: list[protocol.TargetAnswer],
-    ) -> _lane.Ending:
-        """Take in what a batch's answer says of the target itself."""
-        statuses = {answer.status for answer in answers}
-        if post.lane.foreign_slots(self._clock.now_ms()):
-            post.lane.observe_running(reply.running)
-        if reply.draining or protocol.TargetStatus.DRAINING in statuses:
-            self._target_leaves(target)
-            return _lane.Ending.FREE
-        if protocol.TargetStatus.OK in statuses:
-            return _lane.Ending.ANSWERED
-        if statuses == {protocol.TargetStatus.NOT_LOADED}:
-            post.lane.record.on_unloaded(self._clock.now_ms())
-        return _lane.Ending.FREE
-
-    async def _batch_failed(
-        self,
-        target: str,
-        post: _Post,
-        works: tuple[_lane.Work, ...],
-        error: transport.LinkError,
-    ) -> _lane.Ending:
-        lost = await self._after_failure(post, error)
-        for work in works:
-            answer = _target_answers.failed_answer(
-                target, work.attempt_id, error, len(works) == 1, lost
-            )
-            self._answer(work, answer)
-        return _ending_of(error)
-
-    async def _run(
-        self, target: str, post: _Post, start: _lane.StartExchange
-    ) -> _lane.Ending:
-        work = start.works[0]
-        order = typing.cast(protocol.RunOrder, work.request)
-        # A run waits for its whole budget: giving up earlier would only
-        # turn an outcome that is still to come into an unknown one.
-        left_ms = work.expires_at_ms - self._clock.now_ms()
-        reply = await post.link.run(
-            _target_answers.target_run(order, left_ms), left_ms
-        )
-        lost = False
-        if isinstance(reply, result.Failure):
-            lost = await self._after_failure(post, reply.failure())
-            ending = _ending_of(reply.failure())
-        else:
-            status = reply.unwrap().status
-            if reply.unwrap().draining:
-                self._target_leaves(target)
-            ending = _lane.Ending.FREE
-            if status is protocol.TargetStatus.OK:
-                ending = _lane.Ending.ANSWERED
-        report = _target_answers.run_report(
-            order.attempt_id, target, reply, lost
-        )
-        self._answer(work, report)
-        return ending
-
-    async def _after_failure(
-        self, post: _Post, error: transport.LinkError
-    ) -> bool:
-        """Return whether the target is lost; a new connection tells."""
-        self._metrics.add('target_errors', kind=error.kind.value)
-        lost = error.kind is transport.LinkErrorKind.UNREACHABLE
-        if error.kind is transport.LinkErrorKind.BROKEN and not error.ended:
-            health = await post.link.health(_PROBE_MS)
-            lost = isinstance(health, result.Failure)
-        post.lane.record.on_failure(lost, self._clock.now_ms())
-        return lost
-
-    def _silent_after_ms(self) -> float:
-        if self._configuration is None:
-            return float(state.Limits().silent_after_ms)
-        return float(self._configuration.limits.silent_after_ms)
-
-    def _sample(self, work: _lane.Work, started_ms: float) -> None:
-        self._exchanges += 1
-        if self._exchanges % _SAMPLE_EVERY:
-            return
-        self._metrics.observe(
-            'target_service_ms',
-            self._clock.now_ms() - started_ms,
-            service=work.flow.service,
-            request_class=work.request.request_class,
-        )
-
     # Signs of leaving.
 
-    def _target_leaves(self, target: str) -> None:
-        if self._signs is not None:
-            self._signs.on_target_word(target, True)
-
     def _on_sign(self, target: str, leaving: bool) -> None:
         post = self._posts.get(target)
         if post is not None:
@@ -566,20 +398,3 @@
         for target in self._signs.to_probe():
             if self._owns is not None and self._owns(target):
                 self.probe(target)
-
-    async def _probe(self, target: str, post: _Post) -> None:
-        asked_at_ms = self._clock.wall_ms()
-        reply = await post.link.batch(protocol.TargetBatch([]), _PROBE_MS)
-        if isinstance(reply, result.Failure):
-            return
-        answer = reply.unwrap()
-        post.lane.observe_running(answer.running)
-        if self._signs is not None:
-            self._signs.on_target_word(target, answer.draining, asked_at_ms)
-        self._make_ready(target)
-
-
-def _ending_of(error: transport.LinkError) -> _lane.Ending:
-    if error.ended or error.kind is transport.LinkErrorKind.UNREACHABLE:
-        return _lane.Ending.FREE
-    return _lane.Ending.LOST
--- a/samphiredock/coordination/_handover.py
+++ b/samphiredock/coordination/_handover.py
@@ -10,6 +10,7 @@
 import typing
 
 from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock.coordination import _ownership
 from samphiredock import metrics
 from samphiredock import protocol
@@ -39,7 +40,9 @@
     def target(self, name: str) -> state.Target | None:
         """Return a target of the configuration in force."""
 
-    def carry_out(self, target: str, effects: list[_lane.Effect]) -> None:
+    def carry_out(
+        self, target: str, effects: list[_lane_types.Effect]
+    ) -> None:
         """Carry out what a lane decided, and let it start more."""
 
     def probe(self, target: str) -> None:
--- a/samphiredock/coordination/_lane.py
+++ b/samphiredock/coordination/_lane.py
@@ -5,11 +5,11 @@
 
 import collections
 import dataclasses
-import enum
 import itertools
 import math
 import typing
 
+from samphiredock.coordination import _lane_types
 from samphiredock.coordination import _shares
 from samphiredock.coordination import _target_record
 from samphiredock import protocol
@@ -22,63 +22,9 @@
 _MOST_RETRY_MS = 5_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class Work:
-    """One sub-query or unrepeatable request that waits for a slot."""
-
-    origin: str
-    query_id: str
-    attempt_id: str
-    expires_at_ms: float
-    request: protocol.SubQueryBatch | protocol.RunOrder
-    item: protocol.SubQuery | None
-    flow: _shares.Flow = _shares.Flow('', '')
-    arrived_ms: float = 0.0
-
-    @property
-    def is_alone(self) -> bool:
-        """Whether it may share its exchange with nothing else."""
-        return self.item is None or self.request.alone
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartExchange:
-    """Send these to the target; they take one slot until they end."""
-
-    ticket: int
-    works: tuple[Work, ...]
-    deadline_at_ms: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refuse:
-    """Tell the origin that this was never sent."""
-
-    work: Work
-    status: protocol.SubStatus
-    detail: str
-    retry_after_ms: int = 0
-
-
-Effect = StartExchange | Refuse
-
-
-class Ending(enum.Enum):
-    """What the end of an exchange says about its slot and its target.
-
-    ``FREE`` frees the slot but is no good answer: never sent, or an error
-    that the target answered.  Only ``LOST`` leaves the slot taken: the
-    target may still be working.
-    """
-
-    ANSWERED = 'answered'
-    FREE = 'free'
-    LOST = 'lost'
-
-
 @dataclasses.dataclass(slots=True)
 class _Exchange:
-    works: tuple[Work, ...]
+    works: tuple[_lane_types.Work, ...]
     started_ms: float
     deadline_at_ms: float
     unsettled: set[str]
@@ -150,7 +96,9 @@
         for work in sorted(queued, key=lambda row: row.arrived_ms):
             self._queue.push(work)
 
-    def submit(self, work: Work, now_ms: float) -> list[Effect]:
+    def submit(
+        self, work: _lane_types.Work, now_ms: float
+    ) -> list[_lane_types.Effect]:
         """Queue work or refuse it; :meth:`pump` starts exchanges."""
         refusal = self._refusal(work, now_ms)
         if refusal is not None:
@@ -166,9 +114,9 @@
         self._earliest_ms = min(self._earliest_ms, work.expires_at_ms)
         return effects
 
-    def pump(self, now_ms: float) -> list[Effect]:
+    def pump(self, now_ms: float) -> list[_lane_types.Effect]:
         """Answer what is too late; start exchanges while slots are free."""
-        effects: list[Effect] = []
+        effects: list[_lane_types.Effect] = []
         if self._earliest_ms <= now_ms:
             effects += self._drop_expired(now_ms)
         while self._queue and now_ms >= self._window_at_ms:
@@ -182,15 +130,15 @@
         return effects
 
     def ended(
-        self, ticket: int, ending: Ending, now_ms: float
-    ) -> list[Effect]:
+        self, ticket: int, ending: _lane_types.Ending, now_ms: float
+    ) -> list[_lane_types.Effect]:
         """An exchange ended; its slot is free unless it was lost."""
         exchange = self._busy.pop(ticket, None)
         if exchange is None:
             return []
         slack_ms = _DEADLINE_SLACK_MS + self._target.connect_ms
         until_ms = exchange.deadline_at_ms + slack_ms
-        if ending is Ending.LOST and exchange.unsettled:
+        if ending is _lane_types.Ending.LOST and exchange.unsettled:
             # The caller stopped waiting, the target perhaps did not.
             self._held[ticket] = until_ms
         busy_ms = now_ms - exchange.started_ms
@@ -198,11 +146,11 @@
         flows = collections.Counter([work.flow for work in exchange.works])
         for flow, count in flows.items():
             self._queue.charge(flow, part_ms * count, now_ms)
-        if ending is Ending.ANSWERED:
+        if ending is _lane_types.Ending.ANSWERED:
             self.record.on_answer(len(exchange.works), busy_ms, now_ms)
         return self.pump(now_ms)
 
-    def cancel(self, attempt_id: str) -> Work | None:
+    def cancel(self, attempt_id: str) -> _lane_types.Work | None:
         """Drop queued work and return it; None if it is not queued."""
         for work in self._queue.items():
             if work.attempt_id == attempt_id:
@@ -216,7 +164,7 @@
         if exchange is not None:
             exchange.unsettled.difference_update(attempt_ids)
 
-    def set_leaving(self, leaving: bool) -> list[Effect]:
+    def set_leaving(self, leaving: bool) -> list[_lane_types.Effect]:
         """Send nothing more to a leaving target; a returned one ramps up."""
         self._leaving = leaving
         self.record.set_leaving(leaving)
@@ -224,14 +172,14 @@
             return []
         return self._refuse_queued(protocol.SubStatus.DRAINING)
 
-    def set_released(self, released: bool) -> list[Effect]:
+    def set_released(self, released: bool) -> list[_lane_types.Effect]:
         """Send nothing more: another daemon dispatches for the target."""
         self._released = released
         if not released:
             return []
         return self._refuse_queued(protocol.SubStatus.NOT_OWNER)
 
-    def lost_contact(self, now_ms: float) -> list[Effect]:
+    def lost_contact(self, now_ms: float) -> list[_lane_types.Effect]:
         """Give queued work back if the target cannot be reached."""
         if not self.record.is_lost(now_ms):
             return []
@@ -297,7 +245,9 @@
         ]
         return min((time for time in times if time > now_ms), default=None)
 
-    def _refusal(self, work: Work, now_ms: float) -> Refuse | None:
+    def _refusal(
+        self, work: _lane_types.Work, now_ms: float
+    ) -> _lane_types.Refuse | None:
         if self._released:
             return self._refuse(work, protocol.SubStatus.NOT_OWNER)
         if self._leaving:
@@ -311,25 +261,34 @@
         return None
 
     def _refuse(
-        self, work: Work, status: protocol.SubStatus, retry_after_ms: int = 0
-    ) -> Refuse:
+        self,
+        work: _lane_types.Work,
+        status: protocol.SubStatus,
+        retry_after_ms: int = 0,
+    ) -> _lane_types.Refuse:
         detail = f'{self._target.name}: {status.value}, not sent'
-        return Refuse(work, status, detail, retry_after_ms)
+        return _lane_types.Refuse(work, status, detail, retry_after_ms)
 
-    def _refuse_queued(self, status: protocol.SubStatus) -> list[Effect]:
+    def _refuse_queued(
+        self, status: protocol.SubStatus
+    ) -> list[_lane_types.Effect]:
         works = self._queue.items()
         for work in works:
             self._queue.remove(work)
         self._earliest_ms = math.inf
         return [self._refuse(work, status) for work in works]
 
-    def _submit_hedge(self, work: Work, now_ms: float) -> list[Effect]:
+    def _submit_hedge(
+        self, work: _lane_types.Work, now_ms: float
+    ) -> list[_lane_types.Effect]:
         # With two slots a hedge that queues only delays first attempts.
         if self._queue or self.idle_slots(now_ms) <= 0:
             return [self._refuse(work, protocol.SubStatus.NO_IDLE_SLOT)]
         return [self._start((work,), now_ms)]
 
-    def _make_room(self, work: Work, now_ms: float) -> list[Effect]:
+    def _make_room(
+        self, work: _lane_types.Work, now_ms: float
+    ) -> list[_lane_types.Effect]:
         wait_ms = self.record.drain_ms(len(self._queue))
         victim = self._queue.victim(work, now_ms + wait_ms)
         if victim is not None:
@@ -338,8 +297,8 @@
         retry_ms = int(min(max(wait_ms, _LEAST_RETRY_MS), _MOST_RETRY_MS))
         return [self._refuse(shed, protocol.SubStatus.SHED, retry_ms)]
 
-    def _drop_expired(self, now_ms: float) -> list[Effect]:
-        effects: list[Effect] = []
+    def _drop_expired(self, now_ms: float) -> list[_lane_types.Effect]:
+        effects: list[_lane_types.Effect] = []
         self._earliest_ms = math.inf
         for work in self._queue.items():
             if work.expires_at_ms <= now_ms:
@@ -349,18 +308,20 @@
                 self._earliest_ms = min(self._earliest_ms, work.expires_at_ms)
         return effects
 
-    def _start(self, works: tuple[Work, ...], now_ms: float) -> StartExchange:
+    def _start(
+        self, works: tuple[_lane_types.Work, ...], now_ms: float
+    ) -> _lane_types.StartExchange:
         ticket = next(self._tickets)
         deadline_at_ms = max(work.expires_at_ms for work in works)
         unsettled = {work.attempt_id for work in works}
         self._busy[ticket] = _Exchange(
             works, now_ms, deadline_at_ms, unsettled
         )
-        return StartExchange(ticket, works, deadline_at_ms)
+        return _lane_types.StartExchange(ticket, works, deadline_at_ms)
 
     def _next_works(
-        self, idle: int, now_ms: float, effects: list[Effect]
-    ) -> tuple[Work, ...]:
+        self, idle: int, now_ms: float, effects: list[_lane_types.Effect]
+    ) -> tuple[_lane_types.Work, ...]:
         """Take the next batch: one run alone, or sub-queries together.
 
         What waits is spread over the idle slots.  A batch runs in order,
@@ -368,7 +329,7 @@
         """
         most = min(self._limits.batch_items, -(-len(self._queue) // idle))
         item_ms = self.record.expected_item_ms(now_ms)
-        works: list[Work] = []
+        works: list[_lane_types.Work] = []
         tightest_ms = math.inf
         while len(works) < most:
             work = self._queue.head(now_ms)
@@ -392,7 +353,7 @@
         return tuple(works)
 
     def _unfit(
-        self, work: Work, item_ms: float, now_ms: float
+        self, work: _lane_types.Work, item_ms: float, now_ms: float
     ) -> protocol.SubStatus | None:
         if work.expires_at_ms <= now_ms + item_ms:
             return protocol.SubStatus.EXPIRED
--- a/samphiredock/coordination/_target_answers.py
+++ b/samphiredock/coordination/_target_answers.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock import protocol
 from samphiredock import transport
 
@@ -26,7 +26,9 @@
 }
 
 
-def target_query(work: _lane.Work, now_ms: float) -> protocol.TargetQuery:
+def target_query(
+    work: _lane_types.Work, now_ms: float
+) -> protocol.TargetQuery:
     """Return one item of a batch, with what is left of its deadline."""
     request = typing.cast(protocol.SubQueryBatch, work.request)
     item = typing.cast(protocol.SubQuery, work.item)
@@ -121,7 +123,7 @@
 
 
 def refusal_message(
-    target: str, refusal: _lane.Refuse
+    target: str, refusal: _lane_types.Refuse
 ) -> protocol.SubAnswer | protocol.RunReport:
     """Return the message that tells the origin of a refusal."""
     work = refusal.work
--- a/tests/failure/test_limits.py
+++ b/tests/failure/test_limits.py
@@ -11,6 +11,7 @@
 
 from samphiredock.coordination import _dispatcher
 from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
@@ -127,7 +128,7 @@
                 ended = _lane.Lane.ended
 
                 def free(lane, ticket, ending, now_ms):
-                    return ended(lane, ticket, _lane.Ending.FREE, now_ms)
+                    return ended(lane, ticket, _lane_types.Ending.FREE, now_ms)
 
                 patched = mock.patch.object(_lane.Lane, 'ended', free)
                 if naive:
--- a/tests/failure/test_shares.py
+++ b/tests/failure/test_shares.py
@@ -4,6 +4,7 @@
 import unittest
 
 from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock.coordination import _shares
 from samphiredock import state
 from tests.unit import dispatching
@@ -26,7 +27,7 @@
             state.Limits(queue_per_target=60, batch_items=2),
             _SHARES,
         )
-        self._ends: list[tuple[float, int, tuple[_lane.Work, ...]]] = []
+        self._ends: list[tuple[float, int, tuple[_lane_types.Work, ...]]] = []
         self._numbers = 0
         self.served = dict.fromkeys(_SITES, 0)
         self.shed = dict.fromkeys(_SITES, 0)
@@ -39,7 +40,7 @@
                 _, ticket, works = self._ends.pop(0)
                 for work in works:
                     self.served[work.request.site] += 1
-                ending = _lane.Ending.ANSWERED
+                ending = _lane_types.Ending.ANSWERED
                 self._take(self._lane.ended(ticket, ending, now_ms), now_ms)
             for site, rate in rates.items():
                 owed[site] += rate
@@ -58,9 +59,9 @@
             work = dataclasses.replace(work, flow=one_line)
         self._take(self._lane.submit(work, now_ms), now_ms)
 
-    def _take(self, effects: list[_lane.Effect], now_ms: int) -> None:
+    def _take(self, effects: list[_lane_types.Effect], now_ms: int) -> None:
         for effect in effects:
-            if isinstance(effect, _lane.StartExchange):
+            if isinstance(effect, _lane_types.StartExchange):
                 end = (now_ms + _SERVICE_MS, effect.ticket, effect.works)
                 self._ends.append(end)
             else:
--- a/tests/unit/dispatching.py
+++ b/tests/unit/dispatching.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns import result
 
-from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock.coordination import _shares
 from samphiredock import protocol
 from samphiredock import state
@@ -92,31 +92,31 @@
     expires_at_ms: float = 1_000.0,
     hedge: bool = False,
     **fields: typing.Any,
-) -> _lane.Work:
+) -> _lane_types.Work:
     """Return a sub-query that waits at a dispatcher."""
     sub_query = item(attempt_id, hedge=hedge)
     request = batch(sub_query, **fields)
     flow = _shares.Flow('svc', request.site)
-    return _lane.Work(
+    return _lane_types.Work(
         'd', 'q', attempt_id, expires_at_ms, request, sub_query, flow
     )
 
 
-def sent(effects: typing.Iterable[_lane.Effect]) -> list[list[str]]:
+def sent(effects: typing.Iterable[_lane_types.Effect]) -> list[list[str]]:
     """Return the attempts of each exchange that was started."""
     return [
         [row.attempt_id for row in effect.works]
         for effect in effects
-        if isinstance(effect, _lane.StartExchange)
+        if isinstance(effect, _lane_types.StartExchange)
     ]
 
 
-def refused(effects: typing.Iterable[_lane.Effect]) -> dict[str, str]:
+def refused(effects: typing.Iterable[_lane_types.Effect]) -> dict[str, str]:
     """Return the status of each refused attempt."""
     return {
         effect.work.attempt_id: effect.status.value
         for effect in effects
-        if isinstance(effect, _lane.Refuse)
+        if isinstance(effect, _lane_types.Refuse)
     }
 
 
--- a/tests/unit/test_lane.py
+++ b/tests/unit/test_lane.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies
 
 from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock import state
 from tests.unit import dispatching
 
-_ANSWERED = _lane.Ending.ANSWERED
-_LOST = _lane.Ending.LOST
+_ANSWERED = _lane_types.Ending.ANSWERED
+_LOST = _lane_types.Ending.LOST
 
 
 def _lane_of(slots: int = 2, **limits: object) -> _lane.Lane:
@@ -77,7 +78,7 @@
                 effects += lane.ended(ticket, ending, now_ms)
             effects += lane.pump(now_ms)
             for effect in effects:
-                if isinstance(effect, _lane.StartExchange):
+                if isinstance(effect, _lane_types.StartExchange):
                     runs_until[effect.ticket] = effect.deadline_at_ms
                     out.append(effect.ticket)
             running = [
