A changed connection limit keeps the link; a shedding target gets a pause

A revision that changed one number of a target opened a second pool beside the first, so that both together could exceed the limit. Only another URL makes a new link now.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -105,10 +105,12 @@
         self._shares = _shares.shares_of(configuration)
         for name, post in self._posts.items():
             target = configuration.targets.get(name, post.target)
-            if target != post.target:
+            if target.url != post.target.url:
                 old_link, post.link = post.link, self._make_link(target)
                 self._spawn(old_link.close())
-                post.target = target
+            elif target.connections != post.target.connections:
+                self._spawn(post.link.resize(target.connections))
+            post.target = target
             post.lane.reconfigure(target, configuration.limits, self._shares)
             self._make_ready(name)
 
--- a/samphiredock/coordination/_exchanges.py
+++ b/samphiredock/coordination/_exchanges.py
@@ -138,6 +138,8 @@
             return _lane_types.Ending.ANSWERED
         if statuses == {protocol.TargetStatus.NOT_LOADED}:
             post.lane.record.on_unloaded(self._clock.now_ms())
+        elif statuses == {protocol.TargetStatus.SHED}:
+            post.lane.record.on_shed(self._clock.now_ms())
         return _lane_types.Ending.FREE
 
     async def _batch_failed(
--- a/samphiredock/coordination/_target_record.py
+++ b/samphiredock/coordination/_target_record.py
@@ -8,6 +8,7 @@
 
 _GOOD_TO_SERVE = 4
 _UNLOADED_PAUSE_MS = 50.0
+_SHED_PAUSE_MS = 20.0
 _LOST_PAUSE_MS = 200.0
 _LONGEST_LOST_PAUSE_MS = 2_000.0
 _STALE_MS = 1_000.0
@@ -74,6 +75,10 @@
         self._resume_at_ms = now_ms + _UNLOADED_PAUSE_MS
         self.trigger('unloaded')
 
+    def on_shed(self, now_ms: float) -> None:
+        """The target refused a whole exchange; asking on only adds load."""
+        self._resume_at_ms = now_ms + _SHED_PAUSE_MS
+
     def on_failure(self, lost: bool, now_ms: float) -> None:
         """An exchange gave no answer; ``lost``: nor did a new connection."""
         self._good = 0
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -74,6 +74,9 @@
     ) -> result.Result[protocol.TargetHealth, LinkError]:
         """Read the target's own view, on a new connection."""
 
+    async def resize(self, connections: int) -> None:
+        """Apply another limit to the connections."""
+
     async def close(self) -> None:
         """Close every connection."""
 
@@ -109,9 +112,7 @@
 
     def __init__(self, target: state.Target) -> None:
         self._url = target.url.rstrip('/')
-        self._limit = max(1, target.connections)
-        # One connection is kept free for cancels and probes.
-        self._work_limit = max(1, self._limit - 1)
+        self._set_limit(target.connections)
         self._idle: list[_Connection] = []
         self._open = 0
         self._generation = 0
@@ -174,6 +175,18 @@
             'GET', '/health', None, timeout_ms, _HEALTH, True
         )
 
+    async def resize(self, connections: int) -> None:
+        """Apply another limit; idle connections beyond it are closed."""
+        self._set_limit(connections)
+        while self._open > self._limit and self._idle:
+            await self._drop(self._idle.pop(0))
+        self._wake_waiters()
+
+    def _set_limit(self, connections: int) -> None:
+        self._limit = max(1, connections)
+        # One connection is kept free for cancels and probes.
+        self._work_limit = max(1, self._limit - 1)
+
     async def close(self) -> None:
         """Close every idle connection; the others close as they end."""
         self._generation += 1
--- a/tests/unit/dispatching.py
+++ b/tests/unit/dispatching.py
@@ -208,6 +208,9 @@
             return result.Success(protocol.TargetHealth(True, False, 0, 0.0))
         return failure(transport.LinkErrorKind.UNREACHABLE)
 
+    async def resize(self, connections: int) -> None:
+        """Keep no connections."""
+
     async def close(self) -> None:
         """Close nothing."""
 
--- a/tests/unit/test_target_http.py
+++ b/tests/unit/test_target_http.py
@@ -112,6 +112,15 @@
         self.assertTrue(all(isinstance(r, result.Success) for r in replies))
         self.assertEqual(4, self.peak)
 
+    async def test_lower_limit_closes_idle_connections(self) -> None:
+        self.hold.clear()
+        asked = [asyncio.create_task(self._ask(str(n))) for n in range(3)]
+        await self._seen(3)
+        self.hold.set()
+        await asyncio.gather(*asked)
+        await self.link.resize(2)
+        self.assertEqual(2, self.link.open_connections)
+
     async def test_silence_closes_the_connection_and_its_siblings(
         self,
     ) -> None:
--- a/tests/unit/test_target_record.py
+++ b/tests/unit/test_target_record.py
@@ -32,6 +32,12 @@
         self._assert('warming', 0, 149.0)
         self._assert('warming', 1, 150.0)
 
+    def test_target_that_sheds_is_left_alone_for_a_moment(self) -> None:
+        self._answer(4)
+        self.record.on_shed(100.0)
+        self._assert('serving', 0, 119.0)
+        self._assert('serving', 4, 120.0)
+
     def test_failure_halves_and_an_answer_restores(self) -> None:
         self._answer(4)
         self.record.on_failure(False, 0.0)
