After a freeze, queued work is given back whatever its budget

A daemon that was frozen for seconds sent what it still had queued, with budget left, as soon as it woke, although another daemon dispatched for the target by then and used all of its slots. The test (a queue with a budget of 30 s, a gap of 4 s, before and after the timer has seen it) failed before: attempt 2 was sent instead of answered as expired.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -79,6 +79,7 @@
         self._exchanges = _exchanges.Exchanges(
             clock, counters, signs, self._outbox.answer, self._silent_after_ms
         )
+        clock.on_gap(lambda gap_ms: self._give_back_queued())
         peers.subscribe(protocol.SubQueryBatch, self._on_batch)
         peers.subscribe(protocol.RunOrder, self._on_run)
         peers.subscribe(protocol.CancelAttempts, self._on_cancel)
@@ -158,18 +159,7 @@
 
     def longest_deadline_ms(self) -> float:
         """Return the longest deadline of any service."""
-        if self._configuration is None:
-            return float(state.Limits().deadline_limit_ms)
-        services = self._configuration.services.values()
-        deadlines = [
-            row.deadline_ms
-            for service in services
-            for row in (
-                *service.searches.values(),
-                *service.operations.values(),
-            )
-        ]
-        return float(max(deadlines, default=0))
+        return _handover.longest_deadline_ms(self._configuration)
 
     def probe(self, target: str) -> None:
         """Ask a target, by an empty batch, how many exchanges run there."""
@@ -342,7 +332,18 @@
             asyncio.get_running_loop().call_soon(self._pump)
         self._ready.add(target)
 
+    def _give_back_queued(self) -> None:
+        """Answer what was queued when this process was frozen.
+
+        Others took its targets over meanwhile and use all their slots, so
+        nothing may be sent on the strength of what was known before.
+        """
+        for target, post in self._posts.items():
+            self.carry_out(target, post.lane.give_back())
+
     def _pump(self) -> None:
+        if self._freshness.just_woke():
+            self._give_back_queued()
         ready, self._ready = self._ready, set()
         now_ms = self._clock.now_ms()
         for target in ready:
@@ -382,6 +383,8 @@
         try:
             ending = await self._exchanges.run(post, start)
         finally:
+            if self._freshness.just_woke():
+                self._give_back_queued()
             now_ms = self._clock.now_ms()
             effects = post.lane.ended(start.ticket, ending, now_ms)
             effects += post.lane.lost_contact(now_ms)
--- a/samphiredock/coordination/_handover.py
+++ b/samphiredock/coordination/_handover.py
@@ -28,6 +28,18 @@
     until_ms: float
 
 
+def longest_deadline_ms(configuration: state.Configuration | None) -> float:
+    """Return how long work of an earlier dispatcher may go on."""
+    if configuration is None:
+        return float(state.Limits().deadline_limit_ms)
+    deadlines = [
+        row.deadline_ms
+        for service in configuration.services.values()
+        for row in (*service.searches.values(), *service.operations.values())
+    ]
+    return float(max(deadlines, default=0))
+
+
 class Lanes(typing.Protocol):
     """What the handover does with lanes and targets."""
 
--- a/samphiredock/coordination/_lane.py
+++ b/samphiredock/coordination/_lane.py
@@ -179,6 +179,10 @@
             return []
         return self._refuse_queued(protocol.SubStatus.NOT_OWNER)
 
+    def give_back(self) -> list[_lane_types.Effect]:
+        """Answer all queued work as too late, whatever its budget."""
+        return self._refuse_queued(protocol.SubStatus.EXPIRED)
+
     def lost_contact(self, now_ms: float) -> list[_lane_types.Effect]:
         """Give queued work back if the target cannot be reached."""
         if not self.record.is_lost(now_ms):
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -130,13 +130,25 @@
         await self._deliver(dispatching.batch(dispatching.item('1')))
         self._assert_told(**{'1': 'expired'})
 
-    async def test_work_queued_before_a_freeze_is_answered_late(self) -> None:
-        await self._deliver(dispatching.batch(dispatching.item('1')))
-        await self._deliver(dispatching.batch(dispatching.item('2')))
-        self.clock.freeze(4_000.0)
-        self.clock.advance(0.0)
-        await dispatching.settle()
-        self.assertEqual({'2': ['expired']}, self.peers.statuses())
+    async def test_work_queued_before_a_freeze_is_not_sent_after_it(
+        self,
+    ) -> None:
+        """Its budget is not used up, but another daemon dispatches by now.
+
+        The exchange that was out may end before the timer sees the gap.
+        """
+        for seen_by_timer in (True, False):
+            self.setUp()
+            for name in '12':
+                item = dispatching.item(name)
+                await self._deliver(dispatching.batch(item, budget_ms=30_000))
+            if seen_by_timer:
+                self.clock.freeze(4_000.0)
+            self.clock.unseen_gap_ms = 0.0 if seen_by_timer else 4_000.0
+            self.link.answer()
+            await dispatching.settle()
+            self._assert_told(**{'1': 'answered', '2': 'expired'})
+            self.assertEqual(1, len(self.link.batches))
 
     async def test_expired_work_is_answered_without_the_target(self) -> None:
         await self._deliver(dispatching.batch(dispatching.item('1')))
