--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -28,6 +28,9 @@
 from samphiredock.coordination._directory import MEMBERS_PREFIX
 from samphiredock.coordination._dispatcher import Dispatcher
 from samphiredock.coordination._exchange import ObjectExchange
+from samphiredock.coordination._exchanges import Answer
+from samphiredock.coordination._exchanges import Exchanges
+from samphiredock.coordination._exchanges import Post
 from samphiredock.coordination._gossip import Gossip
 from samphiredock.coordination._gossip import GOSSIP_MESSAGES
 from samphiredock.coordination._gossip import health_of
@@ -44,14 +47,15 @@
 from samphiredock.coordination._gossip_parts import SendTo
 from samphiredock.coordination._handover import Handover
 from samphiredock.coordination._handover import Lanes
+from samphiredock.coordination._handover import longest_deadline_ms
 from samphiredock.coordination._hedging import Latencies
 from samphiredock.coordination._knowledge import CONFIGURATION_KEY
 from samphiredock.coordination._knowledge import Knowledge
 from samphiredock.coordination._knowledge import SNAPSHOT_KEY
-from samphiredock.coordination._lane import Ending
 from samphiredock.coordination._lane import Lane
-from samphiredock.coordination._lane import StartExchange
-from samphiredock.coordination._lane import Work
+from samphiredock.coordination._lane_types import Ending
+from samphiredock.coordination._lane_types import StartExchange
+from samphiredock.coordination._lane_types import Work
 from samphiredock.coordination._member_table import bucket_of
 from samphiredock.coordination._member_table import BUCKETS
 from samphiredock.coordination._member_table import member_of
@@ -67,6 +71,8 @@
 from samphiredock.coordination._merge import merge_records
 from samphiredock.coordination._merge import missing_ranges
 from samphiredock.coordination._merge import union_of
+from samphiredock.coordination._outbox import Outbox
+from samphiredock.coordination._outbox import Place
 from samphiredock.coordination._ownership import GROUP_SIZE
 from samphiredock.coordination._ownership import owner_of
 from samphiredock.coordination._ownership import OwnerChange
@@ -174,6 +180,7 @@
     'Acceptor',
     'Admission',
     'Admitted',
+    'Answer',
     'Attempt',
     'Attempts',
     'BUCKETS',
@@ -197,6 +204,7 @@
     'DropAttempts',
     'Ending',
     'Endings',
+    'Exchanges',
     'ExtraBudget',
     'FAN_OUT',
     'FRESH_MS',
@@ -234,13 +242,16 @@
     'OpenProbe',
     'OpenResult',
     'Orders',
+    'Outbox',
     'OwnerChange',
     'OwnershipTable',
     'PROBE_MS',
     'PeerAnswered',
     'PeerHolds',
     'PeerLinks',
+    'Place',
     'Plan',
+    'Post',
     'Probes',
     'QUARANTINE_MS',
     'QUARANTINE_PREFIX',
@@ -309,6 +320,7 @@
     'is_within',
     'judge',
     'key_reused',
+    'longest_deadline_ms',
     'make_plan',
     'member_of',
     'merge_records',
--- a/samphiredock/coordination/_handover.py
+++ b/samphiredock/coordination/_handover.py
@@ -10,6 +10,7 @@
 import typing
 
 from samphiredock.coordination import _lane
+from samphiredock.coordination import _lane_types
 from samphiredock.coordination import _ownership
 from samphiredock import metrics
 from samphiredock import protocol
@@ -27,6 +28,18 @@
     until_ms: float
 
 
+def longest_deadline_ms(configuration: state.Configuration | None) -> float:
+    """Return how long work of an earlier dispatcher may go on."""
+    if configuration is None:
+        return float(state.Limits().deadline_limit_ms)
+    deadlines = [
+        row.deadline_ms
+        for service in configuration.services.values()
+        for row in (*service.searches.values(), *service.operations.values())
+    ]
+    return float(max(deadlines, default=0))
+
+
 class Lanes(typing.Protocol):
     """What the handover does with lanes and targets."""
 
@@ -39,7 +52,9 @@
     def target(self, name: str) -> state.Target | None:
         """Return a target of the configuration in force."""
 
-    def carry_out(self, target: str, effects: list[_lane.Effect]) -> None:
+    def carry_out(
+        self, target: str, effects: list[_lane_types.Effect]
+    ) -> None:
         """Carry out what a lane decided, and let it start more."""
 
     def probe(self, target: str) -> None:
