Fresh daemon settles by its settings' peers while the store is down

Cause, found by the new test: when a peer from the settings answered before the store's directory failed, the directory counted as unread and the daemon waited for its 3 s limit. Before: not ready after 2.5 s; after: ready with the newest revision.

--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -131,6 +131,10 @@
         names = [row.name for row in chosen]
         return effects + self._ask_state(names, everything=True)
 
+    def ask_some(self) -> _Effects:
+        """Ask some members what they hold."""
+        return self._ask_state(self._others(_RELEARN_PEERS))
+
     def leave(self) -> protocol.MemberRow:
         """Mark this daemon as leaving; return its row to be told."""
         return self._reports.leave()
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -225,7 +225,7 @@
         if members is None:
             # The store is down: the settings' addresses are what there is.
             self._settling.on_store()
-            if not self._joined:
+            if not self._listed:
                 self._settling.on_directory(self._seed_names())
             return
         self._listed = [_member_table.row_of(member) for member in members]
@@ -240,6 +240,7 @@
             return
         self._ask_seeds()
         self._carry_out(self._gossip.ask_unknown(self._listed))
+        self._carry_out(self._gossip.ask_some())
 
     def _ask_seeds(self) -> None:
         if self._joined:
--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -295,6 +295,37 @@
 
         asyncio.run(body())
 
+    def test_fresh_daemon_while_the_store_is_down(self) -> None:
+        """It learns from the addresses in its settings, and is ready.
+
+        The store goes down just after a change was accepted.  A daemon
+        that starts then, with nothing, gets members and configuration
+        from its peers; one that knows no peer is never ready.
+        """
+
+        async def body(seeds: tuple[str, ...]) -> tuple[bool, int, int]:
+            run = Schedule(SEED)
+            run.store.write(coordination.CONFIGURATION_KEY, source(1, 'one'))
+            for number in range(6):
+                run.start(f'entry-{number + 1}', list(SITES)[number % 3])
+            await run.run(3_000)
+            task = asyncio.create_task(
+                run.network.daemons['entry-1'].apply('two', 1)
+            )
+            await run.network.run(50)
+            await task
+            run.store.faults.down = True
+            run.network.seeds = seeds
+            fresh = run.network.start('entry-9', 'yeka-c', 'mekelle')
+            await run.network.run(2_500)
+            run.network.close()
+            revision = fresh.knowledge.revision
+            return fresh.is_ready, revision, len(fresh.live_names())
+
+        seeds = ('tcp://entry-2', 'tcp://entry-3')
+        self.assertEqual((True, 2, 7), asyncio.run(body(seeds)))
+        self.assertEqual((False, 0, 1), asyncio.run(body(())))
+
     def test_store_restored_from_a_backup(self) -> None:
         """The revision in force stays, and the next change gets a new one.
 
