Probes go to 24 neighbours; idle connections to peers are closed

Cause (trial with bare sockets): 490 PUSH sockets to one PULL cost 14.3 MB at the senders and 14.1 MB at the receiver, so connections of all to all would add 28 MB to the 52 MB of an idle daemon, over the limit of 64.

Change: each daemon probes and asks the 24 members that a hash of the pair gives (all up to 32); sockets unused for a minute are closed.

--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -15,6 +15,7 @@
 import json
 import pathlib
 import random
+import statistics
 import sys
 import time
 import tracemalloc
@@ -60,6 +61,7 @@
     cpu_us_s: float
     memory_bytes: float
     store_calls_s: float
+    connections: float
     in_force_ms: list[float]
     by_kind: dict[str, float]
 
@@ -109,6 +111,10 @@
         """Return the daemons."""
         return list(self.network.daemons.values())
 
+    def connections(self) -> float:
+        """Return the mean of the connections that a daemon opened."""
+        return statistics.mean(len(d.peers.open) for d in self.running())
+
     async def change(self) -> None:
         """Accept one change, and wait until it is in force everywhere."""
         place = self.rng.choice(self.running())
@@ -226,6 +232,7 @@
                 planned['cpu_us'],
                 memory,
                 planned['calls'] * daemons,
+                bench.connections(),
                 sorted(bench.in_force_ms),
                 dict(sorted(by_kind.items(), key=lambda row: -row[1])[:4]),
             )
@@ -277,14 +284,16 @@
 def table(rows: list[Figures], lines: list[dict]) -> str:
     """Return the figures as text."""
     out = [
-        'daemons load     bytes/s msgs/s cpu us/s mem KB store/s in force ms'
+        'daemons load     bytes/s msgs/s cpu us/s mem KB store/s conn '
+        'in force ms'
     ]
     for row in rows:
         worst = f'{row.in_force_ms[-1]:.0f}' if row.in_force_ms else '-'
         out.append(
             f'{row.daemons:7} {row.load:8} {row.bytes_s:7.0f} '
             f'{row.messages_s:6.1f} {row.cpu_us_s:8.0f} '
-            f'{row.memory_bytes / 1024:6.0f} {row.store_calls_s:7.1f} {worst}'
+            f'{row.memory_bytes / 1024:6.0f} {row.store_calls_s:7.1f} '
+            f'{row.connections:4.0f} {worst}'
         )
     out.append('fit: figure = intercept + slope * daemons')
     for line in lines:
--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -13,6 +13,7 @@
 
 from samphiredock.coordination import _gossip_parts
 from samphiredock.coordination import _member_table
+from samphiredock.coordination import _neighbours
 from samphiredock.coordination import _reports
 from samphiredock import protocol
 
@@ -71,6 +72,7 @@
         self._behind = behind
         self._numbers = 0
         self._probes = _gossip_parts.Probes(rng)
+        self._neighbours = _neighbours.Neighbours(me.name)
         self._freshness = _gossip_parts.Freshness()
         self._last_ms = now_ms
         self._next_probe_ms = now_ms
@@ -182,7 +184,7 @@
         return self._numbers
 
     def _others(self, count: int) -> list[str]:
-        names = sorted(self.table.names() - {self._name})
+        names = self._neighbours.names(self.table)
         return self._rng.sample(names, min(count, len(names)))
 
     def _probe(
@@ -201,7 +203,7 @@
         return [_gossip_parts.SendTo(name, message)]
 
     def _probe_next(self, now_ms: float) -> _Effects:
-        name = self._probes.next_target(self.table.names() - {self._name})
+        name = self._probes.next_target(self._neighbours.names(self.table))
         return self._probe(name, now_ms + _DIRECT_MS) if name else []
 
     def _probe_lost(self, now_ms: float) -> _Effects:
--- a/samphiredock/coordination/_gossip_parts.py
+++ b/samphiredock/coordination/_gossip_parts.py
@@ -118,7 +118,7 @@
         for probe in self._open.values():
             probe.due_ms += delay_ms
 
-    def next_target(self, others: typing.AbstractSet[str]) -> str | None:
+    def next_target(self, others: typing.Sequence[str]) -> str | None:
         """Return whose turn it is.
 
         Each member comes once in a round, so that none is left out long.
@@ -127,7 +127,7 @@
             name = self._round.pop()
             if name in others:
                 return name
-        self._round = sorted(others)
+        self._round = list(others)
         self._rng.shuffle(self._round)
         return self._round.pop() if self._round else None
 
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -25,6 +25,7 @@
 from samphiredock import transport
 
 _JOIN_RETRY_MS = 500.0
+_IDLE_MS = 60_000.0
 
 _log = logs.logger('membership')
 
@@ -180,6 +181,7 @@
         self._timers = [
             self._clock.every(_gossip.TICK_MS, self._tick),
             self._clock.every(_JOIN_RETRY_MS, self._join),
+            self._clock.every(_IDLE_MS, self._peers.close_idle),
         ]
         self._task = asyncio.create_task(self._directory.follow())
         self._ask_seeds()
--- /dev/null
+++ b/samphiredock/coordination/_neighbours.py
@@ -0,0 +1,44 @@
+"""Which members a daemon probes.
+
+An open connection between two daemons costs both of them memory (29 KB at
+each end, docs/design/membership.md), so that probing everybody would not
+fit at hundreds of daemons.  Each probes a few, chosen by a hash of the
+pair: the choice spreads over all sites, changes little when a member comes
+or goes, and every member is probed by about as many.
+"""
+
+import xxhash
+
+from samphiredock.coordination import _member_table
+
+COUNT = 24
+_EVERYBODY_UP_TO = 32
+
+
+class Neighbours:
+    """The members that one daemon probes, kept until the members change.
+
+    Parameters
+    ----------
+    name
+        This daemon's name.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._version = -1
+        self._names: list[str] = []
+
+    def names(self, table: _member_table.MemberTable) -> list[str]:
+        """Return the neighbours among the live members, sorted."""
+        if table.version != self._version:
+            self._version = table.version
+            others = table.names() - {self._name}
+            if len(others) > _EVERYBODY_UP_TO:
+                others = sorted(others, key=self._weight)[:COUNT]
+            self._names = sorted(others)
+        return self._names
+
+    def _weight(self, other: str) -> int:
+        pair = '/'.join(sorted((self._name, other)))
+        return xxhash.xxh64_intdigest(pair.encode())
--- a/samphiredock/coordination/_relay.py
+++ b/samphiredock/coordination/_relay.py
@@ -42,6 +42,9 @@
     def reset(self, member: str) -> None:
         """Make a new connection to a member."""
 
+    def close_idle(self) -> None:
+        """Close the connections that were not used since the last call."""
+
     def deliver(self, sender: str, message: msgspec.Struct) -> None:
         """Hand a message to its subscribers here."""
 
--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -85,6 +85,7 @@
         self._handlers: dict[type, list[Handler]] = {}
         self._addresses: dict[str, str] = {}
         self._outgoing: dict[str, zmq.Socket] = {}
+        self._used: set[str] = set()
         self._pending: dict[str, list[bytes]] = {}
         self._loop = asyncio.get_running_loop()
         self._closed = False
@@ -108,6 +109,16 @@
         if socket is not None:
             socket.close(linger=0)
 
+    def close_idle(self) -> None:
+        """Close the sockets that were not used since the last call.
+
+        An open connection costs both ends memory; among hundreds of
+        daemons most are used seldom.
+        """
+        for member in self._outgoing.keys() - self._used:
+            self._outgoing.pop(member).close(linger=_LINGER_MS)
+        self._used.clear()
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call ``handler(sender, message)`` for each message of a type."""
         self._handlers.setdefault(kind, []).append(handler)
@@ -140,6 +151,7 @@
 
     def _send_frames(self, member: str, frames: list[bytes]) -> None:
         messages = len(frames) // 2
+        self._used.add(member)
         socket = self._socket_to(member)
         if socket is None:
             self._metrics.add(
--- a/tests/fakes_daemons.py
+++ b/tests/fakes_daemons.py
@@ -98,6 +98,8 @@
         self.known: dict[str, str] = {}
         self.silent: set[str] = set()
         self.resets = 0
+        self.open: set[str] = set()
+        self._used: set[str] = set()
 
     def subscribe(self, kind: type, handler: typing.Callable) -> None:
         """Register a handler."""
@@ -118,9 +120,15 @@
             return False
         if member not in self.silent:
             address = self.known[member]
+            self.open.add(address)
+            self._used.add(address)
             self._network.carry(self._daemon, address, message)
         return True
 
+    def close_idle(self) -> None:
+        """Close unused connections."""
+        self.open, self._used = self._used, set()
+
     def deliver(self, sender: str, message: msgspec.Struct) -> None:
         """Hand a message to its handlers."""
         for handler in self._handlers[type(message)]:
