--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -25,6 +25,7 @@
 from samphiredock import transport
 
 _JOIN_RETRY_MS = 500.0
+_IDLE_MS = 60_000.0
 
 _log = logs.logger('membership')
 
@@ -180,6 +181,7 @@
         self._timers = [
             self._clock.every(_gossip.TICK_MS, self._tick),
             self._clock.every(_JOIN_RETRY_MS, self._join),
+            self._clock.every(_IDLE_MS, self._peers.close_idle),
         ]
         self._task = asyncio.create_task(self._directory.follow())
         self._ask_seeds()
@@ -225,7 +227,7 @@
         if members is None:
             # The store is down: the settings' addresses are what there is.
             self._settling.on_store()
-            if not self._joined:
+            if not self._listed:
                 self._settling.on_directory(self._seed_names())
             return
         self._listed = [_member_table.row_of(member) for member in members]
@@ -240,6 +242,7 @@
             return
         self._ask_seeds()
         self._carry_out(self._gossip.ask_unknown(self._listed))
+        self._carry_out(self._gossip.ask_some())
 
     def _ask_seeds(self) -> None:
         if self._joined:
