--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -71,6 +71,8 @@
 from samphiredock.coordination._merge import merge_records
 from samphiredock.coordination._merge import missing_ranges
 from samphiredock.coordination._merge import union_of
+from samphiredock.coordination._neighbours import COUNT
+from samphiredock.coordination._neighbours import Neighbours
 from samphiredock.coordination._outbox import Outbox
 from samphiredock.coordination._outbox import Place
 from samphiredock.coordination._ownership import GROUP_SIZE
@@ -189,6 +191,7 @@
     'CANCEL_SHARE',
     'CANCEL_WAIT_MS',
     'CONFIGURATION_KEY',
+    'COUNT',
     'COUNTED',
     'Care',
     'Case',
@@ -233,6 +236,7 @@
     'MemberTable',
     'Membership',
     'NO_SHARES',
+    'Neighbours',
     'News',
     'NoQuarantine',
     'OUTSTANDING_LIMIT',
