Quarantine: a content that kills two targets is refused; its neighbours are not

Cause: with the retry of a lost canary on the same shard's other replica, a poison request took both replicas of one shard and left every caller without it (seen: test_innocents_beside_it_are_answered, 19 of 20 answered). The second try now goes to a shard with other replicas.

--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -8,6 +8,7 @@
 
 from samphiredock.coordination import _planner
 from samphiredock.coordination import _scatter_attempts
+from samphiredock.coordination import _scatter_caution
 from samphiredock.coordination import _scatter_judge
 from samphiredock.coordination import _scatter_round
 from samphiredock.coordination import _scatter_types
@@ -18,7 +19,6 @@
 _PASSES = 2
 _PAUSE_MS = 10.0
 _RESTARTS = 2
-_CANARY_SHARDS = 2
 _SNAPSHOT_WAIT_SHARE = 0.5
 _SNAPSHOT_POLL_MS = 5.0
 
@@ -73,12 +73,8 @@
         self._look_again_ms = math.inf
         self._hedge_due_ms = math.inf
         self._again_due_ms = math.inf
-        self._canary = canary or suspect
-        self._canaries = 0
-        self._held: list[_scatter_round.ShardState] = []
-        self._careful = self._canary
-        self._suspect = suspect
-        self._alone_queue: list[_scatter_round.ShardState] = []
+        self._caution = _scatter_caution.Caution(canary, suspect)
+        self._trial_at_ms = 0.0
         self.tally = _scatter_types.Tally(needed=len(self._round.shards))
 
     # Inputs.
@@ -127,12 +123,15 @@
 
     def next_due_ms(self) -> float:
         """Return when :meth:`on_tick` has something to do."""
-        return min(
+        due_ms = min(
             self._plan.deadline_at_ms,
             self._hedge_due_ms,
             self._again_due_ms,
             self._look_again_ms,
         )
+        if self._caution.is_waiting() and not self._attempts.has_alone():
+            due_ms = min(due_ms, self._trial_at_ms)
+        return due_ms
 
     # Attempts.
 
@@ -142,18 +141,11 @@
             self._hedge_due_ms = now_ms + delay_ms
         shards = self._round.shards
         self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
-        self._canary = self._careful
-        if not self._canary:
-            for shard in shards:
-                self._attempt(shard, now_ms)
-            return
-        first = self._tools.replicas.pick(len(shards))
-        self._held = shards[first + 1 :] + shards[:first]
-        self._canaries = 1
-        self._attempt(shards[first], now_ms)
+        for shard in self._caution.begin(shards):
+            self._attempt(shard, now_ms)
 
     def _hedge_delay_ms(self) -> float | None:
-        if self._suspect:
+        if not self._caution.allows_hedges():
             return None
         return self._tools.latencies.hedge_delay_ms(
             self._index, self._limits.hedge_quantile
@@ -187,7 +179,7 @@
             target,
             dispatcher,
             now_ms,
-            self._careful,
+            self._caution.is_alone(shard),
             hedge,
         )
 
@@ -223,7 +215,7 @@
         elif attempt.item.hedge:
             self._tools.budget.refund()
         if attempt.alone and status is _Status.ANSWERED:
-            self._note_success(now_ms)
+            self._note_success(shard, now_ms)
         if verdict is _Verdict.WHOLE:
             self.tally.hedges_won += attempt.item.hedge
             self._settle(shard, now_ms)
@@ -263,31 +255,35 @@
         Only a loss while the content ran alone counts against it; else it
         is run again alone, one shard at a time, which tells the two apart.
         """
-        self._suspect = True
-        self._careful = True
+        self._caution.note_lost(shard)
         self._hedge_due_ms = math.inf
+        self._trial_at_ms = now_ms + _SUSPECT_PAUSE_MS
+        self._tools.budget.owe()
         if answer.ran_alone:
             self._tools.suspicions.note_lost(
                 self._plan.fingerprint, answer.target, self._plan.service
             )
-        self._tools.budget.owe()
-        shard.again_at_ms = now_ms + _SUSPECT_PAUSE_MS
-        self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
 
-    def _note_success(self, now_ms: float) -> None:
+    def _note_success(
+        self, shard: _scatter_round.ShardState, now_ms: float
+    ) -> None:
         """The content ran alone and its target lives: go on as usual."""
-        self._tools.suspicions.note_succeeded(self._plan.fingerprint)
-        self._suspect = False
+        if self._caution.note_succeeded(shard):
+            self._tools.suspicions.note_succeeded(self._plan.fingerprint)
         self._release(now_ms)
 
     def _release(self, now_ms: float) -> None:
-        self._canary = False
-        self._careful = False
-        held, self._held = self._held, []
-        queue, self._alone_queue = self._alone_queue, []
-        for shard in held:
-            self._attempt(shard, now_ms)
-        for shard in queue:
+        for shard in self._caution.release():
+            self._retry(shard, False, now_ms)
+
+    def _next_trial(self, now_ms: float) -> None:
+        """Ask one shard alone, unless the content has been judged."""
+        if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+            self._finish()
+        elif self._caution.needs_no_more():
+            self._release(now_ms)
+        else:
+            shard = self._caution.next_shard(self._tools.replicas.pick)
             self._retry(shard, False, now_ms)
 
     def _retry(
@@ -296,13 +292,9 @@
         """Try another replica, unless one is still at it."""
         if self._finish_effect or shard.settled or shard.outstanding:
             return
-        if self._careful:
-            if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
-                self._finish()
-                return
-            if self._attempts.has_alone():
-                self._alone_queue.append(shard)
-                return
+        if self._caution.is_alone(shard) and self._attempts.has_alone():
+            self._caution.wait(shard)
+            return
         candidates = self._open_to(shard)
         if not candidates:
             self._give_up(shard, now_ms)
@@ -311,7 +303,7 @@
             self.tally.retries_denied += 1
             self._settle(shard, now_ms)
             return
-        self.tally.retries += 1
+        self.tally.retries += bool(shard.tried)
         self._attempt(shard, now_ms, candidates)
 
     def _give_up(
@@ -340,16 +332,6 @@
                 if row.shard is shard
             ]
             self._drop(losers, now_ms)
-        if self._canary and not self._finish_effect:
-            self._next_canary(now_ms)
-
-    def _next_canary(self, now_ms: float) -> None:
-        """The canary's shard gave no verdict: ask another, or go on."""
-        if self._canaries >= _CANARY_SHARDS and not self._suspect:
-            self._release(now_ms)
-        elif self._held:
-            self._canaries += 1
-            self._attempt(self._held.pop(0), now_ms)
 
     def _drop(
         self, attempts: list[_scatter_round.Attempt], now_ms: float
@@ -410,8 +392,8 @@
     def _done(self, now_ms: float) -> list[_scatter_types.Effect]:
         if not self._finish_effect and self._stuck_until_ms < math.inf:
             self._resolve_stuck(now_ms)
-        while self._alone_queue and not self._attempts.has_alone():
-            self._retry(self._alone_queue.pop(0), False, now_ms)
+        while self._may_try(now_ms):
+            self._next_trial(now_ms)
         if not self._round.unsettled:
             self._finish()
         effects = self._attempts.collect()
@@ -419,6 +401,14 @@
             effects.append(self._finish_effect)
         return effects
 
+    def _may_try(self, now_ms: float) -> bool:
+        return (
+            not self._finish_effect
+            and now_ms >= self._trial_at_ms
+            and self._caution.is_waiting()
+            and not self._attempts.has_alone()
+        )
+
     def _resolve_stuck(self, now_ms: float) -> None:
         """Restart whole on a newer snapshot, or stop waiting for one."""
         self._look_again_ms = now_ms + _SNAPSHOT_POLL_MS
@@ -449,7 +439,6 @@
         self._began = self._began or len(self._attempts) > 0
         self._drop(self._attempts.outstanding(), now_ms)
         self._attempts.discard_unsent()
-        self._alone_queue.clear()
         if self._older is None or self._older.keys() < self._round.keys():
             self._older = self._round
         self._round = _scatter_round.Round(self._plan, snapshot)
@@ -461,7 +450,6 @@
         self._began = self._began or len(self._attempts) > 0
         self._attempts.discard_unsent()
         self._attempts.drop(self._attempts.outstanding(), lambda row: None)
-        self._alone_queue.clear()
         self._hedge_due_ms = math.inf
         self._again_due_ms = math.inf
         self.tally.sent = self._attempts.sent
--- /dev/null
+++ b/samphiredock/coordination/_scatter_caution.py
@@ -0,0 +1,126 @@
+"""Which shards of a search may be asked now, and which only alone."""
+
+import typing
+
+from samphiredock.coordination import _scatter_round
+
+_CANARIES = 2
+
+Pick = typing.Callable[[int], int]
+
+
+class Caution:
+    """Hold shards back while the content may crash its targets.
+
+    Parameters
+    ----------
+    canary
+        Ask one shard alone first.
+    suspect
+        A target was lost to this content before: nothing but one attempt
+        at a time until one has succeeded.
+    """
+
+    def __init__(self, canary: bool, suspect: bool) -> None:
+        self._is_canary = canary or suspect
+        self._is_careful = self._is_canary
+        self._is_suspect = suspect
+        self._canaries = 0
+        self._held: list[_scatter_round.ShardState] = []
+        self._queue: list[_scatter_round.ShardState] = []
+        self._lost: list[_scatter_round.ShardState] = []
+
+    def begin(
+        self, shards: list[_scatter_round.ShardState]
+    ) -> list[_scatter_round.ShardState]:
+        """Return the shards to ask at once; the others are held."""
+        self._is_careful = self._is_careful or self._is_suspect
+        self._is_canary = self._is_careful
+        self._canaries = 0
+        self._queue.clear()
+        self._lost.clear()
+        if not self._is_canary:
+            return shards
+        self._held = list(shards)
+        return []
+
+    def is_alone(self, shard: _scatter_round.ShardState) -> bool:
+        """Whether a shard may only be asked alone, one at a time."""
+        return self._is_careful or shard in self._lost
+
+    def allows_hedges(self) -> bool:
+        """Whether a second target may run the content at the same time."""
+        return not self._is_suspect
+
+    def is_waiting(self) -> bool:
+        """Whether a shard waits for its turn to be asked alone."""
+        return bool(self._queue) or (self._is_canary and bool(self._held))
+
+    def wait(self, shard: _scatter_round.ShardState) -> None:
+        """Ask a shard when the one that runs alone has ended."""
+        self._queue.append(shard)
+
+    def note_lost(self, shard: _scatter_round.ShardState) -> None:
+        """A target died under this content, alone or beside others."""
+        self._is_suspect = True
+        if self._is_canary or shard in self._lost:
+            self._is_careful = True
+        if shard not in self._lost:
+            self._lost.append(shard)
+        self._queue.append(shard)
+
+    def note_succeeded(self, shard: _scatter_round.ShardState) -> bool:
+        """A shard answered alone; True if that clears the content.
+
+        It does not while another shard's loss is unexplained: the content
+        may crash just the targets of that one.
+        """
+        if shard in self._lost:
+            self._lost.remove(shard)
+        if self._lost:
+            return False
+        self._is_suspect = False
+        return True
+
+    def release(self) -> list[_scatter_round.ShardState]:
+        """Return the held shards; only those with a loss still go alone."""
+        self._is_canary = False
+        self._is_careful = False
+        free = self._held + [
+            shard for shard in self._queue if shard not in self._lost
+        ]
+        self._held = []
+        self._queue = [shard for shard in self._queue if shard in self._lost]
+        return free
+
+    def needs_no_more(self) -> bool:
+        """Whether canaries that gave no verdict have cost enough time."""
+        return (
+            self._is_canary
+            and not self._is_suspect
+            and self._canaries >= _CANARIES
+        )
+
+    def next_shard(self, pick: Pick) -> _scatter_round.ShardState:
+        """Return the shard to ask alone now.
+
+        After a loss this is one whose replicas are all others, so that a
+        content that kills its two targets leaves every shard a replica.
+        """
+        if self._is_canary:
+            dead = {
+                name for shard in self._lost for name in shard.shard.replicas
+            }
+            spare = [
+                shard
+                for shard in self._held
+                if dead.isdisjoint(shard.shard.replicas)
+            ]
+            if spare:
+                self._canaries += 1
+                chosen = spare[pick(len(spare))]
+                self._held.remove(chosen)
+                return chosen
+        if self._queue:
+            return self._queue.pop(0)
+        return self._held.pop(0)
