--- a/samphiredock/coordination/_coordinator.py
+++ b/samphiredock/coordination/_coordinator.py
@@ -301,7 +301,7 @@
                 self._metrics.add_bulk(name, amount, service=plan.service)
         self._metrics.observe(
             'request_extra_load',
-            tally.sent / max(1, tally.needed),
+            tally.sub_queries_sent / max(1, tally.sub_queries_needed),
             service=plan.service,
             request_class=plan.search.request_class,
         )
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -75,7 +75,9 @@
         self._again_due_ms = math.inf
         self._caution = _scatter_caution.Caution(canary, suspect)
         self._trial_at_ms = 0.0
-        self.tally = _scatter_types.Tally(needed=len(self._round.shards))
+        self.tally = _scatter_types.Tally(
+            sub_queries_needed=len(self._round.shards)
+        )
 
     # Inputs.
 
@@ -452,7 +454,7 @@
         self._attempts.drop(self._attempts.outstanding(), lambda row: None)
         self._hedge_due_ms = math.inf
         self._again_due_ms = math.inf
-        self.tally.sent = self._attempts.sent
+        self.tally.sub_queries_sent = self._attempts.sent
         self._finish_effect = _scatter_types.Finish(self._outcome())
 
     def _outcome(self) -> protocol.SearchOutcome:
--- a/samphiredock/coordination/_scatter_types.py
+++ b/samphiredock/coordination/_scatter_types.py
@@ -68,8 +68,8 @@
 class Tally:
     """What one search did; added to the metrics once, at its end."""
 
-    sent: int = 0
-    needed: int = 0
+    sub_queries_sent: int = 0
+    sub_queries_needed: int = 0
     retries: int = 0
     retries_denied: int = 0
     hedges_sent: int = 0
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -120,8 +120,8 @@
             while desk.outcome is None:
                 rows = list(desk.waiting.values())
                 desk.give(*[desk.failed(r, Status.BROKEN) for r in rows])
-            sent += desk.scatter.tally.sent
-            needed += desk.scatter.tally.needed
+            sent += desk.scatter.tally.sub_queries_sent
+            needed += desk.scatter.tally.sub_queries_needed
         share = desk.limits.hedge_budget
         self.assertLessEqual(sent - needed, 20 + share * needed + 1)
         self.assertGreater(sent, needed)
--- /dev/null
+++ b/tests/unit/test_admission.py
@@ -0,0 +1,86 @@
+"""Admission: what is refused at once, and when to come back."""
+
+import dataclasses
+import unittest
+
+from samphiredock import coordination
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+
+Reason = protocol.NotRunReason
+
+
+class AdmissionTest(unittest.TestCase):
+    """Two services at one daemon with room for ten."""
+
+    def setUp(self) -> None:
+        """Make two services of at most eight requests each."""
+        self.clock = timers.ManualTimers()
+        self.admission = coordination.Admission(self.clock)
+        self.desk = state.Service('desk', {}, {}, 1.0, 8)
+        self.field = dataclasses.replace(self.desk, name='field')
+        self.limits = state.Limits(in_flight_per_daemon=10)
+
+    def admit(
+        self,
+        service: state.Service,
+        request_class: str = 'interactive',
+        deadline_ms: float = 160.0,
+        least_ms: float = 0.0,
+    ) -> Reason | None:
+        """Return why a request is refused, None if it is admitted."""
+        refusal = self.admission.admit(
+            service, self.limits, request_class, deadline_ms, least_ms
+        )
+        self.refusal = refusal
+        return refusal and refusal.reason
+
+    def test_service_limit_leaves_room_for_the_others(self) -> None:
+        """A service at its limit is refused, another is not."""
+        for _ in range(8):
+            self.assertIsNone(self.admit(self.desk))
+        self.assertIs(Reason.SHARE_EXCEEDED, self.admit(self.desk))
+        self.assertIsNone(self.admit(self.field))
+        self.admission.ended('desk')
+        self.assertIsNone(self.admit(self.desk))
+
+    def test_batch_gives_way_to_interactive(self) -> None:
+        """Near the daemon's limit only interactive requests get in."""
+        for _ in range(8):
+            self.admit(self.desk)
+        self.assertIs(Reason.OVERLOADED, self.admit(self.field, 'batch'))
+        self.assertIsNone(self.admit(self.field))
+        self.assertIsNone(self.admit(self.field))
+        self.assertIs(Reason.OVERLOADED, self.admit(self.field))
+        self.assertEqual(10, self.admission.in_flight())
+
+    def test_retry_after_follows_the_drain_rate(self) -> None:
+        """A daemon that drains ten times slower asks for a longer wait."""
+        waits = []
+        for gap_ms in (100.0, 1_000.0):
+            for _ in range(200):
+                self.admission._enter('desk')
+                self.clock.advance(gap_ms)
+                self.admission.ended('desk')
+            for _ in range(10):
+                self.admission._enter('field')
+            self.assertIs(Reason.OVERLOADED, self.admit(self.desk))
+            waits.append(self.refusal.retry_after_ms)
+            for _ in range(10):
+                self.admission.ended('field')
+            self.clock.advance(1.0)
+        self.assertLess(waits[0], waits[1])
+        self.assertLessEqual(waits[1], 5_000)
+
+    def test_short_deadline_is_refused_but_probed(self) -> None:
+        """A deadline that cannot be met is refused; one in 20 is tried.
+
+        Were none tried, a slow minute would never be found to be over.
+        """
+        verdicts = [
+            self.admit(self.desk, deadline_ms=5.0, least_ms=9.0)
+            for _ in range(20)
+        ]
+        self.assertEqual([Reason.DEADLINE_TOO_SHORT] * 19, verdicts[:19])
+        self.assertIsNone(verdicts[19])
