--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -10,6 +10,7 @@
 from samphiredock.coordination import _scatter_attempts
 from samphiredock.coordination import _scatter_caution
 from samphiredock.coordination import _scatter_judge
+from samphiredock.coordination import _scatter_restart
 from samphiredock.coordination import _scatter_round
 from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
@@ -18,9 +19,6 @@
 _RETRY_AFTER_MS = 1_000
 _PASSES = 2
 _PAUSE_MS = 10.0
-_RESTARTS = 2
-_SNAPSHOT_WAIT_SHARE = 0.5
-_SNAPSHOT_POLL_MS = 5.0
 
 # Before a content that lost a target is tried again: in this time the news
 # of a copy that another daemon ran at the same moment arrives.
@@ -68,9 +66,7 @@
         self._seen: dict[_Status, int] = {}
         self._began = False
         self._finish_effect: _scatter_types.Finish | None = None
-        self._may_restart = True
-        self._stuck_until_ms = math.inf
-        self._look_again_ms = math.inf
+        self._wait = _scatter_restart.SnapshotWait(plan.deadline_at_ms)
         self._hedge_due_ms = math.inf
         self._again_due_ms = math.inf
         self._caution = _scatter_caution.Caution(canary, suspect)
@@ -129,7 +125,7 @@
             self._plan.deadline_at_ms,
             self._hedge_due_ms,
             self._again_due_ms,
-            self._look_again_ms,
+            self._wait.due_ms(),
         )
         if self._caution.is_waiting() and not self._attempts.has_alone():
             due_ms = min(due_ms, self._trial_at_ms)
@@ -318,10 +314,8 @@
             shard.again.clear()
             shard.again_at_ms = now_ms + max(_PAUSE_MS, shard.pause_ms)
             self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
-        elif shard.gone and self._may_restart:
-            if self._stuck_until_ms == math.inf:
-                left_ms = self._plan.deadline_at_ms - now_ms
-                self._stuck_until_ms = now_ms + left_ms * _SNAPSHOT_WAIT_SHARE
+        elif shard.gone and self._wait.may_restart():
+            self._wait.begin(now_ms)
         else:
             self._settle(shard, now_ms)
 
@@ -353,15 +347,9 @@
         delay_ms = self._hedge_delay_ms()
         if delay_ms is None:
             return
-        for attempt in self._attempts.outstanding():
-            shard = attempt.shard
-            if shard.hedged or shard.outstanding != 1:
-                continue
-            due_ms = attempt.sent_ms + delay_ms
-            if due_ms > now_ms:
-                self._hedge_due_ms = min(self._hedge_due_ms, due_ms)
-            else:
-                self._hedge(attempt, now_ms)
+        late, self._hedge_due_ms = self._attempts.overdue(delay_ms, now_ms)
+        for attempt in late:
+            self._hedge(attempt, now_ms)
 
     def _hedge(self, attempt: _scatter_round.Attempt, now_ms: float) -> None:
         shard = attempt.shard
@@ -392,7 +380,7 @@
     # The end.
 
     def _done(self, now_ms: float) -> list[_scatter_types.Effect]:
-        if not self._finish_effect and self._stuck_until_ms < math.inf:
+        if not self._finish_effect and self._wait.is_on():
             self._resolve_stuck(now_ms)
         while self._may_try(now_ms):
             self._next_trial(now_ms)
@@ -413,20 +401,17 @@
 
     def _resolve_stuck(self, now_ms: float) -> None:
         """Restart whole on a newer snapshot, or stop waiting for one."""
-        self._look_again_ms = now_ms + _SNAPSHOT_POLL_MS
-        newest = self._tools.routes.snapshot
-        left_ms = self._plan.deadline_at_ms - now_ms
-        if (
-            newest is not None
-            and newest.snapshot_id > self._round.snapshot.snapshot_id
-            and self._index in newest.indexes
-            and left_ms > self._tools.latencies.quantile_ms(self._index, 0.5)
-        ):
-            self._restart(newest, now_ms)
-        elif now_ms >= self._stuck_until_ms:
-            self._stuck_until_ms = math.inf
-            self._look_again_ms = math.inf
-            self._may_restart = False
+        newer = self._wait.look(
+            self._tools.routes.snapshot,
+            self._round.snapshot,
+            self._index,
+            self._tools.latencies.quantile_ms(self._index, 0.5),
+            now_ms,
+        )
+        if newer is not None:
+            self._restart(newer, now_ms)
+        elif self._wait.is_over(now_ms):
+            self._wait.give_up()
             for shard in self._round.shards:
                 waits = shard.outstanding or shard.again_at_ms
                 if shard.gone and not waits:
@@ -434,9 +419,7 @@
 
     def _restart(self, snapshot: state.Snapshot, now_ms: float) -> None:
         self.tally.search_restarts += 1
-        self._may_restart = self.tally.search_restarts < _RESTARTS
-        self._stuck_until_ms = math.inf
-        self._look_again_ms = math.inf
+        self._wait.restarted()
         self._again_due_ms = math.inf
         self._began = self._began or len(self._attempts) > 0
         self._drop(self._attempts.outstanding(), now_ms)
--- a/samphiredock/coordination/_scatter_attempts.py
+++ b/samphiredock/coordination/_scatter_attempts.py
@@ -1,5 +1,6 @@
 """The attempts of one search that have not ended."""
 
+import math
 import typing
 
 from samphiredock.coordination import _replicas
@@ -31,6 +32,21 @@
         """Return the attempts that have not ended."""
         return list(self._out.values())
 
+    def overdue(
+        self, delay_ms: float, now_ms: float
+    ) -> tuple[list[_scatter_round.Attempt], float]:
+        """Return the attempts to hedge now, and when to look again."""
+        late = []
+        due_ms = math.inf
+        for attempt in self._out.values():
+            if attempt.shard.hedged or attempt.shard.outstanding != 1:
+                continue
+            if attempt.sent_ms + delay_ms <= now_ms:
+                late.append(attempt)
+            else:
+                due_ms = min(due_ms, attempt.sent_ms + delay_ms)
+        return late, due_ms
+
     def has_alone(self) -> bool:
         """Whether an attempt that runs alone has not ended."""
         return self._alone > 0
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -90,17 +90,18 @@
         Left out, the losers would leave only quick samples, the delay would
         fall, and more would be hedged each time.
         """
-        before = self.desk.tools.latencies.hedge_delay_ms(scripted.INDEX, 0.95)
-        for _ in range(100):
+        latencies = self.desk.tools.latencies
+        before = latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+        for _ in range(250):
+            self.desk.tools.budget.deposit(100, 1.0)
             self.desk.begin()
-            late, *others = self.desk.waiting.values()
+            others = list(self.desk.waiting.values())[1:]
             self.desk.now_ms += 5.0
             self.desk.give(*[self.desk.good(row) for row in others])
-            for hedge in self.desk.tick(30.0):
-                self.desk.give(self.desk.good(hedge))
-            if self.desk.outcome is None:
-                self.desk.give(self.desk.good(late))
-        after = self.desk.tools.latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+            due_ms = self.desk.scatter.next_due_ms()
+            (hedge,) = self.desk.tick(due_ms - self.desk.now_ms)
+            self.desk.give(self.desk.good(hedge))
+        after = latencies.hedge_delay_ms(scripted.INDEX, 0.95)
         self.assertGreaterEqual(after, before)
 
 
--- a/tests/failure/test_one_snapshot.py
+++ b/tests/failure/test_one_snapshot.py
@@ -81,7 +81,7 @@
         """
         desk = scripted.Desk()
         sent = 0
-        while desk.outcome is None:
+        for _ in range(10):
             newer = desk.scatter.tally.search_restarts + 2
             desk.snapshot = scripted.make_snapshot(newer)
             rows = list(desk.waiting.values())
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -125,6 +125,28 @@
         quarantine.note_succeeded('innocent')
         self.assertIsNone(quarantine.refusal('innocent'))
 
+    async def test_a_loss_beside_others_is_tried_again_alone(self) -> None:
+        """A content in the same exchange as the poison is not blamed.
+
+        Two of its shards were in exchanges with others when their targets
+        died.  No loss is counted; each is asked again alone, one at a time,
+        and the answers clear it.
+        """
+        desk = scripted.Desk()
+        first, second, *others = desk.waiting.values()
+        desk.give(*[desk.good(row) for row in others])
+        lost = {'target_lost': True, 'ran_alone': False}
+        desk.give(
+            desk.failed(first, protocol.SubStatus.BROKEN, **lost),
+            desk.failed(second, protocol.SubStatus.BROKEN, **lost),
+        )
+        (trial,) = desk.tick(25.0)
+        (other,) = desk.give(desk.good(trial))
+        self.assertEqual({trial.attempt_id, other.attempt_id}, desk.alone)
+        desk.give(desk.good(other))
+        self.assertIsInstance(desk.outcome, protocol.Answered)
+        self.assertEqual(([], 1), (desk.lost, desk.succeeded))
+
     async def test_a_suspect_is_tried_by_one_daemon_at_a_time(self) -> None:
         """While one daemon tries a suspect, the others refuse it shortly.
 
