--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -9,6 +9,7 @@
 from samphiredock.coordination import _planner
 from samphiredock.coordination import _scatter_attempts
 from samphiredock.coordination import _scatter_caution
+from samphiredock.coordination import _scatter_hedges
 from samphiredock.coordination import _scatter_judge
 from samphiredock.coordination import _scatter_restart
 from samphiredock.coordination import _scatter_round
@@ -16,9 +17,6 @@
 from samphiredock import protocol
 from samphiredock import state
 
-_RETRY_AFTER_MS = 1_000
-_PASSES = 2
-_PAUSE_MS = 10.0
 
 # Before a content that lost a target is tried again: in this time the news
 # of a copy that another daemon ran at the same moment arrives.
@@ -67,13 +65,15 @@
         self._began = False
         self._finish_effect: _scatter_types.Finish | None = None
         self._wait = _scatter_restart.SnapshotWait(plan.deadline_at_ms)
-        self._hedge_due_ms = math.inf
         self._again_due_ms = math.inf
         self._caution = _scatter_caution.Caution(canary, suspect)
         self._trial_at_ms = 0.0
         self.tally = _scatter_types.Tally(
             sub_queries_needed=len(self._round.shards)
         )
+        self._hedges = _scatter_hedges.Hedges(
+            tools, self._index, limits.hedge_quantile, self.tally
+        )
 
     # Inputs.
 
@@ -101,8 +101,10 @@
         """Do what has fallen due: deadline, hedges, second tries."""
         if now_ms >= self._plan.deadline_at_ms:
             self._finish()
-        if now_ms >= self._hedge_due_ms:
-            self._send_hedges(now_ms)
+        if now_ms >= self._hedges.due_ms and not self._finish_effect:
+            due = self._hedges.take_due(self._attempts, self._open_to, now_ms)
+            for shard, candidates in due:
+                self._attempt(shard, now_ms, candidates, hedge=True)
         if now_ms >= self._again_due_ms:
             self._try_again(now_ms)
         return self._done(now_ms)
@@ -123,7 +125,7 @@
         """Return when :meth:`on_tick` has something to do."""
         due_ms = min(
             self._plan.deadline_at_ms,
-            self._hedge_due_ms,
+            self._hedges.due_ms,
             self._again_due_ms,
             self._wait.due_ms(),
         )
@@ -134,21 +136,13 @@
     # Attempts.
 
     def _begin_round(self, now_ms: float) -> None:
-        delay_ms = self._hedge_delay_ms()
-        if delay_ms is not None:
-            self._hedge_due_ms = now_ms + delay_ms
+        if self._caution.allows_hedges():
+            self._hedges.arm(now_ms)
         shards = self._round.shards
         self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
         for shard in self._caution.begin(shards):
             self._attempt(shard, now_ms)
 
-    def _hedge_delay_ms(self) -> float | None:
-        if not self._caution.allows_hedges():
-            return None
-        return self._tools.latencies.hedge_delay_ms(
-            self._index, self._limits.hedge_quantile
-        )
-
     def _open_to(self, shard: _scatter_round.ShardState) -> list[str]:
         is_usable = self._tools.routes.is_usable
         tried = shard.tried
@@ -232,12 +226,7 @@
         now_ms: float,
     ) -> None:
         rule = _scatter_judge.RETRY_RULES[verdict]
-        shard.gone = shard.gone or rule.gone
-        if rule.unasked:
-            shard.tried.discard(answer.target)
-        if rule.again:
-            shard.again.add(answer.target)
-            shard.pause_ms = max(shard.pause_ms, answer.retry_after_ms)
+        _scatter_judge.apply(rule, answer, shard)
         if rule.counter:
             self.tally.count(rule.counter)
         self._retry(shard, rule.costly, now_ms)
@@ -254,7 +243,7 @@
         is run again alone, one shard at a time, which tells the two apart.
         """
         self._caution.note_lost(shard)
-        self._hedge_due_ms = math.inf
+        self._hedges.stop()
         self._trial_at_ms = now_ms + _SUSPECT_PAUSE_MS
         self._tools.budget.owe()
         if answer.ran_alone:
@@ -308,11 +297,8 @@
         self, shard: _scatter_round.ShardState, now_ms: float
     ) -> None:
         """No replica is left: pause, wait for a snapshot, or settle."""
-        if shard.again and shard.passes < _PASSES:
-            shard.passes += 1
-            shard.tried -= shard.again
-            shard.again.clear()
-            shard.again_at_ms = now_ms + max(_PAUSE_MS, shard.pause_ms)
+        if shard.may_pause():
+            shard.pause(now_ms)
             self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
         elif shard.gone and self._wait.may_restart():
             self._wait.begin(now_ms)
@@ -341,32 +327,6 @@
 
     # Time.
 
-    def _send_hedges(self, now_ms: float) -> None:
-        """Ask another replica where the first is later than most are."""
-        self._hedge_due_ms = math.inf
-        delay_ms = self._hedge_delay_ms()
-        if delay_ms is None:
-            return
-        late, self._hedge_due_ms = self._attempts.overdue(delay_ms, now_ms)
-        for attempt in late:
-            self._hedge(attempt, now_ms)
-
-    def _hedge(self, attempt: _scatter_round.Attempt, now_ms: float) -> None:
-        shard = attempt.shard
-        candidates = self._open_to(shard)
-        if not candidates:
-            return
-        shard.hedged = True
-        if not self._tools.budget.spend_hedge():
-            self.tally.hedges_denied += 1
-            return
-        owner = self._tools.routes.owner
-        elsewhere = [
-            name for name in candidates if owner(name) != attempt.dispatcher
-        ]
-        self.tally.hedges_sent += 1
-        self._attempt(shard, now_ms, elsewhere or candidates, hedge=True)
-
     def _try_again(self, now_ms: float) -> None:
         self._again_due_ms = math.inf
         for shard in self._round.shards:
@@ -435,23 +395,11 @@
         self._began = self._began or len(self._attempts) > 0
         self._attempts.discard_unsent()
         self._attempts.drop(self._attempts.outstanding(), lambda row: None)
-        self._hedge_due_ms = math.inf
+        self._hedges.stop()
         self._again_due_ms = math.inf
         self.tally.sub_queries_sent = self._attempts.sent
-        self._finish_effect = _scatter_types.Finish(self._outcome())
-
-    def _outcome(self) -> protocol.SearchOutcome:
-        best = self._round
-        if self._older is not None and self._older.keys() > best.keys():
-            best = self._older
-        answer = best.answer()
-        if answer is not None:
-            return answer
-        detail = (
-            f'got coverage {best.keys() / state.KEY_SPACE_SIZE:.4f}, '
-            f'expected at least {self._plan.search.least_coverage}; '
-            f'endings: {sorted(status.value for status in self._seen)}'
+        self._finish_effect = _scatter_types.Finish(
+            _scatter_round.outcome_of(
+                self._round, self._older, self._seen, self._began
+            )
         )
-        if self._began:
-            return protocol.Unknown(detail, _RETRY_AFTER_MS)
-        return _scatter_round.refusal_of(self._seen, detail)
--- /dev/null
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -0,0 +1,87 @@
+"""Which late attempts of a search get a hedge."""
+
+import math
+import typing
+
+from samphiredock.coordination import _scatter_attempts
+from samphiredock.coordination import _scatter_round
+from samphiredock.coordination import _scatter_types
+
+OpenTo = typing.Callable[[_scatter_round.ShardState], list[str]]
+
+
+class Hedges:
+    """One timer for all hedges of a search.
+
+    Parameters
+    ----------
+    tools
+        Latencies, the budget and the owners of targets.
+    index, quantile
+        An attempt later than this quantile of the index's latency is late.
+    tally
+        Where hedges sent and denied are counted.
+    """
+
+    def __init__(
+        self,
+        tools: _scatter_types.Tools,
+        index: str,
+        quantile: float,
+        tally: _scatter_types.Tally,
+    ) -> None:
+        self._tools = tools
+        self._index = index
+        self._quantile = quantile
+        self._tally = tally
+        self.due_ms = math.inf
+
+    def _delay_ms(self) -> float | None:
+        return self._tools.latencies.hedge_delay_ms(
+            self._index, self._quantile
+        )
+
+    def arm(self, now_ms: float) -> None:
+        """All first attempts are sent now."""
+        delay_ms = self._delay_ms()
+        self.due_ms = math.inf if delay_ms is None else now_ms + delay_ms
+
+    def stop(self) -> None:
+        """Send no more."""
+        self.due_ms = math.inf
+
+    def take_due(
+        self,
+        attempts: _scatter_attempts.Attempts,
+        open_to: OpenTo,
+        now_ms: float,
+    ) -> list[tuple[_scatter_round.ShardState, list[str]]]:
+        """Return the shards to hedge now, each with its candidates.
+
+        A replica at another dispatcher comes first, since the lateness may
+        be the dispatcher's and not the target's.
+        """
+        self.due_ms = math.inf
+        delay_ms = self._delay_ms()
+        if delay_ms is None:
+            return []
+        late, self.due_ms = attempts.overdue(delay_ms, now_ms)
+        chosen = []
+        for attempt in late:
+            candidates = open_to(attempt.shard)
+            if candidates and self._may_hedge(attempt.shard):
+                elsewhere = [
+                    name
+                    for name in candidates
+                    if self._tools.routes.owner(name) != attempt.dispatcher
+                ]
+                chosen.append((attempt.shard, elsewhere or candidates))
+        return chosen
+
+    def _may_hedge(self, shard: _scatter_round.ShardState) -> bool:
+        shard.hedged = True
+        if self._tools.budget.spend_hedge():
+            self._tally.hedges_sent += 1
+            return True
+        self._tally.hedges_denied += 1
+        return False
--- a/samphiredock/coordination/_scatter_judge.py
+++ b/samphiredock/coordination/_scatter_judge.py
@@ -111,3 +111,17 @@
         shard.ranges.extend(answer.ranges)
     whole = _merge.covers(shard.ranges, asked)
     return Verdict.WHOLE if whole else Verdict.PART
+
+
+def apply(
+    rule: RetryRule,
+    answer: protocol.SubAnswer,
+    shard: _scatter_round.ShardState,
+) -> None:
+    """Note in ``shard`` which replicas may be asked after an ending."""
+    shard.gone = shard.gone or rule.gone
+    if rule.unasked:
+        shard.tried.discard(answer.target)
+    if rule.again:
+        shard.again.add(answer.target)
+        shard.pause_ms = max(shard.pause_ms, answer.retry_after_ms)
--- a/samphiredock/coordination/_scatter_round.py
+++ b/samphiredock/coordination/_scatter_round.py
@@ -8,6 +8,8 @@
 from samphiredock import state
 
 _RETRY_AFTER_MS = 1_000
+_PASSES = 2
+_PAUSE_MS = 10.0
 
 # The first of these that was seen says why a search was not run.
 _REASONS = (
@@ -52,6 +54,17 @@
     gone: bool = False
     settled: bool = False
 
+    def may_pause(self) -> bool:
+        """Whether refusals of the moment are worth a second pass."""
+        return bool(self.again) and self.passes < _PASSES
+
+    def pause(self, now_ms: float) -> None:
+        """Open the replicas that refused for the moment once more."""
+        self.passes += 1
+        self.tried -= self.again
+        self.again.clear()
+        self.again_at_ms = now_ms + max(_PAUSE_MS, self.pause_ms)
+
 
 class Round:
     """The shards of one search at one snapshot, and their answers."""
@@ -124,3 +137,37 @@
     return protocol.NotRun(
         protocol.NotRunReason.NO_TARGET, detail, _RETRY_AFTER_MS
     )
+
+
+def outcome_of(
+    current: Round,
+    older: Round | None,
+    seen: dict[protocol.SubStatus, int],
+    began: bool,
+) -> protocol.SearchOutcome:
+    """Return what the caller is told when nothing more is awaited.
+
+    Parameters
+    ----------
+    current, older
+        The answers at the newest snapshot tried and at the best one before;
+        the one that covers more is given, never both.
+    seen
+        Endings without content, with the longest ``retry_after_ms`` of each.
+    began
+        Whether any target may have begun: then "not run" would be untrue.
+    """
+    best = current
+    if older is not None and older.keys() > current.keys():
+        best = older
+    answer = best.answer()
+    if answer is not None:
+        return answer
+    detail = (
+        f'got coverage {best.keys() / state.KEY_SPACE_SIZE:.4f}, '
+        f'expected at least {best.plan.search.least_coverage}; '
+        f'endings: {sorted(status.value for status in seen)}'
+    )
+    if began:
+        return protocol.Unknown(detail, _RETRY_AFTER_MS)
+    return refusal_of(seen, detail)
