Hedges follow a canary; a verdict ends its search at once

Cause: the one hedge timer could run out on the canary, so that no shard sent after it was hedged (test_straggler_after_a_slow_canary fails without the re-arming: 8 passed, 1 failed); a search that convicted its content still waited the pause of 20 ms.

--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -136,12 +136,15 @@
     # Attempts.
 
     def _begin_round(self, now_ms: float) -> None:
-        if self._caution.allows_hedges():
-            self._hedges.arm(now_ms)
         shards = self._round.shards
         self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
         for shard in self._caution.begin(shards):
             self._attempt(shard, now_ms)
+        self._arm_hedges(now_ms)
+
+    def _arm_hedges(self, now_ms: float) -> None:
+        if self._caution.allows_hedges():
+            self._hedges.arm(now_ms)
 
     def _open_to(self, shard: _scatter_round.ShardState) -> list[str]:
         is_usable = self._tools.routes.is_usable
@@ -216,20 +219,9 @@
         elif verdict is _Verdict.LOST:
             self._take_loss(shard, answer, now_ms)
         else:
-            self._take_failure(shard, verdict, answer, now_ms)
-
-    def _take_failure(
-        self,
-        shard: _scatter_round.ShardState,
-        verdict: _scatter_judge.Verdict,
-        answer: protocol.SubAnswer,
-        now_ms: float,
-    ) -> None:
-        rule = _scatter_judge.RETRY_RULES[verdict]
-        _scatter_judge.apply(rule, answer, shard)
-        if rule.counter:
-            self.tally.count(rule.counter)
-        self._retry(shard, rule.costly, now_ms)
+            rule = _scatter_judge.RETRY_RULES[verdict]
+            _scatter_judge.apply(rule, answer, shard, self.tally)
+            self._retry(shard, rule.costly, now_ms)
 
     def _take_loss(
         self,
@@ -250,6 +242,8 @@
             self._tools.suspicions.note_lost(
                 self._plan.fingerprint, answer.target, self._plan.service
             )
+        if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+            self._finish()
 
     def _note_success(
         self, shard: _scatter_round.ShardState, now_ms: float
@@ -290,6 +284,7 @@
             self.tally.retries_denied += 1
             self._settle(shard, now_ms)
             return
+        self._arm_hedges(now_ms)
         self.tally.retries += bool(shard.tried)
         self._attempt(shard, now_ms, candidates)
 
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -42,7 +42,9 @@
         )
 
     def arm(self, now_ms: float) -> None:
-        """All first attempts are sent now."""
+        """Attempts are sent now; an earlier timer covers them too."""
+        if self.due_ms < math.inf:
+            return
         delay_ms = self._delay_ms()
         self.due_ms = math.inf if delay_ms is None else now_ms + delay_ms
 
--- a/samphiredock/coordination/_scatter_judge.py
+++ b/samphiredock/coordination/_scatter_judge.py
@@ -5,6 +5,7 @@
 
 from samphiredock.coordination import _merge
 from samphiredock.coordination import _scatter_round
+from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
 
 _Status = protocol.SubStatus
@@ -117,8 +118,11 @@
     rule: RetryRule,
     answer: protocol.SubAnswer,
     shard: _scatter_round.ShardState,
+    tally: _scatter_types.Tally,
 ) -> None:
     """Note in ``shard`` which replicas may be asked after an ending."""
+    if rule.counter:
+        tally.count(rule.counter)
     shard.gone = shard.gone or rule.gone
     if rule.unasked:
         shard.tried.discard(answer.target)
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -105,6 +105,29 @@
         self.assertGreaterEqual(after, before)
 
 
+class HedgeAfterCanaryTest(unittest.TestCase):
+    """The shards that follow a canary are hedged too."""
+
+    def test_straggler_after_a_slow_canary(self) -> None:
+        """A canary that outlasts the delay does not use up the timer.
+
+        Its hedge is refused and it answers late; one of the shards sent
+        then is late as well, and gets its own hedge.
+        """
+        desk = _trained_desk()
+        desk.canary = True
+        desk.begin()
+        (canary,) = desk.waiting.values()
+        (hedge,) = desk.tick(25.0)
+        desk.give(desk.failed(hedge, Status.NO_IDLE_SLOT))
+        rest = desk.give(desk.good(canary))
+        self.assertEqual(3, len(rest))
+        desk.give(*[desk.good(row) for row in rest[1:]])
+        (hedge,) = desk.tick(40.0)
+        self.assertEqual(rest[0].shard_id, hedge.shard_id)
+        self.assertNotIn(hedge.attempt_id, desk.alone)
+
+
 class RetryBudgetTest(unittest.TestCase):
     """Hedges and retries draw from one bucket."""
 
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -46,8 +46,12 @@
         tried at alone.  The caller sends it again through every daemon, ten
         times; each knows, and says so without moving time.
         """
+        started_ms = self.tier.clock.now_ms()
         (first,) = await self.ask('d0', _POISON)
         self.assertIsInstance(first, protocol.Unknown)
+        # Two service times and one pause: no wait after the verdict.
+        took_ms = self.tier.clock.now_ms() - started_ms
+        self.assertLess(took_ms, 2 * scripted.SERVICE_MS + 30.0)
         await self.tier.move(1.0)
         before_ms = self.tier.clock.now_ms()
         for name in list(self.tier.daemons) * 10:
