--- /dev/null
+++ b/benchmarks/canary_cost.py
@@ -0,0 +1,68 @@
+"""What a canary costs: how many searches need one, and their latency.
+
+Run as ``python -m benchmarks.canary_cost``.  A model, not a run of the
+tier: contents are drawn by a Zipf law, or each new, at the planned 175
+searches a second and daemon; service times are log-normal with one per cent
+of stragglers that take ten times as long.  No hedges.
+"""
+
+import itertools
+import json
+import random
+import statistics
+
+import click
+
+from samphiredock import coordination
+
+_PER_SECOND = 175
+_SHARDS = 55
+_MEDIAN_MS = 5.0
+_SIGMA = 0.3
+
+
+def _canary_share(contents: int, exponent: float, seed: int) -> float:
+    """Return the share of 100,000 searches whose content is not known."""
+    rng = random.Random(seed)
+    ranks = range(1, contents + 1)
+    weights = itertools.accumulate(rank**-exponent for rank in ranks)
+    known = coordination.KnownContents()
+    drawn = rng.choices(ranks, cum_weights=list(weights), k=100_000)
+    canaries = 0
+    for number, content in enumerate(drawn):
+        now_ms = number * 1_000.0 / _PER_SECOND
+        canaries += not known.is_known(str(content), now_ms)
+        known.remember(str(content), now_ms)
+    return canaries / len(drawn)
+
+
+def _service_ms(rng: random.Random) -> float:
+    took_ms = _MEDIAN_MS * rng.lognormvariate(0.0, _SIGMA)
+    return took_ms * 10.0 if rng.random() < 0.01 else took_ms
+
+
+def _latencies(canary_share: float, seed: int) -> dict[str, float]:
+    rng = random.Random(seed)
+    rows = []
+    for _ in range(20_000):
+        slowest = max(_service_ms(rng) for _ in range(_SHARDS))
+        first = _service_ms(rng) if rng.random() < canary_share else 0.0
+        rows.append(first + slowest)
+    cuts = statistics.quantiles(rows, n=100)
+    return {'p50_ms': round(cuts[49], 1), 'p99_ms': round(cuts[98], 1)}
+
+
+@click.command()
+@click.option('--seed', default=1)
+def main(seed: int) -> None:
+    """Print shares and latencies as JSON, one line a case."""
+    for contents, exponent in ((5_000, 1.0), (100_000, 1.0), (10**6, 0.6)):
+        share = _canary_share(contents, exponent, seed)
+        row = {'contents': contents, 'exponent': exponent, 'share': share}
+        print(json.dumps({**row, **_latencies(share, seed)}))
+    for name, share in (('never', 0.0), ('always', 1.0)):
+        print(json.dumps({'canary': name, **_latencies(share, seed)}))
+
+
+if __name__ == '__main__':
+    main()
