Copies of a poison at many daemons lose two targets, not one a daemon

Cause: each daemon chose its canary's shard at random, so copies sent through several daemons within one round trip each killed a target of their own. Change: the order of shards and replicas asked alone follows from the content alone; a late canary has a second shard asked beside it (needed anyhow) in place of a hedge on the same shard's other replica, which risked both replicas.

--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -66,7 +66,9 @@
         self._finish_effect: _scatter_types.Finish | None = None
         self._wait = _scatter_restart.SnapshotWait(plan.deadline_at_ms)
         self._again_due_ms = math.inf
-        self._caution = _scatter_caution.Caution(canary, suspect)
+        self._caution = _scatter_caution.Caution(
+            plan.fingerprint, canary, suspect
+        )
         self._trial_at_ms = 0.0
         self.tally = _scatter_types.Tally(
             sub_queries_needed=len(self._round.shards)
@@ -102,9 +104,7 @@
         if now_ms >= self._plan.deadline_at_ms:
             self._finish()
         if now_ms >= self._hedges.due_ms and not self._finish_effect:
-            due = self._hedges.take_due(self._attempts, self._open_to, now_ms)
-            for shard, candidates in due:
-                self._attempt(shard, now_ms, candidates, hedge=True)
+            self._send_hedges(now_ms)
         if now_ms >= self._again_due_ms:
             self._try_again(now_ms)
         return self._done(now_ms)
@@ -264,8 +264,21 @@
         elif self._caution.needs_no_more():
             self._release(now_ms)
         else:
-            shard = self._caution.next_shard(self._tools.replicas.pick)
-            self._retry(shard, False, now_ms)
+            self._try_alone(self._caution.next_shard(), now_ms)
+
+    def _try_alone(
+        self, shard: _scatter_round.ShardState, now_ms: float
+    ) -> None:
+        candidates = self._open_to(shard)
+        if shard.settled or shard.outstanding:
+            return
+        if not candidates:
+            self._give_up(shard, now_ms)
+            return
+        self._arm_hedges(now_ms)
+        self.tally.retries += bool(shard.tried)
+        target = self._caution.choose(candidates)
+        self._attempt(shard, now_ms, [target])
 
     def _retry(
         self, shard: _scatter_round.ShardState, costly: bool, now_ms: float
@@ -273,7 +286,7 @@
         """Try another replica, unless one is still at it."""
         if self._finish_effect or shard.settled or shard.outstanding:
             return
-        if self._caution.is_alone(shard) and self._attempts.has_alone():
+        if self._caution.is_alone(shard):
             self._caution.wait(shard)
             return
         candidates = self._open_to(shard)
@@ -322,6 +335,18 @@
 
     # Time.
 
+    def _send_hedges(self, now_ms: float) -> None:
+        if self._caution.may_add_canary():
+            # Another shard, not another replica: it is needed anyhow, and
+            # two replicas of one shard are not risked for one content.
+            self._hedges.stop()
+            self._next_trial(now_ms)
+            return
+        due = self._hedges.take_due(self._attempts, self._open_to, now_ms)
+        for shard, candidates in due:
+            if not self._caution.is_alone(shard):
+                self._attempt(shard, now_ms, candidates, hedge=True)
+
     def _try_again(self, now_ms: float) -> None:
         self._again_due_ms = math.inf
         for shard in self._round.shards:
--- a/samphiredock/coordination/_scatter_caution.py
+++ b/samphiredock/coordination/_scatter_caution.py
@@ -2,18 +2,24 @@
 
 import typing
 
+import xxhash
+
 from samphiredock.coordination import _scatter_round
 
 _CANARIES = 2
 
-Pick = typing.Callable[[int], int]
-
 
 class Caution:
     """Hold shards back while the content may crash its targets.
 
+    The order of the shards and replicas that are asked alone follows from
+    the content only, so that copies of it which run at several daemons at
+    the same time lose the same targets, not one for each daemon.
+
     Parameters
     ----------
+    fingerprint
+        The content.
     canary
         Ask one shard alone first.
     suspect
@@ -21,7 +27,8 @@
         at a time until one has succeeded.
     """
 
-    def __init__(self, canary: bool, suspect: bool) -> None:
+    def __init__(self, fingerprint: str, canary: bool, suspect: bool) -> None:
+        self._fingerprint = fingerprint
         self._is_canary = canary or suspect
         self._is_careful = self._is_canary
         self._is_suspect = suspect
@@ -29,6 +36,7 @@
         self._held: list[_scatter_round.ShardState] = []
         self._queue: list[_scatter_round.ShardState] = []
         self._lost: list[_scatter_round.ShardState] = []
+        self._asked: set[str] = set()
 
     def begin(
         self, shards: list[_scatter_round.ShardState]
@@ -41,9 +49,33 @@
         self._lost.clear()
         if not self._is_canary:
             return shards
-        self._held = list(shards)
+        self._asked.clear()
+        self._held = sorted(
+            shards, key=lambda shard: self._rank(shard.shard.shard_id)
+        )
         return []
 
+    def _rank(self, name: str) -> int:
+        text = f'{self._fingerprint}/{name}'
+        return xxhash.xxh64_intdigest(text.encode())
+
+    def choose(self, replicas: typing.Sequence[str]) -> str:
+        """Return the replica to ask alone."""
+        return min(replicas, key=self._rank)
+
+    def is_canary(self) -> bool:
+        """Whether shards are held until one has answered alone."""
+        return self._is_canary
+
+    def may_add_canary(self) -> bool:
+        """Whether a late canary may have another shard asked beside it."""
+        return (
+            self._is_canary
+            and not self._is_suspect
+            and self._canaries < _CANARIES
+            and bool(self._held)
+        )
+
     def is_alone(self, shard: _scatter_round.ShardState) -> bool:
         """Whether a shard may only be asked alone, one at a time."""
         return self._is_careful or shard in self._lost
@@ -101,26 +133,19 @@
             and self._canaries >= _CANARIES
         )
 
-    def next_shard(self, pick: Pick) -> _scatter_round.ShardState:
+    def next_shard(self) -> _scatter_round.ShardState:
         """Return the shard to ask alone now.
 
-        After a loss this is one whose replicas are all others, so that a
-        content that kills its two targets leaves every shard a replica.
+        A further canary is one whose replicas are all others, so that a
+        content that kills two targets leaves every shard a replica.
         """
         if self._is_canary:
-            dead = {
-                name for shard in self._lost for name in shard.shard.replicas
-            }
-            spare = [
-                shard
-                for shard in self._held
-                if dead.isdisjoint(shard.shard.replicas)
-            ]
-            if spare:
-                self._canaries += 1
-                chosen = spare[pick(len(spare))]
-                self._held.remove(chosen)
-                return chosen
+            for shard in self._held:
+                if self._asked.isdisjoint(shard.shard.replicas):
+                    self._canaries += 1
+                    self._asked.update(shard.shard.replicas)
+                    self._held.remove(shard)
+                    return shard
         if self._queue:
             return self._queue.pop(0)
         return self._held.pop(0)
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -109,23 +109,27 @@
     """The shards that follow a canary are hedged too."""
 
     def test_straggler_after_a_slow_canary(self) -> None:
-        """A canary that outlasts the delay does not use up the timer.
+        """A late canary has another shard asked beside it, at no extra load.
 
-        Its hedge is refused and it answers late; one of the shards sent
-        then is late as well, and gets its own hedge.
+        That one answers, so the others are sent; one of them is late as
+        well, and the first canary still is: each gets its own hedge.
         """
         desk = _trained_desk()
         desk.canary = True
         desk.begin()
         (canary,) = desk.waiting.values()
-        (hedge,) = desk.tick(25.0)
-        desk.give(desk.failed(hedge, Status.NO_IDLE_SLOT))
-        rest = desk.give(desk.good(canary))
-        self.assertEqual(3, len(rest))
-        desk.give(*[desk.good(row) for row in rest[1:]])
-        (hedge,) = desk.tick(40.0)
-        self.assertEqual(rest[0].shard_id, hedge.shard_id)
-        self.assertNotIn(hedge.attempt_id, desk.alone)
+        (second,) = desk.tick(25.0)
+        self.assertNotEqual(canary.shard_id, second.shard_id)
+        self.assertFalse(second.hedge)
+        self.assertEqual(2, len(desk.alone))
+        rest = desk.give(desk.good(second))
+        self.assertEqual(2, len(rest))
+        desk.give(desk.good(rest[1]))
+        hedges = desk.tick(40.0)
+        self.assertEqual(
+            {canary.shard_id, rest[0].shard_id},
+            {row.shard_id for row in hedges if row.hedge},
+        )
 
 
 class RetryBudgetTest(unittest.TestCase):
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -61,15 +61,18 @@
         self.assertEqual(2, len(self.tier.dead))
 
     async def test_copies_at_one_time(self) -> None:
-        """Copies sent at once through two daemons kill two targets.
+        """Twenty copies at once through all daemons kill two targets.
 
-        Three copies at each of two daemons: at each, one is the canary and
-        the others wait for its verdict.  Both canaries die in the same
-        moment; the daemons hear of each other's before they try again.
+        At each daemon one copy is the canary and the others wait for its
+        verdict.  All canaries go to the same target and die with it; the
+        daemons hear of each other's loss, and the next try has one target
+        again.
         """
-        first = self.tier.daemons['d0'].coordinator
-        second = self.tier.daemons['d1'].coordinator
-        copies = [row.search(_POISON) for row in (first, second) * 3]
+        copies = [
+            daemon.coordinator.search(_POISON)
+            for daemon in self.tier.daemons.values()
+            for _ in range(5)
+        ]
         await self.tier.gather(*copies)
         self.assertEqual(2, len(self.tier.dead))
 
