--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -59,7 +59,7 @@
         self._round = _scatter_round.Round(plan, plan.snapshot)
         self._older: _scatter_round.Round | None = None
         self._attempts = _scatter_attempts.Attempts(
-            plan.query_id, tools.replicas
+            plan.query_id, self._index, tools
         )
         self._seen: dict[_Status, int] = {}
         self._began = False
@@ -210,7 +210,9 @@
         elif attempt.item.hedge:
             self._tools.budget.refund()
         if attempt.alone and status is _Status.ANSWERED:
-            self._note_success(shard, now_ms)
+            if self._caution.note_succeeded(shard):
+                self._tools.suspicions.note_succeeded(self._plan.fingerprint)
+            self._release(now_ms)
         if verdict is _Verdict.WHOLE:
             self.tally.hedges_won += attempt.item.hedge
             self._settle(shard, now_ms)
@@ -245,14 +247,6 @@
         if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
             self._finish()
 
-    def _note_success(
-        self, shard: _scatter_round.ShardState, now_ms: float
-    ) -> None:
-        """The content ran alone and its target lives: go on as usual."""
-        if self._caution.note_succeeded(shard):
-            self._tools.suspicions.note_succeeded(self._plan.fingerprint)
-        self._release(now_ms)
-
     def _release(self, now_ms: float) -> None:
         for shard in self._caution.release():
             self._retry(shard, False, now_ms)
@@ -264,29 +258,19 @@
         elif self._caution.needs_no_more():
             self._release(now_ms)
         else:
-            self._try_alone(self._caution.next_shard(), now_ms)
-
-    def _try_alone(
-        self, shard: _scatter_round.ShardState, now_ms: float
-    ) -> None:
-        candidates = self._open_to(shard)
-        if shard.settled or shard.outstanding:
-            return
-        if not candidates:
-            self._give_up(shard, now_ms)
-            return
-        self._arm_hedges(now_ms)
-        self.tally.retries += bool(shard.tried)
-        target = self._caution.choose(candidates)
-        self._attempt(shard, now_ms, [target])
+            self._retry(self._caution.next_shard(), False, now_ms, True)
 
     def _retry(
-        self, shard: _scatter_round.ShardState, costly: bool, now_ms: float
+        self,
+        shard: _scatter_round.ShardState,
+        costly: bool,
+        now_ms: float,
+        its_turn: bool = False,
     ) -> None:
         """Try another replica, unless one is still at it."""
         if self._finish_effect or shard.settled or shard.outstanding:
             return
-        if self._caution.is_alone(shard):
+        if self._caution.is_alone(shard) and not its_turn:
             self._caution.wait(shard)
             return
         candidates = self._open_to(shard)
@@ -299,6 +283,8 @@
             return
         self._arm_hedges(now_ms)
         self.tally.retries += bool(shard.tried)
+        if its_turn:
+            candidates = [self._caution.choose(candidates)]
         self._attempt(shard, now_ms, candidates)
 
     def _give_up(
@@ -316,22 +302,7 @@
     def _settle(self, shard: _scatter_round.ShardState, now_ms: float) -> None:
         self._round.settle(shard)
         if shard.outstanding:
-            losers = [
-                row
-                for row in self._attempts.outstanding()
-                if row.shard is shard
-            ]
-            self._drop(losers, now_ms)
-
-    def _drop(
-        self, attempts: list[_scatter_round.Attempt], now_ms: float
-    ) -> None:
-        """Cancel losers; the time they took so far is a latency too."""
-        for attempt in attempts:
-            self._tools.latencies.observe(
-                self._index, now_ms - attempt.sent_ms
-            )
-        self._attempts.drop(attempts, lambda row: now_ms - row.sent_ms)
+            self._attempts.drop_losers(self._attempts.on(shard), now_ms)
 
     # Time.
 
@@ -402,7 +373,7 @@
         self._wait.restarted()
         self._again_due_ms = math.inf
         self._began = self._began or len(self._attempts) > 0
-        self._drop(self._attempts.outstanding(), now_ms)
+        self._attempts.drop_losers(self._attempts.outstanding(), now_ms)
         self._attempts.discard_unsent()
         if self._older is None or self._older.keys() < self._round.keys():
             self._older = self._round
@@ -414,7 +385,7 @@
             return
         self._began = self._began or len(self._attempts) > 0
         self._attempts.discard_unsent()
-        self._attempts.drop(self._attempts.outstanding(), lambda row: None)
+        self._attempts.drop_all()
         self._hedges.stop()
         self._again_due_ms = math.inf
         self.tally.sub_queries_sent = self._attempts.sent
--- a/samphiredock/coordination/_scatter_attempts.py
+++ b/samphiredock/coordination/_scatter_attempts.py
@@ -3,7 +3,6 @@
 import math
 import typing
 
-from samphiredock.coordination import _replicas
 from samphiredock.coordination import _scatter_round
 from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
@@ -14,9 +13,13 @@
 class Attempts:
     """Outstanding attempts by id, and what is to be sent about them."""
 
-    def __init__(self, query_id: str, replicas: _replicas.Replicas) -> None:
+    def __init__(
+        self, query_id: str, index: str, tools: _scatter_types.Tools
+    ) -> None:
         self._query_id = query_id
-        self._replicas = replicas
+        self._index = index
+        self._latencies = tools.latencies
+        self._replicas = tools.replicas
         self._out: dict[str, _scatter_round.Attempt] = {}
         self._outbox: dict[
             tuple[str | None, bool], list[protocol.SubQuery]
@@ -100,18 +103,36 @@
         attempt.shard.outstanding -= 1
         self._replicas.ended(item.target, took_ms)
 
-    def drop(
+    def on(
+        self, shard: _scatter_round.ShardState
+    ) -> list[_scatter_round.Attempt]:
+        """Return the attempts on one shard that have not ended."""
+        return [row for row in self._out.values() if row.shard is shard]
+
+    def drop_losers(
         self,
         attempts: typing.Iterable[_scatter_round.Attempt],
-        took_ms: typing.Callable[[_scatter_round.Attempt], float | None],
+        now_ms: float,
     ) -> None:
-        """End attempts and have them cancelled where they were sent."""
+        """Cancel attempts; the time they took so far is a latency too."""
         for attempt in attempts:
-            self.end(attempt, took_ms(attempt))
-            if attempt.dispatcher is not None:
-                self._drops.setdefault(attempt.dispatcher, []).append(
-                    attempt.item.attempt_id
-                )
+            took_ms = now_ms - attempt.sent_ms
+            self._latencies.observe(self._index, took_ms)
+            self._drop(attempt, took_ms)
+
+    def drop_all(self) -> None:
+        """Cancel everything, when the search is over."""
+        for attempt in self.outstanding():
+            self._drop(attempt, None)
+
+    def _drop(
+        self, attempt: _scatter_round.Attempt, took_ms: float | None
+    ) -> None:
+        self.end(attempt, took_ms)
+        if attempt.dispatcher is not None:
+            self._drops.setdefault(attempt.dispatcher, []).append(
+                attempt.item.attempt_id
+            )
 
     def discard_unsent(self) -> None:
         """Forget what :meth:`collect` has not given out yet."""
--- a/tests/failure/test_truthful_coverage.py
+++ b/tests/failure/test_truthful_coverage.py
@@ -85,13 +85,15 @@
         """Coverage is what an independent count of the targets' work gives.
 
         Answers come in random order, twice, truncated, in parts, empty, at
-        the wrong snapshot, too wide, crossed or not at all, until the
-        deadline; the fakes note what each truly searched and delivered.
+        the wrong snapshot, too wide, broken or not at all, until the
+        deadline, with and without a canary; the fakes note what each truly
+        searched and delivered.
         """
         rng = random.Random(seed)
         desk = scripted.Desk(
             snapshot=scripted.make_snapshot(1, rng.randint(1, 7)),
             search=scripted.make_search(least_coverage=least),
+            canary=rng.random() < 0.5,
         )
         searched: list[tuple[int, int]] = []
         while desk.outcome is None:
@@ -131,7 +133,12 @@
         return desk.good(item, ranges=[], records=[]), []
     if kind == 5:
         status = rng.choice([row for row in Status if row.value != 'answered'])
-        return desk.failed(item, status), []
+        lost = status is Status.BROKEN and rng.random() < 0.5
+        alone = item.attempt_id in desk.alone
+        return (
+            desk.failed(item, status, target_lost=lost, ran_alone=alone),
+            [],
+        )
     parts = [
         protocol.KeyRange(middle, high),
         protocol.KeyRange(low, min(high, middle + 1)),
