--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -8,19 +8,15 @@
 
 from samphiredock.coordination import _planner
 from samphiredock.coordination import _scatter_attempts
+from samphiredock.coordination import _scatter_caution
+from samphiredock.coordination import _scatter_hedges
 from samphiredock.coordination import _scatter_judge
+from samphiredock.coordination import _scatter_restart
 from samphiredock.coordination import _scatter_round
 from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
 from samphiredock import state
 
-_RETRY_AFTER_MS = 1_000
-_PASSES = 2
-_PAUSE_MS = 10.0
-_RESTARTS = 2
-_CANARY_SHARDS = 2
-_SNAPSHOT_WAIT_SHARE = 0.5
-_SNAPSHOT_POLL_MS = 5.0
 
 # Before a content that lost a target is tried again: in this time the news
 # of a copy that another daemon ran at the same moment arrives.
@@ -63,23 +59,23 @@
         self._round = _scatter_round.Round(plan, plan.snapshot)
         self._older: _scatter_round.Round | None = None
         self._attempts = _scatter_attempts.Attempts(
-            plan.query_id, tools.replicas
+            plan.query_id, self._index, tools
         )
         self._seen: dict[_Status, int] = {}
         self._began = False
         self._finish_effect: _scatter_types.Finish | None = None
-        self._may_restart = True
-        self._stuck_until_ms = math.inf
-        self._look_again_ms = math.inf
-        self._hedge_due_ms = math.inf
+        self._wait = _scatter_restart.SnapshotWait(plan.deadline_at_ms)
         self._again_due_ms = math.inf
-        self._canary = canary or suspect
-        self._canaries = 0
-        self._held: list[_scatter_round.ShardState] = []
-        self._careful = self._canary
-        self._suspect = suspect
-        self._alone_queue: list[_scatter_round.ShardState] = []
-        self.tally = _scatter_types.Tally(needed=len(self._round.shards))
+        self._caution = _scatter_caution.Caution(
+            plan.fingerprint, canary, suspect
+        )
+        self._trial_at_ms = 0.0
+        self.tally = _scatter_types.Tally(
+            sub_queries_needed=len(self._round.shards)
+        )
+        self._hedges = _scatter_hedges.Hedges(
+            tools, self._index, limits.hedge_quantile, self.tally
+        )
 
     # Inputs.
 
@@ -107,7 +103,7 @@
         """Do what has fallen due: deadline, hedges, second tries."""
         if now_ms >= self._plan.deadline_at_ms:
             self._finish()
-        if now_ms >= self._hedge_due_ms:
+        if now_ms >= self._hedges.due_ms and not self._finish_effect:
             self._send_hedges(now_ms)
         if now_ms >= self._again_due_ms:
             self._try_again(now_ms)
@@ -127,37 +123,28 @@
 
     def next_due_ms(self) -> float:
         """Return when :meth:`on_tick` has something to do."""
-        return min(
+        due_ms = min(
             self._plan.deadline_at_ms,
-            self._hedge_due_ms,
+            self._hedges.due_ms,
             self._again_due_ms,
-            self._look_again_ms,
+            self._wait.due_ms(),
         )
+        if self._caution.is_waiting() and not self._attempts.has_alone():
+            due_ms = min(due_ms, self._trial_at_ms)
+        return due_ms
 
     # Attempts.
 
     def _begin_round(self, now_ms: float) -> None:
-        delay_ms = self._hedge_delay_ms()
-        if delay_ms is not None:
-            self._hedge_due_ms = now_ms + delay_ms
         shards = self._round.shards
         self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
-        self._canary = self._careful
-        if not self._canary:
-            for shard in shards:
-                self._attempt(shard, now_ms)
-            return
-        first = self._tools.replicas.pick(len(shards))
-        self._held = shards[first + 1 :] + shards[:first]
-        self._canaries = 1
-        self._attempt(shards[first], now_ms)
-
-    def _hedge_delay_ms(self) -> float | None:
-        if self._suspect:
-            return None
-        return self._tools.latencies.hedge_delay_ms(
-            self._index, self._limits.hedge_quantile
-        )
+        for shard in self._caution.begin(shards):
+            self._attempt(shard, now_ms)
+        self._arm_hedges(now_ms)
+
+    def _arm_hedges(self, now_ms: float) -> None:
+        if self._caution.allows_hedges():
+            self._hedges.arm(now_ms)
 
     def _open_to(self, shard: _scatter_round.ShardState) -> list[str]:
         is_usable = self._tools.routes.is_usable
@@ -187,7 +174,7 @@
             target,
             dispatcher,
             now_ms,
-            self._careful,
+            self._caution.is_alone(shard),
             hedge,
         )
 
@@ -223,7 +210,9 @@
         elif attempt.item.hedge:
             self._tools.budget.refund()
         if attempt.alone and status is _Status.ANSWERED:
-            self._note_success(now_ms)
+            if self._caution.note_succeeded(shard):
+                self._tools.suspicions.note_succeeded(self._plan.fingerprint)
+            self._release(now_ms)
         if verdict is _Verdict.WHOLE:
             self.tally.hedges_won += attempt.item.hedge
             self._settle(shard, now_ms)
@@ -232,25 +221,9 @@
         elif verdict is _Verdict.LOST:
             self._take_loss(shard, answer, now_ms)
         else:
-            self._take_failure(shard, verdict, answer, now_ms)
-
-    def _take_failure(
-        self,
-        shard: _scatter_round.ShardState,
-        verdict: _scatter_judge.Verdict,
-        answer: protocol.SubAnswer,
-        now_ms: float,
-    ) -> None:
-        rule = _scatter_judge.RETRY_RULES[verdict]
-        shard.gone = shard.gone or rule.gone
-        if rule.unasked:
-            shard.tried.discard(answer.target)
-        if rule.again:
-            shard.again.add(answer.target)
-            shard.pause_ms = max(shard.pause_ms, answer.retry_after_ms)
-        if rule.counter:
-            self.tally.count(rule.counter)
-        self._retry(shard, rule.costly, now_ms)
+            rule = _scatter_judge.RETRY_RULES[verdict]
+            _scatter_judge.apply(rule, answer, shard, self.tally)
+            self._retry(shard, rule.costly, now_ms)
 
     def _take_loss(
         self,
@@ -263,46 +236,43 @@
         Only a loss while the content ran alone counts against it; else it
         is run again alone, one shard at a time, which tells the two apart.
         """
-        self._suspect = True
-        self._careful = True
-        self._hedge_due_ms = math.inf
+        self._caution.note_lost(shard)
+        self._hedges.stop()
+        self._trial_at_ms = now_ms + _SUSPECT_PAUSE_MS
+        self._tools.budget.owe()
         if answer.ran_alone:
             self._tools.suspicions.note_lost(
                 self._plan.fingerprint, answer.target, self._plan.service
             )
-        self._tools.budget.owe()
-        shard.again_at_ms = now_ms + _SUSPECT_PAUSE_MS
-        self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
-
-    def _note_success(self, now_ms: float) -> None:
-        """The content ran alone and its target lives: go on as usual."""
-        self._tools.suspicions.note_succeeded(self._plan.fingerprint)
-        self._suspect = False
-        self._release(now_ms)
+        if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+            self._finish()
 
     def _release(self, now_ms: float) -> None:
-        self._canary = False
-        self._careful = False
-        held, self._held = self._held, []
-        queue, self._alone_queue = self._alone_queue, []
-        for shard in held:
-            self._attempt(shard, now_ms)
-        for shard in queue:
+        for shard in self._caution.release():
             self._retry(shard, False, now_ms)
 
+    def _next_trial(self, now_ms: float) -> None:
+        """Ask one shard alone, unless the content has been judged."""
+        if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+            self._finish()
+        elif self._caution.needs_no_more():
+            self._release(now_ms)
+        else:
+            self._retry(self._caution.next_shard(), False, now_ms, True)
+
     def _retry(
-        self, shard: _scatter_round.ShardState, costly: bool, now_ms: float
+        self,
+        shard: _scatter_round.ShardState,
+        costly: bool,
+        now_ms: float,
+        its_turn: bool = False,
     ) -> None:
         """Try another replica, unless one is still at it."""
         if self._finish_effect or shard.settled or shard.outstanding:
             return
-        if self._careful:
-            if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
-                self._finish()
-                return
-            if self._attempts.has_alone():
-                self._alone_queue.append(shard)
-                return
+        if self._caution.is_alone(shard) and not its_turn:
+            self._caution.wait(shard)
+            return
         candidates = self._open_to(shard)
         if not candidates:
             self._give_up(shard, now_ms)
@@ -311,89 +281,42 @@
             self.tally.retries_denied += 1
             self._settle(shard, now_ms)
             return
-        self.tally.retries += 1
+        self._arm_hedges(now_ms)
+        self.tally.retries += bool(shard.tried)
+        if its_turn:
+            candidates = [self._caution.choose(candidates)]
         self._attempt(shard, now_ms, candidates)
 
     def _give_up(
         self, shard: _scatter_round.ShardState, now_ms: float
     ) -> None:
         """No replica is left: pause, wait for a snapshot, or settle."""
-        if shard.again and shard.passes < _PASSES:
-            shard.passes += 1
-            shard.tried -= shard.again
-            shard.again.clear()
-            shard.again_at_ms = now_ms + max(_PAUSE_MS, shard.pause_ms)
+        if shard.may_pause():
+            shard.pause(now_ms)
             self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
-        elif shard.gone and self._may_restart:
-            if self._stuck_until_ms == math.inf:
-                left_ms = self._plan.deadline_at_ms - now_ms
-                self._stuck_until_ms = now_ms + left_ms * _SNAPSHOT_WAIT_SHARE
+        elif shard.gone and self._wait.may_restart():
+            self._wait.begin(now_ms)
         else:
             self._settle(shard, now_ms)
 
     def _settle(self, shard: _scatter_round.ShardState, now_ms: float) -> None:
         self._round.settle(shard)
         if shard.outstanding:
-            losers = [
-                row
-                for row in self._attempts.outstanding()
-                if row.shard is shard
-            ]
-            self._drop(losers, now_ms)
-        if self._canary and not self._finish_effect:
-            self._next_canary(now_ms)
-
-    def _next_canary(self, now_ms: float) -> None:
-        """The canary's shard gave no verdict: ask another, or go on."""
-        if self._canaries >= _CANARY_SHARDS and not self._suspect:
-            self._release(now_ms)
-        elif self._held:
-            self._canaries += 1
-            self._attempt(self._held.pop(0), now_ms)
-
-    def _drop(
-        self, attempts: list[_scatter_round.Attempt], now_ms: float
-    ) -> None:
-        """Cancel losers; the time they took so far is a latency too."""
-        for attempt in attempts:
-            self._tools.latencies.observe(
-                self._index, now_ms - attempt.sent_ms
-            )
-        self._attempts.drop(attempts, lambda row: now_ms - row.sent_ms)
+            self._attempts.drop_losers(self._attempts.on(shard), now_ms)
 
     # Time.
 
     def _send_hedges(self, now_ms: float) -> None:
-        """Ask another replica where the first is later than most are."""
-        self._hedge_due_ms = math.inf
-        delay_ms = self._hedge_delay_ms()
-        if delay_ms is None:
+        if self._caution.may_add_canary():
+            # Another shard, not another replica: it is needed anyhow, and
+            # two replicas of one shard are not risked for one content.
+            self._hedges.stop()
+            self._next_trial(now_ms)
             return
-        for attempt in self._attempts.outstanding():
-            shard = attempt.shard
-            if shard.hedged or shard.outstanding != 1:
-                continue
-            due_ms = attempt.sent_ms + delay_ms
-            if due_ms > now_ms:
-                self._hedge_due_ms = min(self._hedge_due_ms, due_ms)
-            else:
-                self._hedge(attempt, now_ms)
-
-    def _hedge(self, attempt: _scatter_round.Attempt, now_ms: float) -> None:
-        shard = attempt.shard
-        candidates = self._open_to(shard)
-        if not candidates:
-            return
-        shard.hedged = True
-        if not self._tools.budget.spend_hedge():
-            self.tally.hedges_denied += 1
-            return
-        owner = self._tools.routes.owner
-        elsewhere = [
-            name for name in candidates if owner(name) != attempt.dispatcher
-        ]
-        self.tally.hedges_sent += 1
-        self._attempt(shard, now_ms, elsewhere or candidates, hedge=True)
+        due = self._hedges.take_due(self._attempts, self._open_to, now_ms)
+        for shard, candidates in due:
+            if not self._caution.is_alone(shard):
+                self._attempt(shard, now_ms, candidates, hedge=True)
 
     def _try_again(self, now_ms: float) -> None:
         self._again_due_ms = math.inf
@@ -408,10 +331,10 @@
     # The end.
 
     def _done(self, now_ms: float) -> list[_scatter_types.Effect]:
-        if not self._finish_effect and self._stuck_until_ms < math.inf:
+        if not self._finish_effect and self._wait.is_on():
             self._resolve_stuck(now_ms)
-        while self._alone_queue and not self._attempts.has_alone():
-            self._retry(self._alone_queue.pop(0), False, now_ms)
+        while self._may_try(now_ms):
+            self._next_trial(now_ms)
         if not self._round.unsettled:
             self._finish()
         effects = self._attempts.collect()
@@ -419,22 +342,27 @@
             effects.append(self._finish_effect)
         return effects
 
+    def _may_try(self, now_ms: float) -> bool:
+        return (
+            not self._finish_effect
+            and now_ms >= self._trial_at_ms
+            and self._caution.is_waiting()
+            and not self._attempts.has_alone()
+        )
+
     def _resolve_stuck(self, now_ms: float) -> None:
         """Restart whole on a newer snapshot, or stop waiting for one."""
-        self._look_again_ms = now_ms + _SNAPSHOT_POLL_MS
-        newest = self._tools.routes.snapshot
-        left_ms = self._plan.deadline_at_ms - now_ms
-        if (
-            newest is not None
-            and newest.snapshot_id > self._round.snapshot.snapshot_id
-            and self._index in newest.indexes
-            and left_ms > self._tools.latencies.quantile_ms(self._index, 0.5)
-        ):
-            self._restart(newest, now_ms)
-        elif now_ms >= self._stuck_until_ms:
-            self._stuck_until_ms = math.inf
-            self._look_again_ms = math.inf
-            self._may_restart = False
+        newer = self._wait.look(
+            self._tools.routes.snapshot,
+            self._round.snapshot,
+            self._index,
+            self._tools.latencies.quantile_ms(self._index, 0.5),
+            now_ms,
+        )
+        if newer is not None:
+            self._restart(newer, now_ms)
+        elif self._wait.is_over(now_ms):
+            self._wait.give_up()
             for shard in self._round.shards:
                 waits = shard.outstanding or shard.again_at_ms
                 if shard.gone and not waits:
@@ -442,14 +370,11 @@
 
     def _restart(self, snapshot: state.Snapshot, now_ms: float) -> None:
         self.tally.search_restarts += 1
-        self._may_restart = self.tally.search_restarts < _RESTARTS
-        self._stuck_until_ms = math.inf
-        self._look_again_ms = math.inf
+        self._wait.restarted()
         self._again_due_ms = math.inf
         self._began = self._began or len(self._attempts) > 0
-        self._drop(self._attempts.outstanding(), now_ms)
+        self._attempts.drop_losers(self._attempts.outstanding(), now_ms)
         self._attempts.discard_unsent()
-        self._alone_queue.clear()
         if self._older is None or self._older.keys() < self._round.keys():
             self._older = self._round
         self._round = _scatter_round.Round(self._plan, snapshot)
@@ -460,25 +385,12 @@
             return
         self._began = self._began or len(self._attempts) > 0
         self._attempts.discard_unsent()
-        self._attempts.drop(self._attempts.outstanding(), lambda row: None)
-        self._alone_queue.clear()
-        self._hedge_due_ms = math.inf
+        self._attempts.drop_all()
+        self._hedges.stop()
         self._again_due_ms = math.inf
-        self.tally.sent = self._attempts.sent
-        self._finish_effect = _scatter_types.Finish(self._outcome())
-
-    def _outcome(self) -> protocol.SearchOutcome:
-        best = self._round
-        if self._older is not None and self._older.keys() > best.keys():
-            best = self._older
-        answer = best.answer()
-        if answer is not None:
-            return answer
-        detail = (
-            f'got coverage {best.keys() / state.KEY_SPACE_SIZE:.4f}, '
-            f'expected at least {self._plan.search.least_coverage}; '
-            f'endings: {sorted(status.value for status in self._seen)}'
+        self.tally.sub_queries_sent = self._attempts.sent
+        self._finish_effect = _scatter_types.Finish(
+            _scatter_round.outcome_of(
+                self._round, self._older, self._seen, self._began
+            )
         )
-        if self._began:
-            return protocol.Unknown(detail, _RETRY_AFTER_MS)
-        return _scatter_round.refusal_of(self._seen, detail)
--- a/samphiredock/coordination/_scatter_judge.py
+++ b/samphiredock/coordination/_scatter_judge.py
@@ -5,6 +5,7 @@
 
 from samphiredock.coordination import _merge
 from samphiredock.coordination import _scatter_round
+from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
 
 _Status = protocol.SubStatus
@@ -111,3 +112,20 @@
         shard.ranges.extend(answer.ranges)
     whole = _merge.covers(shard.ranges, asked)
     return Verdict.WHOLE if whole else Verdict.PART
+
+
+def apply(
+    rule: RetryRule,
+    answer: protocol.SubAnswer,
+    shard: _scatter_round.ShardState,
+    tally: _scatter_types.Tally,
+) -> None:
+    """Note in ``shard`` which replicas may be asked after an ending."""
+    if rule.counter:
+        tally.count(rule.counter)
+    shard.gone = shard.gone or rule.gone
+    if rule.unasked:
+        shard.tried.discard(answer.target)
+    if rule.again:
+        shard.again.add(answer.target)
+        shard.pause_ms = max(shard.pause_ms, answer.retry_after_ms)
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -90,20 +90,48 @@
         Left out, the losers would leave only quick samples, the delay would
         fall, and more would be hedged each time.
         """
-        before = self.desk.tools.latencies.hedge_delay_ms(scripted.INDEX, 0.95)
-        for _ in range(100):
+        latencies = self.desk.tools.latencies
+        before = latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+        for _ in range(250):
+            self.desk.tools.budget.deposit(100, 1.0)
             self.desk.begin()
-            late, *others = self.desk.waiting.values()
+            others = list(self.desk.waiting.values())[1:]
             self.desk.now_ms += 5.0
             self.desk.give(*[self.desk.good(row) for row in others])
-            for hedge in self.desk.tick(30.0):
-                self.desk.give(self.desk.good(hedge))
-            if self.desk.outcome is None:
-                self.desk.give(self.desk.good(late))
-        after = self.desk.tools.latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+            due_ms = self.desk.scatter.next_due_ms()
+            (hedge,) = self.desk.tick(due_ms - self.desk.now_ms)
+            self.desk.give(self.desk.good(hedge))
+        after = latencies.hedge_delay_ms(scripted.INDEX, 0.95)
         self.assertGreaterEqual(after, before)
 
 
+class HedgeAfterCanaryTest(unittest.TestCase):
+    """The shards that follow a canary are hedged too."""
+
+    def test_straggler_after_a_slow_canary(self) -> None:
+        """A late canary has another shard asked beside it, at no extra load.
+
+        That one answers, so the others are sent; one of them is late as
+        well, and the first canary still is: each gets its own hedge.
+        """
+        desk = _trained_desk()
+        desk.canary = True
+        desk.begin()
+        (canary,) = desk.waiting.values()
+        (second,) = desk.tick(25.0)
+        self.assertNotEqual(canary.shard_id, second.shard_id)
+        self.assertFalse(second.hedge)
+        self.assertEqual(2, len(desk.alone))
+        rest = desk.give(desk.good(second))
+        self.assertEqual(2, len(rest))
+        desk.give(desk.good(rest[1]))
+        hedges = desk.tick(40.0)
+        self.assertEqual(
+            {canary.shard_id, rest[0].shard_id},
+            {row.shard_id for row in hedges if row.hedge},
+        )
+
+
 class RetryBudgetTest(unittest.TestCase):
     """Hedges and retries draw from one bucket."""
 
@@ -120,8 +148,8 @@
             while desk.outcome is None:
                 rows = list(desk.waiting.values())
                 desk.give(*[desk.failed(r, Status.BROKEN) for r in rows])
-            sent += desk.scatter.tally.sent
-            needed += desk.scatter.tally.needed
+            sent += desk.scatter.tally.sub_queries_sent
+            needed += desk.scatter.tally.sub_queries_needed
         share = desk.limits.hedge_budget
         self.assertLessEqual(sent - needed, 20 + share * needed + 1)
         self.assertGreater(sent, needed)
