--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -127,12 +127,18 @@
 from samphiredock.coordination._run_states import RunState
 from samphiredock.coordination._scatter import Scatter
 from samphiredock.coordination._scatter_attempts import Attempts
+from samphiredock.coordination._scatter_caution import Caution
+from samphiredock.coordination._scatter_hedges import Hedges
+from samphiredock.coordination._scatter_hedges import OpenTo
+from samphiredock.coordination._scatter_judge import apply
 from samphiredock.coordination._scatter_judge import judge
 from samphiredock.coordination._scatter_judge import RETRY_RULES
 from samphiredock.coordination._scatter_judge import RetryRule
 from samphiredock.coordination._scatter_judge import Verdict
+from samphiredock.coordination._scatter_restart import SnapshotWait
 from samphiredock.coordination._scatter_round import Attempt
 from samphiredock.coordination._scatter_round import needed_keys
+from samphiredock.coordination._scatter_round import outcome_of
 from samphiredock.coordination._scatter_round import refusal_of
 from samphiredock.coordination._scatter_round import Round
 from samphiredock.coordination._scatter_round import ShardState
@@ -195,6 +201,7 @@
     'COUNTED',
     'Care',
     'Case',
+    'Caution',
     'Change',
     'ClaimBook',
     'Claiming',
@@ -221,6 +228,7 @@
     'Gossip',
     'GossipEffect',
     'Handover',
+    'Hedges',
     'Holders',
     'KEY_LIMIT_CHARS',
     'Knowledge',
@@ -245,6 +253,7 @@
     'OpenChange',
     'OpenProbe',
     'OpenResult',
+    'OpenTo',
     'Orders',
     'Outbox',
     'OwnerChange',
@@ -287,6 +296,7 @@
     'Shares',
     'SignSource',
     'SnapshotDoor',
+    'SnapshotWait',
     'Spread',
     'Standing',
     'StartExchange',
@@ -312,6 +322,7 @@
     'WATCHERS_PER_SITE',
     'Watcher',
     'Work',
+    'apply',
     'bucket_of',
     'children_of',
     'covered_keys',
@@ -333,6 +344,7 @@
     'new_progress',
     'open_claim',
     'order_of',
+    'outcome_of',
     'owner_of',
     'owners_of',
     'ownership_groups',
