A lost store write is reported as lost, never sent again

Cause: aiohttp 3.14.5 repeats PUT, DELETE and GET once when a kept-alive connection closes under them (client.py, retry_persistent_connection). The copy of a conditional write that had taken effect met its own first one: CONFLICT (or 503 in an outage), which the Platform protocol defines as not applied. Ruled out: the private switch _retry_connection (used by the library's own test client only), a fresh connection per write (costs a connect each). The change: a client middleware, public since 3.12, maps the two errors after which the library repeats to one after which it does not, for writes only; reads are still repeated.

Before: test_lost_write_is_not_sent_again failed, CONFLICT in place of LOST. After: both tests of test_platform_http pass.

faultrun also prints the reasons of refusals and unknown outcomes.

--- a/samphiredock/transport/_platform_http.py
+++ b/samphiredock/transport/_platform_http.py
@@ -49,9 +49,34 @@
 _PAGE = msgspec.json.Decoder(ObjectPage)
 _HOSTS = msgspec.json.Decoder(list[HostRow])
 
+_WRITES = ('PUT', 'DELETE')
+
 _Reply = tuple[int, bytes, typing.Mapping[str, str]]
 
 
+class _AnswerLost(aiohttp.ClientError):
+    """The connection closed under a write, which may have taken effect."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the HTTP library from sending a write a second time.
+
+    It repeats an idempotent method once when a kept-alive connection
+    closes.  The copy of a conditional write that had taken effect is
+    answered with a conflict, and the caller would be told that its change
+    was beaten though it is in force.  The library repeats only after the
+    two errors mapped here, so another error type is enough.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _AnswerLost(type(error).__name__) from error
+
+
 class HttpPlatform:
     """Client of the object service.
 
@@ -172,6 +197,7 @@
                 data=body,
                 headers=headers,
                 timeout=limit,
+                middlewares=(_send_once,) if method in _WRITES else (),
             ) as response:
                 content = await response.read()
         except aiohttp.ClientConnectorError as error:
--- a/tests/process/faultrun.py
+++ b/tests/process/faultrun.py
@@ -11,6 +11,7 @@
 import functools
 import itertools
 import random
+import re
 import signal
 import sys
 import typing
@@ -156,6 +157,14 @@
             ),
         }
 
+    def reasons(self) -> collections.Counter:
+        """Count the refusals and unknown outcomes by what was said."""
+        return collections.Counter(
+            f'{call.kind} {call.kind_of_outcome} {_said(call.outcome)}'
+            for call in self.recording.calls
+            if call.kind_of_outcome in ('not-run', 'unknown')
+        )
+
     def outcomes(self) -> collections.Counter:
         """Count the calls by kind and outcome."""
         return collections.Counter(
@@ -423,6 +432,12 @@
             )
 
 
+def _said(outcome: typing.Mapping[str, typing.Any]) -> str:
+    """Return a refusal's reason, or an unknown outcome's detail."""
+    text = outcome.get('reason') or outcome.get('detail', '')
+    return re.sub(r'[0-9]+', 'N', text)
+
+
 async def run_once(
     seed: int, daemons: int, seconds: float, callers: int = 8
 ) -> FaultRun:
@@ -439,6 +454,7 @@
     counts = collections.Counter(run.recording.faults)
     lines = [
         f'outcomes: {dict(sorted(run.outcomes().items()))}',
+        f'reasons: {dict(sorted(run.reasons().items()))}',
         f'faults: {dict(sorted(counts.items()))}',
         f'accepted changes: {len(run.recording.accepted)}',
     ]
