Same-key races, a flooding site, a single stop and a start without the store

The way a request is sent and recorded, and the reading of execution logs, stand once, in system.py.

--- a/tests/process/faultrun.py
+++ b/tests/process/faultrun.py
@@ -18,7 +18,6 @@
 
 import aiohttp
 import click
-import msgspec
 
 from tests import history
 from tests.process import system as systems
@@ -36,6 +35,13 @@
     'cold',
     'lie_healthy',
 )
+_STORE_FAULTS = (
+    'new snapshot',
+    'store outage',
+    'store loses answers',
+    'store reads stale',
+)
+_OUTAGE_AT_S = 3.0
 _KEBELES = ('bole', 'kirkos', 'yeka', 'arada', 'lideta')
 
 
@@ -65,10 +71,18 @@
 
 
 class FaultRun:
-    """Callers, a poller of revisions and a source of faults."""
+    """Callers, a poller of revisions and a source of faults.
+
+    With ``outage_s`` the store is down for that long from the third second
+    on, and the faults that would bring it back are left out.
+    """
 
     def __init__(
-        self, system: systems.System, seed: int, callers: int = 8
+        self,
+        system: systems.System,
+        seed: int,
+        callers: int = 8,
+        outage_s: float = 0.0,
     ) -> None:
         self.system = system
         self.recording = Recording()
@@ -79,6 +93,7 @@
         self._stopping = False
         self._changes = itertools.count(1)
         self._deck: list[str] = []
+        self._outage_s = outage_s
         self._faults: dict[str, typing.Callable] = {
             'kill daemon': self._kill_daemon,
             'freeze daemon': self._freeze_daemon,
@@ -101,6 +116,9 @@
                 for fault in _TARGET_FAULTS
             },
         }
+        if outage_s:
+            for name in _STORE_FAULTS:
+                del self._faults[name]
 
     async def run(self, seconds: float) -> None:
         """Call and break things for a while, then heal and settle."""
@@ -109,6 +127,8 @@
             for number in range(self._callers)
         ]
         poller = asyncio.create_task(self._poll())
+        if self._outage_s:
+            tasks.append(asyncio.create_task(self._long_outage()))
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             names = self._deal()
@@ -129,16 +149,7 @@
     def verdicts(self) -> dict[str, history.Verdict]:
         """Judge the recording by every checker."""
         calls = self.recording.calls
-        executions = [
-            history.Execution(
-                target,
-                row['kind'],
-                row['attempt_id'],
-                row['idempotency_key'],
-                row['started_ms'],
-            )
-            for target, row in self.system.executions()
-        ]
+        executions = self.system.executions()
         return {
             'at most once': history.check_at_most_once(calls, executions),
             'not run is true': history.check_not_run(calls, executions),
@@ -187,12 +198,7 @@
             terms = {'claimant': f'household-{rng.randrange(97)}'}
         else:
             terms = {'kebele': rng.choice(_KEBELES)}
-        body = {
-            'service': 'field-claims',
-            'search': 'claimant-history',
-            'terms': terms,
-        }
-        await self._call('search', daemon, 'claimant-history', terms, body)
+        self._note(await self.system.search(daemon, terms))
 
     async def _run_once(self, daemon: str, rng: random.Random) -> None:
         """Run a new key, or one whose outcome is not known yet."""
@@ -219,13 +225,7 @@
     async def _run_key(
         self, daemon: str, key: str, household: str
     ) -> history.Call:
-        body = {
-            'service': 'relief-payout',
-            'operation': 'release-payout',
-            'body': {'household': household},
-            'issued_at_ms': self.system.wall_ms(),
-        }
-        return await self._call('run', daemon, 'release-payout', {}, body, key)
+        return self._note(await self.system.pay(daemon, key, household))
 
     async def _ask_open_keys(self) -> None:
         """Ask every open key once more, now that all is healed."""
@@ -237,40 +237,7 @@
             )
         )
 
-    async def _call(
-        self,
-        kind: str,
-        daemon: str,
-        name: str,
-        terms: dict[str, str],
-        body: dict,
-        key: str = '',
-    ) -> history.Call:
-        url = f'{self.system.daemons[daemon].caller_url}/v1/{kind}'
-        headers = {'Idempotency-Key': key} if key else {}
-        invoked_ms = systems.now_ms()
-        status, outcome = None, None
-        try:
-            async with asyncio.timeout(_CALL_TIMEOUT_S):
-                status, outcome = await self.system.call(
-                    'POST', url, body, headers
-                )
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
-            pass
-        except msgspec.DecodeError as error:
-            self.recording.faults.append(f'unreadable answer: {error}')
-        call = history.Call(
-            len(self.recording.calls),
-            kind,
-            daemon,
-            name,
-            terms,
-            key,
-            invoked_ms,
-            systems.now_ms(),
-            status,
-            outcome,
-        )
+    def _note(self, call: history.Call) -> history.Call:
         self.recording.calls.append(call)
         return call
 
@@ -403,6 +370,12 @@
         await self.system.store_faults(outage_ms=length_ms)
         await asyncio.sleep(length_ms / 1000.0)
 
+    async def _long_outage(self) -> None:
+        await asyncio.sleep(_OUTAGE_AT_S)
+        self.recording.faults.append(f'store outage {self._outage_s:.0f} s')
+        await self.system.store_faults(outage_ms=self._outage_s * 1_000.0)
+        await asyncio.sleep(self._outage_s)
+
     async def _lose_answers(self) -> None:
         await self.system.store_faults(lose_answers=8)
         await asyncio.sleep(1.0)
@@ -439,11 +412,15 @@
 
 
 async def run_once(
-    seed: int, daemons: int, seconds: float, callers: int = 8
+    seed: int,
+    daemons: int,
+    seconds: float,
+    callers: int = 8,
+    outage_s: float = 0.0,
 ) -> FaultRun:
     """Build a system, run it under faults and return the run."""
     async with systems.running(daemons) as system:
-        run = FaultRun(system, seed, callers)
+        run = FaultRun(system, seed, callers, outage_s)
         await run.run(seconds)
         run.judged = run.verdicts()
     return run
@@ -470,9 +447,12 @@
 @click.option('--seconds', default=30.0)
 @click.option('--daemons', default=6)
 @click.option('--callers', default=8)
-def main(seed: int, seconds: float, daemons: int, callers: int) -> None:
+@click.option('--outage', default=0.0, help='Seconds the store is down.')
+def main(
+    seed: int, seconds: float, daemons: int, callers: int, outage: float
+) -> None:
     """Do one run and print what was judged."""
-    run = asyncio.run(run_once(seed, daemons, seconds, callers))
+    run = asyncio.run(run_once(seed, daemons, seconds, callers, outage))
     print(f'seed {seed}, {daemons} daemons, {seconds:.0f} s')
     print(describe(run))
     wrong = any(verdict.violations for verdict in run.judged.values())
--- a/tests/process/system.py
+++ b/tests/process/system.py
@@ -1,15 +1,19 @@
 """A small system under test, with a relay before the store and targets."""
 
+import asyncio
 import contextlib
+import itertools
 import pathlib
 import time
 import typing
 import urllib.parse
 
+import aiohttp
 import json5
 import msgspec
 
 from standins import cluster
+from tests import history
 
 INDEXES = ('claims', 'clip-rights')
 SITES = ('bole-a', 'kirkos-b', 'yeka-c')
@@ -17,6 +21,9 @@
 RELAY = 'relay'
 RECORD_LIMIT = 5_000
 
+_CALL_TIMEOUT_S = 15.0
+_UNREADABLE = {'type': 'unreadable'}
+
 _BASE = pathlib.Path(__file__).parents[2] / 'examples' / 'gebeya'
 
 
@@ -28,6 +35,7 @@
         self.base: dict[str, typing.Any] = {}
         self.snapshot_versions: dict[int, int] = {}
         self.shard_targets: list[str] = []
+        self._call_numbers = itertools.count()
 
     @property
     def execution_log(self) -> pathlib.Path:
@@ -130,12 +138,87 @@
         _, outcome = await self.call('PUT', url, change)
         return outcome['type'], outcome.get('revision', 0)
 
-    def executions(self) -> list[tuple[str, dict]]:
+    def executions(self) -> list[history.Execution]:
         """Return the executions that the targets logged."""
         if not self.execution_log.exists():
             return []
         lines = self.execution_log.read_bytes().splitlines()
-        return [tuple(msgspec.json.decode(line)) for line in lines]
+        return [
+            history.Execution(
+                target,
+                row['kind'],
+                row['attempt_id'],
+                row['idempotency_key'],
+                row['started_ms'],
+            )
+            for target, row in map(msgspec.json.decode, lines)
+        ]
+
+    async def search(
+        self, daemon: str, terms: dict[str, str], url: str = ''
+    ) -> history.Call:
+        """Search the claims and record how it ended."""
+        body = {
+            'service': 'field-claims',
+            'search': 'claimant-history',
+            'terms': terms,
+        }
+        return await self._record('search', daemon, url, body, terms=terms)
+
+    async def pay(
+        self,
+        daemon: str,
+        key: str,
+        household: str = 'household-1',
+        url: str = '',
+    ) -> history.Call:
+        """Release a payout and record how it ended."""
+        body = {
+            'service': 'relief-payout',
+            'operation': 'release-payout',
+            'body': {'household': household},
+            'issued_at_ms': self.wall_ms(),
+        }
+        return await self._record('run', daemon, url, body, key=key)
+
+    async def _record(
+        self,
+        kind: str,
+        daemon: str,
+        url: str,
+        body: dict[str, typing.Any],
+        terms: typing.Mapping[str, str] | None = None,
+        key: str = '',
+    ) -> history.Call:
+        """Send a request to a daemon, or to ``url`` if one is given."""
+        number = next(self._call_numbers)
+        url = url or self.daemons[daemon].caller_url
+        headers = {'Idempotency-Key': key} if key else {}
+        invoked_ms = now_ms()
+        status, outcome = None, None
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                status, outcome = await self.call(
+                    'POST', f'{url}/v1/{kind}', body, headers
+                )
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            pass
+        except msgspec.DecodeError:
+            outcome = _UNREADABLE
+        if outcome == _UNREADABLE:
+            outcome = None
+        return history.Call(
+            number,
+            kind,
+            daemon,
+            body.get('search', body.get('operation')),
+            terms or {},
+            key,
+            invoked_ms,
+            now_ms(),
+            status,
+            outcome,
+        )
 
     def restart_target(self, name: str) -> None:
         """Start a killed target again on its port."""
--- /dev/null
+++ b/tests/process/test_races.py
@@ -0,0 +1,126 @@
+"""Requests that race each other, with real processes and no faults."""
+
+import asyncio
+import collections
+import unittest
+
+from tests import history
+from tests.process import system as systems
+
+_KEYS = 30
+_SECONDS = 6.0
+_SERVICE_MS = 20.0
+_FLOOD_CALLERS = 60
+_QUIET_CALLERS = 12
+_LEAST_SHARE = 0.21
+"""Between the quiet sites' part of the callers (0.14) and share (0.3)."""
+
+
+class SameKeyTest(unittest.IsolatedAsyncioTestCase):
+    """Two daemons get one idempotency key at the same instant."""
+
+    async def test_same_request_runs_once(self) -> None:
+        """Both callers get the one outcome, whoever wrote the claim.
+
+        The loser of the conditional write finds the winner's claim and
+        waits for its end.
+        """
+        async with systems.running(6) as system:
+            names = sorted(system.daemons)
+            calls: list[history.Call] = []
+            for number in range(_KEYS):
+                pair = names[number % 6], names[(number + 1) % 6]
+                key = f'same-{number}'
+                calls += await asyncio.gather(
+                    *(system.pay(name, key) for name in pair)
+                )
+            executions = system.executions()
+        for check in (history.check_at_most_once, history.check_not_run):
+            self.assertEqual((), check(calls, executions).violations)
+        self.assertEqual(_KEYS, len(executions))
+        told = collections.Counter(
+            call.idempotency_key
+            for call in calls
+            if call.kind_of_outcome == 'completed'
+        )
+        both = [key for key, count in told.items() if count == 2]
+        self.assertGreater(len(both), _KEYS // 2, told)
+
+    async def test_other_body_is_refused(self) -> None:
+        """One key with two bodies: one runs, the other is told so.
+
+        The bodies race at two daemons; then the loser's body is sent to a
+        third daemon, which reads the claim of the winner.
+        """
+        async with systems.running(6) as system:
+            first, second, third = sorted(system.daemons)[:3]
+            rows = []
+            for number in range(_KEYS):
+                key = f'body-{number}'
+                pair = await asyncio.gather(
+                    system.pay(first, key, 'household-1'),
+                    system.pay(second, key, 'household-2'),
+                )
+                lost = 1 if pair[0].kind_of_outcome == 'completed' else 0
+                again = await system.pay(third, key, f'household-{lost + 1}')
+                rows.append((pair, pair[lost], again))
+            executions = system.executions()
+        runs = collections.Counter(row.idempotency_key for row in executions)
+        self.assertEqual(dict.fromkeys(runs, 1), dict(runs))
+        self.assertEqual(_KEYS, len(runs))
+        for pair, loser, again in rows:
+            told = [call.kind_of_outcome for call in pair]
+            self.assertLessEqual(told.count('completed'), 1, pair)
+            for call in (loser, again):
+                self.assertNotEqual('completed', call.kind_of_outcome, call)
+            self.assertEqual('idempotency-key-reused', again.outcome['reason'])
+
+
+class SiteShareTest(unittest.IsolatedAsyncioTestCase):
+    """One site floods targets that all sites use."""
+
+    async def test_flooding_site_leaves_the_others_their_share(self) -> None:
+        """Callers of the quiet sites get their shares of the targets' work.
+
+        Five times as many callers search through one site's daemons as
+        through each other's, all at once, more than the targets can do.
+        In one line the quiet sites would get their part of the callers.
+        """
+        async with systems.running(6) as system:
+            for name in system.shard_targets:
+                await system.target_faults(name, service_ms=_SERVICE_MS)
+            sites = {
+                place.name: place.site for place in system.daemons.values()
+            }
+            stop = asyncio.Event()
+            tasks = []
+            for name, site in sorted(sites.items()):
+                flood = site == systems.SITES[0]
+                count = (_FLOOD_CALLERS if flood else _QUIET_CALLERS) // 2
+                tasks += [
+                    asyncio.create_task(_search_on(system, name, stop))
+                    for _ in range(count)
+                ]
+            await asyncio.sleep(_SECONDS)
+            stop.set()
+            await asyncio.gather(*tasks)
+            served = collections.Counter(
+                sites[row.attempt_id.rsplit('-', 2)[0]]
+                for row in system.executions()
+            )
+        total = sum(served.values())
+        self.assertGreater(total, 1_000)
+        for site in systems.SITES[1:]:
+            self.assertGreater(served[site] / total, _LEAST_SHARE, served)
+
+
+async def _search_on(
+    system: systems.System, daemon: str, stop: asyncio.Event
+) -> None:
+    number = 0
+    while not stop.is_set():
+        number += 1
+        terms = {'claimant': f'household-{number % 97}'}
+        call = await system.search(daemon, terms)
+        if call.kind_of_outcome not in ('answered', 'partial'):
+            await asyncio.sleep(0.05)
--- a/tests/process/test_scenarios.py
+++ b/tests/process/test_scenarios.py
@@ -68,7 +68,7 @@
             left_at_ms = {leaving: systems.now_ms()}
             await asyncio.sleep(_LEAVING_GRACE_MS / 1000.0)
             answers = await _search_often(system, 40)
-            executions = _executions(system)
+            executions = system.executions()
         self.assertEqual({'answered'}, {row['type'] for row in answers})
         verdict = history.check_leaving(
             executions, left_at_ms, _LEAVING_GRACE_MS
@@ -88,14 +88,14 @@
             for number in range(10):
                 first, second = sorted(system.daemons)[:2]
                 key = f'frozen-{number}'
-                asked = asyncio.create_task(_pay(system, first, key))
+                asked = asyncio.create_task(system.pay(first, key))
                 await asyncio.sleep(0.002 * number)
                 system.kill(first, signal.SIGSTOP)
-                calls.append(await _pay(system, second, key))
+                calls.append(await system.pay(second, key))
                 system.kill(first, signal.SIGCONT)
                 calls.append(await asked)
-                calls.append(await _pay(system, second, key))
-            executions = _executions(system)
+                calls.append(await system.pay(second, key))
+            executions = system.executions()
         self.assert_runs_hold(calls, executions)
 
     async def test_killed_holder_with_a_lost_store_answer(self) -> None:
@@ -110,16 +110,71 @@
                 name = sorted(system.daemons)[number]
                 key = f'lost-{number}'
                 await system.store_faults(lose_answers=1)
-                asked = asyncio.create_task(_pay(system, name, key))
+                asked = asyncio.create_task(system.pay(name, key))
                 await asyncio.sleep(0.005 * number)
                 system.kill(name)
                 calls.append(await asked)
                 await system.store_faults()
                 for other in sorted(system.daemons)[4:]:
-                    calls.append(await _pay(system, other, key))
-            executions = _executions(system)
+                    calls.append(await system.pay(other, key))
+            executions = system.executions()
         self.assert_runs_hold(calls, executions)
 
+    async def test_stop_of_one_daemon_cuts_nothing(self) -> None:
+        """SIGTERM in the middle of scatters and unrepeatable requests.
+
+        There is no balancer.  Callers of the stopping daemon and of those
+        it dispatches for all get an outcome, then the process ends with 0.
+        """
+        async with systems.running(6) as system:
+            for name in system.target_urls:
+                await system.target_faults(name, service_ms=40.0)
+            asked = []
+            for number, name in enumerate(sorted(system.daemons) * 3):
+                terms = {'claimant': f'household-{number}'}
+                asked.append(asyncio.create_task(system.search(name, terms)))
+                pay = system.pay(name, f'stopped-{number}')
+                asked.append(asyncio.create_task(pay))
+            await asyncio.sleep(0.05)
+            system.kill('entry-1', signal.SIGTERM)
+            calls = await asyncio.gather(*asked)
+            while system.processes['entry-1'].poll() is None:
+                await asyncio.sleep(0.05)
+            executions = system.executions()
+        self.assertEqual(0, system.processes['entry-1'].returncode)
+        self.assertEqual((), history.check_nothing_cut(calls).violations)
+        self.assert_runs_hold(calls, executions)
+        runs = [row for row in calls if row.kind_of_outcome == 'completed']
+        self.assertGreater(len(runs), 9)
+
+    async def test_restart_with_nothing_kept_while_store_is_down(
+        self,
+    ) -> None:
+        """Daemons that start without the store learn from their peers.
+
+        They answer searches, and refuse unrepeatable requests truthfully
+        until the store is back.
+        """
+        async with systems.running(6) as system:
+            await system.store_faults(outage_ms=120_000)
+            names = ('entry-2', 'entry-3')
+            for name in names:
+                system.kill(name)
+                system.processes[name].wait()
+                system.start_daemon(name)
+            await system.wait_ready(*names)
+            found = await _search_often(system, 12)
+            refused = [await system.pay(name, f'k-{name}') for name in names]
+            early = [row for row in system.executions() if row.kind == 'run']
+            await system.store_faults()
+            calls = [await system.pay(name, f'k-{name}') for name in names]
+            executions = system.executions()
+        self.assertEqual({'answered'}, {row['type'] for row in found})
+        for call in refused:
+            self.assertEqual('platform-unavailable', call.outcome['reason'])
+        self.assertEqual([], early)
+        self.assert_runs_hold(refused + calls, executions)
+
     def assert_runs_hold(
         self,
         calls: list[history.Call],
@@ -180,14 +235,8 @@
 
 
 async def _search(system: systems.System, daemon: str, claimant: str) -> dict:
-    body = {
-        'service': 'field-claims',
-        'search': 'claimant-history',
-        'terms': {'claimant': claimant},
-    }
-    url = f'{system.daemons[daemon].caller_url}/v1/search'
-    _, outcome = await system.call('POST', url, body)
-    return outcome
+    call = await system.search(daemon, {'claimant': claimant})
+    return call.outcome or {'type': 'none'}
 
 
 async def _search_often(system: systems.System, count: int) -> list[dict]:
@@ -199,47 +248,3 @@
         answers.append(await _search(system, name, household))
         await asyncio.sleep(0.01)
     return answers
-
-
-async def _pay(system: systems.System, daemon: str, key: str) -> history.Call:
-    invoked_ms = systems.now_ms()
-    body = {
-        'service': 'relief-payout',
-        'operation': 'release-payout',
-        'body': {'household': 'household-1'},
-        'issued_at_ms': system.wall_ms(),
-    }
-    url = f'{system.daemons[daemon].caller_url}/v1/run'
-    status, outcome = None, None
-    try:
-        async with asyncio.timeout(10.0):
-            status, outcome = await system.call(
-                'POST', url, body, {'Idempotency-Key': key}
-            )
-    except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
-        pass
-    return history.Call(
-        0,
-        'run',
-        daemon,
-        'release-payout',
-        {},
-        key,
-        invoked_ms,
-        systems.now_ms(),
-        status,
-        outcome,
-    )
-
-
-def _executions(system: systems.System) -> list[history.Execution]:
-    return [
-        history.Execution(
-            target,
-            row['kind'],
-            row['attempt_id'],
-            row['idempotency_key'],
-            row['started_ms'],
-        )
-        for target, row in system.executions()
-    ]
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -5,8 +5,6 @@
 import signal
 import unittest
 
-import aiohttp
-
 from tests import history
 from tests.process import system as systems
 
@@ -43,16 +41,7 @@
                 await system.wait_ready(name)
             stop.set()
             await asyncio.gather(*callers)
-            executions = [
-                history.Execution(
-                    target,
-                    row['kind'],
-                    row['attempt_id'],
-                    row['idempotency_key'],
-                    row['started_ms'],
-                )
-                for target, row in system.executions()
-            ]
+            executions = system.executions()
         for verdict in (
             history.check_nothing_cut(calls),
             history.check_at_most_once(calls, executions),
@@ -74,51 +63,11 @@
     """Alternate searches and unrepeatable requests until told to stop."""
     while not stop.is_set():
         number = next(numbers)
-        kind = 'run' if number % 3 == 0 else 'search'
-        terms = {'claimant': f'household-{number % 97}'}
-        key = f'key-{number}' if kind == 'run' else ''
-        body = _run_body(system) if key else _search_body(terms)
-        invoked_ms = systems.now_ms()
-        status, outcome = None, None
-        try:
-            async with system.session.post(
-                f'{url}/v1/{kind}',
-                json=body,
-                headers={'Idempotency-Key': key} if key else {},
-            ) as response:
-                status = response.status
-                outcome = await response.json(content_type=None)
-        except (aiohttp.ClientError, ValueError):
-            pass
-        calls.append(
-            history.Call(
-                number,
-                kind,
-                'balancer',
-                kind,
-                {} if key else terms,
-                key,
-                invoked_ms,
-                systems.now_ms(),
-                status,
-                outcome,
+        if number % 3:
+            terms = {'claimant': f'household-{number % 97}'}
+            calls.append(await system.search('balancer', terms, url))
+        else:
+            calls.append(
+                await system.pay('balancer', f'key-{number}', url=url)
             )
-        )
         await asyncio.sleep(0.01)
-
-
-def _search_body(terms: dict[str, str]) -> dict:
-    return {
-        'service': 'field-claims',
-        'search': 'claimant-history',
-        'terms': terms,
-    }
-
-
-def _run_body(system: systems.System) -> dict:
-    return {
-        'service': 'relief-payout',
-        'operation': 'release-payout',
-        'body': {'household': 'household-1'},
-        'issued_at_ms': system.wall_ms(),
-    }
