--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -2,14 +2,11 @@
 
 from samphiredock.state._checks import Problem
 from samphiredock.state._claims import Bucket
-from samphiredock.state._claims import BUCKETS
 from samphiredock.state._claims import Claim
-from samphiredock.state._claims import CLAIMS_PREFIX
 from samphiredock.state._claims import ClaimState
 from samphiredock.state._claims import content_digest
 from samphiredock.state._claims import decode_bucket
 from samphiredock.state._claims import done_claim
-from samphiredock.state._claims import FULL_BYTES
 from samphiredock.state._claims import KEEP_MS
 from samphiredock.state._claims import not_run_claim
 from samphiredock.state._claims import Opened
@@ -30,14 +27,10 @@
 from samphiredock.state._configuration import Site
 from samphiredock.state._configuration import Target
 from samphiredock.state._directory import Member
-from samphiredock.state._files import parse_text
 from samphiredock.state._files import read_file
-from samphiredock.state._keys import CurvePair
 from samphiredock.state._keys import Keys
 from samphiredock.state._keys import load_keys
-from samphiredock.state._keys import TOKEN_LEAST_LENGTH
 from samphiredock.state._settings import load_settings
-from samphiredock.state._settings import LOG_LEVELS
 from samphiredock.state._settings import Settings
 from samphiredock.state._settings import TlsSettings
 from samphiredock.state._snapshots import check_snapshot
@@ -47,20 +40,15 @@
 from samphiredock.state._snapshots import Snapshot
 
 __all__ = [
-    'BUCKETS',
     'Bucket',
-    'CLAIMS_PREFIX',
     'Claim',
     'ClaimState',
     'Configuration',
     'ConfigurationSource',
-    'CurvePair',
-    'FULL_BYTES',
     'IndexSnapshot',
     'KEEP_MS',
     'KEY_SPACE_SIZE',
     'Keys',
-    'LOG_LEVELS',
     'Limits',
     'Member',
     'MergeKind',
@@ -77,7 +65,6 @@
     'Shard',
     'Site',
     'Snapshot',
-    'TOKEN_LEAST_LENGTH',
     'Target',
     'TlsSettings',
     'Verdict',
@@ -89,7 +76,6 @@
     'load_keys',
     'load_settings',
     'not_run_claim',
-    'parse_text',
     'place_of',
     'read_file',
 ]
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -2,7 +2,6 @@
 
 from samphiredock.transport._caller_http import caller_application
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_HEADER
-from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_LIMIT
 from samphiredock.transport._caller_http import Service
 from samphiredock.transport._operator_http import Operations
 from samphiredock.transport._operator_http import operator_application
@@ -19,10 +18,7 @@
 from samphiredock.transport._platform import StoreErrorKind
 from samphiredock.transport._platform import VALUE_LIMIT_BYTES
 from samphiredock.transport._platform import WatchPage
-from samphiredock.transport._platform_http import HostRow
 from samphiredock.transport._platform_http import HttpPlatform
-from samphiredock.transport._platform_http import ObjectPage
-from samphiredock.transport._platform_http import ObjectRow
 from samphiredock.transport._target_http import HttpTargetLink
 from samphiredock.transport._target_http import LinkError
 from samphiredock.transport._target_http import LinkErrorKind
@@ -34,15 +30,11 @@
     'CurveKeys',
     'Handler',
     'Host',
-    'HostRow',
     'HttpPlatform',
     'HttpTargetLink',
     'IDEMPOTENCY_KEY_HEADER',
-    'IDEMPOTENCY_KEY_LIMIT',
     'LinkError',
     'LinkErrorKind',
-    'ObjectPage',
-    'ObjectRow',
     'Operations',
     'PeerHub',
     'Peers',
