key_retention_ms above 24 hours is refused by the compiler

The compiler now names the limit and its reason; admission keeps its own bound, since a stored configuration of an older release may hold more.

--- a/samphiredock/state/_claims.py
+++ b/samphiredock/state/_claims.py
@@ -15,7 +15,7 @@
 """Why this number: docs/design/claims.md, section 3."""
 
 RETENTION_LIMIT_MS = 24 * 3_600_000
-"""No key is older than this, whatever ``key_retention_ms`` says."""
+"""No key is older than this; ``key_retention_ms`` may not exceed it."""
 
 KEEP_MS = RETENTION_LIMIT_MS + 3_600_000
 """A claim is dropped when it is older, never by a setting, so that a
--- a/samphiredock/state/_compiler.py
+++ b/samphiredock/state/_compiler.py
@@ -7,6 +7,7 @@
 
 from samphiredock import protocol
 from samphiredock.state import _checks
+from samphiredock.state import _claims
 from samphiredock.state import _configuration
 from samphiredock.state import _overlay
 
@@ -19,7 +20,13 @@
         'deadline_limit_ms': _checks.integer(1, 600_000, 'ms'),
         'body_limit_bytes': _checks.integer(256, 1_000_000, 'bytes'),
         'terms_limit': _checks.integer(1, 1_000),
-        'key_retention_ms': _checks.integer(60_000, 720 * _HOUR_MS, 'ms'),
+        # A claim is kept for little longer than this limit; a key that is
+        # accepted without its claim could run its request twice.
+        'key_retention_ms': _checks.integer(
+            60_000,
+            _claims.RETENTION_LIMIT_MS,
+            'ms; claims are kept no longer',
+        ),
         'queue_per_target': _checks.integer(1, 100_000),
         'in_flight_per_daemon': _checks.integer(1, 1_000_000),
         'hedge_budget': _checks.number(0.0, 1.0),
