--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -1,6 +1,6 @@
 """Store calls, conflicts and bytes of claims, for docs/design/claims.md.
 
-The claim books of many daemons share one fake store; time is moved by
+The claim books of many daemons share one store in memory; time is moved by
 hand, so that the figures do not depend on the machine.
 """
 
@@ -10,10 +10,12 @@
 import click
 
 from samphiredock.coordination import _claim_book
+from samphiredock.coordination import _pause
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock.state import _claims
-from tests import fakes_platform
+from standins import memory_hosts
+from standins import memory_platform
 from tests import fakes_run
 
 _RECEIPT = {'receipt': 'r' * 24, 'desk': 'desk-1'}
@@ -22,8 +24,9 @@
 async def _measure(
     daemons: int, rate_per_s: float, seconds: float, seed: int
 ) -> dict[str, float]:
-    clock = fakes_run.SteppedTimers()
-    platform = fakes_platform.FakePlatform(clock, random.Random(seed), 10.0)
+    clock = memory_hosts.SteppedTimers()
+    store = memory_platform.MemoryStore(random.Random(seed))
+    platform = memory_platform.MemoryPlatform(store, clock, (0.0, 5.0))
     counters = metrics.Metrics('benchmark')
     randomness = random.Random(seed + 1)
     books = [
@@ -47,7 +50,7 @@
             isinstance(opened.opened, state.Opened)
             and opened.opened.verdict is state.Verdict.GRANTED
         )
-        await fakes_run.pause(clock, randomness.uniform(5, 50))
+        await _pause.pause(clock, randomness.uniform(5, 50))
         await book.close(place, state.done_claim(wanted, True, _RECEIPT))
 
     tasks = []
@@ -60,14 +63,14 @@
         tasks.append(fakes_run.start(one(len(tasks), book)))
     await clock.pass_ms(5_000)
     count = len(tasks)
-    sizes = [len(found.value) for found in platform.objects.values()]
+    sizes = [len(found.value) for found in store.objects.values()]
     waits_ms.sort()
     counters.close()
     return {
         'requests': count,
         'granted': sum(granted),
-        'gets': platform.calls['get'] / count,
-        'puts': platform.calls['put'] / count,
+        'gets': store.calls['get'] / count,
+        'puts': store.calls['put'] / count,
         'conflicts': counters.total('claim_conflicts') / count,
         'p50_ms': waits_ms[count // 2],
         'p99_ms': waits_ms[int(count * 0.99)],
--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -13,7 +13,7 @@
 import click
 
 from standins import cluster
-from tests import fakes_daemons
+from standins import memory_daemons
 
 _SITES = ('bole-a', 'kirkos-b', 'yeka-c')
 _TICKS_S = os.sysconf('SC_CLK_TCK')
@@ -43,7 +43,7 @@
                 'change_id': 'first',
                 'author': 'bench',
                 'accepted_at_ms': 0,
-                'base': fakes_daemons.BASE,
+                'base': memory_daemons.BASE,
                 'overlays': {},
             },
         )
--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -27,7 +27,7 @@
 from samphiredock import coordination
 from samphiredock import protocol
 from samphiredock import state
-from tests import fakes_daemons
+from standins import memory_daemons
 
 REGIONS = {
     'bole-a': 'addis',
@@ -79,8 +79,8 @@
     """One run at one size."""
 
     def __init__(self, daemons: int, base: dict, loss: float) -> None:
-        self.network = fakes_daemons.Network(SEED)
-        self.network.drop = loss
+        self.network = memory_daemons.Network(SEED)
+        self.network.loss = loss
         self.rng = random.Random(SEED)
         self.base = base
         self.count = daemons
@@ -107,7 +107,7 @@
         self.settled_ms = self.network.clock.now_ms() - started_ms
         await self.network.run(SETTLE_MS)
 
-    def running(self) -> list[fakes_daemons.SimDaemon]:
+    def running(self) -> list[memory_daemons.SimDaemon]:
         """Return the daemons."""
         return list(self.network.daemons.values())
 
@@ -151,7 +151,7 @@
         network = self.network
         network.sent.clear()
         network.sent_bytes.clear()
-        calls = network.store.calls
+        calls = network.store.calls.total()
         tasks = []
         started = time.process_time()
         steps = max(1, events)
@@ -168,7 +168,7 @@
             'bytes': float(sum(network.sent_bytes.values())),
             'messages': float(sum(network.sent.values())),
             'cpu_us': cpu_s * 1e6,
-            'calls': float(network.store.calls - calls),
+            'calls': float(network.store.calls.total() - calls),
         }
         return totals, dict(network.sent_bytes)
 
--- /dev/null
+++ b/standins/memory_daemons.py
@@ -0,0 +1,172 @@
+"""Daemons' control parts on a manual clock and a network in memory.
+
+The parts are the product's own; only sockets, clock and store are stand-ins.
+A daemon can be frozen (its timers, messages and store answers wait), cut
+off, killed and started again with nothing kept.
+"""
+
+import asyncio
+import collections
+import random
+import typing
+
+import msgspec
+
+from samphiredock import coordination
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from standins import memory_hosts
+from standins import memory_peers
+from standins import memory_platform
+
+STEP_MS = 5.0
+_FRAMING_BYTES = 12
+_CODEC = protocol.Codec(protocol.CONTROL_MESSAGES)
+BASE = {'services': {}, 'sites': {}, 'targets': {}, 'indexes': []}
+
+
+class Counters:
+    """Metrics without an exporter."""
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter = collections.Counter()
+
+    def add(self, name: str, amount: float = 1, **labels: object) -> None:
+        """Add to a counter."""
+        self.counts[name] += amount
+
+
+class SimDaemon:
+    """The control parts of one daemon, as the node wires them."""
+
+    def __init__(
+        self, network: 'Network', name: str, site: str, region: str
+    ) -> None:
+        self.name, self.site, self.region = name, site, region
+        self.network = network
+        self.clock = memory_hosts.MemoryHost(network.clock)
+        self.counters = Counters()
+        self.started_ms = network.clock.now_ms()
+        self.peers = network.join(
+            name, self.clock, (site, region), needs_address=True
+        )
+        platform = memory_platform.MemoryPlatform(
+            network.store, network.clock, (2.0, 2.0), self.clock
+        )
+        self.knowledge = coordination.Knowledge(self.counters)
+        self.watcher = coordination.Watcher(
+            platform, self.clock, self.counters
+        )
+        coordination.follow_knowledge(self.watcher, self.knowledge)
+        address = f'tcp://{name}'
+        member = state.Member(
+            name, site, region, address, name, name, self.clock.wall_ms()
+        )
+        self.incarnation = member.incarnation
+        self.membership = coordination.Membership(
+            member,
+            self.peers,
+            _CODEC,
+            platform,
+            self.clock,
+            self.counters,
+            self.knowledge.versions,
+            random.Random(f'{network.seed}-{name}-{self.started_ms}'),
+            network.seeds,
+        )
+        self.spread = coordination.Spread(
+            name,
+            site,
+            self.knowledge,
+            self.watcher,
+            self.membership,
+            self.peers,
+            self.clock,
+            self.counters,
+        )
+        self.acceptor = coordination.Acceptor(
+            platform, self.knowledge, self.clock, self.counters
+        )
+        self.membership.start()
+        self.watcher.start()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it presents its revision as the one in force."""
+        return (
+            self.knowledge.revision > 0
+            and self.membership.is_settled()
+            and self.membership.is_current()
+        )
+
+    def live_names(self) -> set[str]:
+        """Return the names of the members held live."""
+        return {member.name for member in self.membership.live()}
+
+    async def apply(
+        self, change_id: str, base_revision: int, repeated: bool = False
+    ) -> protocol.ChangeOutcome:
+        """Apply a change as an operator would, and push it."""
+        change = protocol.ConfigurationChange(
+            base_revision, change_id, 'operator', BASE, {}, repeated
+        )
+        outcome = await self.acceptor.apply(change)
+        if isinstance(outcome, protocol.ChangeAccepted):
+            self.spread.announce_configuration()
+        return outcome
+
+    def kill(self) -> None:
+        """End it without a word."""
+        self.clock.dead = True
+        self.membership.close()
+        self.watcher.close()
+
+
+class Network(memory_peers.MemoryNetwork):
+    """The daemons of a test, their clock, store and connections."""
+
+    def __init__(self, seed: int, seeds: tuple[str, ...] = ()) -> None:
+        self.seed = seed
+        super().__init__(timers.ManualTimers(), random.Random(seed))
+        self.near_ms = (1.5, 1.95)
+        self.store = memory_platform.MemoryStore(self.random)
+        self.seeds = seeds
+        self.daemons: dict[str, SimDaemon] = {}
+        self.sent: collections.Counter = collections.Counter()
+        self.sent_bytes: collections.Counter = collections.Counter()
+        self.observers.append(self._count)
+
+    def start(self, name: str, site: str, region: str) -> SimDaemon:
+        """Start a daemon, or start it again with nothing kept."""
+        self.daemons[name] = SimDaemon(self, name, site, region)
+        return self.daemons[name]
+
+    def _count(self, sender: str, message: msgspec.Struct) -> None:
+        kind, body = _CODEC.encode(message)
+        size = len(kind) + len(body) + len(sender) + _FRAMING_BYTES
+        self.sent[type(message).__name__] += 1
+        self.sent_bytes[type(message).__name__] += size
+
+    async def run(self, duration_ms: float) -> None:
+        """Let time pass, and the tasks with it."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(STEP_MS)
+            for _ in range(3):
+                await asyncio.sleep(0)
+
+    def close(self) -> None:
+        """End every daemon."""
+        for daemon in self.daemons.values():
+            daemon.kill()
+
+
+def start_sites(
+    network: Network, sites: typing.Mapping[str, str], count: int
+) -> None:
+    """Start ``count`` daemons spread over sites (site to region)."""
+    names = list(sites)
+    for number in range(count):
+        site = names[number % len(names)]
+        network.start(f'entry-{number + 1}', site, sites[site])
--- /dev/null
+++ b/standins/memory_peers.py
@@ -0,0 +1,215 @@
+"""Messages between daemons in memory, with the faults that networks have."""
+
+import collections
+import random
+import typing
+
+import msgspec
+
+from samphiredock import protocol
+from samphiredock import timers
+from samphiredock import transport
+from standins import memory_hosts
+
+_Observer = typing.Callable[[str, msgspec.Struct], None]
+
+
+class MemoryPeers:
+    """One member's peer sockets on a :class:`MemoryNetwork`.
+
+    ``silent`` holds members whose open connection swallows what is sent
+    until it is reset.  With ``needs_address`` only members whose address
+    was set can be sent to.
+    """
+
+    def __init__(
+        self,
+        network: 'MemoryNetwork',
+        name: str,
+        host: memory_hosts.MemoryHost,
+        place: tuple[str, ...] = (),
+        needs_address: bool = False,
+    ) -> None:
+        self._network = network
+        self.name = name
+        self.host = host
+        self.place = place
+        self._needs_address = needs_address
+        self._handlers: dict[type, list[transport.Handler]] = (
+            collections.defaultdict(list)
+        )
+        self.known: dict[str, str] = {}
+        self.silent: set[str] = set()
+        self.resets = 0
+        self.open: set[str] = set()
+        self._used: set[str] = set()
+
+    def subscribe(self, kind: type, handler: transport.Handler) -> None:
+        """Call the handler for each message of a type."""
+        self._handlers[kind].append(handler)
+
+    def set_address(self, member: str, address: str) -> None:
+        """Learn an address."""
+        self.known[member] = address
+
+    def reset(self, member: str) -> None:
+        """Make a new connection."""
+        self.resets += 1
+        self.silent.discard(member)
+
+    def close_idle(self) -> None:
+        """Close unused connections."""
+        self.open, self._used = self._used, set()
+
+    def send(self, member: str, message: msgspec.Struct) -> bool:
+        """Queue a message; False for a member that is not known."""
+        if self._needs_address and member not in self.known:
+            return False
+        if member in self.silent:
+            return True
+        address = self.known.get(member, member)
+        self.open.add(address)
+        self._used.add(address)
+        sent = self._network.send(
+            self.name, address.removeprefix('tcp://'), message
+        )
+        return sent or self._needs_address
+
+    def broadcast(self, message: msgspec.Struct) -> None:
+        """Send to every other member."""
+        for member in self._network.names():
+            if member != self.name:
+                self.send(member, message)
+
+    def deliver(self, sender: str, message: msgspec.Struct) -> None:
+        """Hand a message to its handlers."""
+        for handler in self._handlers[type(message)]:
+            handler(sender, message)
+
+
+class MemoryNetwork:
+    """Carries messages with random delay, and loses or repeats some.
+
+    ``loss`` and ``duplicate`` are chances of a message; ``cuts`` holds pairs
+    of names or places between which nothing passes; ``faults`` counts what
+    took effect.  Members of the same last place (their region) are
+    ``near_ms`` apart, others ``far_ms`` (shortest and longest delay).
+    """
+
+    def __init__(
+        self, clock: timers.Timers, randomness: random.Random
+    ) -> None:
+        self.clock = clock
+        self.random = randomness
+        self.loss = 0.0
+        self.duplicate = 0.0
+        self.cuts: set[frozenset[str]] = set()
+        self.near_ms = (0.1, 3.0)
+        self.far_ms = (80.0, 104.0)
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.observers: list[_Observer] = []
+        self._members: dict[str, MemoryPeers] = {}
+
+    def join(
+        self,
+        name: str,
+        host: memory_hosts.MemoryHost | None = None,
+        place: tuple[str, ...] = (),
+        needs_address: bool = False,
+    ) -> MemoryPeers:
+        """Return the sockets of a new life of a member."""
+        host = host or memory_hosts.MemoryHost(self.clock)
+        member = MemoryPeers(self, name, host, place, needs_address)
+        self._members[name] = member
+        return member
+
+    def names(self) -> tuple[str, ...]:
+        """Return all members that ever joined."""
+        return tuple(self._members)
+
+    def send(self, sender: str, member: str, message: msgspec.Struct) -> bool:
+        """Deliver later; False for a member that never joined."""
+        for observe in self.observers:
+            observe(sender, message)
+        if member not in self._members:
+            return False
+        source, receiver = self._members[sender], self._members[member]
+        fault = self._fault(source, receiver)
+        if fault:
+            self.faults[fault] += 1
+            return True
+        copies = 1 + (self.random.random() < self.duplicate)
+        self.faults['duplicate'] += copies - 1
+        near = source.place[-1:] == receiver.place[-1:]
+        for _ in range(copies):
+            self.clock.after(
+                self.random.uniform(*(self.near_ms if near else self.far_ms)),
+                lambda: self._arrive(sender, member, message),
+            )
+        return True
+
+    def is_cut(self, one: MemoryPeers, other: MemoryPeers) -> bool:
+        """Whether nothing passes between two members."""
+        return any(
+            frozenset((left, right)) in self.cuts
+            for left in (one.name, *one.place)
+            for right in (other.name, *other.place)
+        )
+
+    def _fault(self, source: MemoryPeers, receiver: MemoryPeers) -> str:
+        if self.cuts and self.is_cut(source, receiver):
+            return 'cut'
+        return 'loss' if self.random.random() < self.loss else ''
+
+    def _arrive(
+        self, sender: str, member: str, message: msgspec.Struct
+    ) -> None:
+        receiver = self._members[member]
+        receiver.host.run(lambda: receiver.deliver(sender, message))
+
+
+class RecordingPeers:
+    """Peers that keep what is sent; the test delivers by hand."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, msgspec.Struct]] = []
+        self._handlers: dict[type, list[transport.Handler]] = (
+            collections.defaultdict(list)
+        )
+
+    def send(self, member: str, message: msgspec.Struct) -> bool:
+        """Keep a message."""
+        self.sent.append((member, message))
+        return True
+
+    def subscribe(self, kind: type, handler: transport.Handler) -> None:
+        """Register a handler."""
+        self._handlers[kind].append(handler)
+
+    def broadcast(self, message: msgspec.Struct) -> None:
+        """Keep a broadcast."""
+        self.send('*', message)
+
+    def deliver(self, message: msgspec.Struct, sender: str = 'd') -> None:
+        """Give a message to its handlers."""
+        for handler in self._handlers[type(message)]:
+            handler(sender, message)
+
+    def take(self) -> list[tuple[str, msgspec.Struct]]:
+        """Return what was sent since the last call."""
+        sent, self.sent = self.sent, []
+        return sent
+
+    def of(self, kind: type) -> list[typing.Any]:
+        """Return the messages sent of one type."""
+        return [row for _, row in self.sent if isinstance(row, kind)]
+
+    def statuses(self) -> dict[str, list[str]]:
+        """Return how each attempt was reported, in order."""
+        found = collections.defaultdict(list)
+        rows = list(self.of(protocol.RunReport))
+        for message in self.of(protocol.SubAnswerBatch):
+            rows += message.answers
+        for row in rows:
+            found[row.attempt_id].append(row.status.value)
+        return dict(found)
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -13,14 +13,14 @@
 from samphiredock import protocol
 from samphiredock.state import _claims
 from samphiredock import transport
-from tests import fakes_platform
+from standins import memory_platform
 from tests import history_runs
 from tests import simulation_runs
 
 _SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '1'))
 _STORMS = 30
 _KEY = 'payout-7'
-_Fault = fakes_platform.Fault
+_Fault = memory_platform.Fault
 
 
 class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
@@ -49,7 +49,7 @@
         """Freeze the first daemon when its claim is in the store."""
         call = self.system.call(self.first, _KEY)
         await self.system.clock.pass_ms(
-            1_000, lambda: bool(self.system.platform.objects)
+            1_000, lambda: bool(self.system.store.objects)
         )
         self.first.gate.frozen = True
         return call
@@ -72,7 +72,7 @@
         killed.  Nobody can tell whether it had sent the request, so the
         claim stays in the way for good.
         """
-        self.system.platform.script.append(_Fault.LOST_AFTER)
+        self.system.store.script.append(_Fault.LOST_AFTER)
         await self.hold_claimed()
         self.system.kill(self.first)
         for daemon in (self.second, self.system.start('entry-1')):
@@ -118,11 +118,11 @@
         """
         call = self.system.call(self.first, _KEY)
         await self.system.executed()
-        self.system.platform.outage = True
+        self.system.store.outage = True
         self.assert_ran(await self.system.outcome(call), 1)
         await self.system.clock.pass_ms(50)
         self.system.kill(self.first)
-        self.system.platform.outage = False
+        self.system.store.outage = False
         for daemon in (self.second, self.system.start('entry-1')):
             outcome = await self.ask(daemon)
             self.assertIsInstance(outcome, protocol.Unknown)
@@ -176,29 +176,29 @@
         the first daemon refuses, and promises never to send.  When the
         store is back, the claim is found open; its holder is asked.
         """
-        self.system.platform.script.append(_Fault.LOST_AFTER)
+        self.system.store.script.append(_Fault.LOST_AFTER)
         call = await self.hold_claimed()
-        self.system.platform.outage = True
+        self.system.store.outage = True
         self.first.gate.wake(self.system.random)
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.NotRun)
         await self.system.clock.pass_ms(50)
-        self.system.platform.outage = False
+        self.system.store.outage = False
         self.assert_ran(await self.ask(self.second), 1)
         self.assertEqual(1, self.metrics.total('claims_passed_on'))
         self.assert_ran(await self.ask(self.first), 1)
 
     async def assert_refused_and_freed(
-        self, fault: fakes_platform.Fault
+        self, fault: memory_platform.Fault
     ) -> None:
         """Assert that a put with a wrong answer leaves the key usable."""
-        self.system.platform.script.append(fault)
+        self.system.store.script.append(fault)
         call = await self.hold_claimed()
-        self.system.platform.outage = True
+        self.system.store.outage = True
         self.first.gate.wake(self.system.random)
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.NotRun)
-        self.system.platform.outage = False
+        self.system.store.outage = False
         await self.system.clock.pass_ms(3_000)
         self.system.kill(self.first)
         self.assert_ran(await self.ask(self.second), 1)
@@ -227,7 +227,7 @@
         run"; the end of the claim is written all the same, so that the put
         fails on the object's version when it arrives.
         """
-        self.system.platform.script.append(_Fault.LATE)
+        self.system.store.script.append(_Fault.LATE)
         self.first.gate.frozen = False
         outcome = await self.ask(self.first, deadline_ms=3)
         self.assertIsInstance(outcome, protocol.NotRun)
@@ -255,7 +255,7 @@
         Another writer is ahead of two puts of three; the puts are tried
         again within the deadlines, after growing pauses.
         """
-        self.system.platform.chances = {_Fault.CONFLICT: 0.66}
+        self.system.store.chances = {_Fault.CONFLICT: 0.66}
         self.use_one_bucket()
         keys = [f'batch-{number}' for number in range(40)]
         calls = [
@@ -289,7 +289,7 @@
         self.assertTrue(0 < len(refused) < 50, len(refused))
         self.assertEqual({'overloaded'}, {row.reason.value for row in refused})
         sizes = [
-            len(found.value) for found in self.system.platform.objects.values()
+            len(found.value) for found in self.system.store.objects.values()
         ]
         self.assertLess(max(sizes), transport.VALUE_LIMIT_BYTES)
 
@@ -321,9 +321,9 @@
             if found and is_first_enough:
                 break
             counts.update(system.faults)
-            counts['message lost'] += system.hub.lost
+            counts['message lost'] += system.hub.faults['loss']
             counts.update(
-                {key.value: n for key, n in system.platform.faults.items()}
+                {key.value: n for key, n in system.store.faults.items()}
             )
             for event in system.history:
                 counts[type(event).__name__] += 1
--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -11,9 +11,11 @@
 
 from samphiredock import coordination
 from samphiredock import state
-from tests import fakes_daemons
+from standins import memory_daemons
+from standins import memory_platform
 from tests import history_configuration as history
 
+_Fault = memory_platform.Fault
 SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
 SITES = {'bole-a': 'addis', 'kirkos-b': 'addis', 'yeka-c': 'mekelle'}
 IN_FORCE_LIMIT_MS = 5_000.0
@@ -24,7 +26,7 @@
 def source(revision: int, change_id: str) -> bytes:
     """Return a stored configuration."""
     row = state.ConfigurationSource(
-        revision, change_id, 'operator', 0, fakes_daemons.BASE, {}
+        revision, change_id, 'operator', 0, memory_daemons.BASE, {}
     )
     return msgspec.json.encode(row)
 
@@ -34,7 +36,7 @@
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.network = fakes_daemons.Network(seed)
+        self.network = memory_daemons.Network(seed)
         self.events: list[history.Event] = []
         self.faults: collections.Counter = collections.Counter()
         self.reachable_ms: dict[str, float] = {}
@@ -96,7 +98,7 @@
                 )
             )
 
-    async def operate(self, daemon: fakes_daemons.SimDaemon, name: str):
+    async def operate(self, daemon: memory_daemons.SimDaemon, name: str):
         """Apply one change as an operator, again while it is unknown."""
         base = daemon.knowledge.revision
         for sending in range(20):
@@ -109,7 +111,7 @@
         revision = getattr(outcome, 'revision', 0)
         self.events.append(history.Answered(self.now_ms, name, kind, revision))
 
-    def running(self) -> list[fakes_daemons.SimDaemon]:
+    def running(self) -> list[memory_daemons.SimDaemon]:
         """Return the daemons that an operator can reach."""
         return [
             daemon
@@ -124,7 +126,7 @@
             task = asyncio.create_task(self.operate(place, name))
             self.operators.append(task)
 
-    def _site(self, site: str) -> list[fakes_daemons.SimDaemon]:
+    def _site(self, site: str) -> list[memory_daemons.SimDaemon]:
         return [d for d in self.network.daemons.values() if d.site == site]
 
     async def fault(self, number: int) -> None:
@@ -142,9 +144,9 @@
             await self.network.run(5)
             if self.store.position > before:
                 break
-        self.store.faults.down = True
+        self.store.outage = True
         await self.run(8_000)
-        self.store.faults.down = False
+        self.store.outage = False
 
     async def _site_frozen(self, number: int, site: str) -> None:
         frozen = self._site(site)
@@ -154,15 +156,15 @@
         await self.run(6_000)
         for daemon in frozen:
             self.reachable_ms[daemon.name] = self.now_ms
-            daemon.clock.thaw()
+            daemon.clock.wake()
 
     async def _site_cut(self, number: int, site: str) -> None:
         self.network.cuts = {
             frozenset((site, other)) for other in SITES if other != site
         }
-        self.store.faults.down = True
+        self.store.outage = True
         await self.run(300)
-        self.store.faults.down = False
+        self.store.outage = False
         self.race(number)
         await self.run(5_500)
         self.network.cuts = set()
@@ -182,12 +184,12 @@
         # Every read is old: only the peers know what is in force.
         self.race(number)
         await self.run(3_000)
-        self.store.faults.stale_read = 1.0
+        self.store.chances = {_Fault.STALE: 1.0}
         daemon = self._site(site)[0]
         daemon.kill()
         self.start(daemon.name, site)
         await self.run(4_000)
-        self.store.faults.stale_read = 0.2
+        self.store.chances = {_Fault.STALE: 0.2}
 
     def stored(self) -> dict[int, str]:
         """Return the changes that the store's object lists."""
@@ -215,13 +217,13 @@
     for number in range(8):
         run.start(f'entry-{number + 1}', names[number % 3])
     await run.run(3_000)
-    run.network.drop, run.network.duplicate = 0.05, 0.05
-    run.store.faults.lose_answer, run.store.faults.stale_read = 0.3, 0.2
+    run.network.loss, run.network.duplicate = 0.05, 0.05
+    run.store.chances = {_Fault.LOST_AFTER: 0.3, _Fault.STALE: 0.2}
     for number in range(ROUNDS):
         await run.fault(number)
         await run.run(1_000)
-    run.store.faults.lose_answer = run.store.faults.stale_read = 0.0
-    run.network.drop = 0.0
+    run.store.chances = {}
+    run.network.loss = 0.0
     await run.run(8_000)
     run.network.close()
     return run
@@ -245,9 +247,9 @@
             with self.subTest(seed=seed):
                 self.judge(run)
             totals.update(run.faults)
-            totals.update(run.network.bitten)
+            totals.update(run.network.faults)
             totals.update(
-                {f'store {k}': v for k, v in run.store.bitten.items()}
+                {f'store {k.value}': v for k, v in run.store.faults.items()}
             )
             totals.update(
                 getattr(event, 'outcome', type(event).__name__)
@@ -256,7 +258,8 @@
         print(f'configuration, {SCHEDULES} seeds from {SEED}: {dict(totals)}')
         for name in ('ChangeAccepted', 'ChangeConflict', 'Presented'):
             self.assertGreaterEqual(totals[name], 20, name)
-        for name in (*_FAULTS, 'drop', 'store lose_answer', 'store down'):
+        lost, outage = _Fault.LOST_AFTER.value, _Fault.OUTAGE.value
+        for name in (*_FAULTS, 'loss', f'store {lost}', f'store {outage}'):
             self.assertGreaterEqual(totals[name], 3, name)
 
     def test_frozen_site_is_not_ready_until_it_has_the_newer(self) -> None:
@@ -281,11 +284,11 @@
             )
             await run.network.run(200)
             self.assertEqual(2, task.result().revision)
-            run.store.faults.down = True
+            run.store.outage = True
             await run.network.run(6_000)
             seen = set()
             for daemon in frozen:
-                daemon.clock.thaw()
+                daemon.clock.wake()
             for _ in range(1_000):
                 for daemon in frozen:
                     seen.add((daemon.is_ready, daemon.knowledge.revision))
@@ -314,7 +317,7 @@
             )
             await run.network.run(50)
             await task
-            run.store.faults.down = True
+            run.store.outage = True
             run.network.seeds = seeds
             fresh = run.network.start('entry-9', 'yeka-c', 'mekelle')
             await run.network.run(2_500)
--- a/tests/failure/test_leaving_targets.py
+++ b/tests/failure/test_leaving_targets.py
@@ -11,6 +11,8 @@
 from samphiredock import state
 from samphiredock import timers
 from samphiredock import transport
+from standins import memory_link
+from standins import memory_peers
 from tests.unit import dispatching
 
 _MEMBERS = [state.Member('d1', 'a', 'r', '', '', '', 1)]
@@ -21,13 +23,13 @@
 
     def setUp(self) -> None:
         self.clock = timers.ManualTimers()
-        self.peers = dispatching.FakePeers()
+        self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
         self.addCleanup(self.counters.close)
         self.configuration = dispatching.configuration(
             dispatching.target(slots=1)
         )
-        self.link = dispatching.FakeLink(dispatching.target())
+        self.link = memory_link.MemoryLink(dispatching.target())
         self.signs = self._signs()
         self.dispatcher = self._dispatcher(self.signs)
         self.numbers = iter(range(1, 100))
--- a/tests/failure/test_limits.py
+++ b/tests/failure/test_limits.py
@@ -16,6 +16,7 @@
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
+from standins import memory_peers
 from standins import target as standin
 from tests.unit import dispatching
 
@@ -37,7 +38,7 @@
         self.target.learn(state.Snapshot(1, {'i': index}))
         self.faults = standin.Faults(service_ms=4.0, straggler=0.02)
         self.target._faults = self.faults
-        self.peers = dispatching.FakePeers()
+        self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
 
     async def __aenter__(self) -> typing.Self:
--- a/tests/failure/test_membership.py
+++ b/tests/failure/test_membership.py
@@ -5,7 +5,7 @@
 import typing
 import unittest
 
-from tests import fakes_daemons
+from standins import memory_daemons
 
 SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
 THREE_REGIONS = {'bole-a': 'addis', 'kirkos-b': 'adama', 'yeka-c': 'mekelle'}
@@ -13,13 +13,13 @@
 
 def simulate(
     body: typing.Callable[
-        [fakes_daemons.Network], typing.Coroutine[None, None, None]
+        [memory_daemons.Network], typing.Coroutine[None, None, None]
     ],
 ) -> None:
     """Run a test's body on a network of its own."""
 
     async def run() -> None:
-        network = fakes_daemons.Network(SEED)
+        network = memory_daemons.Network(SEED)
         try:
             await body(network)
         finally:
@@ -32,15 +32,15 @@
     """Nine daemons in three regions."""
 
     def assert_views(
-        self, network: fakes_daemons.Network, expected: set[str]
+        self, network: memory_daemons.Network, expected: set[str]
     ) -> None:
         """Every member of ``expected`` holds exactly these live."""
         views = {name: network.daemons[name].live_names() for name in expected}
         self.assertEqual({name: expected for name in expected}, views)
 
-    async def start(self, network: fakes_daemons.Network) -> set[str]:
+    async def start(self, network: memory_daemons.Network) -> set[str]:
         """Start nine daemons and wait until all know all."""
-        fakes_daemons.start_sites(network, THREE_REGIONS, 9)
+        memory_daemons.start_sites(network, THREE_REGIONS, 9)
         await network.run(3_000)
         everyone = set(network.daemons)
         self.assert_views(network, everyone)
@@ -54,13 +54,13 @@
         that was killed is out after its suspicion.
         """
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
-            network.drop = 0.1
+            network.loss = 0.1
             network.daemons['entry-5'].kill()
             await network.run(6_000)
             self.assert_views(network, everyone - {'entry-5'})
-            self.assertGreater(network.bitten['drop'], 50)
+            self.assertGreater(network.faults['loss'], 50)
 
         simulate(body)
 
@@ -72,7 +72,7 @@
         member of either side is taken out by the other side's reports.
         """
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
             regions = list(THREE_REGIONS.values())
             network.cuts = {
@@ -110,7 +110,7 @@
         others, and is current only after they have told what changed.
         """
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
             sleeper = network.daemons['entry-4']
             sleeper.clock.frozen = True
@@ -119,7 +119,7 @@
             network.daemons['entry-7'].kill()
             await network.run(8_000)
             self.assertFalse(sleeper.membership.is_current())
-            sleeper.clock.thaw()
+            sleeper.clock.wake()
             self.assertFalse(sleeper.membership.is_current())
             await network.run(3_000)
             self.assertTrue(sleeper.membership.is_current())
@@ -134,13 +134,13 @@
         other; one that nobody can answer goes on after a bounded time.
         """
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
             for daemon in network.daemons.values():
                 daemon.clock.frozen = True
             await network.run(20_000)
             for daemon in network.daemons.values():
-                daemon.clock.thaw()
+                daemon.clock.wake()
             network.cuts = {
                 frozenset(('entry-1', site)) for site in THREE_REGIONS
             }
@@ -163,7 +163,7 @@
         still reach both, so neither is lost: the connection is replaced.
         """
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
             one, other = (network.daemons[n] for n in ('entry-1', 'entry-2'))
             one.peers.silent.add('entry-2')
@@ -181,7 +181,7 @@
         hold reports of a later start and would ignore it for ever.
         """
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
             network.daemons['entry-3'].kill()
             network.clock._wall_offset_ms -= 3_600_000
@@ -201,7 +201,7 @@
     def test_leaving_is_known_at_once(self) -> None:
         """A daemon that says it leaves gets nothing new after a moment."""
 
-        async def body(network: fakes_daemons.Network) -> None:
+        async def body(network: memory_daemons.Network) -> None:
             everyone = await self.start(network)
             network.daemons['entry-9'].membership.leave()
             await network.run(200)
--- a/tests/failure/test_not_run.py
+++ b/tests/failure/test_not_run.py
@@ -71,11 +71,11 @@
         sent; the refusal comes after one failed call, not at the deadline.
         """
         self.system.use('answer')
-        self.system.platform.outage = True
+        self.system.store.outage = True
         before_ms = self.system.clock.now_ms()
         await self.assert_not_run(_Reason.PLATFORM_UNAVAILABLE)
         self.assertLess(self.system.clock.now_ms() - before_ms, 10)
-        self.system.platform.outage = False
+        self.system.store.outage = False
         await self.assert_outcome(protocol.Completed, 1)
 
     async def test_store_silent(self) -> None:
@@ -85,13 +85,13 @@
         for it; then only one in a quarter of a second does.
         """
         self.system.use('answer')
-        self.system.platform.silent = True
+        self.system.store.silent = True
         await self.assert_not_run(_Reason.OVERLOADED, deadline_ms=1_100)
         await self.assert_not_run(_Reason.OVERLOADED, deadline_ms=100)
         before_ms = self.system.clock.now_ms()
         await self.assert_not_run(_Reason.PLATFORM_UNAVAILABLE)
         self.assertLess(self.system.clock.now_ms() - before_ms, 10)
-        self.system.platform.silent = False
+        self.system.store.silent = False
         await self.system.clock.pass_ms(200)
         await self.assert_outcome(protocol.Completed, 1)
 
@@ -104,13 +104,13 @@
         self.system.use('answer')
         call = self.system.call(self.first, _KEY)
         await self.system.executed()
-        self.system.platform.outage = True
+        self.system.store.outage = True
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.Completed)
         leaving = self.system.start_drain(self.first)
         await self.system.clock.pass_ms(3_000)
         self.assertFalse(leaving.done())
-        self.system.platform.outage = False
+        self.system.store.outage = False
         self.assertEqual(0, await self.system.outcome(leaving))
         self.system.kill(self.first)
         await self.assert_outcome(protocol.Completed, 1)
@@ -123,7 +123,7 @@
         self.system.use('answer')
         call = self.system.call(self.first, 'payout-1')
         await self.system.executed()
-        self.system.platform.outage = True
+        self.system.store.outage = True
         await self.system.outcome(call)
         leaving = self.system.start_drain(self.first)
         refused = self.system.call(self.first, _KEY)
@@ -232,7 +232,7 @@
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.Unknown)
         self.assertEqual(1, len(quarantine.lost))
-        writes = self.system.platform.calls['put']
+        writes = self.system.store.calls['put']
         outcome = await self.system.outcome(self.system.call(daemon, 'new'))
         self.assertIs(_Reason.QUARANTINED, outcome.reason)
-        self.assertEqual(writes, self.system.platform.calls['put'])
+        self.assertEqual(writes, self.system.store.calls['put'])
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -200,12 +200,12 @@
 
         The verdict is written when the store is back.
         """
-        self.tier.store.down = True
+        self.tier.store.outage = True
         await self.ask('d0', _POISON)
         await self.tier.move(3_000.0)
         for daemon in self.tier.daemons.values():
             self.assert_refused(await daemon.coordinator.search(_POISON))
-        self.tier.store.down = False
+        self.tier.store.outage = False
         await self.tier.move(6_000.0)
         await self.tier.move(1.0)
         self.assertEqual(1, len(self.tier.store.objects))
--- a/tests/failure/test_spread.py
+++ b/tests/failure/test_spread.py
@@ -10,9 +10,9 @@
 from samphiredock import coordination
 from samphiredock.coordination import _relay
 from samphiredock import protocol
+from standins import memory_daemons
 from tests.failure import test_configuration
 from tests.failure import test_membership
-from tests import fakes_daemons
 
 SITES = {'bole-a': 'addis', 'sal-a': 'midtjylland'}
 COUNT = 72
@@ -23,13 +23,13 @@
     """Seventy-two daemons in two sites of two regions."""
 
     async def start(
-        self, network: fakes_daemons.Network
-    ) -> list[fakes_daemons.SimDaemon]:
+        self, network: memory_daemons.Network
+    ) -> list[memory_daemons.SimDaemon]:
         """Start all on revision 1 and wait until all know all."""
         network.store.write(
             coordination.CONFIGURATION_KEY, test_configuration.source(1, 'one')
         )
-        fakes_daemons.start_sites(network, SITES, COUNT)
+        memory_daemons.start_sites(network, SITES, COUNT)
         await network.run(6_000)
         daemons = list(network.daemons.values())
         self.assertEqual({COUNT}, {len(d.live_names()) for d in daemons})
@@ -40,18 +40,18 @@
     def run_with(
         self,
         body: typing.Callable[
-            [fakes_daemons.Network, list[fakes_daemons.SimDaemon]],
+            [memory_daemons.Network, list[memory_daemons.SimDaemon]],
             typing.Coroutine[None, None, None],
         ],
     ) -> None:
         """Run a body on the started daemons."""
 
-        async def run(network: fakes_daemons.Network) -> None:
+        async def run(network: memory_daemons.Network) -> None:
             await body(network, await self.start(network))
 
         test_membership.simulate(run)
 
-    async def accept(self, daemon: fakes_daemons.SimDaemon) -> None:
+    async def accept(self, daemon: memory_daemons.SimDaemon) -> None:
         """Accept revision 2 at one daemon."""
         outcome = await daemon.apply('two', 1)
         self.assertEqual(protocol.ChangeAccepted(2), outcome)
@@ -93,7 +93,7 @@
                 daemon.clock.frozen = True
             task = asyncio.create_task(self.accept(daemons[0]))
             await network.run(30)
-            network.store.faults.down = True
+            network.store.outage = True
             await task
             await network.run(4_970)
             revisions = collections.Counter(
@@ -161,7 +161,7 @@
 
     def test_repeats_are_dropped(self) -> None:
         """A message that comes by two ways is delivered once."""
-        network = fakes_daemons.Network(1)
+        network = memory_daemons.Network(1)
         daemon = _Receiver(network)
         envelope = protocol.Envelope(
             'm-1',
@@ -176,15 +176,15 @@
 
 
 class _Receiver:
-    def __init__(self, network: fakes_daemons.Network) -> None:
-        me = fakes_daemons.state.Member('me', 's', 'r', '', '', '', 1)
+    def __init__(self, network: memory_daemons.Network) -> None:
+        me = memory_daemons.state.Member('me', 's', 'r', '', '', '', 1)
         self.name = 'me'
         self.got: list[tuple[str, int]] = []
-        self.peers = fakes_daemons.SimPeers(network, self)
+        self.peers = network.join('me')
         self.peers.subscribe(
             protocol.ObjectChanged,
             lambda sender, changed: self.got.append((sender, changed.version)),
         )
         codec = protocol.Codec(protocol.CONTROL_MESSAGES)
-        counters = fakes_daemons.Counters()
+        counters = memory_daemons.Counters()
         _relay.Relay(me, self.peers, codec, lambda: (me,), counters)
--- a/tests/fakes_run.py
+++ b/tests/fakes_run.py
@@ -1,49 +1,19 @@
-"""Daemons' surroundings in one process: peers, dispatchers, frozen hosts."""
+"""Dispatchers that run orders as drawn, and a daemon's view of them."""
 
 import asyncio
 import random
 import typing
 
-import msgspec
-
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
-from samphiredock import transport
+from standins import memory_peers
 from tests import history_runs
 
 SERVICE = 'relief-payout'
 OPERATION = 'release-payout'
 TARGETS = ('desk-1', 'desk-2')
 DEADLINE_MS = 2_000
-_SETTLE_TURNS = 25
-
-
-class SteppedTimers(timers.ManualTimers):
-    """Manual timers that let the event loop settle after each of them."""
-
-    async def settle(self) -> None:
-        """Let every task run until it waits."""
-        for _ in range(_SETTLE_TURNS):
-            await asyncio.sleep(0)
-
-    async def pass_ms(
-        self,
-        delta_ms: float,
-        is_enough: typing.Callable[[], bool] = lambda: False,
-    ) -> None:
-        """Move the clock from one due timer to the next."""
-        end_ms = self.now_ms() + delta_ms
-        await self.settle()
-        while self._heap and self._heap[0][0] <= end_ms:
-            if is_enough():
-                return
-            is_live = self._heap[0][2].callback is not None
-            self.advance(max(0.0, self._heap[0][0] - self.now_ms()))
-            if is_live:
-                await self.settle()
-        if not is_enough():
-            self.advance(end_ms - self.now_ms())
 
 
 def start(work: typing.Coroutine) -> asyncio.Task:
@@ -51,156 +21,6 @@
     return asyncio.get_running_loop().create_task(work)
 
 
-async def pause(clock: timers.Timers, delay_ms: float) -> None:
-    """Wait until the clock has moved."""
-    future = asyncio.get_running_loop().create_future()
-    clock.after(delay_ms, lambda: future.done() or future.set_result(None))
-    await future
-
-
-class Gate:
-    """A host that can be frozen or dead: nothing passes meanwhile."""
-
-    def __init__(self) -> None:
-        self.frozen = False
-        self.dead = False
-        self._held: list[typing.Callable[[], None]] = []
-
-    def run(self, callback: typing.Callable[[], None]) -> None:
-        """Call back now, when the host wakes, or never."""
-        if self.dead:
-            return
-        if self.frozen:
-            self._held.append(callback)
-            return
-        callback()
-
-    async def passed(self) -> None:
-        """Wait until the host runs."""
-        if self.frozen or self.dead:
-            future = asyncio.get_running_loop().create_future()
-            self.run(lambda: future.done() or future.set_result(None))
-            await future
-
-    def wake(self, randomness: random.Random) -> None:
-        """Run on; what was held comes in any order."""
-        self.frozen = False
-        held, self._held = self._held, []
-        randomness.shuffle(held)
-        for callback in held:
-            callback()
-
-
-class _GatedTimer:
-    def __init__(self, callback: typing.Callable[[], None]) -> None:
-        self._callback: typing.Callable[[], None] | None = callback
-
-    def fire(self) -> None:
-        if self._callback is not None:
-            self._callback()
-
-    def cancel(self) -> None:
-        self._callback = None
-
-
-class GatedTimers:
-    """The timer service of a host that can freeze."""
-
-    def __init__(self, clock: timers.Timers, gate: Gate) -> None:
-        self._clock = clock
-        self._gate = gate
-        self.now_ms = clock.now_ms
-        self.wall_ms = clock.wall_ms
-        self.on_gap = clock.on_gap
-        self.every = clock.every
-
-    def after(
-        self, delay_ms: float, callback: typing.Callable[[], None]
-    ) -> timers.Subscription:
-        """Call back once, while the host runs."""
-        timer = _GatedTimer(callback)
-        self._clock.after(delay_ms, lambda: self._gate.run(timer.fire))
-        return timer
-
-
-class GatedPlatform:
-    """The platform as a host sees it that can freeze."""
-
-    def __init__(self, inner: transport.Platform, gate: Gate) -> None:
-        self._inner = inner
-        self._gate = gate
-
-    def __getattr__(self, name: str) -> typing.Any:
-        """Return the platform's call, its answer held while frozen."""
-        call = getattr(self._inner, name)
-
-        async def gated(*arguments: typing.Any) -> typing.Any:
-            reply = await call(*arguments)
-            await self._gate.passed()
-            return reply
-
-        return gated
-
-
-class Endpoint:
-    """One member's side of the hub."""
-
-    def __init__(self, hub: 'FakeHub', name: str, gate: Gate) -> None:
-        self._hub = hub
-        self.name = name
-        self.gate = gate
-        self.handlers: dict[type, list[transport.Handler]] = {}
-
-    def send(self, member: str, message: msgspec.Struct) -> bool:
-        """Queue a message."""
-        return self._hub.send(self.name, member, message)
-
-    def subscribe(self, kind: type, handler: transport.Handler) -> None:
-        """Call the handler for each message of a type."""
-        self.handlers.setdefault(kind, []).append(handler)
-
-
-class FakeHub:
-    """Carries messages with random delay and, by chance, loses some."""
-
-    def __init__(
-        self, clock: timers.Timers, randomness: random.Random
-    ) -> None:
-        self._clock = clock
-        self._random = randomness
-        self.loss = 0.0
-        self.lost = 0
-        self.observers: list[typing.Callable[[str, typing.Any], None]] = []
-        self._endpoints: dict[str, Endpoint] = {}
-
-    def join(self, name: str, gate: Gate) -> Endpoint:
-        """Return a new life of a member."""
-        self._endpoints[name] = Endpoint(self, name, gate)
-        return self._endpoints[name]
-
-    def send(self, sender: str, member: str, message: msgspec.Struct) -> bool:
-        """Deliver later; False for a member never seen."""
-        if member not in self._endpoints:
-            return False
-        for observe in self.observers:
-            observe(sender, message)
-        if self._random.random() < self.loss:
-            self.lost += 1
-            return True
-        self._clock.after(
-            self._random.uniform(0.1, 3.0),
-            lambda: self._deliver(sender, member, message),
-        )
-        return True
-
-    def _deliver(
-        self, sender: str, member: str, message: msgspec.Struct
-    ) -> None:
-        endpoint = self._endpoints[member]
-        for handler in endpoint.handlers.get(type(message), ()):
-            endpoint.gate.run(lambda handler=handler: handler(sender, message))
-
-
 class FakeDispatcher:
     """Runs orders as drawn: at once, late, not at all, without a report.
 
@@ -215,13 +35,13 @@
 
     def __init__(
         self,
-        hub: FakeHub,
+        hub: memory_peers.MemoryNetwork,
         name: str,
         clock: timers.Timers,
         randomness: random.Random,
         history: list[history_runs.Event],
     ) -> None:
-        self._endpoint = hub.join(name, Gate())
+        self._endpoint = hub.join(name)
         self._clock = clock
         self._random = randomness
         self._history = history
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -7,14 +7,12 @@
 import random
 import typing
 
-from returns import result
-
 from samphiredock import coordination
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
-from samphiredock import transport
+from standins import memory_platform
 
 SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
 INDEX = 'claims'
@@ -206,33 +204,6 @@
     return Answer(item.attempt_id, item.target, Status.ANSWERED, **values)
 
 
-class Store:
-    """The platform's object calls that the quarantine uses."""
-
-    def __init__(self) -> None:
-        self.objects: dict[str, transport.StoredObject] = {}
-        self.down = False
-
-    async def get(self, key: str) -> result.Result:
-        if self.down:
-            return self._fail(transport.StoreErrorKind.UNAVAILABLE)
-        if key not in self.objects:
-            return self._fail(transport.StoreErrorKind.NOT_FOUND)
-        return result.Success(self.objects[key])
-
-    async def put(self, key: str, value: bytes, expected: int):
-        if self.down:
-            return self._fail(transport.StoreErrorKind.UNAVAILABLE)
-        held = self.objects[key].version if key in self.objects else 0
-        if held != expected:
-            return self._fail(transport.StoreErrorKind.CONFLICT)
-        self.objects[key] = transport.StoredObject(key, held + 1, value)
-        return result.Success(held + 1)
-
-    def _fail(self, kind: transport.StoreErrorKind) -> result.Failure:
-        return result.Failure(transport.StoreError(kind, 'scripted'))
-
-
 class Daemon:
     """A coordinator and a quarantine, wired to the scripted tier."""
 
@@ -241,7 +212,11 @@
         self.handlers: dict[type, list] = collections.defaultdict(list)
         self.counters = metrics.Metrics(name)
         self.quarantine = coordination.Quarantine(
-            self, self, tier.store, tier.clock, self.counters
+            self,
+            self,
+            memory_platform.MemoryPlatform(tier.store, tier.clock),
+            tier.clock,
+            self.counters,
         )
         self.admission = coordination.Admission(tier.clock)
         self.coordinator = coordination.Coordinator(
@@ -273,7 +248,7 @@
         self.clock = timers.ManualTimers()
         self.snapshot = make_snapshot(1, 8, 16)
         self.configuration = make_configuration(search, 16)
-        self.store = Store()
+        self.store = memory_platform.MemoryStore(random.Random(SEED))
         self.mail: collections.deque = collections.deque()
         self.dead: list[str] = []
         self.silent: set[str] = set()
--- a/tests/simulation_runs.py
+++ b/tests/simulation_runs.py
@@ -10,7 +10,9 @@
 from samphiredock import coordination
 from samphiredock import metrics
 from samphiredock import protocol
-from tests import fakes_platform
+from standins import memory_hosts
+from standins import memory_peers
+from standins import memory_platform
 from tests import fakes_run
 from tests import history_runs
 
@@ -21,7 +23,7 @@
 
     name: str
     incarnation: int
-    gate: fakes_run.Gate
+    gate: memory_hosts.MemoryHost
     runner: coordination.Runner
 
     @property
@@ -40,13 +42,12 @@
         latency_ms: float = 0.0,
     ) -> None:
         self.random = random.Random(seed)
-        self.clock = fakes_run.SteppedTimers()
+        self.clock = memory_hosts.SteppedTimers()
         self.metrics = counters
         self.history: list[history_runs.Event] = []
-        self.platform = fakes_platform.FakePlatform(
-            self.clock, self.random, latency_ms
-        )
-        self.hub = fakes_run.FakeHub(self.clock, self.random)
+        self.store = memory_platform.MemoryStore(self.random)
+        self._way_ms = (0.0, latency_ms / 2)
+        self.hub = memory_peers.MemoryNetwork(self.clock, self.random)
         self.hub.observers.append(self._observe)
         self.view = fakes_run.FakeView()
         self.dispatchers = [
@@ -71,7 +72,7 @@
         quarantine: coordination.RunQuarantine | None = None,
     ) -> Daemon:
         """Start a daemon, or start it again with nothing kept."""
-        gate = fakes_run.Gate()
+        gate = memory_hosts.MemoryHost(self.clock)
         incarnation = next(self._incarnations)
         runner = coordination.Runner(
             name,
@@ -79,8 +80,10 @@
             incarnation,
             self.view,
             self.hub.join(name, gate),
-            fakes_run.GatedPlatform(self.platform, gate),
-            fakes_run.GatedTimers(self.clock, gate),
+            memory_platform.MemoryPlatform(
+                self.store, self.clock, self._way_ms, gate
+            ),
+            gate,
             self.metrics,
             self.random,
             quarantine,
@@ -187,14 +190,14 @@
         for name in self.NAMES:
             system.start(name)
         system.hub.loss = 0.05
-        system.platform.chances = {
-            fakes_platform.Fault.CONFLICT: 0.10,
-            fakes_platform.Fault.CONFLICT_AFTER: 0.05,
-            fakes_platform.Fault.OUTAGE_AFTER: 0.05,
-            fakes_platform.Fault.LOST_BEFORE: 0.05,
-            fakes_platform.Fault.LOST_AFTER: 0.08,
-            fakes_platform.Fault.LATE: 0.05,
-            fakes_platform.Fault.STALE: 0.20,
+        system.store.chances = {
+            memory_platform.Fault.CONFLICT: 0.10,
+            memory_platform.Fault.CONFLICT_AFTER: 0.05,
+            memory_platform.Fault.OUTAGE_AFTER: 0.05,
+            memory_platform.Fault.LOST_BEFORE: 0.05,
+            memory_platform.Fault.LOST_AFTER: 0.08,
+            memory_platform.Fault.LATE: 0.05,
+            memory_platform.Fault.STALE: 0.20,
         }
         for number in range(self.STEPS):
             self._steps = number
@@ -233,9 +236,9 @@
 
     def _outage(self) -> None:
         def end() -> None:
-            self.system.platform.outage = False
+            self.system.store.outage = False
 
-        self.system.platform.outage = True
+        self.system.store.outage = True
         self.system.clock.after(self._random.uniform(5, 2_000), end)
         self.system.faults['outage'] += 1
 
@@ -262,8 +265,8 @@
         return self.system.daemons[self._random.choice(self.NAMES)]
 
     def _calm(self) -> None:
-        self.system.platform.outage = False
-        self.system.platform.chances = {}
+        self.system.store.outage = False
+        self.system.store.chances = {}
         self.system.hub.loss = 0.0
         for daemon in self.system.daemons.values():
             daemon.gate.wake(self._random)
--- a/tests/unit/test_claim_book.py
+++ b/tests/unit/test_claim_book.py
@@ -8,10 +8,11 @@
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock.state import _claims
-from tests import fakes_platform
+from standins import memory_hosts
+from standins import memory_platform
 from tests import fakes_run
 
-_Fault = fakes_platform.Fault
+_Fault = memory_platform.Fault
 
 
 def _claim(number: int) -> state.Claim:
@@ -25,9 +26,10 @@
 
     def setUp(self) -> None:
         """Make a book."""
-        self.clock = fakes_run.SteppedTimers()
-        self.platform = fakes_platform.FakePlatform(
-            self.clock, random.Random(1), 4.0
+        self.clock = memory_hosts.SteppedTimers()
+        self.store = memory_platform.MemoryStore(random.Random(1))
+        self.platform = memory_platform.MemoryPlatform(
+            self.store, self.clock, (0.0, 2.0)
         )
         self.metrics = metrics.Metrics('test')
         self.book = _claim_book.ClaimBook(
@@ -54,7 +56,7 @@
             )
         await self.clock.pass_ms(100)
         self.assertEqual(0, self.book.unrecorded())
-        calls = self.platform.calls
+        calls = self.store.calls
         return [calls['get'] / count, calls['put'] / count]
 
     async def test_calls_of_a_request_alone(self) -> None:
@@ -81,7 +83,7 @@
         faults = (_Fault.LOST_AFTER, _Fault.LOST_BEFORE, _Fault.LATE)
         for number, fault in enumerate(faults):
             with self.subTest(fault):
-                self.platform.script.append(fault)
+                self.store.script.append(fault)
                 task = fakes_run.start(self.open(number))
                 await self.clock.pass_ms(1_000)
                 opened = task.result().opened
@@ -97,7 +99,7 @@
         ended = task.result()
         self.assertFalse(ended.may_be_stored)
         self.assertNotIsInstance(ended.opened, state.Opened)
-        self.assertEqual(1, self.platform.objects[place.path].version)
+        self.assertEqual(1, self.store.objects[place.path].version)
 
     async def test_memory_does_not_grow_with_the_slices(self) -> None:
         """A writer goes when its bucket is idle."""
--- a/tests/unit/test_claim_holders.py
+++ b/tests/unit/test_claim_holders.py
@@ -6,6 +6,8 @@
 from samphiredock.coordination import _claim_holders
 from samphiredock import metrics
 from samphiredock import protocol
+from standins import memory_hosts
+from standins import memory_peers
 from tests import fakes_run
 
 _Status = protocol.ClaimStatus
@@ -18,15 +20,15 @@
 
     def setUp(self) -> None:
         """Connect both."""
-        self.clock = fakes_run.SteppedTimers()
-        self.hub = fakes_run.FakeHub(self.clock, random.Random(1))
+        self.clock = memory_hosts.SteppedTimers()
+        self.hub = memory_peers.MemoryNetwork(self.clock, random.Random(1))
         self.metrics = metrics.Metrics('test')
         self.holder = self.make('entry-1')
         self.asker = self.make('entry-2')
 
     def make(self, name: str) -> _claim_holders.Holders:
         """Return one daemon's side."""
-        endpoint = self.hub.join(name, fakes_run.Gate())
+        endpoint = self.hub.join(name)
         return _claim_holders.Holders(endpoint, self.clock, self.metrics)
 
     async def test_end_is_pushed_to_who_waits(self) -> None:
@@ -54,7 +56,7 @@
 
     async def test_word_of_another_member_does_not_count(self) -> None:
         """Only the holder itself can say that it never sent."""
-        self.hub.join('entry-9', fakes_run.Gate())
+        self.hub.join('entry-9')
         self.holder.begin(_TOKEN)
         ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(1)
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -10,6 +10,8 @@
 from samphiredock import protocol
 from samphiredock import timers
 from samphiredock import transport
+from standins import memory_link
+from standins import memory_peers
 from tests.unit import dispatching
 
 _KIND = transport.LinkErrorKind
@@ -20,10 +22,10 @@
 
     def setUp(self) -> None:
         self.clock = timers.ManualTimers()
-        self.peers = dispatching.FakePeers()
+        self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
         self.addCleanup(self.counters.close)
-        self.links: dict[str, dispatching.FakeLink] = {}
+        self.links: dict[str, memory_link.MemoryLink] = {}
         self.quarantined: set[str] = set()
         self.dispatcher = _dispatcher.Dispatcher(
             self.peers,
@@ -36,13 +38,13 @@
             dispatching.configuration(dispatching.target(slots=1))
         )
 
-    def _make_link(self, target: typing.Any) -> dispatching.FakeLink:
-        link = dispatching.FakeLink(target)
+    def _make_link(self, target: typing.Any) -> memory_link.MemoryLink:
+        link = memory_link.MemoryLink(target)
         self.links[target.name] = link
         return link
 
     @property
-    def link(self) -> dispatching.FakeLink:
+    def link(self) -> memory_link.MemoryLink:
         return self.links['t1']
 
     async def _deliver(self, *messages: typing.Any) -> None:
@@ -71,7 +73,7 @@
             items = [dispatching.item(name) for name in names]
             await self._deliver(dispatching.batch(*items))
             self.link.batches[0][1].set_result(
-                dispatching.failure(_KIND.BROKEN)
+                memory_link.failure(_KIND.BROKEN)
             )
             await dispatching.settle()
             self._assert_told(**dict.fromkeys(names, 'broken'))
@@ -83,7 +85,7 @@
         await self._deliver(dispatching.batch(dispatching.item('1')))
         await self._deliver(dispatching.batch(dispatching.item('2')))
         self.link.batches[0][1].set_result(
-            dispatching.failure(_KIND.UNREACHABLE)
+            memory_link.failure(_KIND.UNREACHABLE)
         )
         await dispatching.settle()
         self._assert_told(**dict.fromkeys('12', 'unreachable'))
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -6,42 +6,21 @@
 from samphiredock.coordination import _exchange
 from samphiredock import protocol
 from samphiredock import timers
+from standins import memory_daemons
+from standins import memory_peers
 from tests.failure import test_configuration
-from tests import fakes_daemons
 
 KEY = coordination.CONFIGURATION_KEY
 
 
-class Recorder:
-    """Peers that record what is sent."""
-
-    def __init__(self) -> None:
-        self.sent: list[tuple[str, object]] = []
-        self.handlers: dict[type, object] = {}
-
-    def subscribe(self, kind: type, handler: object) -> None:
-        """Keep the handler."""
-        self.handlers[kind] = handler
-
-    def send(self, member: str, message: object) -> bool:
-        """Record a message."""
-        self.sent.append((member, message))
-        return True
-
-    def take(self) -> list[tuple[str, object]]:
-        """Return what was sent since the last call."""
-        sent, self.sent = self.sent, []
-        return sent
-
-
 class ExchangeTest(unittest.TestCase):
     """A daemon that holds nothing yet."""
 
     def setUp(self) -> None:
         """Make the exchange with recorded peers."""
-        self.peers = Recorder()
+        self.peers = memory_peers.RecordingPeers()
         self.clock = timers.ManualTimers()
-        counters = fakes_daemons.Counters()
+        counters = memory_daemons.Counters()
         self.knowledge = coordination.Knowledge(counters)
         _exchange.ObjectExchange(
             'me',
@@ -54,7 +33,7 @@
 
     def receive(self, sender: str, message: object) -> None:
         """Deliver a message."""
-        self.peers.handlers[type(message)](sender, message)
+        self.peers.deliver(message, sender)
 
     def test_asks_one_at_a_time_and_again_after_a_while(self) -> None:
         """Many tell of a large object; only one has to send it."""
--- a/tests/unit/test_ownership.py
+++ b/tests/unit/test_ownership.py
@@ -9,6 +9,8 @@
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
+from standins import memory_link
+from standins import memory_peers
 from tests.unit import dispatching
 
 
@@ -74,14 +76,14 @@
 
     def setUp(self) -> None:
         self.clock = timers.ManualTimers()
-        self.peers = dispatching.FakePeers()
+        self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
         self.addCleanup(self.counters.close)
         self.live = [_member('d1')]
         self.configuration = dispatching.configuration(
             dispatching.target(slots=4)
         )
-        self.link = dispatching.FakeLink(dispatching.target())
+        self.link = memory_link.MemoryLink(dispatching.target())
         self.table = _ownership.OwnershipTable(
             lambda: self.configuration,
             lambda: None,
--- a/tests/unit/test_peers_idle.py
+++ b/tests/unit/test_peers_idle.py
@@ -6,12 +6,12 @@
 from samphiredock import protocol
 from samphiredock import transport
 from standins import cluster
-from tests import fakes_daemons
+from standins import memory_daemons
 
 _CODEC = protocol.Codec(protocol.CONTROL_MESSAGES)
 
 
-class _Counters(fakes_daemons.Counters):
+class _Counters(memory_daemons.Counters):
     def add_bulk(self, name: str, amount: float, **labels: object) -> None:
         """Count as the real one does."""
         self.add(name, amount)
--- a/tests/unit/test_run_orders.py
+++ b/tests/unit/test_run_orders.py
@@ -6,6 +6,8 @@
 from samphiredock.coordination import _run_orders
 from samphiredock import metrics
 from samphiredock import protocol
+from standins import memory_hosts
+from standins import memory_peers
 from tests import fakes_run
 
 _Status = protocol.SubStatus
@@ -19,17 +21,17 @@
 
     def setUp(self) -> None:
         """Send it."""
-        self.clock = fakes_run.SteppedTimers()
-        self.hub = fakes_run.FakeHub(self.clock, random.Random(1))
+        self.clock = memory_hosts.SteppedTimers()
+        self.hub = memory_peers.MemoryNetwork(self.clock, random.Random(1))
         self.metrics = metrics.Metrics('test')
         self.late: list[protocol.RunReport] = []
         self.orders = _run_orders.Orders(
-            self.hub.join('entry-1', fakes_run.Gate()),
+            self.hub.join('entry-1'),
             self.clock,
             self.metrics,
             lambda token, report: self.late.append(report),
         )
-        self.hub.join('owner', fakes_run.Gate())
+        self.hub.join('owner')
         self.assertTrue(self.orders.send('entry-1/1/1', 'owner', _ORDER))
 
     async def report(
@@ -53,6 +55,7 @@
 
     async def test_only_the_dispatcher_reports(self) -> None:
         """A report of another daemon proves nothing."""
+        self.hub.join('entry-9')
         await self.report(_Status.CANCELLED, 'entry-9')
         self.assertEqual(1, self.metrics.total('run_reports_refused'))
         reading = fakes_run.start(self.orders.report(_ORDER.attempt_id, 2_000))
--- a/tests/unit/test_target_signs.py
+++ b/tests/unit/test_target_signs.py
@@ -10,37 +10,8 @@
 from samphiredock import protocol
 from samphiredock import timers
 from samphiredock import transport
-from tests.unit import dispatching
-
-
-class FakeStore:
-    """One object with a conditional update."""
-
-    def __init__(self) -> None:
-        self.stored: transport.StoredObject | None = None
-        self.down = False
-
-    async def get(self, key: str) -> result.Result:
-        """Read it."""
-        kinds = transport.StoreErrorKind
-        if self.down:
-            return result.Failure(
-                transport.StoreError(kinds.UNAVAILABLE, 'down')
-            )
-        if self.stored is None:
-            return result.Failure(transport.StoreError(kinds.NOT_FOUND, ''))
-        return result.Success(self.stored)
-
-    async def put(
-        self, key: str, value: bytes, expected_version: int
-    ) -> result.Result:
-        """Write it if the version is as expected."""
-        version = self.stored.version if self.stored else 0
-        if version != expected_version:
-            kind = transport.StoreErrorKind.CONFLICT
-            return result.Failure(transport.StoreError(kind, 'raced'))
-        self.stored = transport.StoredObject(key, version + 1, value)
-        return result.Success(version + 1)
+from standins import memory_peers
+from standins import memory_platform
 
 
 class TargetSignsTest(unittest.IsolatedAsyncioTestCase):
@@ -48,12 +19,12 @@
 
     def setUp(self) -> None:
         self.clock = timers.ManualTimers()
-        self.peers = dispatching.FakePeers()
+        self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
         self.addCleanup(self.counters.close)
-        self.store = FakeStore()
+        self.store = memory_platform.MemoryStore(random.Random(1))
         self.signs = _target_signs.TargetSigns(
-            self.store,
+            memory_platform.MemoryPlatform(self.store, self.clock),
             self.peers,
             self.peers,
             self.clock,
@@ -148,7 +119,7 @@
         self._assert_usable(True)
 
     async def test_store_that_is_down_is_an_error_value(self) -> None:
-        self.store.down = True
+        self.store.outage = True
         reply = await self.signs.set_leaving('t1', True)
         self.assertIsInstance(reply, result.Failure)
         self._assert_usable(True)
