The in-memory dispatcher and the HTTP thread are stand-ins too

Both stand at an interface (orders over the peer network, HTTP for the blocking client). What a dispatcher ran is now told by a callback, so that standins/ does not import the tests' history.

--- a/tests/fakes_run.py
+++ b/tests/fakes_run.py
@@ -1,14 +1,9 @@
-"""Dispatchers that run orders as drawn, and a daemon's view of them."""
+"""One unrepeatable operation as a daemon knows it."""
 
 import asyncio
-import random
 import typing
 
-from samphiredock import protocol
 from samphiredock import state
-from samphiredock import timers
-from standins import memory_peers
-from tests import history_runs
 
 SERVICE = 'relief-payout'
 OPERATION = 'release-payout'
@@ -21,147 +16,6 @@
     return asyncio.get_running_loop().create_task(work)
 
 
-class FakeDispatcher:
-    """Runs orders as drawn: at once, late, not at all, without a report.
-
-    ``behaviours`` are the ones to draw from.  A cancel proves that an
-    order was not begun while it waits in the queue, and only then.
-    """
-
-    BEHAVIOURS = (
-        'answer', 'answer', 'answer', 'refuse', 'break', 'break-after',
-        'silent', 'late', 'queue', 'frozen', 'unread',
-    )  # fmt: skip
-
-    def __init__(
-        self,
-        hub: memory_peers.MemoryNetwork,
-        name: str,
-        clock: timers.Timers,
-        randomness: random.Random,
-        history: list[history_runs.Event],
-    ) -> None:
-        self._endpoint = hub.join(name)
-        self._clock = clock
-        self._random = randomness
-        self._history = history
-        self._queued: dict[str, timers.Subscription] = {}
-        self.behaviours: tuple[str, ...] = self.BEHAVIOURS
-        self.orders: list[protocol.RunOrder] = []
-        self.deaf_to_cancels = False
-        self.queue_ms = 4_000.0
-        self._endpoint.subscribe(protocol.RunOrder, self._on_order)
-        self._endpoint.subscribe(protocol.CancelAttempts, self._on_cancel)
-
-    def _on_order(self, sender: str, order: protocol.RunOrder) -> None:
-        self.orders.append(order)
-        behaviour = self._random.choice(self.behaviours)
-        getattr(self, '_' + behaviour.replace('-', '_'))(sender, order)
-
-    def _answer(self, sender: str, order: protocol.RunOrder) -> None:
-        self._clock.after(
-            self._random.uniform(1, 40), lambda: self._run(sender, order)
-        )
-
-    def _refuse(self, sender: str, order: protocol.RunOrder) -> None:
-        self.report(sender, order, protocol.SubStatus.SHED)
-
-    def _break(self, sender: str, order: protocol.RunOrder) -> None:
-        self.report(sender, order, protocol.SubStatus.BROKEN)
-
-    def _break_after(self, sender: str, order: protocol.RunOrder) -> None:
-        self.execute(order)
-        self.report(sender, order, protocol.SubStatus.BROKEN)
-
-    def _silent(self, sender: str, order: protocol.RunOrder) -> None:
-        self.execute(order)
-
-    def _late(self, sender: str, order: protocol.RunOrder) -> None:
-        receipt = self.execute(order)
-        self._clock.after(
-            self._random.uniform(500, 4_000),
-            lambda: self.answer(sender, order, receipt),
-        )
-
-    def _queue(self, sender: str, order: protocol.RunOrder) -> None:
-        def leave_queue() -> None:
-            del self._queued[order.attempt_id]
-            self._run(sender, order)
-
-        self._queued[order.attempt_id] = self._clock.after(
-            self._random.uniform(50, self.queue_ms),
-            leave_queue,
-        )
-
-    def _frozen(self, sender: str, order: protocol.RunOrder) -> None:
-        self._clock.after(
-            self._random.uniform(500, 6_000),
-            lambda: self._run(sender, order),
-        )
-
-    def _lose_target(self, sender: str, order: protocol.RunOrder) -> None:
-        self.report(sender, order, protocol.SubStatus.BROKEN, True)
-
-    def _unread(self, sender: str, order: protocol.RunOrder) -> None:
-        """Lose the order, as a dispatcher that dies with it does."""
-
-    def _on_cancel(self, sender: str, cancel: protocol.CancelAttempts) -> None:
-        if self.deaf_to_cancels:
-            return
-        for order in self.orders:
-            waiting = self._queued.get(order.attempt_id)
-            if order.attempt_id in cancel.attempt_ids and waiting:
-                waiting.cancel()
-                del self._queued[order.attempt_id]
-                self.report(sender, order, protocol.SubStatus.CANCELLED)
-
-    def _run(self, sender: str, order: protocol.RunOrder) -> None:
-        self.answer(sender, order, self.execute(order))
-
-    def execute(self, order: protocol.RunOrder) -> str:
-        """Run the order at its target."""
-        receipt = f'receipt-{len(self._history)}'
-        self._history.append(
-            history_runs.Executed(
-                order.idempotency_key, order.attempt_id, receipt
-            )
-        )
-        return receipt
-
-    def answer(
-        self, sender: str, order: protocol.RunOrder, receipt: str
-    ) -> None:
-        """Report that the target ran it."""
-        self._endpoint.send(
-            sender,
-            protocol.RunReport(
-                order.attempt_id,
-                order.target,
-                protocol.SubStatus.ANSWERED,
-                True,
-                {'receipt': receipt},
-            ),
-        )
-
-    def report(
-        self,
-        sender: str,
-        order: protocol.RunOrder,
-        status: protocol.SubStatus,
-        target_lost: bool = False,
-    ) -> None:
-        """Report that the order ended without an answer."""
-        self._endpoint.send(
-            sender,
-            protocol.RunReport(
-                order.attempt_id,
-                order.target,
-                status,
-                target_lost=target_lost,
-            ),
-        )
-
-
 class FakeView:
     """A daemon's knowledge: one operation, two targets, two dispatchers."""
 
--- a/tests/simulation_runs.py
+++ b/tests/simulation_runs.py
@@ -10,6 +10,7 @@
 from samphiredock import coordination
 from samphiredock import metrics
 from samphiredock import protocol
+from standins import memory_dispatcher
 from standins import memory_hosts
 from standins import memory_peers
 from standins import memory_platform
@@ -51,12 +52,12 @@
         self.hub.observers.append(self._observe)
         self.view = fakes_run.FakeView()
         self.dispatchers = [
-            fakes_run.FakeDispatcher(
+            memory_dispatcher.MemoryDispatcher(
                 self.hub,
                 f'dispatcher-of-{target}',
                 self.clock,
                 self.random,
-                self.history,
+                self._executed,
             )
             for target in fakes_run.TARGETS
         ]
@@ -159,6 +160,13 @@
             isinstance(event, history_runs.Executed) for event in self.history
         )
 
+    def _executed(self, order: protocol.RunOrder, receipt: str) -> None:
+        self.history.append(
+            history_runs.Executed(
+                order.idempotency_key, order.attempt_id, receipt
+            )
+        )
+
     def _observe(self, sender: str, message: object) -> None:
         if isinstance(message, protocol.RunOrder):
             life = message.attempt_id.rsplit('/', 2)[0]
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -16,8 +16,8 @@
 from samphiredock import protocol
 from samphiredock import transport
 from standins import cluster
+from standins import http_thread
 from tests.unit import bases
-from tests.unit import http_thread
 from tests.unit import test_caller_http
 from tests.unit import test_operator_http
 
