Idempotency keys carry their own issue time: UUIDs of version 7

Ruled out: trusting callers to send the same time (two test harnesses written apart did not); keeping claims for ever (the store's objects are bounded).

Change: the key is a UUID of version 7 (RFC 9562), whose time is the issue time; no time is sent beside it. The key has one spelling, since the same UUID in other letters would be claimed, and run, apart.

--- a/samphiredock/__init__.py
+++ b/samphiredock/__init__.py
@@ -7,9 +7,9 @@
 
 from samphiredock.protocol import NotRunReason
 from samphiredock.protocol import Outcome
-from samphiredock.protocol import RunRequest
+from samphiredock.protocol import RunBody
 from samphiredock.protocol import SearchRequest
 
 __version__ = '0.1.0'
 
-__all__ = ['NotRunReason', 'Outcome', 'RunRequest', 'SearchRequest']
+__all__ = ['NotRunReason', 'Outcome', 'RunBody', 'SearchRequest']
--- a/samphiredock/cli/_requests.py
+++ b/samphiredock/cli/_requests.py
@@ -1,8 +1,8 @@
 """``samphiredock search`` and ``samphiredock run``: ask as a caller."""
 
+import random
 import time
 import typing
-import uuid
 
 import click
 import msgspec
@@ -89,12 +89,8 @@
 @click.argument('service')
 @click.argument('operation')
 @click.argument('body', nargs=-1, type=_Pair(), metavar='[NAME=VALUE]...')
-@click.option('--key', help='Idempotency key; a new one if not stated.')
 @click.option(
-    '--issued-at-ms',
-    type=int,
-    help='When the key was made (ms since the epoch); give it with --key '
-    'to ask again.',
+    '--key', help='Idempotency key (UUID version 7); a new one if not stated.'
 )
 @_DEADLINE
 @_CALLER
@@ -105,21 +101,18 @@
     operation: str,
     body: tuple[tuple[str, str], ...],
     key: str | None,
-    issued_at_ms: int | None,
     deadline_ms: int | None,
     callers: tuple[str, ...],
 ) -> None:
     """Run an unrepeatable request, at most once for a key."""
-    if issued_at_ms is None:
-        issued_at_ms = int(time.time() * 1000)
-    key = key or uuid.uuid4().hex
+    key = key or protocol.new_idempotency_key(
+        int(time.time() * 1000), random.SystemRandom()
+    )
     urls = _caller_urls(context, callers)
-    again = f'--key {key} --issued-at-ms {issued_at_ms}'
+    again = f'--key {key}'
     # Before it is sent: whatever happens next, the key is on the screen.
-    context.note(f'idempotency key {key}, issued at {issued_at_ms} ms')
-    request = protocol.RunRequest(
-        service, operation, dict(body), issued_at_ms, deadline_ms
-    )
+    context.note(f'idempotency key {key}')
+    request = protocol.RunBody(service, operation, dict(body), deadline_ms)
     call = _client.Call(
         'POST',
         '/v1/run',
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -11,6 +11,9 @@
 from samphiredock.protocol._dispatch_messages import Released
 from samphiredock.protocol._dispatch_messages import TargetSign
 from samphiredock.protocol._dispatch_messages import TargetSignsWanted
+from samphiredock.protocol._idempotency import canonical_key
+from samphiredock.protocol._idempotency import issue_time_ms
+from samphiredock.protocol._idempotency import new_idempotency_key
 from samphiredock.protocol._membership import CONTROL_MESSAGES
 from samphiredock.protocol._membership import Envelope
 from samphiredock.protocol._membership import HeldVersions
@@ -58,6 +61,7 @@
 from samphiredock.protocol._quarantine import SuspectNotice
 from samphiredock.protocol._queries import CancelAttempts
 from samphiredock.protocol._queries import NEVER_STARTED
+from samphiredock.protocol._queries import RunBody
 from samphiredock.protocol._queries import RunOrder
 from samphiredock.protocol._queries import RunReport
 from samphiredock.protocol._queries import RunRequest
@@ -125,6 +129,7 @@
     'Release',
     'Released',
     'RevisionHeld',
+    'RunBody',
     'RunOrder',
     'RunOutcome',
     'RunReport',
@@ -155,5 +160,8 @@
     'TargetSignsWanted',
     'TargetStatus',
     'Unknown',
+    'canonical_key',
+    'issue_time_ms',
+    'new_idempotency_key',
     'parse_token',
 ]
--- a/samphiredock/protocol/_queries.py
+++ b/samphiredock/protocol/_queries.py
@@ -22,10 +22,21 @@
     at_least_snapshot: int = 0
 
 
-class RunRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class RunBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An unrepeatable request as a caller sends it.
 
-    The idempotency key comes in the ``Idempotency-Key`` header;
+    The idempotency key comes in the ``Idempotency-Key`` header.
+    """
+
+    service: str
+    operation: str
+    body: dict[str, str]
+    deadline_ms: int | None = None
+
+
+class RunRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An unrepeatable request with the time that its key carries.
+
     ``issued_at_ms`` is the wall-clock time at which the key was made.
     """
 
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -2,7 +2,6 @@
 
 from samphiredock.transport._caller_http import caller_application
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_HEADER
-from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_LIMIT
 from samphiredock.transport._caller_http import Service
 from samphiredock.transport._operator_http import Operations
 from samphiredock.transport._operator_http import operator_application
@@ -38,7 +37,6 @@
     'HttpPlatform',
     'HttpTargetLink',
     'IDEMPOTENCY_KEY_HEADER',
-    'IDEMPOTENCY_KEY_LIMIT',
     'LinkError',
     'LinkErrorKind',
     'ObjectPage',
--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -11,14 +11,14 @@
 from samphiredock.transport import _http_guard
 
 IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
-IDEMPOTENCY_KEY_LIMIT = 128
+_SHOWN_CHARS = 64
 """Characters of an idempotency key."""
 
 _UNKNOWN_RETRY_MS = 1_000
 _INTERNAL_STATUS = 500
 
 _SEARCH = msgspec.json.Decoder(protocol.SearchRequest)
-_RUN = msgspec.json.Decoder(protocol.RunRequest)
+_RUN = msgspec.json.Decoder(protocol.RunBody)
 
 _REASON_STATUS = {
     protocol.NotRunReason.BAD_REQUEST: 400,
@@ -128,7 +128,14 @@
         key = _idempotency_key(request)
         if isinstance(key, _Refusal):
             return key.response(self._service)
-        return _respond(self._service, await self._service.run(body, key))
+        order = protocol.RunRequest(
+            body.service,
+            body.operation,
+            body.body,
+            protocol.issue_time_ms(key),
+            body.deadline_ms,
+        )
+        return _respond(self._service, await self._service.run(order, key))
 
     async def live(self, request: web.Request) -> web.Response:
         return web.Response(text='live\n')
@@ -173,18 +180,17 @@
 def _idempotency_key(request: web.Request) -> str | _Refusal:
     keys = request.headers.getall(IDEMPOTENCY_KEY_HEADER, [])
     expected = (
-        f'expected one {IDEMPOTENCY_KEY_HEADER} header of 1 to '
-        f'{IDEMPOTENCY_KEY_LIMIT} visible ASCII characters'
+        f'expected one {IDEMPOTENCY_KEY_HEADER} header with a UUID of '
+        'version 7, made once for the request and kept for its retries'
     )
     if not keys:
         return _Refusal(428, f'got none, {expected}')
-    key = keys[0]
-    if len(keys) > 1 or not 0 < len(key) <= IDEMPOTENCY_KEY_LIMIT:
-        return _Refusal(
-            400, f'got {len(keys)} of {len(key)} characters, {expected}'
-        )
-    if not all('!' <= character <= '~' for character in key):
-        return _Refusal(400, f'got other characters, {expected}')
+    if len(keys) > 1:
+        return _Refusal(400, f'got {len(keys)}, {expected}')
+    key = protocol.canonical_key(keys[0])
+    if key is None:
+        got = ascii(keys[0][:_SHOWN_CHARS])
+        return _Refusal(400, f'got {got}, {expected}')
     return key
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -79,6 +80,7 @@
     """Processes of one small system, each known by name."""
 
     def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._random = random.Random()
         self._own_folder = folder is None
         self.folder = folder or pathlib.Path(tempfile.mkdtemp())
         self.processes: dict[str, subprocess.Popen] = {}
@@ -288,6 +290,10 @@
                 return response.status, {'type': 'unreadable'}
             return response.status, msgspec.json.decode(content)
 
+    def new_key(self) -> str:
+        """Return an idempotency key made now."""
+        return protocol.new_idempotency_key(self.wall_ms(), self._random)
+
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
         return int(time.time() * 1000)
--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -86,7 +86,7 @@
         )  # fmt: skip
         payout = (
             'run', 'relief-payout', 'release-payout', 'household=household-7',
-            '--key', 'payout-7', '--issued-at-ms', str(self._system.wall_ms()),
+            '--key', self._system.new_key(),
         )  # fmt: skip
         await self.at(0, *payout)
         await self.at(1, *payout)
