After a freeze only peers' messages are taken as stale, not one's own

For 500 ms after a gap a daemon refused every unrepeatable order, also those that it sent to itself and that wait in no socket. An own message is now refused only before the gap is noticed.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -71,6 +71,7 @@
         self._configuration: state.Configuration | None = None
         self._shares = _shares.NO_SHARES
         self._handover: _handover.Handover | None = None
+        self._name: str | None = None
         self._owns: typing.Callable[[str], bool] | None = None
         self._posts: dict[str, _exchanges.Post] = {}
         self._outbox = _outbox.Outbox(peers, counters)
@@ -98,6 +99,7 @@
             name, self, self._peers, self._clock, self._metrics, lives
         )
         table.subscribe(self._handover.on_changes)
+        self._name = name
         self._owns = lambda target: table.owner(target) == name
 
     def configure(self, configuration: state.Configuration) -> None:
@@ -192,7 +194,7 @@
 
     def _on_batch(self, sender: str, batch: protocol.SubQueryBatch) -> None:
         now_ms = self._clock.now_ms()
-        expires_at_ms = now_ms + batch.budget_ms - self._freshness.age_ms()
+        expires_at_ms = now_ms + batch.budget_ms - self._age_ms(sender)
         flow = _shares.Flow(batch.service, batch.site)
         for item in batch.items:
             work = _lane_types.Work(
@@ -207,6 +209,13 @@
             )
             self._submit(item.target, work, now_ms)
 
+    def _age_ms(self, sender: str) -> float:
+        # A message to oneself waits in no socket: once the freeze has been
+        # noticed it is as fresh as it says.
+        if sender == self._name and not self._freshness.just_woke():
+            return 0.0
+        return self._freshness.age_ms()
+
     def _on_run(self, sender: str, order: protocol.RunOrder) -> None:
         now_ms = self._clock.now_ms()
         work = _lane_types.Work(
@@ -219,7 +228,7 @@
             _shares.Flow(order.service, order.site),
             now_ms,
         )
-        if self._freshness.age_ms() > 0.0:
+        if self._age_ms(sender) > 0.0:
             # The order may have waited in the socket while this process was
             # frozen, and its sender has perhaps given it up since.
             self._metrics.add('runs_refused_after_freeze')
--- a/tests/unit/test_ownership.py
+++ b/tests/unit/test_ownership.py
@@ -187,6 +187,21 @@
         self.peers.deliver(protocol.Release('t1'), self.other)
         self.assertEqual(0, self.peers.of(protocol.Released)[1].busy)
 
+    async def test_own_orders_wait_in_no_socket_after_a_freeze(self) -> None:
+        """Only a peer's order may have been sent before the freeze."""
+        self._set_live('d1')
+        self.dispatcher.lane('t1')
+        await dispatching.settle()
+        self.clock.freeze(4_000.0)
+        self.peers.deliver(dispatching.order('1'), 'd1')
+        self.peers.deliver(dispatching.order('2'), self.other)
+        await dispatching.settle()
+        self.assertEqual({'2': ['cancelled']}, self.peers.statuses())
+        self.assertEqual('1', self.link.runs[0][0].attempt_id)
+        self.clock.unseen_gap_ms = 4_000.0
+        self.peers.deliver(dispatching.order('3'), 'd1')
+        self.assertEqual(['cancelled'], self.peers.statuses()['3'])
+
     async def test_work_is_served_by_a_daemon_that_never_owned(self) -> None:
         self._set_live(self.other)
         self.peers.deliver(dispatching.batch(dispatching.item('1')))
