--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -195,19 +195,8 @@
     def _on_batch(self, sender: str, batch: protocol.SubQueryBatch) -> None:
         now_ms = self._clock.now_ms()
         expires_at_ms = now_ms + batch.budget_ms - self._age_ms(sender)
-        flow = _shares.Flow(batch.service, batch.site)
-        for item in batch.items:
-            work = _lane_types.Work(
-                sender,
-                batch.query_id,
-                item.attempt_id,
-                expires_at_ms,
-                batch,
-                item,
-                flow,
-                now_ms,
-            )
-            self._submit(item.target, work, now_ms)
+        for work in _lane_types.works_of(sender, batch, expires_at_ms, now_ms):
+            self._submit(work.item.target, work, now_ms)
 
     def _age_ms(self, sender: str) -> float:
         # A message to oneself waits in no socket: once the freeze has been
@@ -218,16 +207,7 @@
 
     def _on_run(self, sender: str, order: protocol.RunOrder) -> None:
         now_ms = self._clock.now_ms()
-        work = _lane_types.Work(
-            sender,
-            '',
-            order.attempt_id,
-            now_ms + order.budget_ms,
-            order,
-            None,
-            _shares.Flow(order.service, order.site),
-            now_ms,
-        )
+        work = _lane_types.work_of_run(sender, order, now_ms)
         if self._age_ms(sender) > 0.0:
             # The order may have waited in the socket while this process was
             # frozen, and its sender has perhaps given it up since.
--- a/samphiredock/coordination/_lane_types.py
+++ b/samphiredock/coordination/_lane_types.py
@@ -59,3 +59,40 @@
     ANSWERED = 'answered'
     FREE = 'free'
     LOST = 'lost'
+
+
+def works_of(
+    sender: str,
+    batch: protocol.SubQueryBatch,
+    expires_at_ms: float,
+    now_ms: float,
+) -> list[Work]:
+    """Return the sub-queries of a message as work."""
+    flow = _shares.Flow(batch.service, batch.site)
+    return [
+        Work(
+            sender,
+            batch.query_id,
+            item.attempt_id,
+            expires_at_ms,
+            batch,
+            item,
+            flow,
+            now_ms,
+        )
+        for item in batch.items
+    ]
+
+
+def work_of_run(sender: str, order: protocol.RunOrder, now_ms: float) -> Work:
+    """Return an unrepeatable request as work."""
+    return Work(
+        sender,
+        '',
+        order.attempt_id,
+        now_ms + order.budget_ms,
+        order,
+        None,
+        _shares.Flow(order.service, order.site),
+        now_ms,
+    )
