--- /dev/null
+++ b/samphiredock/coordination/_gossip.py
@@ -0,0 +1,391 @@
+"""Decisions of membership: who is probed, suspected, dead, back.
+
+SWIM-style.  Each period one member is probed; one that does not answer is
+probed through others, then suspected, and dead if it does not refute that
+in time.  Changes travel on the probes.  So the bytes a daemon sends do not
+grow with the number of members.  Pure: ticks and messages in, effects out.
+"""
+
+import random
+import typing
+
+import msgspec
+
+from samphiredock.coordination import _gossip_parts
+from samphiredock.coordination import _member_table
+from samphiredock.coordination import _neighbours
+from samphiredock.coordination import _reports
+from samphiredock import protocol
+
+TICK_MS = 100.0
+_GAP_MS = 1_500.0
+_DIRECT_MS = 300.0
+_INDIRECT_MS = 400.0
+_INDIRECT_PROBES = 3
+_LOST_PROBE_MS = 2_000.0
+_LOST_KEEP_MS = 2 * 3_600_000.0
+_EXCHANGE_MS = 10_000.0
+_VERIFY_PER_TICK = 5
+_ASK_UNKNOWN = 8
+_RELEARN_PEERS = 3
+
+_ALIVE = protocol.MemberState.ALIVE
+_SUSPECT = protocol.MemberState.SUSPECT
+
+_Effects = list[_gossip_parts.GossipEffect]
+
+
+class Gossip:
+    """One daemon's view of the members.
+
+    Parameters
+    ----------
+    me
+        This daemon's row at its start.
+    rng
+        Seeded source of the choice of members.
+    versions
+        What this daemon holds, told with each probe.
+    settled
+        Whether those versions can be relied on.
+    behind
+        Whether a peer has told of newer versions.
+    now_ms
+        The time of the start.
+    """
+
+    def __init__(
+        self,
+        me: protocol.MemberRow,
+        rng: random.Random,
+        versions: typing.Callable[[], protocol.HeldVersions],
+        settled: typing.Callable[[], bool],
+        behind: typing.Callable[[], bool],
+        now_ms: float,
+    ) -> None:
+        self._reports = _reports.Reports(me)
+        self.table = self._reports.table
+        self._name = me.name
+        self._rng = rng
+        self._versions = versions
+        self._settled = settled
+        self._behind = behind
+        self._numbers = 0
+        self._probes = _gossip_parts.Probes(rng)
+        self._neighbours = _neighbours.Neighbours(me.name)
+        self._freshness = _gossip_parts.Freshness()
+        self._last_ms = now_ms
+        self._next_probe_ms = now_ms
+        self._next_lost_ms = now_ms + _LOST_PROBE_MS
+        self._next_exchange_ms = now_ms + rng.uniform(0, _EXCHANGE_MS / 4)
+
+    @property
+    def me(self) -> protocol.MemberRow:
+        """This daemon's own row."""
+        return self._reports.me
+
+    def is_current(self, now_ms: float) -> bool:
+        """Whether the view is not older than a gap in this process."""
+        late_ms = now_ms - self._last_ms
+        return late_ms < _GAP_MS and not self._freshness.is_stale
+
+    # Inputs.
+
+    def tick(self, now_ms: float) -> _Effects:
+        """Do what is due; to be called each ``TICK_MS``."""
+        effects = self._check_gap(now_ms)
+        self._last_ms = now_ms
+        effects += self._relearn(now_ms)
+        effects += self._expire_probes(now_ms)
+        effects += self._reports.expire_suspicions(now_ms)
+        effects += self._verify_some()
+        if now_ms >= self._next_probe_ms:
+            self._next_probe_ms = now_ms + self._reports.period_ms()
+            effects += self._probe_next(now_ms)
+        if now_ms >= self._next_lost_ms:
+            self._next_lost_ms = now_ms + _LOST_PROBE_MS
+            effects += self._probe_lost(now_ms)
+        if now_ms >= self._next_exchange_ms:
+            spread = self._rng.uniform(0.75, 1.25)
+            self._next_exchange_ms = now_ms + _EXCHANGE_MS * spread
+            effects += self._ask_state(self._others(1))
+        return effects
+
+    def on_message(
+        self, sender: str, message: msgspec.Struct, now_ms: float
+    ) -> _Effects:
+        """Take a peer's message in."""
+        effects = self._check_gap(now_ms)
+        handler = _HANDLERS[type(message)]
+        return effects + handler(self, sender, message, now_ms)
+
+    def ask_unknown(
+        self, rows: typing.Sequence[protocol.MemberRow]
+    ) -> _Effects:
+        """Ask some of the members that the directory lists but this lacks.
+
+        The directory may list hosts long gone, so that a row in it makes
+        no member: the member's own answer does.
+        """
+        unknown = [row for row in rows if not self.table.is_live(row.name)]
+        chosen = self._rng.sample(unknown, min(_ASK_UNKNOWN, len(unknown)))
+        effects: _Effects = [_gossip_parts.Learned(row) for row in chosen]
+        names = [row.name for row in chosen]
+        return effects + self._ask_state(names, everything=True)
+
+    def ask_some(self) -> _Effects:
+        """Ask some members what they hold."""
+        return self._ask_state(self._others(_RELEARN_PEERS))
+
+    def leave(self) -> protocol.MemberRow:
+        """Mark this daemon as leaving; return its row to be told."""
+        return self._reports.leave()
+
+    # A gap in this process.
+
+    def _check_gap(self, now_ms: float) -> _Effects:
+        late_ms = now_ms - self._last_ms - TICK_MS
+        if late_ms <= 0:
+            return []
+        if late_ms < _GAP_MS:
+            # A short stall of this process is no fault of the others: it
+            # must not count as time in which they were silent.
+            self._probes.postpone(late_ms)
+            self._reports.postpone_suspicions(late_ms)
+            self._last_ms = now_ms - TICK_MS
+            return []
+        return self.on_gap(now_ms)
+
+    def on_gap(self, now_ms: float) -> _Effects:
+        """Take note that this process was frozen until now.
+
+        Its view is old and the others may hold it dead: without this it
+        would suspect everybody, and act on what it owned before.
+        """
+        last_ms, self._last_ms = self._last_ms, now_ms
+        if not self._freshness.is_stale:
+            self._reports.refute(self.me)
+        gap_ms = now_ms - last_ms
+        self._reports.postpone_suspicions(gap_ms)
+        self._freshness.on_gap(now_ms)
+        self._probes.clear()
+        return []
+
+    def _relearn(self, now_ms: float) -> _Effects:
+        if not self._freshness.is_stale:
+            return []
+        wanted = min(_RELEARN_PEERS, len(self.table.names()) - 1)
+        if self._freshness.should_ask(now_ms, wanted, self._behind()):
+            return self._ask_state(self._others(2 * _RELEARN_PEERS))
+        return []
+
+    # Probes.
+
+    def _number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    def _others(self, count: int) -> list[str]:
+        names = self._neighbours.names(self.table)
+        return self._rng.sample(names, min(count, len(names)))
+
+    def _probe(
+        self, name: str, due_ms: float, asked_by: str = '', asked: int = 0
+    ) -> _Effects:
+        number = self._number()
+        self._probes.add(
+            number,
+            _gossip_parts.OpenProbe(
+                name, due_ms, asked_by=asked_by, asked_number=asked
+            ),
+        )
+        message = protocol.Probe(
+            number, self._versions(), self._reports.rows_for(name)
+        )
+        return [_gossip_parts.SendTo(name, message)]
+
+    def _probe_next(self, now_ms: float) -> _Effects:
+        name = self._probes.next_target(self._neighbours.names(self.table))
+        return self._probe(name, now_ms + _DIRECT_MS) if name else []
+
+    def _probe_lost(self, now_ms: float) -> _Effects:
+        """Probe one dead member, so that the end of a cut is found."""
+        effects: _Effects = []
+        for name in self._reports.forget_lost(now_ms - _LOST_KEEP_MS):
+            effects.append(_gossip_parts.Forgotten(name))
+        if not self._reports.lost_since:
+            return effects
+        name = self._rng.choice(sorted(self._reports.lost_since))
+        return effects + self._probe(name, now_ms + _DIRECT_MS)
+
+    def _expire_probes(self, now_ms: float) -> _Effects:
+        effects: _Effects = []
+        for number, probe in self._probes.due(now_ms):
+            row = self.table.get(probe.target)
+            known = row is not None and row.state in (_ALIVE, _SUSPECT)
+            if probe.asked_by or probe.indirect or not known:
+                self._probes.close(number)
+                if probe.indirect and known and row.state is _ALIVE:
+                    effects += self._reports.suspect(row, now_ms)
+                continue
+            probe.indirect = True
+            probe.due_ms = now_ms + _INDIRECT_MS
+            effects += self._probe_through_others(number, probe.target)
+        return effects
+
+    def _probe_through_others(self, number: int, target: str) -> _Effects:
+        helpers = [
+            name
+            for name in self._others(_INDIRECT_PROBES + 1)
+            if name != target
+        ][:_INDIRECT_PROBES]
+        versions = self._versions()
+        return [
+            _gossip_parts.SendTo(
+                name,
+                protocol.ProbeAsk(
+                    number, target, versions, self._reports.rows_for(name)
+                ),
+            )
+            for name in helpers
+        ]
+
+    def _verify_some(self) -> _Effects:
+        effects: _Effects = []
+        doubtful = self._reports.doubtful
+        for _ in range(min(_VERIFY_PER_TICK, len(doubtful))):
+            row = doubtful.popleft()
+            if not self.table.beats(row):
+                continue
+            message = protocol.Probe(self._number(), self._versions(), [row])
+            effects.append(_gossip_parts.SendTo(row.name, message))
+        return effects
+
+    # Messages.
+
+    def _ask_state(
+        self, names: list[str], everything: bool = False
+    ) -> _Effects:
+        digests = [] if everything else self.table.digests()
+        message = protocol.StateAsk(
+            self._number(), self.me, digests, self._versions()
+        )
+        return [_gossip_parts.SendTo(name, message) for name in names]
+
+    def state_ask(self) -> protocol.StateAsk:
+        """Return the message that asks a bare address for all it knows."""
+        return protocol.StateAsk(self._number(), self.me, [], self._versions())
+
+    def _on_probe(
+        self, sender: str, message: protocol.Probe, now_ms: float
+    ) -> _Effects:
+        effects = self._reports.merge(message.rows, now_ms)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        rows = self._reports.rows_for(sender)
+        doubted = any(row.name == self._name for row in message.rows)
+        if doubted and self.me not in rows:
+            # The report may be older than the news of its refutation.
+            rows.append(self.me)
+        answer = protocol.ProbeAnswer(message.number, self._versions(), rows)
+        return [*effects, _gossip_parts.SendTo(sender, answer)]
+
+    def _on_probe_answer(
+        self, sender: str, message: protocol.ProbeAnswer, now_ms: float
+    ) -> _Effects:
+        was_lost = sender in self._reports.lost_since
+        effects = self._reports.merge(message.rows, now_ms)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        probe = self._probes.get(message.number)
+        if probe is not None and probe.target == sender:
+            self._probes.close(message.number)
+            if probe.asked_by:
+                effects += self._pass_answer(probe, message)
+        elif probe is not None and probe.indirect:
+            # Another one reaches it: the connection between the two is
+            # silent.  If it is so the other way, its probes find that.
+            self._probes.close(message.number)
+            effects.append(_gossip_parts.ResetPeer(probe.target))
+        if was_lost and sender not in self._reports.lost_since:
+            effects += self._ask_state([sender])
+        return effects
+
+    def _pass_answer(
+        self, probe: _gossip_parts.OpenProbe, message: protocol.ProbeAnswer
+    ) -> _Effects:
+        answer = protocol.ProbeAnswer(
+            probe.asked_number, self._versions(), message.rows
+        )
+        return [_gossip_parts.SendTo(probe.asked_by, answer)]
+
+    def _on_probe_ask(
+        self, sender: str, message: protocol.ProbeAsk, now_ms: float
+    ) -> _Effects:
+        effects = self._reports.merge(message.rows, now_ms)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        return effects + self._probe(
+            message.target, now_ms + _DIRECT_MS, sender, message.number
+        )
+
+    def _on_state_ask(
+        self, sender: str, message: protocol.StateAsk, now_ms: float
+    ) -> _Effects:
+        effects = self._reports.merge([message.row], now_ms)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        buckets = self.table.differing(message.digests)
+        answer = protocol.StateAnswer(
+            message.number,
+            buckets,
+            self.table.in_buckets(buckets),
+            self._versions(),
+            self._settled(),
+        )
+        return [*effects, _gossip_parts.SendTo(sender, answer)]
+
+    def _on_state_answer(
+        self, sender: str, message: protocol.StateAnswer, now_ms: float
+    ) -> _Effects:
+        theirs = {
+            row.name: _member_table.order_of(row) for row in message.rows
+        }
+        effects = self._reports.merge(message.rows, now_ms, hearsay=True)
+        effects.append(_gossip_parts.PeerHolds(sender, message.versions))
+        effects.append(_gossip_parts.PeerAnswered(sender, message.settled))
+        self._freshness.on_answer(sender)
+        lacking = [
+            row
+            for row in self.table.in_buckets(message.buckets)
+            if row.name not in theirs
+            or _member_table.order_of(row) > theirs[row.name]
+        ]
+        if lacking:
+            effects.append(
+                _gossip_parts.SendTo(sender, protocol.StatePush(lacking))
+            )
+        return effects
+
+    def _on_state_push(
+        self, sender: str, message: protocol.StatePush, now_ms: float
+    ) -> _Effects:
+        return self._reports.merge(message.rows, now_ms, hearsay=True)
+
+
+_HANDLERS: dict[type, typing.Callable[..., _Effects]] = {
+    protocol.Probe: Gossip._on_probe,
+    protocol.ProbeAnswer: Gossip._on_probe_answer,
+    protocol.ProbeAsk: Gossip._on_probe_ask,
+    protocol.StateAsk: Gossip._on_state_ask,
+    protocol.StateAnswer: Gossip._on_state_answer,
+    protocol.StatePush: Gossip._on_state_push,
+}
+GOSSIP_MESSAGES = tuple(_HANDLERS)
+"""The messages that a :class:`Gossip` takes in."""
+
+
+def health_of(row: protocol.MemberRow, revision: int) -> dict:
+    """Return one member for ``status``."""
+    return {
+        'member': _member_table.member_of(row),
+        'state': row.state.name.lower(),
+        'incarnation': row.incarnation,
+        'revision': revision,
+    }
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -3,42 +3,27 @@
 A pure object: answers and ticks go in, effects come out.
 """
 
-import collections
-import dataclasses
+import math
 import typing
 
-from samphiredock.coordination import _merge
 from samphiredock.coordination import _planner
+from samphiredock.coordination import _scatter_attempts
+from samphiredock.coordination import _scatter_caution
+from samphiredock.coordination import _scatter_hedges
+from samphiredock.coordination import _scatter_judge
+from samphiredock.coordination import _scatter_restart
+from samphiredock.coordination import _scatter_round
+from samphiredock.coordination import _scatter_types
 from samphiredock import protocol
 from samphiredock import state
 
-_RETRY_AFTER_MS = 1_000
 
+# Before a content that lost a target is tried again: in this time the news
+# of a copy that another daemon ran at the same moment arrives.
+_SUSPECT_PAUSE_MS = 20.0
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendAttempts:
-    """Send these sub-queries to the dispatchers of their targets."""
-
-    items: tuple[protocol.SubQuery, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DropAttempts:
-    """Cancel these attempts."""
-
-    attempts: tuple[protocol.SubQuery, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
-    """Give the caller this outcome; nothing follows it."""
-
-    outcome: protocol.SearchOutcome
-    sent: int
-    needed: int
-
-
-Effect = SendAttempts | DropAttempts | Finish
+_Status = protocol.SubStatus
+_Verdict = _scatter_judge.Verdict
 
 
 class Scatter:
@@ -47,123 +32,365 @@
     Parameters
     ----------
     plan
-        What the search is; its snapshot never changes.
-    is_usable
-        Whether a target may be sent new work now.
+        What the search is; every merged answer is read at one snapshot.
+    tools
+        Shared records and the budget.
+    limits
+        Limits in force when the search was planned.
+    canary
+        Send one shard alone first; the others follow when it succeeded.
+    suspect
+        One target was lost to this content: no two attempts at a time
+        until one has succeeded.
     """
 
     def __init__(
         self,
         plan: _planner.Plan,
-        is_usable: typing.Callable[[str], bool],
+        tools: _scatter_types.Tools,
+        limits: state.Limits,
+        canary: bool = False,
+        suspect: bool = False,
     ) -> None:
         self._plan = plan
-        self._is_usable = is_usable
-        self._out: dict[str, tuple[state.Shard, protocol.SubQuery]] = {}
-        self._answers: dict[str, protocol.SubAnswer] = {}
-        self._tried: dict[str, set[str]] = collections.defaultdict(set)
-        self._sent = 0
-        self._finished = False
-
-    def start(self) -> list[Effect]:
-        """Send the first attempt of every shard."""
-        items = [self._attempt(shard) for shard in self._plan.shards]
-        first = tuple(item for item in items if item is not None)
-        effects: list[Effect] = [SendAttempts(first)] if first else []
-        return effects + self._finish_if_settled()
+        self._tools = tools
+        self._limits = limits
+        self._index = plan.search.index
+        self._round = _scatter_round.Round(plan, plan.snapshot)
+        self._older: _scatter_round.Round | None = None
+        self._attempts = _scatter_attempts.Attempts(
+            plan.query_id, self._index, tools
+        )
+        self._seen: dict[_Status, int] = {}
+        self._began = False
+        self._finish_effect: _scatter_types.Finish | None = None
+        self._wait = _scatter_restart.SnapshotWait(plan.deadline_at_ms)
+        self._again_due_ms = math.inf
+        self._caution = _scatter_caution.Caution(
+            plan.fingerprint, canary, suspect
+        )
+        self._trial_at_ms = 0.0
+        self.tally = _scatter_types.Tally(
+            sub_queries_needed=len(self._round.shards)
+        )
+        self._hedges = _scatter_hedges.Hedges(
+            tools, self._index, limits.hedge_quantile, self.tally
+        )
+
+    # Inputs.
+
+    def start(self, now_ms: float) -> list[_scatter_types.Effect]:
+        """Send the first attempt of every shard, or the canary's."""
+        self._begin_round(now_ms)
+        return self._done(now_ms)
 
     def on_answers(
-        self, answers: typing.Iterable[protocol.SubAnswer]
-    ) -> list[Effect]:
+        self, answers: typing.Iterable[protocol.SubAnswer], now_ms: float
+    ) -> list[_scatter_types.Effect]:
         """Take ended attempts in; retry those that may be."""
-        again = []
         for answer in answers:
-            found = self._out.pop(answer.attempt_id, None)
-            if found is None or self._finished:
-                continue
-            shard = found[0]
-            if self._is_good(answer):
-                self._answers[shard.shard_id] = answer
+            attempt = self._attempts.get(answer.attempt_id)
+            if attempt is None:
+                self.tally.late_answers += 1
+            elif answer.target != attempt.item.target:
+                # Not the answer to this attempt, which may still come.
+                self.tally.mismatched_answers += 1
             else:
-                again.append(self._attempt(shard))
-        items = tuple(item for item in again if item is not None)
-        effects: list[Effect] = [SendAttempts(items)] if items else []
-        return effects + self._finish_if_settled()
-
-    def on_deadline(self) -> list[Effect]:
-        """Answer with what there is."""
-        if self._finished:
-            return []
-        return self._finish()
-
-    def _is_good(self, answer: protocol.SubAnswer) -> bool:
-        return (
-            answer.status is protocol.SubStatus.ANSWERED
-            and answer.snapshot_id == self._plan.snapshot.snapshot_id
-            and bool(answer.ranges)
+                self._take(attempt, answer, now_ms)
+        return self._done(now_ms)
+
+    def on_tick(self, now_ms: float) -> list[_scatter_types.Effect]:
+        """Do what has fallen due: deadline, hedges, second tries."""
+        if now_ms >= self._plan.deadline_at_ms:
+            self._finish()
+        if now_ms >= self._hedges.due_ms and not self._finish_effect:
+            self._send_hedges(now_ms)
+        if now_ms >= self._again_due_ms:
+            self._try_again(now_ms)
+        return self._done(now_ms)
+
+    def on_member_lost(
+        self, member: str, now_ms: float
+    ) -> list[_scatter_types.Effect]:
+        """Retry elsewhere what a lost dispatcher had."""
+        for attempt in self._attempts.outstanding():
+            if attempt.dispatcher == member and not self._finish_effect:
+                self._attempts.end(attempt, None)
+                self._began = True
+                self._tools.budget.owe()
+                self._retry(attempt.shard, False, now_ms)
+        return self._done(now_ms)
+
+    def next_due_ms(self) -> float:
+        """Return when :meth:`on_tick` has something to do."""
+        due_ms = min(
+            self._plan.deadline_at_ms,
+            self._hedges.due_ms,
+            self._again_due_ms,
+            self._wait.due_ms(),
         )
+        if self._caution.is_waiting() and not self._attempts.has_alone():
+            due_ms = min(due_ms, self._trial_at_ms)
+        return due_ms
+
+    # Attempts.
+
+    def _begin_round(self, now_ms: float) -> None:
+        shards = self._round.shards
+        self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
+        for shard in self._caution.begin(shards):
+            self._attempt(shard, now_ms)
+        self._arm_hedges(now_ms)
+
+    def _arm_hedges(self, now_ms: float) -> None:
+        if self._caution.allows_hedges():
+            self._hedges.arm(now_ms)
 
-    def _attempt(self, shard: state.Shard) -> protocol.SubQuery | None:
-        tried = self._tried[shard.shard_id]
-        open_to = [
+    def _open_to(self, shard: _scatter_round.ShardState) -> list[str]:
+        is_usable = self._tools.routes.is_usable
+        tried = shard.tried
+        return [
             name
-            for name in shard.replicas
-            if name not in tried and self._is_usable(name)
+            for name in shard.shard.replicas
+            if name not in tried and is_usable(name)
         ]
-        if not open_to:
-            return None
-        # Queries start at different replicas, so that load spreads.
-        start = hash(self._plan.query_id) % len(open_to)
-        target = open_to[start]
-        tried.add(target)
-        self._sent += 1
-        index = self._plan.snapshot.indexes[self._plan.search.index]
-        item = protocol.SubQuery(
-            f'{self._plan.query_id}.{self._sent}',
-            self._plan.search.index,
-            index.version,
-            self._plan.snapshot.snapshot_id,
-            shard.shard_id,
+
+    def _attempt(
+        self,
+        shard: _scatter_round.ShardState,
+        now_ms: float,
+        candidates: list[str] | None = None,
+        hedge: bool = False,
+    ) -> None:
+        candidates = candidates or self._open_to(shard)
+        if not candidates:
+            self._give_up(shard, now_ms)
+            return
+        target = self._tools.replicas.choose(candidates)
+        dispatcher = self._tools.routes.owner(target)
+        self._attempts.send(
+            shard,
+            self._round,
             target,
+            dispatcher,
+            now_ms,
+            self._caution.is_alone(shard),
+            hedge,
+        )
+
+    def _take(
+        self,
+        attempt: _scatter_round.Attempt,
+        answer: protocol.SubAnswer,
+        now_ms: float,
+    ) -> None:
+        shard = attempt.shard
+        status = answer.status
+        self._tools.latencies.note(
+            self._index, status, answer.waited_ms, answer.service_ms
         )
-        self._out[item.attempt_id] = (shard, item)
-        return item
-
-    def _finish_if_settled(self) -> list[Effect]:
-        if self._finished or self._out:
-            return []
-        return self._finish()
-
-    def _finish(self) -> list[Effect]:
-        self._finished = True
-        effects: list[Effect] = []
-        if self._out:
-            open_items = tuple(item for _, item in self._out.values())
-            effects.append(DropAttempts(open_items))
-        needed = len(self._plan.shards)
-        effects.append(Finish(self._outcome(), self._sent, needed))
+        if status is _Status.ANSWERED:
+            self._tools.latencies.observe(
+                self._index, now_ms - attempt.sent_ms
+            )
+        else:
+            self._seen[status] = max(
+                self._seen.get(status, 0), answer.retry_after_ms
+            )
+        verdict = _scatter_judge.judge(
+            answer, shard, self._round.snapshot.snapshot_id
+        )
+        # A quick empty answer is no sign of a quick replica.
+        useful = verdict is _Verdict.WHOLE
+        self._attempts.end(
+            attempt, now_ms - attempt.sent_ms if useful else None
+        )
+        if status not in protocol.NEVER_STARTED:
+            self._began = True
+        elif attempt.item.hedge:
+            self._tools.budget.refund()
+        if attempt.alone and status is _Status.ANSWERED:
+            if self._caution.note_succeeded(shard):
+                self._tools.suspicions.note_succeeded(self._plan.fingerprint)
+            self._release(now_ms)
+        if verdict is _Verdict.WHOLE:
+            self.tally.hedges_won += attempt.item.hedge
+            self._settle(shard, now_ms)
+        elif verdict is _Verdict.QUARANTINED:
+            self._finish()
+        elif verdict is _Verdict.LOST:
+            self._take_loss(shard, answer, now_ms)
+        else:
+            rule = _scatter_judge.RETRY_RULES[verdict]
+            _scatter_judge.apply(rule, answer, shard, self.tally)
+            self._retry(shard, rule.costly, now_ms)
+
+    def _take_loss(
+        self,
+        shard: _scatter_round.ShardState,
+        answer: protocol.SubAnswer,
+        now_ms: float,
+    ) -> None:
+        """A target died under this content, or under a neighbour's.
+
+        Only a loss while the content ran alone counts against it; else it
+        is run again alone, one shard at a time, which tells the two apart.
+        """
+        self._caution.note_lost(shard)
+        self._hedges.stop()
+        self._trial_at_ms = now_ms + _SUSPECT_PAUSE_MS
+        self._tools.budget.owe()
+        if answer.ran_alone:
+            self._tools.suspicions.note_lost(
+                self._plan.fingerprint, answer.target, self._plan.service
+            )
+        if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+            self._finish()
+
+    def _release(self, now_ms: float) -> None:
+        for shard in self._caution.release():
+            self._retry(shard, False, now_ms)
+
+    def _next_trial(self, now_ms: float) -> None:
+        """Ask one shard alone, unless the content has been judged."""
+        if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
+            self._finish()
+        elif self._caution.needs_no_more():
+            self._release(now_ms)
+        else:
+            self._retry(self._caution.next_shard(), False, now_ms, True)
+
+    def _retry(
+        self,
+        shard: _scatter_round.ShardState,
+        costly: bool,
+        now_ms: float,
+        its_turn: bool = False,
+    ) -> None:
+        """Try another replica, unless one is still at it."""
+        if self._finish_effect or shard.settled or shard.outstanding:
+            return
+        if self._caution.is_alone(shard) and not its_turn:
+            self._caution.wait(shard)
+            return
+        candidates = self._open_to(shard)
+        if not candidates:
+            self._give_up(shard, now_ms)
+            return
+        if costly and not self._tools.budget.spend_retry():
+            self.tally.retries_denied += 1
+            self._settle(shard, now_ms)
+            return
+        self._arm_hedges(now_ms)
+        self.tally.retries += bool(shard.tried)
+        if its_turn:
+            candidates = [self._caution.choose(candidates)]
+        self._attempt(shard, now_ms, candidates)
+
+    def _give_up(
+        self, shard: _scatter_round.ShardState, now_ms: float
+    ) -> None:
+        """No replica is left: pause, wait for a snapshot, or settle."""
+        if shard.may_pause():
+            shard.pause(now_ms)
+            self._again_due_ms = min(self._again_due_ms, shard.again_at_ms)
+        elif shard.gone and self._wait.may_restart():
+            self._wait.begin(now_ms)
+        else:
+            self._settle(shard, now_ms)
+
+    def _settle(self, shard: _scatter_round.ShardState, now_ms: float) -> None:
+        self._round.settle(shard)
+        if shard.outstanding:
+            self._attempts.drop_losers(self._attempts.on(shard), now_ms)
+
+    # Time.
+
+    def _send_hedges(self, now_ms: float) -> None:
+        if self._caution.may_add_canary():
+            # Another shard, not another replica: it is needed anyhow, and
+            # two replicas of one shard are not risked for one content.
+            self._hedges.stop()
+            self._next_trial(now_ms)
+            return
+        due = self._hedges.take_due(self._attempts, self._open_to, now_ms)
+        for shard, candidates in due:
+            if not self._caution.is_alone(shard):
+                self._attempt(shard, now_ms, candidates, hedge=True)
+
+    def _try_again(self, now_ms: float) -> None:
+        self._again_due_ms = math.inf
+        for shard in self._round.shards:
+            at_ms = shard.again_at_ms
+            if at_ms > now_ms:
+                self._again_due_ms = min(self._again_due_ms, at_ms)
+            elif at_ms:
+                shard.again_at_ms = 0.0
+                self._retry(shard, False, now_ms)
+
+    # The end.
+
+    def _done(self, now_ms: float) -> list[_scatter_types.Effect]:
+        if not self._finish_effect and self._wait.is_on():
+            self._resolve_stuck(now_ms)
+        while self._may_try(now_ms):
+            self._next_trial(now_ms)
+        if not self._round.unsettled:
+            self._finish()
+        effects = self._attempts.collect()
+        if self._finish_effect:
+            effects.append(self._finish_effect)
         return effects
 
-    def _outcome(self) -> protocol.SearchOutcome:
-        answers = list(self._answers.values())
-        search = self._plan.search
-        covered = _merge.covered_ranges(answers)
-        coverage = _merge.coverage_of(covered)
-        missing = _merge.missing_ranges(covered)
-        snapshot_id = self._plan.snapshot.snapshot_id
-        records = _merge.merge_records(answers, search.merge, self._plan.limit)
-        if not missing:
-            return protocol.Answered(records, snapshot_id, 1.0)
-        if coverage >= search.least_coverage and answers:
-            return protocol.Partial(
-                records,
-                snapshot_id,
-                coverage,
-                missing,
-                f'{len(missing)} key ranges gave no answer in time',
+    def _may_try(self, now_ms: float) -> bool:
+        return (
+            not self._finish_effect
+            and now_ms >= self._trial_at_ms
+            and self._caution.is_waiting()
+            and not self._attempts.has_alone()
+        )
+
+    def _resolve_stuck(self, now_ms: float) -> None:
+        """Restart whole on a newer snapshot, or stop waiting for one."""
+        newer = self._wait.look(
+            self._tools.routes.snapshot,
+            self._round.snapshot,
+            self._index,
+            self._tools.latencies.quantile_ms(self._index, 0.5),
+            now_ms,
+        )
+        if newer is not None:
+            self._restart(newer, now_ms)
+        elif self._wait.is_over(now_ms):
+            self._wait.give_up()
+            for shard in self._round.shards:
+                waits = shard.outstanding or shard.again_at_ms
+                if shard.gone and not waits:
+                    self._settle(shard, now_ms)
+
+    def _restart(self, snapshot: state.Snapshot, now_ms: float) -> None:
+        self.tally.search_restarts += 1
+        self._wait.restarted()
+        self._again_due_ms = math.inf
+        self._began = self._began or len(self._attempts) > 0
+        self._attempts.drop_losers(self._attempts.outstanding(), now_ms)
+        self._attempts.discard_unsent()
+        if self._older is None or self._older.keys() < self._round.keys():
+            self._older = self._round
+        self._round = _scatter_round.Round(self._plan, snapshot)
+        self._begin_round(now_ms)
+
+    def _finish(self) -> None:
+        if self._finish_effect:
+            return
+        self._began = self._began or len(self._attempts) > 0
+        self._attempts.discard_unsent()
+        self._attempts.drop_all()
+        self._hedges.stop()
+        self._again_due_ms = math.inf
+        self.tally.sub_queries_sent = self._attempts.sent
+        self._finish_effect = _scatter_types.Finish(
+            _scatter_round.outcome_of(
+                self._round, self._older, self._seen, self._began
             )
-        return protocol.Unknown(
-            f'got coverage {coverage:.4f}, '
-            f'expected at least {search.least_coverage}',
-            _RETRY_AFTER_MS,
         )
--- /dev/null
+++ b/samphiredock/daemon/_operations.py
@@ -0,0 +1,144 @@
+"""What operators may ask of this daemon."""
+
+import typing
+
+from returns import result
+
+from samphiredock.daemon import _parts
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import transport
+
+_RETRY_AFTER_MS = 1_000
+
+_Kind = protocol.OperatorErrorKind
+_STORE_ERRORS = {
+    transport.StoreErrorKind.NOT_FOUND: _Kind.NOT_FOUND,
+    transport.StoreErrorKind.CONFLICT: _Kind.UNAVAILABLE,
+    transport.StoreErrorKind.UNAVAILABLE: _Kind.UNAVAILABLE,
+    transport.StoreErrorKind.LOST: _Kind.UNKNOWN,
+    transport.StoreErrorKind.REFUSED: _Kind.BAD_REQUEST,
+}
+
+
+class OperatorDesk:
+    """Answers the operators' interface from the parts of the daemon."""
+
+    def __init__(
+        self,
+        parts: _parts.Parts,
+        settings: state.Settings,
+        is_ready: typing.Callable[[], bool],
+    ) -> None:
+        self._parts = parts
+        self._settings = settings
+        self._is_ready = is_ready
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return the daemon's view of members, sites and targets."""
+        parts = self._parts
+        configuration = parts.configuration
+        targets = configuration.targets if configuration else {}
+        snapshot = parts.snapshot
+        return {
+            'name': parts.me.name,
+            'site': parts.me.site,
+            'incarnation': parts.me.incarnation,
+            'ready': self._is_ready(),
+            'revision': parts.knowledge.revision,
+            'snapshot_id': snapshot.snapshot_id if snapshot else 0,
+            'members': parts.membership.live(),
+            'health': parts.membership.health(),
+            'revisions': parts.membership.revisions(),
+            'targets': {name: parts.owner(name) for name in targets},
+            'target_rows': [self._target_row(row) for row in targets.values()],
+            'caller_url': self._caller_url(),
+            'counters': parts.metrics.totals(),
+        }
+
+    def configuration_source(self) -> state.ConfigurationSource | None:
+        """Return what is in force here, as operators wrote it."""
+        return self._parts.knowledge.source
+
+    async def apply(
+        self, change: protocol.ConfigurationChange
+    ) -> protocol.ChangeOutcome:
+        """Accept a configuration change and push it to all daemons."""
+        outcome = await self._parts.acceptor.apply(change)
+        if isinstance(outcome, protocol.ChangeAccepted):
+            self._parts.spread.announce_configuration()
+        return outcome
+
+    async def history(
+        self,
+    ) -> result.Result[
+        typing.Sequence[protocol.ChangeSummary], protocol.OperatorError
+    ]:
+        """Return the accepted changes, the newest first."""
+        return result.Success(await self._parts.acceptor.history())
+
+    def confirmations(self) -> protocol.Confirmations:
+        """Return the revision that each live daemon reported."""
+        revisions = self._parts.membership.revisions()
+        daemons = [
+            protocol.DaemonRevision(
+                member.name, member.site, revisions.get(member.name, 0)
+            )
+            for member in self._parts.membership.live()
+        ]
+        return protocol.Confirmations(self._parts.knowledge.revision, daemons)
+
+    async def set_leaving(
+        self, target: str, leaving: bool
+    ) -> result.Result[None, protocol.OperatorError]:
+        """Say that a target gets no new work, or gets it again."""
+        configuration = self._parts.configuration
+        if configuration is None or target not in configuration.targets:
+            return result.Failure(
+                protocol.OperatorError(
+                    _Kind.NOT_FOUND,
+                    f'got target {target!r}, expected a configured one',
+                )
+            )
+        put = await self._parts.signs.set_leaving(target, leaving)
+        if isinstance(put, result.Failure):
+            error = put.failure()
+            return result.Failure(
+                protocol.OperatorError(
+                    _STORE_ERRORS[error.kind], error.detail, _RETRY_AFTER_MS
+                )
+            )
+        return result.Success(None)
+
+    def quarantined(
+        self,
+    ) -> result.Result[
+        typing.Sequence[protocol.QuarantineEntry], protocol.OperatorError
+    ]:
+        """Return the request contents that are refused."""
+        return result.Success(self._parts.quarantine.listed())
+
+    async def release(
+        self, fingerprint: str
+    ) -> result.Result[None, protocol.OperatorError]:
+        """Take one request content out of quarantine."""
+        listed = {row.fingerprint for row in self._parts.quarantine.listed()}
+        released = await self._parts.quarantine.release(fingerprint)
+        if isinstance(released, result.Success):
+            return result.Success(None)
+        kind = _Kind.UNKNOWN if fingerprint in listed else _Kind.NOT_FOUND
+        return result.Failure(protocol.OperatorError(kind, released.failure()))
+
+    def _caller_url(self) -> str:
+        scheme = 'https' if self._settings.tls else 'http'
+        return f'{scheme}://{self._settings.caller_address}'
+
+    def _target_row(self, target: state.Target) -> protocol.TargetRow:
+        return protocol.TargetRow(
+            target.name,
+            target.site,
+            self._parts.owner(target.name),
+            target.slots,
+            target.connections,
+            self._parts.is_usable(target.name),
+        )
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -1,11 +1,31 @@
 """Messages, outcomes and their encoding."""
 
+from samphiredock.protocol._claims import ClaimAnswer
+from samphiredock.protocol._claims import ClaimAsk
+from samphiredock.protocol._claims import ClaimStatus
+from samphiredock.protocol._claims import ClaimToken
+from samphiredock.protocol._claims import parse_token
 from samphiredock.protocol._codec import Codec
 from samphiredock.protocol._codec import CodecError
 from samphiredock.protocol._dispatch_messages import Release
 from samphiredock.protocol._dispatch_messages import Released
 from samphiredock.protocol._dispatch_messages import TargetSign
 from samphiredock.protocol._dispatch_messages import TargetSignsWanted
+from samphiredock.protocol._membership import CONTROL_MESSAGES
+from samphiredock.protocol._membership import Envelope
+from samphiredock.protocol._membership import HeldVersions
+from samphiredock.protocol._membership import MemberRow
+from samphiredock.protocol._membership import MemberState
+from samphiredock.protocol._membership import ObjectAsk
+from samphiredock.protocol._membership import ObjectChanged
+from samphiredock.protocol._membership import ObjectVersion
+from samphiredock.protocol._membership import Probe
+from samphiredock.protocol._membership import ProbeAnswer
+from samphiredock.protocol._membership import ProbeAsk
+from samphiredock.protocol._membership import RevisionHeld
+from samphiredock.protocol._membership import StateAnswer
+from samphiredock.protocol._membership import StateAsk
+from samphiredock.protocol._membership import StatePush
 from samphiredock.protocol._operations import ChangeAccepted
 from samphiredock.protocol._operations import ChangeConflict
 from samphiredock.protocol._operations import ChangeInvalid
@@ -15,6 +35,12 @@
 from samphiredock.protocol._operations import ChangeUnknown
 from samphiredock.protocol._operations import ConfigurationChange
 from samphiredock.protocol._operations import QuarantineEntry
+from samphiredock.protocol._operator_api import Confirmations
+from samphiredock.protocol._operator_api import DaemonRevision
+from samphiredock.protocol._operator_api import OperatorDone
+from samphiredock.protocol._operator_api import OperatorError
+from samphiredock.protocol._operator_api import OperatorErrorKind
+from samphiredock.protocol._operator_api import TargetRow
 from samphiredock.protocol._outcomes import Answered
 from samphiredock.protocol._outcomes import Completed
 from samphiredock.protocol._outcomes import KeyRange
@@ -26,6 +52,10 @@
 from samphiredock.protocol._outcomes import RunOutcome
 from samphiredock.protocol._outcomes import SearchOutcome
 from samphiredock.protocol._outcomes import Unknown
+from samphiredock.protocol._quarantine import ClearedNotice
+from samphiredock.protocol._quarantine import QuarantineNotice
+from samphiredock.protocol._quarantine import StoredQuarantine
+from samphiredock.protocol._quarantine import SuspectNotice
 from samphiredock.protocol._queries import CancelAttempts
 from samphiredock.protocol._queries import NEVER_STARTED
 from samphiredock.protocol._queries import RunOrder
@@ -50,6 +80,7 @@
 
 __all__ = [
     'Answered',
+    'CONTROL_MESSAGES',
     'CancelAttempts',
     'ChangeAccepted',
     'ChangeConflict',
@@ -58,31 +89,58 @@
     'ChangeSummary',
     'ChangeUnavailable',
     'ChangeUnknown',
+    'ClaimAnswer',
+    'ClaimAsk',
+    'ClaimStatus',
+    'ClaimToken',
+    'ClearedNotice',
     'Codec',
     'CodecError',
     'Completed',
     'ConfigurationChange',
+    'Confirmations',
+    'DaemonRevision',
+    'Envelope',
+    'HeldVersions',
     'KeyRange',
+    'MemberRow',
+    'MemberState',
     'NEVER_STARTED',
     'NotRun',
     'NotRunReason',
+    'ObjectAsk',
+    'ObjectChanged',
+    'ObjectVersion',
+    'OperatorDone',
+    'OperatorError',
+    'OperatorErrorKind',
     'Outcome',
     'Partial',
+    'Probe',
+    'ProbeAnswer',
+    'ProbeAsk',
     'QuarantineEntry',
+    'QuarantineNotice',
     'Record',
     'Release',
     'Released',
+    'RevisionHeld',
     'RunOrder',
     'RunOutcome',
     'RunReport',
     'RunRequest',
     'SearchOutcome',
     'SearchRequest',
+    'StateAnswer',
+    'StateAsk',
+    'StatePush',
+    'StoredQuarantine',
     'SubAnswer',
     'SubAnswerBatch',
     'SubQuery',
     'SubQueryBatch',
     'SubStatus',
+    'SuspectNotice',
     'TargetAnswer',
     'TargetBatch',
     'TargetBatchAnswer',
@@ -90,10 +148,12 @@
     'TargetCancelAnswer',
     'TargetHealth',
     'TargetQuery',
+    'TargetRow',
     'TargetRun',
     'TargetRunAnswer',
     'TargetSign',
     'TargetSignsWanted',
     'TargetStatus',
     'Unknown',
+    'parse_token',
 ]
--- /dev/null
+++ b/tests/unit/test_claim_book.py
@@ -0,0 +1,112 @@
+"""Group commit of claims, and the store calls that it costs."""
+
+import random
+import unittest
+from unittest import mock
+
+from samphiredock.coordination import _claim_book
+from samphiredock import metrics
+from samphiredock import state
+from samphiredock.state import _claims
+from tests import fakes_platform
+from tests import fakes_run
+
+_Fault = fakes_platform.Fault
+
+
+def _claim(number: int) -> state.Claim:
+    return state.Claim(
+        f'entry-1/1/{number}', 'content', state.ClaimState.OPEN, 2**41
+    )
+
+
+class ClaimBookTest(unittest.IsolatedAsyncioTestCase):
+    """One daemon's claims against the fake store."""
+
+    def setUp(self) -> None:
+        """Make a book."""
+        self.clock = fakes_run.SteppedTimers()
+        self.platform = fakes_platform.FakePlatform(
+            self.clock, random.Random(1), 4.0
+        )
+        self.metrics = metrics.Metrics('test')
+        self.book = _claim_book.ClaimBook(
+            self.platform, self.clock, random.Random(2), self.metrics
+        )
+
+    async def open(self, number: int) -> _claim_book.OpenResult:
+        """Open one claim."""
+        return await self.book.open(
+            state.place_of('invoices', f'key-{number}'),
+            _claim(number),
+            self.clock.now_ms() + 2_000,
+        )
+
+    async def open_and_close(self, count: int) -> list[float]:
+        """Run claims from start to end; return gets and puts a request."""
+        tasks = [fakes_run.start(self.open(row)) for row in range(count)]
+        await self.clock.pass_ms(100)
+        for number, task in enumerate(tasks):
+            self.assertIs(state.Verdict.GRANTED, task.result().opened.verdict)
+            self.book.close(
+                state.place_of('invoices', f'key-{number}'),
+                state.done_claim(_claim(number), True, {}),
+            )
+        await self.clock.pass_ms(100)
+        self.assertEqual(0, self.book.unrecorded())
+        calls = self.platform.calls
+        return [calls['get'] / count, calls['put'] / count]
+
+    async def test_calls_of_a_request_alone(self) -> None:
+        """A claim costs a read and a write, its outcome a write."""
+        self.assertEqual([1.0, 2.0], await self.open_and_close(1))
+
+    async def test_calls_of_many_at_once(self) -> None:
+        """The calls a request do not grow with their number."""
+        for count in (10, 100):
+            self.setUp()
+            gets, puts = await self.open_and_close(count)
+            print(f'calls a request, {count} at once: {gets} + {puts}')
+            self.assertLessEqual(gets, 1.0)
+            self.assertLessEqual(puts, 2.0)
+
+    async def test_changes_of_one_bucket_share_a_write(self) -> None:
+        """A hundred claims and outcomes take two writes."""
+        with mock.patch.object(_claims, 'BUCKETS', 1):
+            gets, puts = await self.open_and_close(100)
+        self.assertEqual([0.01, 0.02], [gets, puts])
+
+    async def test_lost_answers_are_read_back(self) -> None:
+        """Each claim is granted with one effective write."""
+        faults = (_Fault.LOST_AFTER, _Fault.LOST_BEFORE, _Fault.LATE)
+        for number, fault in enumerate(faults):
+            with self.subTest(fault):
+                self.platform.script.append(fault)
+                task = fakes_run.start(self.open(number))
+                await self.clock.pass_ms(1_000)
+                opened = task.result().opened
+                self.assertIs(state.Verdict.GRANTED, opened.verdict)
+        self.assertEqual(3, self.metrics.total('claim_answers_lost'))
+
+    async def test_unreadable_bucket_is_not_overwritten(self) -> None:
+        """A later version's bucket is refused, not taken for empty."""
+        place = state.place_of('invoices', 'key-1')
+        await self.platform_put(place.path, b'{"format":2,"claims":{}}')
+        task = fakes_run.start(self.open(1))
+        await self.clock.pass_ms(100)
+        ended = task.result()
+        self.assertFalse(ended.may_be_stored)
+        self.assertNotIsInstance(ended.opened, state.Opened)
+        self.assertEqual(1, self.platform.objects[place.path].version)
+
+    async def test_memory_does_not_grow_with_the_slices(self) -> None:
+        """A writer goes when its bucket is idle."""
+        await self.open_and_close(50)
+        await self.clock.pass_ms(1_000)
+        self.assertEqual({}, self.book._writers)
+
+    async def platform_put(self, path: str, value: bytes) -> None:
+        """Store an object."""
+        put = fakes_run.start(self.platform.put(path, value, 0))
+        await self.clock.pass_ms(10)
+        put.result()
