--- a/samphiredock/cli/_config.py
+++ b/samphiredock/cli/_config.py
@@ -149,6 +149,9 @@
         author or getpass.getuser(),
         read.base,
         read.overlays,
+        # A change sent again may have been accepted: a daemon that cannot
+        # read the store then must not say that nothing was changed.
+        repeated=change_id is not None,
     )
     context.note(f'change id {change.change_id} (--change-id sends it again)')
     outcome = context.ask(
--- a/tests/process/test_scenarios.py
+++ b/tests/process/test_scenarios.py
@@ -117,6 +117,7 @@
                 await system.store_faults()
                 for other in sorted(system.daemons)[4:]:
                     calls.append(await _pay(system, other, key))
+            calls += await _pay_until_completed(system, 'entry-5')
             executions = _executions(system)
         self.assert_runs_hold(calls, executions)
 
@@ -231,6 +232,22 @@
     )
 
 
+async def _pay_until_completed(
+    system: systems.System, daemon: str
+) -> list[history.Call]:
+    """Pay new keys, a bounded number of times, until one is run.
+
+    The daemons that were killed own targets until they are known as dead.
+    """
+    calls = []
+    for _ in range(_TRIES):
+        calls.append(await _pay(system, daemon, system.new_key()))
+        if calls[-1].kind_of_outcome == 'completed':
+            break
+        await asyncio.sleep(0.1)
+    return calls
+
+
 def _executions(system: systems.System) -> list[history.Execution]:
     return [
         history.Execution(
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -146,6 +146,8 @@
             self.assertIn('change id again', got.output)
         changes = [row.change_id for row in self.operations.changes]
         self.assertEqual(['again'] * len(cases), changes)
+        repeated = {row.repeated for row in self.operations.changes}
+        self.assertEqual({True}, repeated)
 
     def test_apply_sends_nothing_without_need_or_consent(self) -> None:
         """No difference is no change; "no" at the question ends it."""
