--- a/tests/failure/test_limits.py
+++ b/tests/failure/test_limits.py
@@ -18,6 +18,8 @@
 from samphiredock import timers
 from standins import memory_peers
 from standins import target as standin
+from standins import target_faults
+from standins import target_limits
 from tests.unit import dispatching
 
 _SLOTS = 2
@@ -30,13 +32,13 @@
 
     def __init__(self) -> None:
         self.random = random.Random(os.environ['SAMPHIREDOCK_SEED'])
-        capacity = standin.Capacity(_SLOTS, _CONNECTIONS, 2.0)
+        capacity = target_limits.Capacity(_SLOTS, _CONNECTIONS, 2.0)
         self.target = standin.Target('t1', capacity, 1, True)
         whole = protocol.KeyRange(0, state.KEY_SPACE_SIZE)
         shard = state.Shard('shard', whole, ['t1'])
         index = state.IndexSnapshot(1, [shard])
         self.target.learn(state.Snapshot(1, {'i': index}))
-        self.faults = standin.Faults(service_ms=4.0, straggler=0.02)
+        self.faults = target_faults.Faults(service_ms=4.0, straggler=0.02)
         self.target._faults = self.faults
         self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
@@ -46,7 +48,7 @@
             self.target.application(), access_log=None, shutdown_timeout=0.5
         )
         await self.runner.setup()
-        self.target.server = self.runner.server
+        self.target.limits.server = self.runner.server
         await web.TCPSite(self.runner, '127.0.0.1', 0).start()
         url = f'http://127.0.0.1:{self.runner.addresses[0][1]}'
         configured = state.Target('t1', 'a', url, _SLOTS, _CONNECTIONS, 2)
@@ -86,7 +88,7 @@
         await self.dispatcher.drain()
 
     @property
-    def stats(self) -> standin.Stats:
+    def stats(self) -> target_limits.Stats:
         """What the target counted."""
         return self.target._stats
 
