A node whose start fails leaves nothing open

With the operators' address in use, the callers' listener and the peer socket stayed open until the process ended, and a second start in one process found them taken. start() now closes what it opened and raises as before.

test_node fails without it (caller port: 'Address already in use') and passes with it. Not mended: a peer address in use fails in the constructor, before anything listens.

--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -115,7 +115,19 @@
     # Life.
 
     async def start(self) -> None:
-        """Open the addresses and begin to learn."""
+        """Open the addresses and begin to learn.
+
+        Raises ``OSError`` if an address cannot be listened on; nothing is
+        left open then.
+        """
+        try:
+            await self._open()
+        except BaseException:
+            await self._close()
+            raise
+        _log.notice('started', name=self._settings.name)
+
+    async def _open(self) -> None:
         self._parts.start()
         callers = transport.caller_application(
             self,
@@ -135,7 +147,6 @@
             _tls_context(self._settings.tls),
         )
         await self._listen(operators, self._settings.operator_address, None)
-        _log.notice('started', name=self._settings.name)
 
     def _body_limit_bytes(self) -> int:
         configuration = self._parts.configuration
@@ -150,10 +161,10 @@
     ) -> None:
         host, _, port = address.rpartition(':')
         runner = web.AppRunner(application, access_log=None)
+        self._runners.append(runner)
         await runner.setup()
         host = host.removeprefix('[').removesuffix(']')
         await web.TCPSite(runner, host, int(port), ssl_context=tls).start()
-        self._runners.append(runner)
 
     def on_signal(self) -> None:
         """Begin a graceful shutdown, or hurry one."""
@@ -162,14 +173,21 @@
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
         await self._stopped.wait()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._stop_listening()
         # An outcome that is not in the store yet is lost with this process,
         # and the caller's retry finds it unknown for good.
         await self._parts.runner.drain(_LAST_RECORD_MS)
         await self._parts.close()
         _log.notice('stopped', name=self._settings.name)
 
+    async def _stop_listening(self) -> None:
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _close(self) -> None:
+        await self._stop_listening()
+        await self._parts.close()
+
     def in_flight(self) -> int:
         """Return the work that a graceful stop has to wait for."""
         return (
