--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -3,7 +3,7 @@
 Each daemon binds one PULL socket and holds one PUSH socket to each peer it
 has something to say to, so that a message has one direction and a slow
 peer fills only its own queue.  The sockets are drained from the event
-loop's own reader; per message this costs half of what the library's
+loop's own reader, which costs half to three quarters of what the library's
 asyncio sockets cost (docs/design/peer-sockets.md).
 """
 
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -58,7 +58,7 @@
             coordinator = self.tier.daemons[name].coordinator
             self.assert_refused(await coordinator.search(_POISON))
         self.assertEqual(before_ms, self.tier.clock.now_ms())
-        self.assertEqual(2, len(self.tier.dead))
+        self.assertEqual(2, len(self.tier.targets.dead))
 
     async def test_copies_at_one_time(self) -> None:
         """Twenty copies at once through all daemons kill two targets.
@@ -74,7 +74,7 @@
             for _ in range(5)
         ]
         await self.tier.gather(*copies)
-        self.assertEqual(2, len(self.tier.dead))
+        self.assertEqual(2, len(self.tier.targets.dead))
 
     async def test_content_without_canary_is_tried_alone(self) -> None:
         """A search without canary loses its first targets, then no more.
@@ -84,11 +84,11 @@
         """
         self.tier = self.start(scripted.make_search(canary=False))
         await self.ask('d0', _POISON)
-        first = len(self.tier.dead)
+        first = len(self.tier.targets.dead)
         for name in self.tier.daemons:
             await self.ask(name, _POISON)
         self.assertLessEqual(first, 8 + 2)
-        self.assertEqual(first, len(self.tier.dead))
+        self.assertEqual(first, len(self.tier.targets.dead))
 
     async def test_innocents_beside_it_are_answered(self) -> None:
         """Every neighbour gets a whole answer and none is refused later.
@@ -108,7 +108,7 @@
                 row for row in outcomes if isinstance(row, protocol.Answered)
             ]
             self.assertEqual(20, len(answered))
-            self.assertEqual(2, len(self.tier.dead))
+            self.assertEqual(2, len(self.tier.targets.dead))
             await self.tier.move(5_000.0)
             for daemon in self.tier.daemons.values():
                 (entry,) = daemon.quarantine.listed()
@@ -222,7 +222,7 @@
 
         The canary's replicas refuse the connection; the search goes on.
         """
-        self.tier.dead = ['t0', 't8']
+        self.tier.targets.dead = ['t0', 't8']
         (outcome,) = await self.ask('d0', _INNOCENT)
         self.assertIsInstance(outcome, protocol.Partial)
         self.assertEqual(0.875, outcome.coverage)
@@ -230,9 +230,9 @@
     async def test_known_content_needs_no_canary(self) -> None:
         """A content that succeeded goes to all shards at once."""
         await self.ask('d0', _INNOCENT)
-        self.tier.ran.clear()
+        self.tier.targets.ran.clear()
         coordinator = self.tier.daemons['d0'].coordinator
         again = self.tier.gather(coordinator.search(_INNOCENT))
         (outcome,) = await again
         self.assertIsInstance(outcome, protocol.Answered)
-        self.assertEqual(8, len(self.tier.ran))
+        self.assertEqual(8, len(self.tier.targets.ran))
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,7 +1,6 @@
 """A scripted tier: real coordinators, fake dispatchers, manual time."""
 
 import asyncio
-import collections
 import dataclasses
 import os
 import random
@@ -12,7 +11,9 @@
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
+from standins import memory_peers
 from standins import memory_platform
+from standins import memory_targets
 
 SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
 INDEX = 'claims'
@@ -208,52 +209,39 @@
     """A coordinator and a quarantine, wired to the scripted tier."""
 
     def __init__(self, tier: 'Tier', name: str) -> None:
-        self.tier, self.name = tier, name
-        self.handlers: dict[type, list] = collections.defaultdict(list)
+        peers = tier.network.join(name)
+        tier.targets.serve(peers)
         self.counters = metrics.Metrics(name)
         self.quarantine = coordination.Quarantine(
-            self,
-            self,
+            peers,
+            peers,
             memory_platform.MemoryPlatform(tier.store, tier.clock),
             tier.clock,
             self.counters,
         )
         self.admission = coordination.Admission(tier.clock)
         self.coordinator = coordination.Coordinator(
-            name, 'bole-a', 1, tier, self, tier.clock, self.counters,
+            name, 'bole-a', 1, tier, peers, tier.clock, self.counters,
             self.quarantine, self.admission, random.Random(f'{SEED}-{name}'),
         )  # fmt: skip
 
-    def send(self, member: str, message: object) -> bool:
-        self.tier.mail.append((self.name, member, message))
-        return True
-
-    def subscribe(self, kind: type, handler: typing.Callable) -> None:
-        self.handlers[kind].append(handler)
-
-    def broadcast(self, message: object) -> None:
-        for name in self.tier.daemons:
-            if name != self.name:
-                self.send(name, message)
-
 
 class Tier:
-    """Several daemons over fake targets; a poison term kills its target.
-
-    All that runs at a target when it dies is reported broken, with
-    ``ran_alone`` as it was asked.
-    """
+    """Several daemons over targets in memory; messages take no time."""
 
     def __init__(self, search: state.Search, daemons: int = 4) -> None:
         self.clock = timers.ManualTimers()
         self.snapshot = make_snapshot(1, 8, 16)
         self.configuration = make_configuration(search, 16)
-        self.store = memory_platform.MemoryStore(random.Random(SEED))
-        self.mail: collections.deque = collections.deque()
-        self.dead: list[str] = []
-        self.silent: set[str] = set()
-        self.running: dict[str, list] = collections.defaultdict(list)
-        self.ran: list[tuple[str, dict[str, str]]] = []
+        randomness = random.Random(SEED)
+        self.store = memory_platform.MemoryStore(randomness)
+        self.network = memory_peers.MemoryNetwork(self.clock, randomness)
+        self.network.near_ms = (0.0, 0.0)
+        self.targets = memory_targets.MemoryTargets(
+            self.clock,
+            lambda item: good_answer(self.snapshot, item),
+            SERVICE_MS,
+        )
         self.daemons: dict[str, Daemon] = {}
         for number in range(daemons):
             self.add(f'd{number}')
@@ -282,58 +270,9 @@
         return [task.result() for task in tasks]
 
     async def move(self, delta_ms: float) -> None:
-        """Deliver the mail, move time, deliver what that caused."""
+        """Deliver the messages, move time, deliver what that caused."""
         for _ in range(4):
             await asyncio.sleep(0)
-            while self.mail:
-                self._deliver(*self.mail.popleft())
+            self.clock.advance(0.0)
         self.clock.advance(delta_ms)
         await asyncio.sleep(0)
-
-    def _deliver(self, sender: str, to: str, message: object) -> None:
-        if isinstance(message, protocol.SubQueryBatch):
-            if to not in self.silent:
-                for item in message.items:
-                    self._start(sender, message, item)
-        elif to in self.daemons:
-            for handler in self.daemons[to].handlers[type(message)]:
-                handler(sender, message)
-
-    def _start(self, sender: str, batch, item) -> None:
-        work = (sender, batch, item)
-        if item.target in self.dead:
-            self._answer(
-                sender,
-                batch,
-                Answer(item.attempt_id, item.target, Status.UNREACHABLE),
-            )
-            return
-        self.running[item.target].append(work)
-        self.ran.append((item.target, batch.terms))
-        self.clock.after(SERVICE_MS, lambda: self._end(work))
-
-    def _end(self, work: tuple) -> None:
-        sender, batch, item = work
-        if work not in self.running[item.target]:
-            return
-        if 'poison' not in batch.terms.values():
-            self.running[item.target].remove(work)
-            self._answer(sender, batch, good_answer(self.snapshot, item))
-            return
-        self.dead.append(item.target)
-        for origin, with_batch, row in self.running.pop(item.target):
-            self._answer(
-                origin,
-                with_batch,
-                Answer(
-                    row.attempt_id,
-                    row.target,
-                    Status.BROKEN,
-                    ran_alone=with_batch.alone,
-                    target_lost=True,
-                ),
-            )
-
-    def _answer(self, sender: str, batch, answer: Answer) -> None:
-        reply = protocol.SubAnswerBatch(batch.query_id, [answer])
-        self.mail.append((self.owner(answer.target), sender, reply))
--- a/tests/unit/test_coordinator.py
+++ b/tests/unit/test_coordinator.py
@@ -21,7 +21,7 @@
         Half of the targets are behind it, there is no latency record yet
         and so no hedge: at the deadline the caller has the other half.
         """
-        self.tier.silent.add('d1')
+        self.tier.targets.silent.add('d1')
         started_ms = self.tier.clock.now_ms()
         (outcome,) = await self.tier.gather(
             self.daemon.coordinator.search(scripted.ask())
@@ -39,7 +39,7 @@
         The first attempts stay with the daemon they were sent to; the
         targets have moved to another one meanwhile.
         """
-        self.tier.silent.add('d1')
+        self.tier.targets.silent.add('d1')
         search = self.tier.gather(
             self.daemon.coordinator.search(scripted.ask())
         )
@@ -66,8 +66,8 @@
         """Answers to a query that is over are dropped and counted."""
         answer = protocol.SubAnswer('a', 't0', protocol.SubStatus.ANSWERED, 1)
         late = protocol.SubAnswerBatch('gone', [answer])
-        for handler in self.daemon.handlers[protocol.SubAnswerBatch]:
-            handler('d0', late)
+        self.tier.network.send('d0', 'd2', late)
+        await self.tier.move(1.0)
         self.assertEqual(1, self.daemon.counters.total('late_answers'))
 
 
