Orders are not lost to a peer that starts again or has left

Looked for: test_shutdown was seen once with one unrepeatable request answered Unknown ('no answer in time') while all daemons were replaced. Three faults that lead to it were found by reading the path of an order, each shown by a test that failed first: - A probe that only others can get through makes PeerHub.reset close the socket with linger 0, and whatever waits there for a restarting peer's port goes with it. It now lingers for 1 s, a few connection attempts. (test_reset_loses_nothing_that_was_queued: 2 messages sent, 1 came.) - A fresh daemon dropped the report that a member had left, since it did not know the member, then learned it as live from an older report. It now keeps the starts that are over, 1,024 at most. (test_left_member_is_not_learned_from_older_reports.) - A leaving daemon told whoever probed it about itself only while the news was new. It now tells every prober. (test_leaving_daemon_tells_whoever_probes_it.)

Ruled out: orders in a daemon's own drain (released lanes answer NOT_OWNER, and its reports are flushed at close).

--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -283,8 +283,10 @@
         effects.append(_gossip_parts.PeerHolds(sender, message.versions))
         rows = self._reports.rows_for(sender)
         doubted = any(row.name == self._name for row in message.rows)
-        if doubted and self.me not in rows:
-            # The report may be older than the news of its refutation.
+        leaving = self.me.state is protocol.MemberState.LEFT
+        if (doubted or leaving) and self.me not in rows:
+            # The report may be older than the news of its refutation; and
+            # who probes a leaving daemon may have missed that it leaves.
             rows.append(self.me)
         answer = protocol.ProbeAnswer(message.number, self._versions(), rows)
         return [*effects, _gossip_parts.SendTo(sender, answer)]
--- a/samphiredock/coordination/_reports.py
+++ b/samphiredock/coordination/_reports.py
@@ -15,6 +15,7 @@
 _SMALL_PERIOD_MS = 300.0
 _SUSPICION_LEAST_MS = 1_000.0
 _DOUBTFUL_LIMIT = 1_024
+_STOPPED_LIMIT = 1_024
 
 _ALIVE = protocol.MemberState.ALIVE
 _SUSPECT = protocol.MemberState.SUSPECT
@@ -44,6 +45,10 @@
         self.doubtful: collections.deque[protocol.MemberRow] = (
             collections.deque(maxlen=_DOUBTFUL_LIMIT)
         )
+        # Starts known to have ended, of members that are not in the table.
+        self._stopped: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._name = me.name
         self._suspected_until: dict[str, float] = {}
         self.tell(me.name)
@@ -98,7 +103,7 @@
             if row.name == self._name:
                 self._take_own(row)
             elif not self.table.beats(row) or self._is_past(row):
-                continue
+                self._note_stopped(row)
             elif hearsay and self._is_doubtful(row):
                 # After a cut each side holds the other's members dead.
                 # Believing that would take every member out for a moment
@@ -113,7 +118,24 @@
     def _is_past(self, row: protocol.MemberRow) -> bool:
         # Each daemon forgets the dead at a time of its own.  Learning them
         # again from each other, they would never be forgotten.
-        return self.table.get(row.name) is None and row.state in _GONE
+        if self.table.get(row.name) is not None:
+            return False
+        is_stopped = self._stopped.get(row.name, -1) >= row.incarnation
+        return row.state in _GONE or is_stopped
+
+    def _note_stopped(self, row: protocol.MemberRow) -> None:
+        """Keep in mind that a start which left is over.
+
+        A fresh daemon may hear of it before it hears, from someone who
+        does not know yet, that the member lives: it would send work to a
+        process that has gone, and wait for an answer in vain.
+        """
+        if row.state is not _LEFT or self.table.get(row.name) is not None:
+            return
+        known = self._stopped.pop(row.name, row.incarnation)
+        self._stopped[row.name] = max(known, row.incarnation)
+        if len(self._stopped) > _STOPPED_LIMIT:
+            self._stopped.popitem(last=False)
 
     def _is_doubtful(self, row: protocol.MemberRow) -> bool:
         held = self.table.get(row.name)
--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -20,6 +20,7 @@
 _HIGH_WATER_MESSAGES = 5_000
 _DRAIN_LIMIT = 100
 _LINGER_MS = 200
+_RESET_LINGER_MS = 1_000
 
 Handler = typing.Callable[[str, typing.Any], None]
 
@@ -160,11 +161,14 @@
     def reset(self, member: str) -> None:
         """Drop the socket to a member; the next send makes a new one.
 
-        An open connection can go silent for good while new ones work.
+        An open connection can go silent for good while new ones work.  It
+        may also only be slow, as with a peer that is starting again: what
+        is queued then gets the time of a few connection attempts, since an
+        order that is dropped here leaves its caller without an outcome.
         """
         socket = self._outgoing.pop(member, None)
         if socket is not None:
-            socket.close(linger=0)
+            socket.close(linger=_RESET_LINGER_MS)
 
     def close_idle(self) -> None:
         """Close the sockets that were not used since the last call.
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -142,6 +142,30 @@
         self.push(row('b', incarnation=2))
         self.assertEqual({'a', 'b', 'c'}, self.live())
 
+    def test_left_member_is_not_learned_from_older_reports(self) -> None:
+        """A fresh daemon hears of a stop first, then from before it.
+
+        It would send work to a daemon that has gone, and wait in vain.
+        """
+        self.push(changed(row('d'), state=STATES.LEFT))
+        self.push(row('d'))
+        self.assertNotIn('d', self.live())
+        self.push(row('d', incarnation=2))
+        self.assertIn('d', self.live())
+
+    def test_leaving_daemon_tells_whoever_probes_it(self) -> None:
+        """Who missed the word of its leaving holds it live until told."""
+        self.gossip.leave()
+        for number in range(30):
+            probe = protocol.Probe(number, HELD, [])
+            (answer,) = [
+                effect.message
+                for effect in self.gossip.on_message('b', probe, 0.0)
+                if isinstance(effect, _gossip_parts.SendTo)
+            ]
+            told = [each.state for each in answer.rows if each.name == 'a']
+            self.assertEqual([STATES.LEFT], told)
+
     def test_lost_members_are_forgotten_in_the_end(self) -> None:
         """The list of lost members is bounded in time."""
         self.push(changed(row('b'), state=STATES.LEFT))
--- a/tests/unit/test_peers_idle.py
+++ b/tests/unit/test_peers_idle.py
@@ -17,32 +17,57 @@
         self.add(name, amount)
 
 
-class PeersIdleTest(unittest.IsolatedAsyncioTestCase):
+class PeerSocketsTest(unittest.IsolatedAsyncioTestCase):
     """Two hubs on loopback."""
 
-    async def test_idle_socket_is_closed_and_made_anew(self) -> None:
-        """An idle connection costs both ends memory; the next send works."""
-        addresses = [
+    async def asyncSetUp(self) -> None:
+        self.addresses = [
             f'tcp://127.0.0.1:{port}' for port in cluster.free_ports(2)
         ]
-        hubs = [
-            transport.PeerHub(f'entry-{n}', address, _CODEC, _Counters())
-            for n, address in enumerate(addresses)
-        ]
-        got: asyncio.Queue = asyncio.Queue()
-        hubs[1].subscribe(
-            protocol.RevisionHeld, lambda sender, held: got.put_nowait(held)
+        self.got: asyncio.Queue = asyncio.Queue()
+        self.sender = self._hub(0)
+        self.sender.set_address('entry-1', self.addresses[1])
+
+    def _hub(self, number: int) -> transport.PeerHub:
+        hub = transport.PeerHub(
+            f'entry-{number}', self.addresses[number], _CODEC, _Counters()
+        )
+        hub.subscribe(
+            protocol.RevisionHeld,
+            lambda sender, held: self.got.put_nowait(held.revision),
         )
-        hubs[0].set_address('entry-1', addresses[1])
+        self.addCleanup(hub.close)
+        return hub
+
+    def _send(self, revision: int) -> None:
+        self.sender.send('entry-1', protocol.RevisionHeld(revision))
+
+    async def _receive(self) -> int:
+        return await asyncio.wait_for(self.got.get(), 10)
+
+    async def test_idle_socket_is_closed_and_made_anew(self) -> None:
+        """An idle connection costs both ends memory; the next send works."""
+        self._hub(1)
         open_sockets = []
         for revision in (1, 2):
-            hubs[0].send('entry-1', protocol.RevisionHeld(revision))
-            held = await asyncio.wait_for(got.get(), 10)
-            self.assertEqual(revision, held.revision)
-            hubs[0].close_idle()
-            open_sockets.append(len(hubs[0]._outgoing))
-            hubs[0].close_idle()
-            open_sockets.append(len(hubs[0]._outgoing))
-        for hub in hubs:
-            hub.close()
+            self._send(revision)
+            self.assertEqual(revision, await self._receive())
+            for _ in range(2):
+                self.sender.close_idle()
+                open_sockets.append(len(self.sender._outgoing))
         self.assertEqual([1, 0, 1, 0], open_sockets)
+
+    async def test_reset_loses_nothing_that_was_queued(self) -> None:
+        """A peer starts again while its connection is taken for silent.
+
+        An order waits in the socket until the peer listens; the socket is
+        replaced meanwhile.  If the order went with it, its caller would
+        learn at its deadline that nobody knows whether it ran.
+        """
+        self._send(1)
+        await asyncio.sleep(0)
+        self.sender.reset('entry-1')
+        self._send(2)
+        self._hub(1)
+        got = {await self._receive(), await self._receive()}
+        self.assertEqual({1, 2}, got)
