A daemon that is closing begins nothing that it would cut

Cause: between the end of the drain and the closing of the peer sockets a peer that missed the leave may still send; for a target that this daemon never owned the lane was open, the exchange was begun and then cancelled with the connections, so the order's end was unknown. Now whatever comes after the drain is refused as never begun.

Shown: with the check out of _submit, test_order_after_the_drain_is_refused fails (the order is sent to the target); with it, it passes. An unknown outcome also says what the dispatcher reported, if it did: 'no answer in time' stood for both.

--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -76,6 +76,7 @@
         self._posts: dict[str, _exchanges.Post] = {}
         self._outbox = _outbox.Outbox(peers, counters)
         self._ready: set[str] = set()
+        self._stopped = False
         self._tasks: set[asyncio.Task] = set()
         self._exchanges = _exchanges.Exchanges(
             clock, counters, signs, self._outbox.answer, self._silent_after_ms
@@ -134,6 +135,10 @@
         while self.in_flight():
             await asyncio.sleep(_DRAIN_POLL_MS / 1000.0)
 
+    def stop(self) -> None:
+        """Refuse what comes after the drain; begun, it would be cut."""
+        self._stopped = True
+
     def in_flight(self) -> int:
         """Return what is queued or sent and not answered.
 
@@ -222,10 +227,10 @@
     def _submit(
         self, target: str, work: _lane_types.Work, now_ms: float
     ) -> None:
-        post = self._post(target)
+        post = None if self._stopped else self._post(target)
         if post is None:
             refusal = _lane_types.Refuse(
-                work, protocol.SubStatus.NOT_OWNER, 'unknown target'
+                work, protocol.SubStatus.NOT_OWNER, 'not served here'
             )
             self._outbox.refuse(target, refusal)
             return
--- a/samphiredock/coordination/_run_sending.py
+++ b/samphiredock/coordination/_run_sending.py
@@ -142,13 +142,16 @@
             order.attempt_id, self._cancel_at_ms(run)
         )
         self._endings.note_lost(run.admitted, report)
+        seen = 'no answer in time'
+        if report is not None:
+            seen = f'{report.status.value} {report.detail}, end not known'
         if report is None or not _run_orders.is_final(report):
             run.step('cancel')
             report = await self._orders.cancel(
                 order.attempt_id, run.admitted.deadline_at_ms
             )
         if report is None:
-            outcome = self._endings.lose(run, f'{target}: no answer in time')
+            outcome = self._endings.lose(run, f'{target}: {seen}')
             self._orders.leave(order.attempt_id)
             return outcome
         self._orders.settle(order.attempt_id)
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -218,6 +218,7 @@
         self._parts.metrics.add('shutdowns_draining')
 
     def _end(self) -> None:
+        self._parts.dispatcher.stop()
         left = self.in_flight()
         if left:
             _log.warning('stopped with requests in flight', left=left)
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -178,6 +178,18 @@
         await self._deliver(dispatching.batch(dispatching.item('1', 't9')))
         self._assert_told(**{'1': 'not-owner'})
 
+    async def test_order_after_the_drain_is_refused(self) -> None:
+        """A peer that missed the leave sends to a daemon that is closing.
+
+        Begun then, the order would be cut when the connections close, and
+        nobody would know whether it ran; refused, it goes elsewhere.
+        """
+        await self.dispatcher.drain()
+        self.dispatcher.stop()
+        await self._deliver(dispatching.order('r'))
+        self._assert_told(r='not-owner')
+        self.assertEqual({}, self.links)
+
     async def test_quarantined_content_is_refused(self) -> None:
         self.quarantined.add('f')
         await self._deliver(
