Fault runs change the configuration all along, and count what bit

An operator now changes the configuration every second or so, racing the drawn change at another daemon; times to force at reachable daemons are reported. The revisions checker also looks across the starts of one daemon, shown to fail on a hand-made history.

--- a/tests/history.py
+++ b/tests/history.py
@@ -230,11 +230,14 @@
 ) -> Verdict:
     """Revisions only rise, and an accepted one is soon in force.
 
+    A daemon that was started again shows none older than before, once it
+    is ready.
     ``excused(daemon, at_ms)`` tells whether a daemon was unreachable so
     shortly before that the time limit does not hold for it.
     """
     changes = list(accepted)
     highest: dict[tuple[str, int], int] = {}
+    shown: dict[str, int] = {}
     violations = []
     judged = 0
     for sample in samples:
@@ -244,6 +247,13 @@
         if sample.revision < before:
             violations.append(f'{sample} after revision {before}')
         highest[life] = max(before, sample.revision)
+        if sample.ready:
+            earlier = shown.get(sample.daemon, 0)
+            if sample.revision < earlier and sample.revision >= before:
+                violations.append(
+                    f'{sample} after revision {earlier} of an earlier start'
+                )
+            shown[sample.daemon] = max(earlier, sample.revision)
         due = max(
             (
                 change.revision
@@ -258,6 +268,34 @@
     return Verdict(judged, tuple(violations))
 
 
+def times_in_force_ms(
+    samples: typing.Iterable[RevisionSample],
+    accepted: typing.Iterable[AcceptedChange],
+    excused: typing.Callable[[str, float], bool],
+) -> list[float]:
+    """Return how long each daemon took to show each accepted change.
+
+    Daemons that were cut off at that time are left out, as are those that
+    were not seen again.
+    """
+    by_daemon = collections.defaultdict(list)
+    for sample in samples:
+        by_daemon[sample.daemon].append(sample)
+    times = []
+    for change in accepted:
+        for daemon, rows in by_daemon.items():
+            if excused(daemon, change.at_ms):
+                continue
+            seen_ms = [
+                row.at_ms
+                for row in rows
+                if row.revision >= change.revision
+                and row.at_ms >= change.at_ms
+            ]
+            times += [min(seen_ms) - change.at_ms] if seen_ms else []
+    return times
+
+
 def check_leaving(
     executions: typing.Iterable[Execution],
     left_at_ms: typing.Mapping[str, float],
--- a/tests/process/faultrun.py
+++ b/tests/process/faultrun.py
@@ -23,7 +23,7 @@
 from tests.process import system as systems
 
 _CALL_TIMEOUT_S = 15.0
-_POLL_S = 0.3
+_POLL_S = 0.1
 _POLL_TIMEOUT_S = 0.3
 IN_FORCE_WITHIN_MS = 5_000.0
 _TARGET_FAULTS = (
@@ -56,6 +56,9 @@
     accepted: list[history.AcceptedChange] = dataclasses.field(
         default_factory=list
     )
+    changes: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     faults: list[str] = dataclasses.field(default_factory=list)
     troubled: list[tuple[str, float, float]] = dataclasses.field(
         default_factory=list
@@ -125,6 +128,7 @@
             asyncio.create_task(self._caller(number))
             for number in range(self._callers)
         ]
+        tasks.append(asyncio.create_task(self._operator()))
         poller = asyncio.create_task(self._poll())
         if self._outage_s:
             tasks.append(asyncio.create_task(self._long_outage()))
@@ -175,6 +179,16 @@
             if call.kind_of_outcome in ('not-run', 'unknown')
         )
 
+    def times_in_force_ms(self) -> list[float]:
+        """Return the times, rounded up to the next poll, in order."""
+        return sorted(
+            history.times_in_force_ms(
+                self.recording.samples,
+                self.recording.accepted,
+                self.recording.excused,
+            )
+        )
+
     def outcomes(self) -> collections.Counter:
         """Count the calls by kind and outcome."""
         return collections.Counter(
@@ -192,6 +206,12 @@
                 await self._run_once(daemon, rng)
             await asyncio.sleep(rng.uniform(0.0, 0.05))
 
+    async def _operator(self) -> None:
+        """Change the configuration again and again, as the faults fall."""
+        while not self._stopping:
+            await asyncio.sleep(self._random.uniform(0.5, 1.5))
+            await self._new_configuration()
+
     async def _search(self, daemon: str, rng: random.Random) -> None:
         if rng.random() < 0.7:
             terms = {'claimant': f'household-{rng.randrange(97)}'}
@@ -397,7 +417,8 @@
                     name, number
                 )
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
-            return
+            kind, revision = 'no answer', 0
+        self.recording.changes[kind] += 1
         if kind == 'accepted':
             self.recording.accepted.append(
                 history.AcceptedChange(revision, systems.now_ms())
@@ -432,8 +453,14 @@
         f'outcomes: {dict(sorted(run.outcomes().items()))}',
         f'reasons: {dict(sorted(run.reasons().items()))}',
         f'faults: {dict(sorted(counts.items()))}',
-        f'accepted changes: {len(run.recording.accepted)}',
+        f'changes: {dict(sorted(run.recording.changes.items()))}',
     ]
+    times = run.times_in_force_ms()
+    if times:
+        lines.append(
+            f'in force at reachable daemons: {len(times)} times, median '
+            f'{times[len(times) // 2]:.0f} ms, most {times[-1]:.0f} ms'
+        )
     for promise, verdict in run.judged.items():
         found = len(verdict.violations)
         lines.append(f'{promise}: {verdict.judged} judged, {found} wrong')
--- a/tests/process/test_promises.py
+++ b/tests/process/test_promises.py
@@ -35,4 +35,17 @@
             if 'after revision' in text
         ]
         self.assertEqual([], reverted)
-        self.assertGreaterEqual(len(run.recording.faults), 4)
+        self.assert_faults_bit(run)
+
+    def assert_faults_bit(self, run: faultrun.FaultRun) -> None:
+        """A run that nothing disturbed would prove nothing."""
+        faults = run.recording.faults
+        self.assertGreaterEqual(len(faults), 8)
+        self.assertGreaterEqual(len(set(faults)), 6)
+        self.assertGreaterEqual(run.recording.changes['accepted'], 3)
+        disturbed = [
+            call
+            for call in run.recording.calls
+            if call.kind_of_outcome not in ('answered', 'completed')
+        ]
+        self.assertGreaterEqual(len(disturbed), 20)
--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -145,8 +145,10 @@
         )
 
     def test_reverted_and_late_revisions_are_seen(self) -> None:
-        def sample(at_ms: float, revision: int) -> history.RevisionSample:
-            return history.RevisionSample('d1', 1, at_ms, revision, True)
+        def sample(
+            at_ms: float, revision: int, life: int = 1, ready: bool = True
+        ) -> history.RevisionSample:
+            return history.RevisionSample('d1', life, at_ms, revision, ready)
 
         def check(
             *samples: history.RevisionSample, excused: bool = False
@@ -159,6 +161,8 @@
         good = check(sample(0, 1), sample(200, 2), sample(9_000, 2))
         self.assert_judges(good, check(sample(0, 2), sample(1, 1)))
         self.assert_judges(good, check(sample(9_000, 1)))
+        again = check(sample(0, 2), sample(1, 1, 2, False), sample(2, 2, 2))
+        self.assert_judges(again, check(sample(0, 2), sample(1, 1, 2)))
         self.assertEqual((), check(sample(9_000, 1), excused=True).violations)
 
     def test_work_at_a_left_target_is_seen(self) -> None:
