--- a/tests/process/faultrun.py
+++ b/tests/process/faultrun.py
@@ -189,6 +189,15 @@
             )
         )
 
+    def open_keys(self) -> tuple[int, int]:
+        """Return how many keys there were, and how many ended unknown."""
+        last = {
+            call.idempotency_key: call.kind_of_outcome
+            for call in self.recording.calls
+            if call.kind == 'run'
+        }
+        return len(last), list(last.values()).count('unknown')
+
     def outcomes(self) -> collections.Counter:
         """Count the calls by kind and outcome."""
         return collections.Counter(
@@ -454,6 +463,7 @@
     lines = [
         f'outcomes: {dict(sorted(run.outcomes().items()))}',
         f'reasons: {dict(sorted(run.reasons().items()))}',
+        'keys: {}, of which {} ended unknown'.format(*run.open_keys()),
         f'faults: {dict(sorted(counts.items()))}',
         f'changes: {dict(sorted(run.recording.changes.items()))}',
     ]
