Faults of a run stand in a module of their own, each drawn from the seed alone

Each fault now has its own source made from seed and number; the operator sometimes races itself at two daemons.

--- a/tests/process/faultrun.py
+++ b/tests/process/faultrun.py
@@ -7,12 +7,9 @@
 
 import asyncio
 import collections
-import dataclasses
-import functools
 import itertools
 import random
 import re
-import signal
 import sys
 import typing
 
@@ -20,59 +17,15 @@
 import click
 
 from tests import history
+from tests.process import faults
 from tests.process import system as systems
 
 _CALL_TIMEOUT_S = 15.0
 _POLL_S = 0.1
 _POLL_TIMEOUT_S = 0.3
-IN_FORCE_WITHIN_MS = 5_000.0
-_TARGET_FAULTS = (
-    'truncate',
-    'cross_answers',
-    'cold_answers_empty',
-    'wrong_snapshot',
-    'shed',
-    'cold',
-    'lie_healthy',
-)
-_STORE_FAULTS = (
-    'new snapshot',
-    'store outage',
-    'store loses answers',
-    'store reads stale',
-)
-_OUTAGE_AT_S = 3.0
 _KEBELES = ('bole', 'kirkos', 'yeka', 'arada', 'lideta')
 
 
-@dataclasses.dataclass
-class Recording:
-    """Everything one run recorded."""
-
-    calls: list[history.Call] = dataclasses.field(default_factory=list)
-    samples: list[history.RevisionSample] = dataclasses.field(
-        default_factory=list
-    )
-    accepted: list[history.AcceptedChange] = dataclasses.field(
-        default_factory=list
-    )
-    changes: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    faults: list[str] = dataclasses.field(default_factory=list)
-    troubled: list[tuple[str, float, float]] = dataclasses.field(
-        default_factory=list
-    )
-
-    def excused(self, daemon: str, at_ms: float) -> bool:
-        """Whether a daemon was cut off within the time limit before."""
-        return any(
-            name in (daemon, '*')
-            and start <= at_ms <= end + IN_FORCE_WITHIN_MS
-            for name, start, end in self.troubled
-        )
-
-
 class FaultRun:
     """Callers, a poller of revisions and a source of faults.
 
@@ -88,39 +41,16 @@
         outage_s: float = 0.0,
     ) -> None:
         self.system = system
-        self.recording = Recording()
+        self.recording = faults.Recording()
         self._random = random.Random(seed)
         self._callers = callers
         self._open_keys: list[tuple[str, str]] = []
         self._stopping = False
         self._changes = itertools.count(1)
-        self._deck: list[str] = []
         self._outage_s = outage_s
-        self._faults: dict[str, typing.Callable] = {
-            'kill daemon': self._kill_daemon,
-            'freeze daemon': self._freeze_daemon,
-            'kill target': self._kill_target,
-            'freeze target': self._freeze_target,
-            'silence old target connections': self._silence_target,
-            'silence old store connections': self._silence_store,
-            'store outage': self._store_outage,
-            'store loses answers': self._lose_answers,
-            'store reads stale': self._stale_reads,
-            'new snapshot': self._new_snapshot,
-            'new configuration': self._new_configuration,
-            'restart daemon': self._restart_daemon,
-            'freeze site': self._freeze_site,
-            'cut target': self._cut_target,
-            **{
-                f'target with {fault}': functools.partial(
-                    self._wrong_target, fault
-                )
-                for fault in _TARGET_FAULTS
-            },
-        }
-        if outage_s:
-            for name in _STORE_FAULTS:
-                del self._faults[name]
+        self._faults = faults.Faults(
+            system, self.recording, seed, store_is_out=bool(outage_s)
+        )
 
     async def run(self, seconds: float) -> None:
         """Call and break things for a while, then heal and settle."""
@@ -131,24 +61,18 @@
         tasks.append(asyncio.create_task(self._operator()))
         poller = asyncio.create_task(self._poll())
         if self._outage_s:
-            tasks.append(asyncio.create_task(self._long_outage()))
+            tasks.append(
+                asyncio.create_task(self._faults.long_outage(self._outage_s))
+            )
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
-            names = self._deal()
-            await asyncio.gather(*(self._break(name) for name in names))
+            await self._faults.break_two()
             await asyncio.sleep(self._random.uniform(0.3, 1.5))
         self._stopping = True
         await asyncio.gather(*tasks)
         await self._ask_open_keys()
         poller.cancel()
 
-    def _deal(self) -> list[str]:
-        """Draw two faults; each comes once before any comes again."""
-        if len(self._deck) < 2:
-            self._deck = sorted(self._faults)
-            self._random.shuffle(self._deck)
-        return [self._deck.pop(), self._deck.pop()]
-
     def verdicts(self) -> dict[str, history.Verdict]:
         """Judge the recording by every checker."""
         calls = self.recording.calls
@@ -166,7 +90,7 @@
             'configuration': history.check_revisions(
                 self.recording.samples,
                 self.recording.accepted,
-                IN_FORCE_WITHIN_MS,
+                faults.IN_FORCE_WITHIN_MS,
                 self.recording.excused,
             ),
         }
@@ -219,7 +143,10 @@
         """Change the configuration again and again, as the faults fall."""
         while not self._stopping:
             await asyncio.sleep(self._random.uniform(0.5, 1.5))
-            await self._new_configuration()
+            racers = self._random.choice((1, 1, 2))
+            await asyncio.gather(
+                *(self._new_configuration() for _ in range(racers))
+            )
 
     async def _search(self, daemon: str, rng: random.Random) -> None:
         if rng.random() < 0.7:
@@ -293,132 +220,8 @@
             )
         )
 
-    async def _break(self, name: str) -> None:
-        self.recording.faults.append(name)
-        await self._faults[name]()
-
-    def _some(self, names: typing.Iterable[str]) -> str:
-        return self._random.choice(sorted(names))
-
-    def _note_trouble(self, name: str, start_ms: float) -> None:
-        row = (name, start_ms, systems.now_ms())
-        self.recording.troubled.append(row)
-
-    async def _kill_daemon(self) -> None:
-        name = self._some(self.system.daemons)
-        start_ms = systems.now_ms()
-        self.system.kill(name)
-        self.system.processes[name].wait()
-        await asyncio.sleep(self._random.uniform(0.2, 1.5))
-        self.system.start_daemon(name)
-        await self.system.wait_ready(name)
-        self._note_trouble(name, start_ms)
-
-    async def _restart_daemon(self) -> None:
-        name = self._some(self.system.daemons)
-        start_ms = systems.now_ms()
-        process = self.system.processes[name]
-        self.system.kill(name, signal.SIGTERM)
-        while process.poll() is None:
-            await asyncio.sleep(0.05)
-        self.system.start_daemon(name)
-        await self.system.wait_ready(name)
-        self._note_trouble(name, start_ms)
-
-    async def _freeze_daemon(self) -> None:
-        name = self._some(self.system.daemons)
-        start_ms = systems.now_ms()
-        process = self.system.processes[name]
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(2.5, 6.0))
-        process.send_signal(signal.SIGCONT)
-        self._note_trouble(name, start_ms)
-
-    async def _kill_target(self) -> None:
-        name = self._some(self.system.target_urls)
-        self.system.kill(name)
-        self.system.processes[name].wait()
-        await asyncio.sleep(self._random.uniform(0.2, 2.0))
-        self.system.restart_target(name)
-        await self.system.wait_for(f'{self.system.target_urls[name]}/health')
-
-    async def _freeze_target(self) -> None:
-        name = self._some(self.system.target_urls)
-        process = self.system.processes[name]
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(1.0, 4.0))
-        process.send_signal(signal.SIGCONT)
-
-    async def _freeze_site(self) -> None:
-        start_ms = systems.now_ms()
-        site = self._random.choice(systems.SITES)
-        frozen = [
-            place.name
-            for place in self.system.daemons.values()
-            if place.site == site
-        ]
-        for name in frozen:
-            self.system.kill(name, signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(2.5, 5.0))
-        for name in frozen:
-            self.system.kill(name, signal.SIGCONT)
-            self._note_trouble(name, start_ms)
-
-    async def _cut_target(self) -> None:
-        name = self._some(self.system.target_urls)
-        await self.system.relay_mode(systems.RELAY, name, 'cut')
-        await asyncio.sleep(self._random.uniform(0.2, 1.5))
-        await self.system.relay_mode(systems.RELAY, name, 'pass')
-
-    async def _wrong_target(self, fault: str) -> None:
-        """A target misbehaves for a while (and drains, if it lies)."""
-        name = self._some(self.system.target_urls)
-        draining = fault == 'lie_healthy'
-        try:
-            await self.system.target_faults(
-                name, **{fault: True, 'draining': draining}
-            )
-            await asyncio.sleep(self._random.uniform(0.5, 2.5))
-            await self.system.target_faults(name)
-        except (aiohttp.ClientError, OSError):
-            # Another fault has it down; a restarted target has none.
-            self.recording.faults.append('(target was down)')
-
-    async def _silence_target(self) -> None:
-        name = self._some(self.system.target_urls)
-        await self.system.relay_mode(systems.RELAY, name, 'silence-old')
-
-    async def _silence_store(self) -> None:
-        start_ms = systems.now_ms()
-        await self.system.relay_mode(systems.RELAY, 'store', 'silence-old')
-        self._note_trouble('*', start_ms)
-
-    async def _store_outage(self) -> None:
-        length_ms = self._random.uniform(2_000, 5_000)
-        await self.system.store_faults(outage_ms=length_ms)
-        await asyncio.sleep(length_ms / 1000.0)
-
-    async def _long_outage(self) -> None:
-        await asyncio.sleep(_OUTAGE_AT_S)
-        self.recording.faults.append(f'store outage {self._outage_s:.0f} s')
-        await self.system.store_faults(outage_ms=self._outage_s * 1_000.0)
-        await asyncio.sleep(self._outage_s)
-
-    async def _lose_answers(self) -> None:
-        await self.system.store_faults(lose_answers=8)
-        await asyncio.sleep(1.0)
-        await self.system.store_faults()
-
-    async def _stale_reads(self) -> None:
-        await self.system.store_faults(stale_reads=8)
-        await asyncio.sleep(1.0)
-        await self.system.store_faults()
-
-    async def _new_snapshot(self) -> None:
-        await self.system.publish_snapshot(self._random.randint(4, 16))
-
     async def _new_configuration(self) -> None:
-        name = self._some(self.system.daemons)
+        name = self._random.choice(sorted(self.system.daemons))
         number = next(self._changes)
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
