A daemon that starts with nothing while the store is down is found

Cause: it has no list of members, and no 'peers' in its settings. Others probe it as one that has left, but the probe names only it, so it does not know the prober's address, its answer is dropped, and it asks nobody. That killed daemons came back in test_scenarios was the news of their death, which happened to carry other members' rows.

The change: a probe of a member that is held suspect or gone also carries the prober's own row. test_lost_member_is_told_who_probes_it failed before ('a' not in ['c', 'b']) and passes after.

--- a/samphiredock/coordination/_reports.py
+++ b/samphiredock/coordination/_reports.py
@@ -81,8 +81,10 @@
         rows = [self.table.get(name) for name in self.news.take()]
         about = self.table.get(receiver)
         if about is not None and about.state is not _ALIVE:
-            # Who is held suspect or dead is told so, to refute it.
-            rows.append(about)
+            # Who is held suspect or dead is told so, to refute it; and who
+            # is asking, since it may have started again with nothing while
+            # the store that lists the members is down.
+            rows += [about, self.me]
         return [row for row in rows if row is not None]
 
     def merge(
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -166,6 +166,24 @@
             told = [each.state for each in answer.rows if each.name == 'a']
             self.assertEqual([STATES.LEFT], told)
 
+    def test_lost_member_is_told_who_probes_it(self) -> None:
+        """It may have started again with nothing, and no store to ask.
+
+        Without the prober's address it cannot answer, and never gets ready.
+        """
+        self.push(changed(row('b'), state=STATES.LEFT))
+        self.tick_to(100, 4_000)  # The news has been told often enough.
+        probes = [
+            effect.message
+            for effect in self.tick_to(4_000, 12_000)
+            if isinstance(effect, _gossip_parts.SendTo)
+            and effect.member == 'b'
+            and isinstance(effect.message, protocol.Probe)
+        ]
+        self.assertGreater(len(probes), 1)
+        for probe in probes:
+            self.assertIn('a', [each.name for each in probe.rows])
+
     def test_lost_members_are_forgotten_in_the_end(self) -> None:
         """The list of lost members is bounded in time."""
         self.push(changed(row('b'), state=STATES.LEFT))
