--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -16,7 +16,6 @@
 from samphiredock.state import _claims
 from standins import memory_hosts
 from standins import memory_platform
-from tests import fakes_run
 
 _RECEIPT = {'receipt': 'r' * 24, 'desk': 'desk-1'}
 
@@ -60,7 +59,7 @@
         due_ms += gap_ms
         await clock.pass_ms(gap_ms)
         book = randomness.choice(books)
-        tasks.append(fakes_run.start(one(len(tasks), book)))
+        tasks.append(asyncio.create_task(one(len(tasks), book)))
     await clock.pass_ms(5_000)
     count = len(tasks)
     sizes = [len(found.value) for found in store.objects.values()]
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -14,6 +14,7 @@
 from samphiredock.state import _claims
 from samphiredock import transport
 from standins import memory_platform
+from standins import memory_runners
 from tests import history_runs
 from tests import simulation_runs
 
@@ -39,7 +40,7 @@
         self.assertEqual([], history_runs.violations(self.system.history))
 
     async def ask(
-        self, daemon: simulation_runs.Daemon, **request: object
+        self, daemon: memory_runners.Daemon, **request: object
     ) -> protocol.RunOutcome:
         """Return a daemon's outcome of the one request."""
         call = self.system.call(daemon, _KEY, **request)
@@ -51,7 +52,7 @@
         await self.system.clock.pass_ms(
             1_000, lambda: bool(self.system.store.objects)
         )
-        self.first.gate.frozen = True
+        self.first.host.frozen = True
         return call
 
     def use_one_bucket(self) -> None:
@@ -91,7 +92,7 @@
         """
         call = await self.hold_claimed()
         self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         self.assert_ran(await self.system.outcome(call), 1)
         self.assert_ran(await self.ask(self.second), 1)
 
@@ -104,7 +105,7 @@
         call = await self.hold_claimed()
         await self.system.clock.pass_ms(5_000)
         self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.NotRun)
         self.assertEqual(0, self.system.executions())
@@ -162,7 +163,7 @@
         Its refusal says that it is this request that was not run.
         """
         call = await self.hold_claimed()
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         for daemon in (self.first, self.second, self.second):
             outcome = await self.ask(daemon, body='household-8')
             self.assertIs(protocol.NotRunReason.KEY_REUSED, outcome.reason)
@@ -179,7 +180,7 @@
         self.system.store.script.append(_Fault.LOST_AFTER)
         call = await self.hold_claimed()
         self.system.store.outage = True
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.NotRun)
         await self.system.clock.pass_ms(50)
@@ -195,7 +196,7 @@
         self.system.store.script.append(fault)
         call = await self.hold_claimed()
         self.system.store.outage = True
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         outcome = await self.system.outcome(call)
         self.assertIsInstance(outcome, protocol.NotRun)
         self.system.store.outage = False
@@ -228,7 +229,7 @@
         fails on the object's version when it arrives.
         """
         self.system.store.script.append(_Fault.LATE)
-        self.first.gate.frozen = False
+        self.first.host.frozen = False
         outcome = await self.ask(self.first, deadline_ms=3)
         self.assertIsInstance(outcome, protocol.NotRun)
         await self.system.clock.pass_ms(1_000)
--- a/tests/failure/test_not_run.py
+++ b/tests/failure/test_not_run.py
@@ -5,7 +5,7 @@
 
 from samphiredock import metrics
 from samphiredock import protocol
-from tests import fakes_run
+from standins import memory_runners
 from tests import history_runs
 from tests import simulation_runs
 
@@ -199,7 +199,7 @@
         """The caller is refused; the order never left."""
         self.system.view.owner = lambda target: None
         await self.assert_not_run(_Reason.NO_TARGET)
-        self.system.view.unusable = set(fakes_run.TARGETS)
+        self.system.view.unusable = set(memory_runners.TARGETS)
         await self.assert_not_run(_Reason.NO_TARGET)
 
     async def test_caller_cut_off(self) -> None:
--- a/tests/simulation_runs.py
+++ b/tests/simulation_runs.py
@@ -1,39 +1,17 @@
 """Runners of several daemons in one process, under faults from a seed."""
 
 import asyncio
-import collections
-import dataclasses
 import itertools
-import random
 import typing
 
-from samphiredock import coordination
 from samphiredock import metrics
 from samphiredock import protocol
-from standins import memory_dispatcher
-from standins import memory_hosts
-from standins import memory_peers
 from standins import memory_platform
-from tests import fakes_run
+from standins import memory_runners
 from tests import history_runs
 
 
-@dataclasses.dataclass(slots=True)
-class Daemon:
-    """One life of one daemon."""
-
-    name: str
-    incarnation: int
-    gate: memory_hosts.MemoryHost
-    runner: coordination.Runner
-
-    @property
-    def life(self) -> str:
-        """Name and incarnation, as tokens begin."""
-        return f'{self.name}/{self.incarnation}'
-
-
-class System:
+class System(memory_runners.RunnerSystem):
     """Daemons, dispatchers, a store and the history of what they did."""
 
     def __init__(
@@ -42,70 +20,14 @@
         counters: metrics.Metrics,
         latency_ms: float = 0.0,
     ) -> None:
-        self.random = random.Random(seed)
-        self.clock = memory_hosts.SteppedTimers()
-        self.metrics = counters
+        super().__init__(seed, counters, latency_ms)
         self.history: list[history_runs.Event] = []
-        self.store = memory_platform.MemoryStore(self.random)
-        self._way_ms = (0.0, latency_ms / 2)
-        self.hub = memory_peers.MemoryNetwork(self.clock, self.random)
         self.hub.observers.append(self._observe)
-        self.view = fakes_run.FakeView()
-        self.dispatchers = [
-            memory_dispatcher.MemoryDispatcher(
-                self.hub,
-                f'dispatcher-of-{target}',
-                self.clock,
-                self.random,
-                self._executed,
-            )
-            for target in fakes_run.TARGETS
-        ]
-        self.daemons: dict[str, Daemon] = {}
-        self.lives: list[Daemon] = []
-        self.faults: collections.Counter[str] = collections.Counter()
         self._calls = itertools.count(1)
-        self._incarnations = itertools.count(1)
-
-    def start(
-        self,
-        name: str,
-        quarantine: coordination.RunQuarantine | None = None,
-    ) -> Daemon:
-        """Start a daemon, or start it again with nothing kept."""
-        gate = memory_hosts.MemoryHost(self.clock)
-        incarnation = next(self._incarnations)
-        runner = coordination.Runner(
-            name,
-            'bole-a',
-            incarnation,
-            self.view,
-            self.hub.join(name, gate),
-            memory_platform.MemoryPlatform(
-                self.store, self.clock, self._way_ms, gate
-            ),
-            gate,
-            self.metrics,
-            self.random,
-            quarantine,
-        )
-        self.daemons[name] = Daemon(name, incarnation, gate, runner)
-        self.lives.append(self.daemons[name])
-        return self.daemons[name]
-
-    def use(self, *behaviours: str) -> None:
-        """Have both dispatchers draw from these behaviours."""
-        for dispatcher in self.dispatchers:
-            dispatcher.behaviours = behaviours
-
-    def kill(self, daemon: Daemon) -> None:
-        """End a daemon at once; its callers hear nothing."""
-        daemon.gate.dead = True
-        self.faults['kill'] += 1
 
     def call(
         self,
-        daemon: Daemon,
+        daemon: memory_runners.Daemon,
         key: str,
         body: str = 'household-7',
         issued_at_ms: int | None = None,
@@ -120,8 +42,8 @@
             history_runs.Called(number, daemon.life, key, body)
         )
         request = protocol.RunRequest(
-            fakes_run.SERVICE,
-            fakes_run.OPERATION,
+            memory_runners.SERVICE,
+            memory_runners.OPERATION,
             {'household': body},
             self.clock.wall_ms() if issued_at_ms is None else issued_at_ms,
             deadline_ms,
@@ -131,7 +53,7 @@
     async def _call(
         self,
         number: int,
-        daemon: Daemon,
+        daemon: memory_runners.Daemon,
         request: protocol.RunRequest,
         key: str,
     ) -> protocol.RunOutcome:
@@ -139,7 +61,7 @@
         self.history.append(history_runs.Answered(number, outcome))
         return outcome
 
-    def start_drain(self, daemon: Daemon) -> asyncio.Task:
+    def start_drain(self, daemon: memory_runners.Daemon) -> asyncio.Task:
         """Tell a daemon to leave."""
         return asyncio.create_task(daemon.runner.drain())
 
@@ -160,7 +82,8 @@
             isinstance(event, history_runs.Executed) for event in self.history
         )
 
-    def _executed(self, order: protocol.RunOrder, receipt: str) -> None:
+    def on_executed(self, order: protocol.RunOrder, receipt: str) -> None:
+        """Note it in the history."""
         self.history.append(
             history_runs.Executed(
                 order.idempotency_key, order.attempt_id, receipt
@@ -252,12 +175,12 @@
 
     def _freeze(self) -> None:
         daemon = self._any()
-        if not daemon.gate.frozen:
-            daemon.gate.frozen = True
+        if not daemon.host.frozen:
+            daemon.host.frozen = True
             self.system.faults['freeze'] += 1
 
     def _wake(self) -> None:
-        self._any().gate.wake(self._random)
+        self._any().host.wake(self._random)
 
     def _kill(self) -> None:
         daemon = self._any()
@@ -269,7 +192,7 @@
         first = self._steps * len(self.KEYS) // self.STEPS
         return self.KEYS[max(0, first - 2) : first + 1]
 
-    def _any(self) -> Daemon:
+    def _any(self) -> memory_runners.Daemon:
         return self.system.daemons[self._random.choice(self.NAMES)]
 
     def _calm(self) -> None:
@@ -277,4 +200,4 @@
         self.system.store.chances = {}
         self.system.hub.loss = 0.0
         for daemon in self.system.daemons.values():
-            daemon.gate.wake(self._random)
+            daemon.host.wake(self._random)
--- a/tests/unit/test_claim_book.py
+++ b/tests/unit/test_claim_book.py
@@ -1,5 +1,6 @@
 """Group commit of claims, and the store calls that it costs."""
 
+import asyncio
 import random
 import unittest
 from unittest import mock
@@ -10,7 +11,6 @@
 from samphiredock.state import _claims
 from standins import memory_hosts
 from standins import memory_platform
-from tests import fakes_run
 
 _Fault = memory_platform.Fault
 
@@ -46,7 +46,7 @@
 
     async def open_and_close(self, count: int) -> list[float]:
         """Run claims from start to end; return gets and puts a request."""
-        tasks = [fakes_run.start(self.open(row)) for row in range(count)]
+        tasks = [asyncio.create_task(self.open(row)) for row in range(count)]
         await self.clock.pass_ms(100)
         for number, task in enumerate(tasks):
             self.assertIs(state.Verdict.GRANTED, task.result().opened.verdict)
@@ -84,7 +84,7 @@
         for number, fault in enumerate(faults):
             with self.subTest(fault):
                 self.store.script.append(fault)
-                task = fakes_run.start(self.open(number))
+                task = asyncio.create_task(self.open(number))
                 await self.clock.pass_ms(1_000)
                 opened = task.result().opened
                 self.assertIs(state.Verdict.GRANTED, opened.verdict)
@@ -94,7 +94,7 @@
         """A later version's bucket is refused, not taken for empty."""
         place = state.place_of('invoices', 'key-1')
         await self.platform_put(place.path, b'{"format":2,"claims":{}}')
-        task = fakes_run.start(self.open(1))
+        task = asyncio.create_task(self.open(1))
         await self.clock.pass_ms(100)
         ended = task.result()
         self.assertFalse(ended.may_be_stored)
@@ -109,6 +109,6 @@
 
     async def platform_put(self, path: str, value: bytes) -> None:
         """Store an object."""
-        put = fakes_run.start(self.platform.put(path, value, 0))
+        put = asyncio.create_task(self.platform.put(path, value, 0))
         await self.clock.pass_ms(10)
         put.result()
--- a/tests/unit/test_claim_holders.py
+++ b/tests/unit/test_claim_holders.py
@@ -1,5 +1,6 @@
 """A holder's word on its claims."""
 
+import asyncio
 import random
 import unittest
 
@@ -8,7 +9,6 @@
 from samphiredock import protocol
 from standins import memory_hosts
 from standins import memory_peers
-from tests import fakes_run
 
 _Status = protocol.ClaimStatus
 _TOKEN = 'entry-1/1/1'
@@ -34,7 +34,7 @@
     async def test_end_is_pushed_to_who_waits(self) -> None:
         """The asker hears of the end in milliseconds, not at its next ask."""
         self.holder.begin(_TOKEN)
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(3_000)
         self.assertFalse(ask.done())
         self.holder.change(_TOKEN, _Status.DONE, _DONE)
@@ -45,12 +45,12 @@
         """Neither gives a word that frees the claim."""
         self.holder.begin(_TOKEN)
         self.hub.loss = 1.0
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(_claim_holders.SILENT_MS + 300)
         self.assertIsNone(ask.result())
         self.hub.loss = 0.0
         self.make('entry-1')
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(10)
         self.assertIs(_Status.UNTRACKED, ask.result().status)
 
@@ -58,7 +58,7 @@
         """Only the holder itself can say that it never sent."""
         self.hub.join('entry-9')
         self.holder.begin(_TOKEN)
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(1)
         self.hub.send(
             'entry-9',
--- a/tests/unit/test_run_admission.py
+++ b/tests/unit/test_run_admission.py
@@ -4,7 +4,7 @@
 
 from samphiredock.coordination import _run_admission
 from samphiredock import protocol
-from tests import fakes_run
+from standins import memory_runners
 
 _NOW_MS = 1_700_000_000_000
 _Reason = protocol.NotRunReason
@@ -19,14 +19,14 @@
         """Check one request."""
         request = protocol.RunRequest(
             **{
-                'service': fakes_run.SERVICE,
-                'operation': fakes_run.OPERATION,
+                'service': memory_runners.SERVICE,
+                'operation': memory_runners.OPERATION,
                 'body': {'household': '7'},
                 'issued_at_ms': _NOW_MS,
                 **fields,
             }
         )
-        configuration = fakes_run.FakeView().configuration
+        configuration = memory_runners.MemoryView().configuration
         return _run_admission.admit(request, key, configuration, 50, _NOW_MS)
 
     def test_bad_requests(self) -> None:
@@ -51,6 +51,6 @@
     def test_good_request(self) -> None:
         """The deadline is the operation's own unless one is given."""
         self.assertEqual(
-            50 + fakes_run.DEADLINE_MS, self.admit().deadline_at_ms
+            50 + memory_runners.DEADLINE_MS, self.admit().deadline_at_ms
         )
         self.assertEqual(60, self.admit(deadline_ms=10).deadline_at_ms)
--- a/tests/unit/test_run_orders.py
+++ b/tests/unit/test_run_orders.py
@@ -1,5 +1,6 @@
 """Reports are matched to orders, and none that settles one is missed."""
 
+import asyncio
 import random
 import unittest
 
@@ -8,7 +9,6 @@
 from samphiredock import protocol
 from standins import memory_hosts
 from standins import memory_peers
-from tests import fakes_run
 
 _Status = protocol.SubStatus
 _ORDER = protocol.RunOrder(
@@ -58,7 +58,9 @@
         self.hub.join('entry-9')
         await self.report(_Status.CANCELLED, 'entry-9')
         self.assertEqual(1, self.metrics.total('run_reports_refused'))
-        reading = fakes_run.start(self.orders.report(_ORDER.attempt_id, 2_000))
+        reading = asyncio.create_task(
+            self.orders.report(_ORDER.attempt_id, 2_000)
+        )
         await self.clock.pass_ms(2_000)
         self.assertIsNone(reading.result())
 
