--- a/samphiredock/coordination/_planner.py
+++ b/samphiredock/coordination/_planner.py
@@ -46,6 +46,40 @@
     now_ms: float,
 ) -> result.Result[Plan, protocol.NotRun]:
     """Check a search against the configuration and fix its snapshot."""
+    found = _find_search(request, configuration)
+    if isinstance(found, result.Failure):
+        return found
+    search = found.unwrap()
+    problem = _problem_with(request, search, configuration.limits)
+    if problem:
+        return _refused(protocol.NotRunReason.BAD_REQUEST, problem)
+    chosen = _choose_snapshot(request, search, snapshot)
+    if isinstance(chosen, result.Failure):
+        return chosen
+    deadline_ms = (
+        search.deadline_ms
+        if request.deadline_ms is None
+        else request.deadline_ms
+    )
+    limit = search.limit if request.limit is None else request.limit
+    return result.Success(
+        Plan(
+            query_id,
+            request.service,
+            site,
+            search,
+            request.terms,
+            min(limit, search.limit),
+            fingerprint_of(request.service, request.search, request.terms),
+            chosen.unwrap(),
+            now_ms + deadline_ms,
+        )
+    )
+
+
+def _find_search(
+    request: protocol.SearchRequest, configuration: state.Configuration
+) -> result.Result[state.Search, protocol.NotRun]:
     service = configuration.services.get(request.service)
     if service is None:
         return _refused(
@@ -59,9 +93,15 @@
             f'got search {request.search!r}, '
             f'expected one of {sorted(service.searches)}',
         )
-    problem = _problem_with(request, search, configuration.limits)
-    if problem:
-        return _refused(protocol.NotRunReason.BAD_REQUEST, problem)
+    return result.Success(search)
+
+
+def _choose_snapshot(
+    request: protocol.SearchRequest,
+    search: state.Search,
+    snapshot: state.Snapshot | None,
+) -> result.Result[state.Snapshot, protocol.NotRun]:
+    """Return the newest snapshot if it is new enough and has the index."""
     wanted = request.at_least_snapshot
     if snapshot is None or snapshot.snapshot_id < wanted:
         held = snapshot.snapshot_id if snapshot else None
@@ -76,25 +116,7 @@
             f'snapshot {snapshot.snapshot_id} has no index {search.index}',
             retry_after_ms=500,
         )
-    deadline_ms = (
-        search.deadline_ms
-        if request.deadline_ms is None
-        else request.deadline_ms
-    )
-    limit = search.limit if request.limit is None else request.limit
-    return result.Success(
-        Plan(
-            query_id,
-            request.service,
-            site,
-            search,
-            request.terms,
-            min(limit, search.limit),
-            fingerprint_of(request.service, request.search, request.terms),
-            snapshot,
-            now_ms + deadline_ms,
-        )
-    )
+    return result.Success(snapshot)
 
 
 def _problem_with(
--- a/samphiredock/coordination/_run_admission.py
+++ b/samphiredock/coordination/_run_admission.py
@@ -39,19 +39,9 @@
         return _refused(
             protocol.NotRunReason.NOT_READY, 'no configuration yet', 500
         )
-    service = configuration.services.get(request.service)
-    if service is None:
-        return _refused(
-            protocol.NotRunReason.UNKNOWN_SERVICE,
-            f'got service {request.service!r}, expected a configured one',
-        )
-    operation = service.operations.get(request.operation)
-    if operation is None:
-        return _refused(
-            protocol.NotRunReason.UNKNOWN_OPERATION,
-            f'got operation {request.operation!r}, '
-            f'expected one of {sorted(service.operations)}',
-        )
+    operation = _find_operation(request, configuration)
+    if isinstance(operation, protocol.NotRun):
+        return operation
     limits = configuration.limits
     problem = _problem_with(request, key, limits)
     if problem is not None:
@@ -80,6 +70,25 @@
     )
 
 
+def _find_operation(
+    request: protocol.RunRequest, configuration: state.Configuration
+) -> state.Operation | protocol.NotRun:
+    service = configuration.services.get(request.service)
+    if service is None:
+        return _refused(
+            protocol.NotRunReason.UNKNOWN_SERVICE,
+            f'got service {request.service!r}, expected a configured one',
+        )
+    operation = service.operations.get(request.operation)
+    if operation is None:
+        return _refused(
+            protocol.NotRunReason.UNKNOWN_OPERATION,
+            f'got operation {request.operation!r}, '
+            f'expected one of {sorted(service.operations)}',
+        )
+    return operation
+
+
 def stale_key(
     request: protocol.RunRequest, retention_ms: int, wall_ms: int
 ) -> protocol.NotRun | None:
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -7,6 +7,7 @@
 import unittest
 
 from samphiredock.cli import _exits
+from samphiredock.coordination import _scatter_types
 from samphiredock import state
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -60,7 +61,7 @@
     def test_every_counter_and_exit_code_is_described(self) -> None:
         """A counter that nobody can look up helps nobody."""
         page = _page('OPERATIONS.md')
-        found = set(_counters())
+        found = {*_counters(), *_scatter_types.COUNTED}
         self.assertGreater(len(found), 10)
         missing = sorted(name for name in found if f'`{name}`' not in page)
         self.assertEqual([], missing)
