What stands behind the HTTP interfaces is a stand-in of its own

The fakes of test_caller_http and test_operator_http were shared by the tests of the command line and the request fuzz, which imported other test modules for them.

--- a/tests/unit/test_caller_http.py
+++ b/tests/unit/test_caller_http.py
@@ -12,6 +12,7 @@
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import transport
+from standins import memory_services
 
 BODY_LIMIT_BYTES = 1_000
 SEARCH = {'service': 's', 'search': 'q', 'terms': {'a': 'b'}}
@@ -19,47 +20,12 @@
 KEY = protocol.new_idempotency_key(1_700_000_000_000, random.Random(1))
 
 
-class FakeService:
-    """A daemon that answers what it is told and notes what it was asked."""
-
-    def __init__(self) -> None:
-        self.outcome: typing.Any = protocol.Answered([], 1, 1.0)
-        self.error: Exception | None = None
-        self.asked: list[object] = []
-        self.issued_at_ms: set[int] = set()
-
-    async def search(self, request: protocol.SearchRequest) -> typing.Any:
-        """Note the request and answer."""
-        return self._answer(request)
-
-    async def run(
-        self, request: protocol.RunRequest, idempotency_key: str
-    ) -> typing.Any:
-        """Note the request and answer."""
-        self.issued_at_ms.add(request.issued_at_ms)
-        return self._answer(idempotency_key)
-
-    def is_ready(self) -> bool:
-        """Always ready."""
-        return True
-
-    def is_closing(self) -> bool:
-        """Never closing."""
-        return False
-
-    def _answer(self, asked: object) -> typing.Any:
-        self.asked.append(asked)
-        if self.error is not None:
-            raise self.error
-        return self.outcome
-
-
 class CallerHttpTest(unittest.IsolatedAsyncioTestCase):
     """The real application over loopback."""
 
     async def asyncSetUp(self) -> None:
         """Start the application."""
-        self.service = FakeService()
+        self.service = memory_services.MemoryService()
         self.counters = metrics.Metrics('test')
         app = transport.caller_application(
             self.service, BODY_LIMIT_BYTES, self.counters
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -18,8 +18,8 @@
 from samphiredock import transport
 from standins import cluster
 from standins import http_thread
+from standins import memory_services
 from tests.unit import bases
-from tests.unit import test_caller_http
 from tests.unit import test_operator_http
 
 _KEY = protocol.new_idempotency_key(1, random.Random(1))
@@ -50,8 +50,10 @@
 
     def setUp(self) -> None:
         """Start an operator and a caller address."""
-        self.operations = test_operator_http.FakeOperations()
-        self.service = test_caller_http.FakeService()
+        self.operations = memory_services.MemoryOperations(
+            bases.source(bases.base())
+        )
+        self.service = memory_services.MemoryService()
         token = test_operator_http.TOKEN
         counters = metrics.Metrics('test')
         self.operators = self._serve(
--- a/tests/unit/test_fuzz_requests.py
+++ b/tests/unit/test_fuzz_requests.py
@@ -13,6 +13,7 @@
 from samphiredock import protocol
 from samphiredock import transport
 from standins import cluster
+from standins import memory_services
 from tests.unit import test_caller_http
 
 _SETTINGS = hypothesis.settings(
@@ -66,7 +67,7 @@
         """Start the application."""
         self.loop = asyncio.new_event_loop()
         self.addCleanup(self.loop.close)
-        self.service = test_caller_http.FakeService()
+        self.service = memory_services.MemoryService()
         self.counters = metrics.Metrics('fuzz')
         self.client = self.loop.run_until_complete(self._start())
         self.addCleanup(
--- a/tests/unit/test_operator_http.py
+++ b/tests/unit/test_operator_http.py
@@ -5,11 +5,11 @@
 
 from aiohttp import test_utils
 import msgspec
-from returns import result
 
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import transport
+from standins import memory_services
 from tests.unit import bases
 
 TOKEN = 'a-token-of-some-length'
@@ -24,63 +24,14 @@
 }
 
 
-class FakeOperations:
-    """A daemon whose answers the test sets."""
-
-    def __init__(self) -> None:
-        self.outcome: typing.Any = protocol.ChangeAccepted(2)
-        self.changes: list[protocol.ConfigurationChange] = []
-        self.leaving: dict[str, bool] = {}
-        self.error: Exception | None = None
-
-    def status(self) -> dict[str, typing.Any]:
-        """Fail if told."""
-        if self.error is not None:
-            raise self.error
-        return {'name': 'entry-1'}
-
-    def configuration_source(self) -> typing.Any:
-        """Return the example."""
-        return bases.source(bases.base())
-
-    async def apply(self, change: protocol.ConfigurationChange) -> typing.Any:
-        """Note the change."""
-        self.changes.append(change)
-        return self.outcome
-
-    async def history(self) -> typing.Any:
-        """Return one change."""
-        return result.Success([protocol.ChangeSummary(1, 'a', 'c', 0)])
-
-    def confirmations(self) -> protocol.Confirmations:
-        """Return one daemon."""
-        row = protocol.DaemonRevision('entry-1', 'bole-a', 2)
-        return protocol.Confirmations(2, [row])
-
-    async def set_leaving(self, target: str, leaving: bool) -> typing.Any:
-        """Note the sign; only desk-1 is known."""
-        if target != 'desk-1':
-            kind = protocol.OperatorErrorKind.NOT_FOUND
-            return result.Failure(protocol.OperatorError(kind, target))
-        self.leaving[target] = leaving
-        return result.Success(None)
-
-    def quarantined(self) -> typing.Any:
-        """Return nothing held."""
-        return result.Success([])
-
-    async def release(self, fingerprint: str) -> typing.Any:
-        """Say that the store is down."""
-        kind = protocol.OperatorErrorKind.UNAVAILABLE
-        return result.Failure(protocol.OperatorError(kind, 'store', 1_000))
-
-
 class OperatorHttpTest(unittest.IsolatedAsyncioTestCase):
     """The real application over loopback."""
 
     async def asyncSetUp(self) -> None:
         """Start the application with a token."""
-        self.operations = FakeOperations()
+        self.operations = memory_services.MemoryOperations(
+            bases.source(bases.base())
+        )
         self.counters = metrics.Metrics('test')
         app = transport.operator_application(
             self.operations, self.counters, TOKEN
