Host list: two watchers a site read it, the others are told

Cause: every daemon read the platform's list each second, 490 reads a second of a list of 2,300 hosts; and every daemon sent all signs it ever knew, one message each, to whoever asked, each 2 s, from any of the others, so that idle connections to some thirty random daemons stayed open. Change: only the two watchers of a site read it (everybody once at the start); what is news there is told to all. A peer is asked with a digest, and tells nothing if it is equal; the neighbours of membership are asked. Ruled out: each site's watchers telling their site only, for the first one that sees it saves the others the telling. Tests: number of reads with and without the role, signs held after a lost notice, nothing told to a peer that knows all.

--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/_gossip.py
@@ -84,6 +84,10 @@
         """This daemon's own row."""
         return self._reports.me
 
+    def neighbours(self) -> list[str]:
+        """Return the live members that this daemon probes."""
+        return self._neighbours.names(self.table)
+
     def is_current(self, now_ms: float) -> bool:
         """Whether the view is not older than a gap in this process."""
         late_ms = now_ms - self._last_ms
@@ -186,7 +190,7 @@
         return self._numbers
 
     def _others(self, count: int) -> list[str]:
-        names = self._neighbours.names(self.table)
+        names = self.neighbours()
         return self._rng.sample(names, min(count, len(names)))
 
     def _probe(
@@ -205,7 +209,7 @@
         return [_gossip_parts.SendTo(name, message)]
 
     def _probe_next(self, now_ms: float) -> _Effects:
-        name = self._probes.next_target(self._neighbours.names(self.table))
+        name = self._probes.next_target(self.neighbours())
         return self._probe(name, now_ms + _DIRECT_MS) if name else []
 
     def _probe_lost(self, now_ms: float) -> _Effects:
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/_membership.py
@@ -124,6 +124,10 @@
         """
         return self._gossip.table.live()
 
+    def neighbours(self) -> list[str]:
+        """Return the live members that this one has connections to."""
+        return self._gossip.neighbours()
+
     def revisions(self) -> dict[str, int]:
         """Return the revision that each live member last reported."""
         rows = {
--- a/samphiredock/coordination/_target_signs.py
+++ b/samphiredock/coordination/_target_signs.py
@@ -1,4 +1,9 @@
-"""Which targets are leaving: the newest sign wins, whatever /health says."""
+"""Which targets are leaving: the newest sign wins, whatever /health says.
+
+The platform's host list is read by few daemons for all: at hundreds of
+daemons one reading each would take a quarter of the store's reads, and the
+list of thousands of hosts would come to each of them every second.
+"""
 
 import asyncio
 import enum
@@ -7,7 +12,9 @@
 
 import msgspec
 from returns import result
+import xxhash
 
+from samphiredock.coordination import _pause
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
@@ -62,7 +69,9 @@
     chance
         A seeded source, picks the peer to ask.
     members
-        Names of the other live daemons.
+        Names of the daemons that may be asked.
+    is_watcher
+        Whether this daemon reads the host list for the others.
     """
 
     def __init__(
@@ -74,6 +83,7 @@
         counters: metrics.Metrics,
         chance: random.Random,
         members: typing.Callable[[], list[str]],
+        is_watcher: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         self._platform = platform
         self._peers = peers
@@ -82,11 +92,12 @@
         self._metrics = counters
         self._chance = chance
         self._members = members
+        self._is_watcher = is_watcher
         self._signs: dict[str, dict[SignSource, TargetObject]] = {}
         self._leaving: set[str] = set()
         self._listeners: list[_Listener] = []
         self._task: asyncio.Task | None = None
-        self._asked = False
+        self._digest = 0
         peers.subscribe(protocol.TargetSign, self._on_peer_sign)
         peers.subscribe(protocol.TargetSignsWanted, self._on_wanted)
 
@@ -132,12 +143,19 @@
             was_leaving = known is not None and known.leaving
             if host.leaving == was_leaving:
                 continue
-            if known is not None and was_leaving:
-                # Dated back, so that a return that another daemon has
-                # already seen stays the newer one.
-                self._learn(host.name, SignSource.TARGET, known)
             status = TargetObject(host.leaving, now_ms)
-            self._learn(host.name, SignSource.HOST_LIST, status)
+            self._learn_from_list(host.name, status)
+            self._broadcaster.broadcast(
+                protocol.TargetSign(host.name, host.leaving, now_ms, True)
+            )
+
+    def _learn_from_list(self, name: str, status: TargetObject) -> None:
+        known = self._signs.get(name, {}).get(SignSource.HOST_LIST)
+        if known is not None and known.leaving and not status.leaving:
+            # Dated back, so that a return that another daemon has
+            # already seen stays the newer one.
+            self._learn(name, SignSource.TARGET, known)
+        self._learn(name, SignSource.HOST_LIST, status)
 
     def on_target_word(
         self, target: str, leaving: bool, asked_at_ms: int | None = None
@@ -206,6 +224,7 @@
         if known is not None and _order(status) <= _order(known):
             return
         signs[source] = status
+        self._digest = 0
         is_leaving = bool(self._standing(target))
         if is_leaving == (target in self._leaving):
             return
@@ -225,37 +244,71 @@
 
     def _on_peer_sign(self, sender: str, sign: protocol.TargetSign) -> None:
         status = TargetObject(sign.leaving, sign.at_ms)
-        self._learn(sign.target, SignSource.TARGET, status)
+        if sign.from_host_list:
+            self._learn_from_list(sign.target, status)
+        else:
+            self._learn(sign.target, SignSource.TARGET, status)
 
     def _on_wanted(
         self, sender: str, wanted: protocol.TargetSignsWanted
     ) -> None:
-        for target, signs in self._signs.items():
-            own = signs.get(SignSource.TARGET)
-            if own is not None:
-                self._peers.send(
-                    sender,
-                    protocol.TargetSign(target, own.leaving, own.at_ms),
-                )
+        if wanted.digest and wanted.digest == self._own_digest():
+            return
+        for sign in self._told_signs():
+            self._peers.send(sender, sign)
+
+    def _told_signs(self) -> list[protocol.TargetSign]:
+        """Return what daemons tell each other, oldest first.
+
+        An operator's word is left out: everybody follows its object.
+        """
+        rows = [
+            protocol.TargetSign(
+                target,
+                status.leaving,
+                status.at_ms,
+                source is SignSource.HOST_LIST,
+            )
+            for target, signs in self._signs.items()
+            for source, status in signs.items()
+            if source is not SignSource.OPERATOR
+        ]
+        return sorted(rows, key=lambda row: (row.at_ms, row.target))
+
+    def _own_digest(self) -> int:
+        if not self._digest:
+            rows = sorted(
+                self._told_signs(),
+                key=lambda row: (row.target, row.from_host_list),
+            )
+            content = msgspec.msgpack.encode(rows)
+            self._digest = xxhash.xxh64_intdigest(content) or 1
+        return self._digest
 
     def _ask_a_peer(self) -> None:
         # A broadcast may be lost, and a new daemon has heard none.
         names = sorted(self._members())
         if names:
             self._peers.send(
-                self._chance.choice(names), protocol.TargetSignsWanted()
+                self._chance.choice(names),
+                protocol.TargetSignsWanted(self._own_digest()),
             )
 
     async def _poll_hosts(self) -> None:
         pause_ms = _HOSTS_PERIOD_MS
+        was_read = False
         while True:
+            if was_read and not self._is_watcher():
+                await _pause.pause(self._clock, _HOSTS_PERIOD_MS)
+                continue
             found = await self._platform.hosts()
             if isinstance(found, result.Success):
+                was_read = True
                 self.on_hosts(found.unwrap())
                 pause_ms = _HOSTS_PERIOD_MS
             else:
                 pause_ms = min(pause_ms * 2, _LONGEST_PAUSE_MS)
-            await asyncio.sleep(pause_ms / 1000.0)
+            await _pause.pause(self._clock, pause_ms)
 
 
 def _order(status: TargetObject) -> tuple[int, bool]:
--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -183,7 +183,7 @@
         )
         membership.on_peer_holds(self.exchange.on_peer_holds)
         watcher.share_among(
-            self._is_watcher, lambda: len(membership.live()), self._share
+            self.is_watcher, lambda: len(membership.live()), self._share
         )
         watcher.on_first_read(membership.on_store_read)
         peers.subscribe(protocol.ObjectChanged, self._on_object)
@@ -192,7 +192,8 @@
         """Push a revision that was accepted here to all daemons."""
         self.exchange.announce(_knowledge.CONFIGURATION_KEY)
 
-    def _is_watcher(self) -> bool:
+    def is_watcher(self) -> bool:
+        """Whether this daemon reads the platform for its site."""
         chosen = _membership.watchers_of(
             self._membership.live(), self._site, WATCHERS_PER_SITE
         )
--- a/samphiredock/daemon/_parts.py
+++ b/samphiredock/daemon/_parts.py
@@ -145,7 +145,8 @@
             self.clock,
             self.metrics,
             self._random('signs'),
-            self._other_members,
+            self.membership.neighbours,
+            self.spread.is_watcher,
         )
         self.dispatcher = coordination.Dispatcher(
             self.hub,
--- a/tests/unit/test_target_signs.py
+++ b/tests/unit/test_target_signs.py
@@ -19,6 +19,13 @@
     def __init__(self) -> None:
         self.stored: transport.StoredObject | None = None
         self.down = False
+        self.listed: tuple[transport.Host, ...] = ()
+        self.list_reads = 0
+
+    async def hosts(self) -> result.Result:
+        """Read the host list."""
+        self.list_reads += 1
+        return result.Success(self.listed)
 
     async def get(self, key: str) -> result.Result:
         """Read it."""
@@ -43,8 +50,8 @@
         return result.Success(version + 1)
 
 
-class TargetSignsTest(unittest.IsolatedAsyncioTestCase):
-    """One daemon's knowledge of the signs."""
+class SignsCase(unittest.IsolatedAsyncioTestCase):
+    """One daemon over a fake store."""
 
     def setUp(self) -> None:
         self.clock = timers.ManualTimers()
@@ -52,14 +59,19 @@
         self.counters = metrics.Metrics('test')
         self.addCleanup(self.counters.close)
         self.store = FakeStore()
-        self.signs = _target_signs.TargetSigns(
+        self.is_watcher = True
+        self.signs = self._make(self.peers)
+
+    def _make(self, peers: dispatching.FakePeers) -> _target_signs.TargetSigns:
+        return _target_signs.TargetSigns(
             self.store,
-            self.peers,
-            self.peers,
+            peers,
+            peers,
             self.clock,
             self.counters,
             random.Random(1),
             lambda: ['d2'],
+            lambda: self.is_watcher,
         )
 
     def _object(self, leaving: bool, at_ms: int) -> None:
@@ -75,6 +87,10 @@
     def _assert_usable(self, usable: bool) -> None:
         self.assertEqual(usable, self.signs.is_usable('t1'))
 
+
+class TargetSignsTest(SignsCase):
+    """One daemon's knowledge of the signs."""
+
     def test_newest_object_wins_in_any_order(self) -> None:
         self._object(True, 20)
         self._object(False, 10)
@@ -152,3 +168,63 @@
         reply = await self.signs.set_leaving('t1', True)
         self.assertIsInstance(reply, result.Failure)
         self._assert_usable(True)
+
+
+class HostListTest(SignsCase):
+    """Few daemons read the platform's list for all."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.other_peers = dispatching.FakePeers()
+        self.other = self._make(self.other_peers)
+
+    async def _run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            await dispatching.settle()
+            self.clock.advance(1_000.0)
+        await dispatching.settle()
+
+    async def test_only_watchers_read_it_again(self) -> None:
+        """490 daemons that each read it would take 490 reads a second."""
+        for is_watcher, reads in ((False, 1), (True, 11)):
+            with self.subTest(is_watcher=is_watcher):
+                self.is_watcher = is_watcher
+                self.store.list_reads = 0
+                signs = self._make(dispatching.FakePeers())
+                signs.start()
+                await self._run(10)
+                signs.close()
+                self.assertEqual(reads, self.store.list_reads)
+
+    async def test_what_a_watcher_reads_holds_at_the_others(self) -> None:
+        """Leaving and return, with the first notice of each lost."""
+        for leaving in (True, False):
+            self.clock.advance(1_000.0)
+            self._hosts(leaving)
+            self._exchange()
+            self.assertEqual(self._view(self.signs), self._view(self.other))
+        self.assertEqual(['t1'], self.other.to_probe())
+        self._assert_usable(False)
+
+    def _view(self, signs: _target_signs.TargetSigns) -> tuple:
+        return signs.leaving(), signs.to_probe()
+
+    def _exchange(self) -> int:
+        """Let the other ask; return how many signs it was told."""
+        self.other._ask_a_peer()
+        asked = self.other_peers.of(protocol.TargetSignsWanted)[-1]
+        self.peers.sent.clear()
+        self.peers.deliver(asked)
+        told = self.peers.of(protocol.TargetSign)
+        for sign in told:
+            self.other_peers.deliver(sign)
+        return len(told)
+
+    def test_peer_that_knows_all_is_told_nothing(self) -> None:
+        """2,300 signs each 2 s would be 70 KB/s at every daemon."""
+        names = [f't{number}' for number in range(50)]
+        self.signs.on_hosts([transport.Host(name, True) for name in names])
+        self.assertEqual([50, 0], [self._exchange(), self._exchange()])
+        self._hosts(False)
+        self.assertLess(0, self._exchange())
+        self.assertEqual(0, self._exchange())
