Objects of the planned size for benchmarks; real daemons with store calls

It now takes sound objects from benchmarks/planned.py, can give them the planned size, and counts the store's calls.

--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -1,22 +1,27 @@
-"""What idle control costs a real daemon: processor, memory, bytes.
+"""What idle control costs a real daemon: processor, memory, bytes, calls.
 
 Starts the store stand-in and some daemons, waits until all know all, and
-reads each daemon's processor time and resident memory from ``/proc`` and
-its counters of bytes sent to peers, over some seconds without callers.
+reads each daemon's processor time and resident memory from ``/proc``, its
+counters of bytes sent to peers, and the calls that the store counted, over
+some seconds without callers.  ``--targets 2300`` gives the configuration
+and the snapshot the planned size; ``--changes N`` writes that many
+revisions while it measures.
 """
 
 import asyncio
+import json
 import os
 import pathlib
 import statistics
+import typing
 
 import click
 
+from benchmarks import planned
 from standins import cluster
-from tests import fakes_daemons
 
-_SITES = ('bole-a', 'kirkos-b', 'yeka-c')
 _TICKS_S = os.sysconf('SC_CLK_TCK')
+_WARM_UP_S = 5.0
 
 
 def cpu_s(pid: int) -> float:
@@ -32,55 +37,79 @@
     return int(text.split()[1]) * os.sysconf('SC_PAGE_SIZE') / 1e6
 
 
-async def measure(daemons: int, seconds: float) -> dict[str, float]:
-    """Return the medians over the daemons."""
+async def measure(
+    daemons: int, targets: int, seconds: float, changes: int
+) -> dict[str, typing.Any]:
+    """Return the medians over the daemons, and the store's calls."""
     async with cluster.Cluster() as system:
         await system.start_store()
+        await _put_configuration(system, 1, targets)
         await system.put_object(
-            'configuration/current',
-            {
-                'revision': 1,
-                'change_id': 'first',
-                'author': 'bench',
-                'accepted_at_ms': 0,
-                'base': fakes_daemons.BASE,
-                'overlays': {},
-            },
-        )
-        await system.put_object(
-            'snapshots/current', {'snapshot_id': 1, 'indexes': {}}
+            'snapshots/current', planned.snapshot(targets)
         )
         for number in range(daemons):
             name = f'entry-{number + 1}'
-            system.place_daemon(name, _SITES[number % 3], 'addis')
+            site = planned.SITES[number % 3]
+            system.place_daemon(name, site, planned.REGIONS[site])
             system.start_daemon(name)
         await system.wait_ready()
-        await asyncio.sleep(5.0)
+        await asyncio.sleep(_WARM_UP_S)
         pids = [system.processes[name].pid for name in system.daemons]
         cpu = [cpu_s(pid) for pid in pids]
-        sent = await counters(system)
-        await asyncio.sleep(seconds)
-        after = await counters(system)
+        sent = await _counters(system)
+        calls = await _calls(system)
+        for number in range(max(1, changes)):
+            if changes:
+                await _put_configuration(system, number + 2, targets)
+            await asyncio.sleep(seconds / max(1, changes))
+        after = await _counters(system)
+        late_calls = await _calls(system)
         return {
             'daemons': daemons,
+            'targets': targets,
+            'changes': changes,
+            'seconds': seconds,
             'live': min(row['live'] for row in after),
             'cpu_percent': statistics.median(
                 (cpu_s(pid) - before) / seconds * 100
                 for pid, before in zip(pids, cpu)
             ),
             'memory_mb': statistics.median(memory_mb(pid) for pid in pids),
-            'payload_bytes_s': statistics.median(
-                (late['bytes'] - early['bytes']) / seconds
-                for early, late in zip(sent, after)
-            ),
-            'messages_s': statistics.median(
-                (late['messages'] - early['messages']) / seconds
-                for early, late in zip(sent, after)
-            ),
+            'payload_bytes_s': _rate(sent, after, 'bytes', seconds),
+            'messages_s': _rate(sent, after, 'messages', seconds),
+            'store_calls_s': {
+                name: (count - calls.get(name, 0)) / seconds
+                for name, count in sorted(late_calls.items())
+            },
         }
 
 
-async def counters(system: cluster.Cluster) -> list[dict[str, float]]:
+def _rate(
+    early: list[dict[str, float]],
+    late: list[dict[str, float]],
+    name: str,
+    seconds: float,
+) -> float:
+    return statistics.median(
+        (after[name] - before[name]) / seconds
+        for before, after in zip(early, late)
+    )
+
+
+async def _put_configuration(
+    system: cluster.Cluster, revision: int, targets: int
+) -> None:
+    await system.put_object(
+        'configuration/current', planned.source(revision, targets)
+    )
+
+
+async def _calls(system: cluster.Cluster) -> dict[str, int]:
+    _, stats = await system.call('GET', f'{system.store_url}/control/stats')
+    return stats['calls']
+
+
+async def _counters(system: cluster.Cluster) -> list[dict[str, float]]:
     """Return each daemon's counters of what it sent."""
     rows = []
     for place in system.daemons.values():
@@ -97,12 +126,25 @@
 
 @click.command()
 @click.option('--sizes', default='4,8,16')
+@click.option('--targets', default=8)
 @click.option('--seconds', default=20.0)
-def main(sizes: str, seconds: float) -> None:
+@click.option('--changes', default=0)
+@click.option('--json', 'json_path', type=click.Path(path_type=pathlib.Path))
+def main(
+    sizes: str,
+    targets: int,
+    seconds: float,
+    changes: int,
+    json_path: pathlib.Path | None,
+) -> None:
     """Measure and print, one line for each size."""
+    rows = []
     for size in sizes.split(','):
-        row = asyncio.run(measure(int(size), seconds))
-        print(' '.join(f'{key} {value:.4g}' for key, value in row.items()))
+        row = asyncio.run(measure(int(size), targets, seconds, changes))
+        rows.append(row)
+        print(json.dumps(row), flush=True)
+    if json_path is not None:
+        json_path.write_text(json.dumps(rows, indent=1), encoding='utf-8')
 
 
 if __name__ == '__main__':
