--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -44,9 +44,7 @@
     async with cluster.Cluster() as system:
         await system.start_store()
         await _put_configuration(system, 1, targets)
-        await system.put_object(
-            'snapshots/current', planned.snapshot(targets)
-        )
+        await system.put_object('snapshots/current', planned.snapshot(targets))
         for number in range(daemons):
             name = f'entry-{number + 1}'
             site = planned.SITES[number % 3]
--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -24,21 +24,12 @@
 import click
 import msgspec
 
+from benchmarks import planned
 from samphiredock import coordination
 from samphiredock import protocol
 from samphiredock import state
 from tests import fakes_daemons
 
-REGIONS = {
-    'bole-a': 'addis',
-    'kirkos-b': 'addis',
-    'yeka-c': 'addis',
-    'sal-a': 'midtjylland',
-    'sal-b': 'midtjylland',
-    'sal-c': 'midtjylland',
-    'third-a': 'third',
-    'third-b': 'third',
-}
 PLANNED = 490
 CHANGES_A_DAY = 630
 RESTARTS_A_DAY = 240
@@ -66,15 +57,6 @@
     by_kind: dict[str, float]
 
 
-def base_of(size_bytes: int) -> dict:
-    """Return a base file of about a size, for the bytes it makes cross."""
-    filler = {'connections': 25, 'connect_ms': 6, 'slots': 2}
-    row = {'site': 'bole-a', 'url': 'http://10.0.0.1:8080', **filler}
-    count = max(0, size_bytes // (len(json.dumps(row)) + 16))
-    targets = {f'server-{number}': row for number in range(count)}
-    return {'services': {}, 'sites': {}, 'indexes': [], 'targets': targets}
-
-
 class Bench:
     """One run at one size."""
 
@@ -93,10 +75,10 @@
 
     async def start(self) -> None:
         """Start the daemons in small groups, as a rollout does."""
-        names = list(REGIONS)
+        names = planned.SITES
         for number in range(self.count):
             site = names[number % len(names)]
-            self.network.start(f'entry-{number}', site, REGIONS[site])
+            self.network.start(f'entry-{number}', site, planned.REGIONS[site])
             if number % 20 == 19:
                 await self.network.run(200)
         started_ms = self.network.clock.now_ms()
@@ -123,6 +105,8 @@
             revision, f'change-{revision}', 'bench', self.base, {}
         )
         outcome = await place.acceptor.apply(change)
+        if isinstance(outcome, protocol.ChangeInvalid):
+            raise AssertionError(f'got {outcome}, expected it accepted')
         if not isinstance(outcome, protocol.ChangeAccepted):
             return
         accepted_ms = self.network.clock.now_ms()
@@ -174,13 +158,13 @@
 
 
 async def run_size(
-    daemons: int, base_bytes: int, seconds: int, loss: float
+    daemons: int, targets: int, seconds: int, loss: float
 ) -> list[Figures]:
     """Measure the three loads at one size."""
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    bench = Bench(daemons, base_of(base_bytes), loss)
+    bench = Bench(daemons, planned.base(targets), loss)
     await bench.start()
     print(
         f'{daemons} daemons: all know all {bench.settled_ms:.0f} ms after '
@@ -207,10 +191,10 @@
         totals, kinds = await bench.measure(load, seconds, events[load])
         if load == 'idle':
             idle, idle_kinds = totals, kinds
-        planned_events = a_day[load] * seconds * 1_000 / DAY_MS
-        scale = planned_events / events[load] if events[load] else 0.0
+        due_events = a_day[load] * seconds * 1_000 / DAY_MS
+        scale = due_events / events[load] if events[load] else 0.0
         each = daemons * seconds
-        planned = {
+        rates = {
             name: (idle[name] + max(0.0, totals[name] - idle[name]) * scale)
             / each
             for name in totals
@@ -227,11 +211,11 @@
             Figures(
                 daemons,
                 load,
-                planned['bytes'],
-                planned['messages'],
-                planned['cpu_us'],
+                rates['bytes'],
+                rates['messages'],
+                rates['cpu_us'],
                 memory,
-                planned['calls'] * daemons,
+                rates['calls'] * daemons,
                 bench.connections(),
                 sorted(bench.in_force_ms),
                 dict(sorted(by_kind.items(), key=lambda row: -row[1])[:4]),
@@ -255,6 +239,10 @@
     return mean_y - slope * mean_x, slope
 
 
+def _bytes(targets: int) -> int:
+    return len(msgspec.json.encode(planned.source(1, targets)))
+
+
 _FITTED = ('bytes_s', 'messages_s', 'cpu_us_s', 'memory_bytes')
 
 
@@ -308,23 +296,23 @@
 @click.command()
 @click.option('--sizes', default='8,16,32,64,128')
 @click.option('--seconds', default=60, help='Simulated, for each load.')
-@click.option('--base-bytes', default=50_000, help='Of the configuration.')
+@click.option('--targets', default=400, help='Of the configuration.')
 @click.option('--loss', default=0.0, help='Part of the messages lost.')
 @click.option('--json', 'json_path', type=click.Path(path_type=pathlib.Path))
 def main(
     sizes: str,
     seconds: int,
-    base_bytes: int,
+    targets: int,
     loss: float,
     json_path: pathlib.Path | None,
 ) -> None:
     """Measure and print the control costs of one daemon."""
     rows: list[Figures] = []
     for size in sizes.split(','):
-        rows += asyncio.run(run_size(int(size), base_bytes, seconds, loss))
+        rows += asyncio.run(run_size(int(size), targets, seconds, loss))
         print(f'{size} daemons done', file=sys.stderr, flush=True)
     lines = fits(rows)
-    print(f'seed {SEED}, {base_bytes} B of configuration, loss {loss}')
+    print(f'seed {SEED}, {_bytes(targets)} B of configuration, loss {loss}')
     print(table(rows, lines))
     if json_path is not None:
         content = {'rows': [msgspec.to_builtins(row) for row in rows]}
--- a/benchmarks/scatter_cost.py
+++ b/benchmarks/scatter_cost.py
@@ -105,19 +105,34 @@
     ]
 
 
-def measure(queries: int, seed: int) -> float:
-    """Return the microseconds of processor time a sub-query."""
-    snapshot = _snapshot()
-    shards = snapshot.indexes['claims'].shards
-    ranges = {shard.shard_id: shard.key_range for shard in shards}
-    routes = _Routes(snapshot)
-    tools = coordination.Tools(
-        routes,
+def _tools(snapshot: state.Snapshot, seed: int) -> coordination.Tools:
+    return coordination.Tools(
+        _Routes(snapshot),
         coordination.Replicas(random.Random(seed), lambda target: True),
         coordination.Latencies(),
         coordination.ExtraBudget(),
         _NoSuspicions(),
     )
+
+
+def open_queries(count: int) -> list:
+    """Return queries that were just sent, with what they hold."""
+    snapshot = _snapshot()
+    tools = _tools(snapshot, 1)
+    rows = []
+    for number in range(count):
+        plan = _plan(snapshot, number)
+        scatter = coordination.Scatter(plan, tools, state.Limits())
+        rows.append((plan, scatter, scatter.start(0.0)))
+    return rows
+
+
+def measure(queries: int, seed: int) -> float:
+    """Return the microseconds of processor time a sub-query."""
+    snapshot = _snapshot()
+    shards = snapshot.indexes['claims'].shards
+    ranges = {shard.shard_id: shard.key_range for shard in shards}
+    tools = _tools(snapshot, seed)
     limits = state.Limits()
     spent_ns = 0
     for number in range(queries):
