Hedges after a fixed delay, as a setting; the bench changes limits while it runs

Missing: a fixed delay to compare the quantile with, and a way to compare variants at the same running daemons. limits.hedge_after_ms above 0 takes the place of the quantile; the gate against overload stays. Bench.apply publishes another revision and waits until every daemon has it.

With the setting ignored, test_fixed_delay_takes_the_place_of_the_quantile fails: a hedge for s0 is sent at 40 ms.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -5,7 +5,6 @@
 import dataclasses
 import os
 import pathlib
-import random
 import statistics
 import time
 import typing
@@ -13,18 +12,21 @@
 import aiohttp
 import msgspec
 
+from benchmarks import offering
 from samphiredock import state
 from standins import cluster
 
 _TICKS = os.sysconf('SC_CLK_TCK')
-_CALL_TIMEOUT_S = 10.0
 _TARGET_PROCESSES = 4
-_HOUSEHOLDS = 97
 
 
 @dataclasses.dataclass(frozen=True)
 class Profile:
-    """The sizes of one user, as the brief gives them."""
+    """The sizes of one user, as the brief gives them.
+
+    With ``shared_servers`` the shards lie in turn on that many servers, in
+    place of servers of their own.
+    """
 
     name: str
     sites: tuple[str, ...]
@@ -35,6 +37,12 @@
     connections: int
     connect_ms: float
     client_one_way_ms: float
+    shared_servers: int = 0
+
+    @property
+    def servers(self) -> int:
+        """Return how many servers there are."""
+        return self.shared_servers or self.shards * self.servers_per_shard
 
 
 GEBEYA = Profile(
@@ -46,20 +54,6 @@
 PROFILES = {profile.name: profile for profile in (GEBEYA, ARKIVRET)}
 
 
-@dataclasses.dataclass(frozen=True)
-class Load:
-    """What to send, and how the targets behave."""
-
-    rate_per_s: float
-    seconds: float
-    seed: int
-    service_ms: float = 4.0
-    straggler: float = 0.01
-    slow_target_ms: float = 0.0
-    distinct: int = _HOUSEHOLDS
-    deadline_ms: int = 800
-
-
 @dataclasses.dataclass(frozen=True)
 class Variant:
     """One way to set the system up, to be compared with others.
@@ -92,6 +86,7 @@
     mean_coverage: float
     least_coverage: float
     extra_load: float
+    hedge_share: float
     slot_breaches: int
     connection_breaches: int
     items_per_batch: float
@@ -112,10 +107,9 @@
         self.daemon_count = daemons
         self.system = cluster.Cluster()
         self.targets = [
-            f'server-{number}'
-            for number in range(profile.shards * profile.servers_per_shard)
+            f'server-{number}' for number in range(profile.servers)
         ]
-        self._stores: list[str] = []
+        self._revision = 1
 
     async def __aenter__(self) -> 'Bench':
         await self.system.__aenter__()
@@ -157,8 +151,8 @@
         await self.system.put_object(
             'configuration/current',
             {
-                'revision': 1,
-                'change_id': 'first',
+                'revision': self._revision,
+                'change_id': f'change-{self._revision}',
                 'author': 'bench',
                 'accepted_at_ms': 0,
                 'base': self._base(),
@@ -171,8 +165,14 @@
         """Give each shard servers of its own, as each service has."""
         profile = self.profile
         even = cluster.even_snapshot(
-            1, [profile.index], self.targets, profile.shards, 1
+            1,
+            [profile.index],
+            self.targets,
+            profile.shards,
+            profile.servers_per_shard,
         )
+        if profile.shared_servers:
+            return even
         count = profile.servers_per_shard
         shards = [
             msgspec.structs.replace(
@@ -227,9 +227,23 @@
             'limits': {'deadline_limit_ms': 10_000, **self.variant.limits},
         }
 
+    async def apply(self, variant: Variant) -> None:
+        """Put other limits in force at the running daemons."""
+        self.variant = variant
+        self._revision += 1
+        await self._publish()
+        for place in self.system.daemons.values():
+            while await self._revision_at(place) < self._revision:
+                await asyncio.sleep(0.05)
+
+    async def _revision_at(self, place: cluster.DaemonPlace) -> int:
+        url = f'{place.operator_url}/v1/status'
+        _, row = await self.system.call('GET', url)
+        return row['revision']
+
     async def run(
         self,
-        load: Load,
+        load: offering.Load,
         event: typing.Callable[
             ['Bench'], typing.Coroutine[typing.Any, typing.Any, None]
         ]
@@ -246,7 +260,8 @@
                 _later(event_after_s, event, self)
             )
         started = time.monotonic()
-        rows = await _offer(self, load)
+        extra_ms = 2 * self.profile.client_one_way_ms
+        rows = await offering.offer(self.system, load, extra_ms)
         took_s = time.monotonic() - started
         if disturbance is not None:
             await disturbance
@@ -255,7 +270,7 @@
         totals.subtract(before)
         return self._report(load, rows, totals, cpu_s, took_s)
 
-    async def _set_targets(self, load: Load) -> None:
+    async def _set_targets(self, load: offering.Load) -> None:
         for number, name in enumerate(self.targets):
             service_ms = load.service_ms
             if number == 0 and load.slow_target_ms:
@@ -290,8 +305,8 @@
 
     def _report(
         self,
-        load: Load,
-        rows: list['_Row'],
+        load: offering.Load,
+        rows: list[offering.Row],
         totals: collections.Counter,
         cpu_s: float,
         took_s: float,
@@ -306,14 +321,15 @@
             seed=load.seed,
             offered=len(rows),
             outcomes=dict(collections.Counter(row.outcome for row in rows)),
-            p50_ms=quantile(waits, 0.5),
-            p99_ms=quantile(waits, 0.99),
-            p999_ms=quantile(waits, 0.999),
+            p50_ms=offering.quantile(waits, 0.5),
+            p99_ms=offering.quantile(waits, 0.99),
+            p999_ms=offering.quantile(waits, 0.999),
             mean_coverage=statistics.fmean(
                 [row.coverage for row in rows] or [0.0]
             ),
             least_coverage=min((row.coverage for row in rows), default=0.0),
             extra_load=items / max(1, needed),
+            hedge_share=totals['hedges_sent'] / max(1, totals['needed']),
             slot_breaches=totals['at_targets_slot_breaches'],
             connection_breaches=totals['at_targets_connection_breaches'],
             items_per_batch=items / batches,
@@ -321,18 +337,10 @@
             peer_bytes_per_s=totals['peer_bytes_sent']
             / took_s
             / max(1, self.daemon_count),
-            timeline=_timeline(rows),
+            timeline=offering.timeline(rows),
         )
 
 
-@dataclasses.dataclass(frozen=True)
-class _Row:
-    start_s: float
-    latency_ms: float
-    outcome: str
-    coverage: float
-
-
 async def _later(
     delay_s: float,
     event: typing.Callable[
@@ -344,91 +352,6 @@
     await event(bench)
 
 
-async def _offer(bench: Bench, load: Load) -> list[_Row]:
-    """Send at times drawn from the seed, whatever comes back when."""
-    rng = random.Random(load.seed)
-    loop = asyncio.get_running_loop()
-    begin = loop.time() + 0.1
-    at_s = 0.0
-    tasks = []
-    connector = aiohttp.TCPConnector(limit=0)
-    timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
-    async with aiohttp.ClientSession(
-        connector=connector, timeout=timeout
-    ) as session:
-        while True:
-            at_s += rng.expovariate(load.rate_per_s)
-            if at_s >= load.seconds:
-                break
-            await asyncio.sleep(max(0.0, begin + at_s - loop.time()))
-            live = [
-                place
-                for name, place in bench.system.daemons.items()
-                if bench.system.processes[name].poll() is None
-            ]
-            url = rng.choice(live).caller_url
-            household = f'household-{rng.randrange(load.distinct)}'
-            tasks.append(
-                asyncio.create_task(
-                    _ask(session, url, household, begin + at_s, at_s, load)
-                )
-            )
-        rows = await asyncio.gather(*tasks)
-    extra_ms = 2 * bench.profile.client_one_way_ms
-    return [
-        dataclasses.replace(row, latency_ms=row.latency_ms + extra_ms)
-        for row in rows
-    ]
-
-
-async def _ask(
-    session: aiohttp.ClientSession,
-    url: str,
-    household: str,
-    intended: float,
-    at_s: float,
-    load: Load,
-) -> _Row:
-    body = {
-        'service': 'desk',
-        'search': 'lookup',
-        'terms': {'claimant': household},
-        'deadline_ms': load.deadline_ms,
-    }
-    try:
-        async with session.post(f'{url}/v1/search', json=body) as response:
-            row = await response.json(content_type=None)
-    except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError):
-        row = {'type': 'broken'}
-    took_ms = (asyncio.get_running_loop().time() - intended) * 1000.0
-    kind = row['type']
-    if kind == 'not-run':
-        kind = f'not-run {row["reason"]}'
-    return _Row(at_s, took_ms, kind, row.get('coverage', 0.0))
-
-
-def _timeline(
-    rows: typing.Iterable[_Row],
-) -> tuple[tuple[float, float, float], ...]:
-    """Return second, p99 in ms and the part answered whole, by second."""
-    seconds = collections.defaultdict(list)
-    for row in rows:
-        seconds[int(row.start_s)].append(row)
-    return tuple(
-        (
-            second,
-            quantile(sorted(row.latency_ms for row in held), 0.99),
-            sum(row.coverage >= 1.0 for row in held) / len(held),
-        )
-        for second, held in sorted(seconds.items())
-    )
-
-
-def quantile(ordered: typing.Sequence[float], part: float) -> float:
-    """Return the value at a part (0 to 1) of an ordered sequence."""
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
-
-
 def cpu_seconds(pid: int) -> float:
     """Return the processor time that a process has used."""
     text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -12,6 +12,7 @@
 import click
 
 from benchmarks import bench
+from benchmarks import offering
 
 
 @click.command()
@@ -45,7 +46,7 @@
 ) -> None:
     """Run one load against stand-ins on loopback."""
     variant = bench.Variant('load', json.loads(limits), canary)
-    load = bench.Load(rate, seconds, seed, service_ms, straggler)
+    load = offering.Load(rate, seconds, seed, service_ms, straggler)
 
     async def run() -> bench.Report:
         chosen = bench.PROFILES[profile]
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -6,6 +6,7 @@
 from samphiredock.coordination import _scatter_attempts
 from samphiredock.coordination import _scatter_round
 from samphiredock.coordination import _scatter_types
+from samphiredock import state
 
 OpenTo = typing.Callable[[_scatter_round.ShardState], list[str]]
 
@@ -17,8 +18,9 @@
     ----------
     tools
         Latencies, the budget and the owners of targets.
-    index, quantile
-        An attempt later than this quantile of the index's latency is late.
+    index, limits
+        An attempt later than the limits' quantile of the index's latency is
+        late, or, if they set one, later than a fixed delay.
     tally
         Where hedges sent and denied are counted.
     """
@@ -27,19 +29,23 @@
         self,
         tools: _scatter_types.Tools,
         index: str,
-        quantile: float,
+        limits: state.Limits,
         tally: _scatter_types.Tally,
     ) -> None:
         self._tools = tools
         self._index = index
-        self._quantile = quantile
+        self._quantile = limits.hedge_quantile
+        self._fixed_ms = limits.hedge_after_ms
         self._tally = tally
         self.due_ms = math.inf
 
     def _delay_ms(self) -> float | None:
-        return self._tools.latencies.hedge_delay_ms(
-            self._index, self._quantile
-        )
+        latencies = self._tools.latencies
+        if not self._fixed_ms:
+            return latencies.hedge_delay_ms(self._index, self._quantile)
+        # A fixed delay adds to a queue as any other.
+        overloaded = latencies.is_overloaded(self._index)
+        return None if overloaded else self._fixed_ms
 
     def arm(self, now_ms: float) -> None:
         """Attempts are sent now; an earlier timer covers them too."""
--- a/samphiredock/state/_compiler.py
+++ b/samphiredock/state/_compiler.py
@@ -24,6 +24,7 @@
         'in_flight_per_daemon': _checks.integer(1, 1_000_000),
         'hedge_budget': _checks.number(0.0, 1.0),
         'hedge_quantile': _checks.number(0.0, 1.0),
+        'hedge_after_ms': _checks.number(0.0, 600_000.0, 'ms'),
         'batch_window_ms': _checks.number(0.0, 1_000.0, 'ms'),
         'batch_items': _checks.integer(1, 10_000),
         'silent_after_ms': _checks.integer(1, 600_000, 'ms'),
--- a/samphiredock/state/_configuration.py
+++ b/samphiredock/state/_configuration.py
@@ -88,7 +88,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Numbers that hold for the whole system."""
+    """Numbers that hold for the whole system.
+
+    ``hedge_after_ms`` is a fixed delay of hedges, in place of the quantile;
+    0 leaves the delay to the quantile.
+    """
 
     deadline_limit_ms: int = 30_000
     body_limit_bytes: int = 65_536
@@ -98,6 +102,7 @@
     in_flight_per_daemon: int = 2_000
     hedge_budget: float = 0.05
     hedge_quantile: float = 0.95
+    hedge_after_ms: float = 0.0
     batch_window_ms: float = 0.0
     batch_items: int = 32
     silent_after_ms: int = 2_000
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -4,6 +4,7 @@
 
 from samphiredock import coordination
 from samphiredock import protocol
+from samphiredock import state
 from tests import scripted
 
 Status = protocol.SubStatus
@@ -50,6 +51,18 @@
         tally = self.desk.scatter.tally
         self.assertEqual((1, 1), (tally.hedges_sent, tally.hedges_won))
 
+    def test_fixed_delay_takes_the_place_of_the_quantile(self) -> None:
+        """An operator's delay of 50 ms: no hedge before, one after.
+
+        By the quantile, 20 ms here, it would have been sent at 40 ms.
+        """
+        self.desk.limits = state.Limits(hedge_after_ms=50.0)
+        self.desk.begin()
+        others = list(self.desk.waiting.values())[1:]
+        self.desk.give(*[self.desk.good(row) for row in others])
+        self.assertEqual([], self.desk.tick(40.0))
+        self.assertEqual(1, len(self.desk.tick(10.0)))
+
     def test_refused_hedge_leaves_the_first_attempt(self) -> None:
         """No idle slot: nothing is lost but the hedge, nor paid for it."""
         (hedge,) = self.desk.tick(100.0)
--- a/tests/unit/test_compiler.py
+++ b/tests/unit/test_compiler.py
@@ -59,6 +59,7 @@
             'targets.desk-1.slots': True,
             'targets.desk-1.url': 'ftp://desk',
             'limits.hedge_budget': float('inf'),
+            'limits.hedge_after_ms': -1.0,
             'indexes': ['claims', 'clip-rights', 'claims'],
         }
         for path, value in cases.items():
