Owners of targets are spread evenly over the daemons

Change: a daemon owns at most its even part, rounded up, of a site's groups and of the groups of one kind.

--- a/samphiredock/coordination/_ownership.py
+++ b/samphiredock/coordination/_ownership.py
@@ -22,6 +22,8 @@
 
 _Sites = typing.Mapping[str, state.Site]
 _Targets = typing.Mapping[str, state.Target]
+_Group = tuple[str, ...]
+_Kind = tuple[str, tuple[str, ...]]
 
 
 def ownership_groups(
@@ -33,22 +35,27 @@
     at every daemon.  Targets of one site that hold shards of the same
     indexes are split into groups of at most ``GROUP_SIZE``.
     """
+    kinds = _groups_by_kind(targets, snapshot).values()
+    return [group for groups in kinds for group in groups]
+
+
+def _groups_by_kind(
+    targets: _Targets, snapshot: state.Snapshot | None
+) -> dict[_Kind, list[_Group]]:
     indexes = snapshot.indexes if snapshot is not None else {}
     holds: dict[str, set[str]] = collections.defaultdict(set)
     for index_name, index in indexes.items():
         for shard in index.shards:
             for replica in shard.replicas:
                 holds[replica].add(index_name)
-    alike: dict[tuple[str, tuple[str, ...]], list[str]] = (
-        collections.defaultdict(list)
-    )
+    alike: dict[_Kind, list[str]] = collections.defaultdict(list)
     for name in sorted(targets):
         held = tuple(sorted(holds.get(name, ())))
         alike[targets[name].site, held].append(name)
-    groups = []
-    for names in alike.values():
+    groups = {}
+    for kind, names in alike.items():
         count = -(-len(names) // GROUP_SIZE)
-        groups.extend(tuple(names[start::count]) for start in range(count))
+        groups[kind] = [tuple(names[start::count]) for start in range(count)]
     return groups
 
 
@@ -61,24 +68,70 @@
     """Return each target's dispatcher; targets without one are left out.
 
     Rendezvous hashing of a group over the live daemons of its site, or of
-    its region, or of all, so that a leaving daemon moves only its own.
+    its region, or of all, with a limit: hashing alone gives some daemons
+    several times the mean, since there is about one group for each, and what
+    is searched most is the load (docs/design/ownership.md).
     """
     live = sorted(members, key=lambda member: member.name)
-    near: dict[str, list[state.Member]] = {}
+    kinds = _groups_by_kind(targets, snapshot)
+    held_at: collections.Counter[str] = collections.Counter()
+    for (site, _), groups in kinds.items():
+        held_at[site] += len(groups)
+    near = {site: _nearest(site, live, sites) for site in held_at}
+    taken = {
+        site: _Taken(held_at[site], near[site])
+        for site in held_at
+        if near[site]
+    }
     owners = {}
-    for group in ownership_groups(targets, snapshot):
-        site = targets[group[0]].site
-        if site not in near:
-            near[site] = _nearest(site, live, sites)
-        if not near[site]:
+    for (site, _), groups in kinds.items():
+        if site not in taken:
             continue
-        best = max(
-            near[site], key=lambda member: _weight(group[0], member.name)
-        )
-        owners.update(dict.fromkeys(group, best.name))
+        for group, owner in taken[site].share_out(groups):
+            owners.update(dict.fromkeys(group, owner))
     return owners
 
 
+class _Taken:
+    """How many groups of one site its daemons own so far.
+
+    A daemon owns at most its even part, rounded up, of the site's groups
+    and of those of one kind, which are searched equally often.
+    """
+
+    def __init__(self, groups: int, members: list[state.Member]) -> None:
+        self._names = [member.name for member in members]
+        self._most = self._even_part(groups)
+        self._all: collections.Counter[str] = collections.Counter()
+
+    def _even_part(self, groups: int) -> int:
+        return -(-groups // len(self._names))
+
+    def share_out(
+        self, groups: list[_Group]
+    ) -> typing.Iterator[tuple[_Group, str]]:
+        """Give the groups of one kind their owners."""
+        most = self._even_part(len(groups))
+        alike: collections.Counter[str] = collections.Counter()
+        for group in groups:
+            open_to = [
+                name
+                for name in self._names
+                if self._all[name] < self._most and alike[name] < most
+            ]
+            owner = max(
+                open_to or self._least_taken(),
+                key=lambda name: _weight(group[0], name),
+            )
+            self._all[owner] += 1
+            alike[owner] += 1
+            yield group, owner
+
+    def _least_taken(self) -> list[str]:
+        least = min(self._all[name] for name in self._names)
+        return [name for name in self._names if self._all[name] == least]
+
+
 def owner_of(
     target: state.Target,
     members: typing.Iterable[state.Member],
