--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -17,7 +17,8 @@
 from standins import cluster
 
 _TICKS = os.sysconf('SC_CLK_TCK')
-_TARGET_PROCESSES = 4
+# As many as sites, so that each process plays the targets of one site.
+_TARGET_PROCESSES = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +111,7 @@
             f'server-{number}' for number in range(profile.servers)
         ]
         self._revision = 1
+        self.out_of_rotation: set[str] = set()
 
     async def __aenter__(self) -> 'Bench':
         await self.system.__aenter__()
@@ -261,7 +263,7 @@
             )
         started = time.monotonic()
         extra_ms = 2 * self.profile.client_one_way_ms
-        rows = await offering.offer(self.system, load, extra_ms)
+        rows = await offering.offer(self.live, load, extra_ms)
         took_s = time.monotonic() - started
         if disturbance is not None:
             await disturbance
@@ -270,6 +272,15 @@
         totals.subtract(before)
         return self._report(load, rows, totals, cpu_s, took_s)
 
+    def live(self) -> list[cluster.DaemonPlace]:
+        """Return the daemons to which a balancer would send."""
+        return [
+            place
+            for name, place in self.system.daemons.items()
+            if self.system.processes[name].poll() is None
+            and name not in self.out_of_rotation
+        ]
+
     async def _set_targets(self, load: offering.Load) -> None:
         for number, name in enumerate(self.targets):
             service_ms = load.service_ms
@@ -280,7 +291,7 @@
             )
 
     async def _totals(self) -> collections.Counter:
-        """Sum counters of daemons and targets, 0 for a dead daemon."""
+        """Sum counters of daemons and targets, 0 for a dead one."""
         totals: collections.Counter = collections.Counter()
         for place in self.system.daemons.values():
             try:
@@ -292,7 +303,10 @@
             totals.update(row['counters'])
         for name in self.targets:
             url = f'{self.system.target_urls[name]}/control/stats'
-            _, row = await self.system.call('GET', url)
+            try:
+                _, row = await self.system.call('GET', url)
+            except (aiohttp.ClientError, OSError):
+                continue
             totals.update({f'at_targets_{key}': row[key] for key in row})
         return totals
 
--- /dev/null
+++ b/benchmarks/experiments.py
@@ -0,0 +1,234 @@
+"""Comparisons of policies, side by side in one run.
+
+``python -m benchmarks.experiments hedge`` and so on.  For each seed every
+variant is run, in an order drawn from the seed, so that other work on the
+machine falls on all of them; the results are medians over the seeds.  Each
+comparison writes ``benchmarks/results/NAME.json`` and a plot.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import json
+import os
+import random
+import typing
+
+import click
+
+from benchmarks import bench
+from benchmarks import losses
+from benchmarks import offering
+from benchmarks import results
+
+Step = typing.Callable[
+    [bench.Variant, offering.Load], typing.Awaitable[bench.Report]
+]
+
+_SEEDS = 5
+_NO_HEDGE_MS = 600_000.0
+_UNBOUNDED = 1.0
+
+# Long enough that a straggler stands out from this machine's own noise.
+_HEDGED_SERVICE_MS = 20.0
+
+# A shard has 2 servers of 2 slots; an item takes 45.6 ms in the mean, with
+# the spread and the stragglers.
+_BUSY_SERVICE_MS = 40.0
+_BUSY_CAPACITY_PER_S = 88.0
+
+# 2,060 sub-queries a second and server, as at the planned size.
+_PLANNED = bench.Profile(
+    'planned', ('bole-a',), 'claims', 55, 2, 2, 100, 1, 1, shared_servers=4
+)
+_PLANNED_PER_S = 150.0
+
+HEDGES = (
+    bench.Variant('no hedge', {'hedge_after_ms': _NO_HEDGE_MS}),
+    bench.Variant(
+        'fixed 40 ms', {'hedge_after_ms': 40.0, 'hedge_budget': _UNBOUNDED}
+    ),
+    bench.Variant('quantile', {'hedge_budget': _UNBOUNDED}),
+    bench.Variant('quantile, budget'),
+    bench.Variant('quantile 0.98, budget', {'hedge_quantile': 0.98}),
+)
+HEDGE_LOADS = {
+    'stragglers': offering.Load(20.0, 8.0, 0, _HEDGED_SERVICE_MS),
+    'at-120': offering.Load(
+        1.2 * _BUSY_CAPACITY_PER_S, 4.0, 0, _BUSY_SERVICE_MS
+    ),
+    'slow-replica': offering.Load(
+        20.0, 6.0, 0, _HEDGED_SERVICE_MS, 0.0, slow_target_ms=200.0
+    ),
+    'at-80': offering.Load(
+        0.8 * _BUSY_CAPACITY_PER_S, 4.0, 0, _BUSY_SERVICE_MS
+    ),
+}
+WINDOWS = tuple(
+    bench.Variant(f'{window} ms', {'batch_window_ms': float(window)})
+    for window in (0, 2, 5, 10)
+)
+BATCHES = (
+    bench.Variant('batches of 32'),
+    bench.Variant('one a request', {'batch_items': 1}),
+)
+OWNERSHIP = (
+    bench.Variant('owner'),
+    bench.Variant('islands, 2 slots each', islands=True),
+    bench.Variant('islands, 1 slot each', islands=True, slots=1),
+)
+CANARIES = (
+    bench.Variant('never', canary=False),
+    bench.Variant('for contents not seen', canary=True),
+)
+
+
+async def interleave(
+    variants: typing.Sequence[bench.Variant],
+    load: offering.Load,
+    step: Step,
+    seeds: int = _SEEDS,
+) -> list[bench.Report]:
+    """Run all variants for each seed, in an order drawn from the seed."""
+    reports = []
+    for seed in range(1, seeds + 1):
+        order = list(variants)
+        random.Random(seed).shuffle(order)
+        for variant in order:
+            report = await step(variant, dataclasses.replace(load, seed=seed))
+            click.echo(results.line(report))
+            reports.append(report)
+    return reports
+
+
+async def _with_limits(
+    system: bench.Bench, variant: bench.Variant, load: offering.Load
+) -> bench.Report:
+    await system.apply(variant)
+    return await system.run(load)
+
+
+async def _compare_limits(
+    profile: bench.Profile,
+    daemons: int,
+    variants: typing.Sequence[bench.Variant],
+    loads: typing.Mapping[str, offering.Load],
+    seeds: int,
+) -> dict[str, list[bench.Report]]:
+    """Compare variants that differ in limits only, at the same daemons."""
+    async with bench.Bench(profile, variants[0], daemons) as system:
+        # Latency records and connections warm up before anything counts.
+        await system.run(dataclasses.replace(next(iter(loads.values()))))
+        step = functools.partial(_with_limits, system)
+        return {
+            name: await interleave(variants, load, step, seeds)
+            for name, load in loads.items()
+        }
+
+
+async def _compare_systems(
+    profile: bench.Profile,
+    daemons: int,
+    variants: typing.Sequence[bench.Variant],
+    load: offering.Load,
+    seeds: int,
+) -> list[bench.Report]:
+    """Compare variants that need systems of their own, all up at once."""
+    async with contextlib.AsyncExitStack() as stack:
+        systems = {}
+        for variant in variants:
+            system = bench.Bench(profile, variant, daemons)
+            systems[variant.name] = await stack.enter_async_context(system)
+            await system.run(load)
+
+        async def step(
+            variant: bench.Variant, load: offering.Load
+        ) -> bench.Report:
+            return await systems[variant.name].run(load)
+
+        return await interleave(variants, load, step, seeds)
+
+
+def _save(name: str, groups: typing.Mapping[str, list[bench.Report]]) -> None:
+    path = results.save(name, groups)
+    results.plot(name, groups)
+    click.echo(results.table(json.loads(path.read_text(encoding='utf-8'))))
+    load_average = ' '.join(f'{part:.1f}' for part in os.getloadavg())
+    click.echo(f'{path}; load average {load_average}')
+
+
+@click.group()
+def main() -> None:
+    """Compare policies on stand-ins on loopback."""
+
+
+_seeds = click.option('--seeds', default=_SEEDS)
+_daemons = click.option('--daemons', default=8)
+
+
+@main.command()
+@click.option('--only', type=click.Choice(sorted(HEDGE_LOADS)))
+@_daemons
+@_seeds
+def hedge(only: str | None, daemons: int, seeds: int) -> None:
+    """No hedge, fixed delay, quantile, quantile under the budget."""
+    names = [only] if only else list(HEDGE_LOADS)
+    loads = {name: HEDGE_LOADS[name] for name in names}
+    run = _compare_limits(bench.GEBEYA, daemons, HEDGES, loads, seeds)
+    for name, reports in asyncio.run(run).items():
+        _save(f'hedge-{name}', {name: reports})
+
+
+@main.command()
+@click.option('--daemons', default=1)
+@_seeds
+def window(daemons: int, seeds: int) -> None:
+    """How long a target's batch waits for more, at two rates a server."""
+    planned = offering.Load(_PLANNED_PER_S, 3.0, 0, 0.0, 0.0)
+    low = dataclasses.replace(planned, rate_per_s=10.0)
+    loads = {'planned': planned, 'low': low}
+    run = _compare_limits(_PLANNED, daemons, WINDOWS, loads, seeds)
+    _save('window', asyncio.run(run))
+
+
+@main.command()
+@click.option('--daemons', default=1)
+@_seeds
+def batching(daemons: int, seeds: int) -> None:
+    """Batches to a target against one request a sub-query."""
+    load = offering.Load(0.3 * _PLANNED_PER_S, 3.0, 0, 0.0, 0.0)
+    run = _compare_limits(
+        _PLANNED, daemons, BATCHES, {'45 searches/s': load}, seeds
+    )
+    _save('batching', asyncio.run(run))
+
+
+@main.command()
+@_daemons
+@_seeds
+def islands(daemons: int, seeds: int) -> None:
+    """Owner dispatchers against daemons that each connect everywhere."""
+    load = offering.Load(60.0, 4.0, 0)
+    run = _compare_systems(bench.GEBEYA, daemons, OWNERSHIP, load, seeds)
+    _save('islands', {'stragglers': asyncio.run(run)})
+
+
+@main.command()
+@_daemons
+@_seeds
+def canary(daemons: int, seeds: int) -> None:
+    """A canary for contents not seen, or none; few and many contents."""
+    few = offering.Load(60.0, 4.0, 0)
+    # No content comes twice, so that "not seen" means always.
+    new = dataclasses.replace(few, distinct=1_000_000_000)
+    loads = {'97 contents': few, 'each content new': new}
+    run = _compare_limits(bench.GEBEYA, daemons, CANARIES, loads, seeds)
+    _save('canary', asyncio.run(run))
+
+
+main.add_command(losses.loss)
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/offering.py
+++ b/benchmarks/offering.py
@@ -39,10 +39,13 @@
 
 
 async def offer(
-    system: cluster.Cluster, load: Load, extra_ms: float = 0.0
+    live: typing.Callable[[], list[cluster.DaemonPlace]],
+    load: Load,
+    extra_ms: float = 0.0,
 ) -> list[Row]:
     """Send at times drawn from the seed, whatever comes back when.
 
+    ``live`` lists the daemons to choose from at each moment.
     ``extra_ms`` is added to each latency: the way to the client and back.
     """
     rng = random.Random(load.seed)
@@ -60,12 +63,7 @@
             if at_s >= load.seconds:
                 break
             await asyncio.sleep(max(0.0, begin + at_s - loop.time()))
-            live = [
-                place
-                for name, place in system.daemons.items()
-                if system.processes[name].poll() is None
-            ]
-            url = rng.choice(live).caller_url
+            url = rng.choice(live()).caller_url
             household = f'household-{rng.randrange(load.distinct)}'
             tasks.append(
                 asyncio.create_task(
