--- a/tests/unit/test_compiler.py
+++ b/tests/unit/test_compiler.py
@@ -60,6 +60,7 @@
             'targets.desk-1.url': 'ftp://desk',
             'limits.hedge_budget': float('inf'),
             'limits.key_retention_ms': state.RETENTION_LIMIT_MS + 1,
+            'limits.hedge_after_ms': -1.0,
             'indexes': ['claims', 'clip-rights', 'claims'],
         }
         for path, value in cases.items():
