--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -241,6 +241,7 @@
         self,
     ) -> result.Result[tuple[transport.Host, ...], transport.StoreError]:
         """Return an empty list."""
+        self._store.calls['hosts'] += 1
         return result.Success(())
 
     async def _changes(
