--- a/samphiredock/coordination/__init__.py
+++ b/samphiredock/coordination/__init__.py
@@ -9,7 +9,12 @@
 from samphiredock.coordination._hedging import Latencies
 from samphiredock.coordination._knowledge import CONFIGURATION_KEY
 from samphiredock.coordination._knowledge import Knowledge
+from samphiredock.coordination._member_table import MemberTable
+from samphiredock.coordination._member_table import row_of
 from samphiredock.coordination._membership import Membership
+from samphiredock.coordination._ownership import owner_of
+from samphiredock.coordination._ownership import owners_of
+from samphiredock.coordination._ownership import ownership_groups
 from samphiredock.coordination._ownership import OwnershipTable
 from samphiredock.coordination._planner import Plan
 from samphiredock.coordination._quarantine import Quarantine
@@ -39,6 +44,7 @@
     'Knowledge',
     'KnownContents',
     'Latencies',
+    'MemberTable',
     'Membership',
     'OwnershipTable',
     'Plan',
@@ -56,4 +62,8 @@
     'Tools',
     'Watcher',
     'follow_knowledge',
+    'owner_of',
+    'owners_of',
+    'ownership_groups',
+    'row_of',
 ]
--- a/samphiredock/coordination/_replicas.py
+++ b/samphiredock/coordination/_replicas.py
@@ -64,10 +64,6 @@
         one, other = candidates[first], candidates[second]
         return one if self._wait(one) <= self._wait(other) else other
 
-    def pick(self, count: int) -> int:
-        """Return a random number below ``count``."""
-        return int(self._rng.random() * count)
-
     def _wait(self, target: str) -> float:
         load = self._load(target)
         return (load.in_flight + 1) * load.latency_ms * load.factor
--- a/samphiredock/coordination/_scatter_caution.py
+++ b/samphiredock/coordination/_scatter_caution.py
@@ -63,10 +63,6 @@
         """Return the replica to ask alone."""
         return min(replicas, key=self._rank)
 
-    def is_canary(self) -> bool:
-        """Whether shards are held until one has answered alone."""
-        return self._is_canary
-
     def may_add_canary(self) -> bool:
         """Whether a late canary may have another shard asked beside it."""
         return (
--- a/samphiredock/metrics.py
+++ b/samphiredock/metrics.py
@@ -26,8 +26,6 @@
     'target_service_ms': _LATENCY_BUCKETS_MS,
 }
 
-_Labels = tuple[tuple[str, str], ...]
-
 
 class Metrics:
     """The metrics of one process, kept apart from any other's."""
--- a/samphiredock/state/_compiler.py
+++ b/samphiredock/state/_compiler.py
@@ -12,7 +12,6 @@
 from samphiredock.state import _overlay
 
 _ROUNDING = 1e-9
-_HOUR_MS = 3_600_000
 
 _LIMITS = _checks.rules_of(
     _configuration.Limits,
--- a/tests/unit/test_public_names.py
+++ b/tests/unit/test_public_names.py
@@ -1,4 +1,5 @@
 import ast
+import importlib
 import pathlib
 import unittest
 
@@ -9,6 +10,36 @@
 
 
 class PublicNamesTest(unittest.TestCase):
+    """The public modules of the packages."""
+
+    def test_names_used_elsewhere_are_public(self) -> None:
+        """A benchmark that no test runs would break unseen."""
+        known = {
+            name: importlib.import_module(f'samphiredock.{name}').__all__
+            for name in _PACKAGES
+        }
+        missing = set()
+        for path in _ROOT.parent.rglob('*.py'):
+            if '.venv' in path.parts:
+                continue
+            tree = ast.parse(path.read_text(encoding='utf-8'))
+            imported = {
+                alias.name
+                for node in ast.walk(tree)
+                if isinstance(node, ast.ImportFrom)
+                and node.module == 'samphiredock'
+                for alias in node.names
+            }
+            for node in ast.walk(tree):
+                if isinstance(node, ast.Attribute) and isinstance(
+                    node.value, ast.Name
+                ):
+                    package = node.value.id
+                    if package in imported & set(known):
+                        if node.attr not in known[package]:
+                            missing.add(f'{path.name}: {package}.{node.attr}')
+        self.assertEqual(set(), missing)
+
     def test_all_lists_what_is_imported(self) -> None:
         for package in _PACKAGES:
             path = _ROOT / package / '__init__.py'
