Tests of runners and of configuration share their set-up

AtMostOnceTest and NotRunTest began and judged alike and asserted outcomes in two lines each (RunnersCase, assert_told); three configuration tests built the same settled system inside a wrapped coroutine (started, StepsTest). No assertion is gone: each assert_told has the isinstance check it replaces.

--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import os
 import unittest
 from unittest import mock
 
@@ -18,26 +17,18 @@
 from tests import history_runs
 from tests import simulation_runs
 
-_SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '1'))
 _STORMS = 30
 _KEY = 'payout-7'
 _Fault = memory_platform.Fault
 
 
-class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
+class AtMostOnceTest(simulation_runs.RunnersCase):
     """Single failures, driven step by step."""
 
     def setUp(self) -> None:
-        """Start two daemons whose targets answer."""
-        self.metrics = metrics.Metrics('test')
-        self.system = simulation_runs.System(_SEED, self.metrics, 4.0)
+        """Have the targets answer."""
+        super().setUp()
         self.system.use('answer')
-        self.first = self.system.start('entry-1')
-        self.second = self.system.start('entry-2')
-
-    def tearDown(self) -> None:
-        """Judge what was recorded."""
-        self.assertEqual([], history_runs.violations(self.system.history))
 
     async def ask(
         self, daemon: memory_runners.Daemon, **request: object
@@ -106,8 +97,7 @@
         await self.system.clock.pass_ms(5_000)
         self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
         self.first.host.wake(self.system.random)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
+        await self.assert_told(call, protocol.NotRun)
         self.assertEqual(0, self.system.executions())
         self.assert_ran(await self.ask(self.second), 1)
 
@@ -181,8 +171,7 @@
         call = await self.hold_claimed()
         self.system.store.outage = True
         self.first.host.wake(self.system.random)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
+        await self.assert_told(call, protocol.NotRun)
         await self.system.clock.pass_ms(50)
         self.system.store.outage = False
         self.assert_ran(await self.ask(self.second), 1)
@@ -197,8 +186,7 @@
         call = await self.hold_claimed()
         self.system.store.outage = True
         self.first.host.wake(self.system.random)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
+        await self.assert_told(call, protocol.NotRun)
         self.system.store.outage = False
         await self.system.clock.pass_ms(3_000)
         self.system.kill(self.first)
@@ -266,8 +254,7 @@
             for number, key in enumerate(keys)
         ]
         for call in calls:
-            outcome = await self.system.outcome(call)
-            self.assertIsInstance(outcome, protocol.Completed)
+            await self.assert_told(call, protocol.Completed)
         self.assertEqual(40, self.system.executions())
         self.assertGreater(self.metrics.total('claim_conflicts'), 2)
 
@@ -312,11 +299,13 @@
         found: list[str] = []
         counts: collections.Counter[str] = collections.Counter()
         for number in range(count):
-            storm = simulation_runs.Storm(_SEED + number, counters)
+            storm = simulation_runs.Storm(
+                simulation_runs.SEED + number, counters
+            )
             asyncio.run(storm.run())
             system = storm.system
             found += [
-                f'seed {_SEED + number}: {text}'
+                f'seed {simulation_runs.SEED + number}: {text}'
                 for text in history_runs.violations(system.history)
             ]
             if found and is_first_enough:
@@ -342,7 +331,7 @@
         callers were told agrees with it.
         """
         found, counts = self.storms(_STORMS)
-        print(f'storms from seed {_SEED}: {dict(counts)}')
+        print(f'storms from seed {simulation_runs.SEED}: {dict(counts)}')
         self.assertEqual([], found)
         self.assertGreater(counts['Called'], 1_000)
         self.assertGreater(counts['Executed'], 200)
--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -229,6 +229,16 @@
     return run
 
 
+async def started(revision: int, daemons: int) -> Schedule:
+    """Return settled daemons with a revision in force, spread over sites."""
+    run = Schedule(SEED)
+    run.store.write(coordination.CONFIGURATION_KEY, source(revision, 'first'))
+    for number in range(daemons):
+        run.start(f'entry-{number + 1}', list(SITES)[number % 3])
+    await run.run(3_000)
+    return run
+
+
 class ConfigurationTest(unittest.TestCase):
     """Eight daemons in three sites of two regions."""
 
@@ -262,43 +272,54 @@
         for name in (*_FAULTS, 'loss', f'store {lost}', f'store {outage}'):
             self.assertGreaterEqual(totals[name], 3, name)
 
-    def test_frozen_site_is_not_ready_until_it_has_the_newer(self) -> None:
+    def judge(self, run: Schedule) -> None:
+        """Assert every promise on a run's history."""
+        events = run.events
+        self.assertEqual([], history.reverted(events)[:3])
+        self.assertEqual([], history.presented_too_old(events)[:3])
+        self.assertEqual([], history.two_of_one_revision(events)[:3])
+        self.assertEqual([], history.refused_but_in_force(events)[:3])
+        lost = history.accepted_but_lost(events, run.stored())
+        self.assertEqual([], lost[:3])
+        self.assertEqual([], history.late(events, IN_FORCE_LIMIT_MS)[:3])
+        final = {d.knowledge.revision for d in run.network.daemons.values()}
+        self.assertEqual({max(run.stored())}, final)
+
+
+class StepsTest(unittest.IsolatedAsyncioTestCase):
+    """Single failures, step by step."""
+
+    async def test_frozen_site_is_not_ready_until_it_has_the_newer(
+        self,
+    ) -> None:
         """A caller at a woken site is never served on the old revision.
 
         A site is frozen while a change is accepted and the store dies.
         When it wakes it still holds the old revision: it is not ready
         until its peers have told it, and then holds the new one.
         """
-
-        async def body() -> None:
-            run = Schedule(SEED)
-            run.store.write(coordination.CONFIGURATION_KEY, source(1, 'one'))
-            for number in range(6):
-                run.start(f'entry-{number + 1}', list(SITES)[number % 3])
-            await run.run(3_000)
-            frozen = run._site('yeka-c')
-            for daemon in frozen:
-                daemon.clock.frozen = True
-            task = asyncio.create_task(
-                run.network.daemons['entry-1'].apply('two', 1)
-            )
-            await run.network.run(200)
-            self.assertEqual(2, task.result().revision)
-            run.store.outage = True
-            await run.network.run(6_000)
-            seen = set()
+        run = await started(1, 6)
+        frozen = run._site('yeka-c')
+        for daemon in frozen:
+            daemon.clock.frozen = True
+        task = asyncio.create_task(
+            run.network.daemons['entry-1'].apply('two', 1)
+        )
+        await run.network.run(200)
+        self.assertEqual(2, task.result().revision)
+        run.store.outage = True
+        await run.network.run(6_000)
+        seen = set()
+        for daemon in frozen:
+            daemon.clock.wake()
+        for _ in range(1_000):
             for daemon in frozen:
-                daemon.clock.wake()
-            for _ in range(1_000):
-                for daemon in frozen:
-                    seen.add((daemon.is_ready, daemon.knowledge.revision))
-                await run.network.run(5)
-            run.network.close()
-            self.assertEqual({(False, 1), (False, 2), (True, 2)}, seen)
+                seen.add((daemon.is_ready, daemon.knowledge.revision))
+            await run.network.run(5)
+        run.network.close()
+        self.assertEqual({(False, 1), (False, 2), (True, 2)}, seen)
 
-        asyncio.run(body())
-
-    def test_fresh_daemon_while_the_store_is_down(self) -> None:
+    async def test_fresh_daemon_while_the_store_is_down(self) -> None:
         """It learns from the addresses in its settings, and is ready.
 
         The store goes down just after a change was accepted.  A daemon
@@ -307,11 +328,7 @@
         """
 
         async def body(seeds: tuple[str, ...]) -> tuple[bool, int, int]:
-            run = Schedule(SEED)
-            run.store.write(coordination.CONFIGURATION_KEY, source(1, 'one'))
-            for number in range(6):
-                run.start(f'entry-{number + 1}', list(SITES)[number % 3])
-            await run.run(3_000)
+            run = await started(1, 6)
             task = asyncio.create_task(
                 run.network.daemons['entry-1'].apply('two', 1)
             )
@@ -326,49 +343,28 @@
             return fresh.is_ready, revision, len(fresh.live_names())
 
         seeds = ('tcp://entry-2', 'tcp://entry-3')
-        self.assertEqual((True, 2, 7), asyncio.run(body(seeds)))
-        self.assertEqual((False, 0, 1), asyncio.run(body(())))
+        self.assertEqual((True, 2, 7), await body(seeds))
+        self.assertEqual((False, 0, 1), await body(()))
 
-    def test_store_restored_from_a_backup(self) -> None:
+    async def test_store_restored_from_a_backup(self) -> None:
         """The revision in force stays, and the next change gets a new one.
 
         The store comes back with an older object under a higher version.
         It is counted and not applied; an operator's next change, made
         from the revision in force, is numbered above that.
         """
-
-        async def body() -> None:
-            run = Schedule(SEED)
-            run.store.write(coordination.CONFIGURATION_KEY, source(5, 'five'))
-            for number in range(3):
-                run.start(f'entry-{number + 1}', list(SITES)[number])
-            await run.run(3_000)
-            run.store.write(coordination.CONFIGURATION_KEY, source(3, 'three'))
-            await run.run(2_000)
-            daemons = list(run.network.daemons.values())
-            older = [
-                daemon.counters.counts['configuration_older_seen']
-                for daemon in daemons
-            ]
-            self.assertTrue(all(older), older)
-            task = asyncio.create_task(daemons[0].apply('six', 5))
-            await run.run(2_000)
-            run.network.close()
-            self.assertEqual(6, task.result().revision)
-            self.assertEqual([6] * 3, [d.knowledge.revision for d in daemons])
-            self.assertEqual([], history.reverted(run.events))
-
-        asyncio.run(body())
-
-    def judge(self, run: Schedule) -> None:
-        """Assert every promise on a run's history."""
-        events = run.events
-        self.assertEqual([], history.reverted(events)[:3])
-        self.assertEqual([], history.presented_too_old(events)[:3])
-        self.assertEqual([], history.two_of_one_revision(events)[:3])
-        self.assertEqual([], history.refused_but_in_force(events)[:3])
-        lost = history.accepted_but_lost(events, run.stored())
-        self.assertEqual([], lost[:3])
-        self.assertEqual([], history.late(events, IN_FORCE_LIMIT_MS)[:3])
-        final = {d.knowledge.revision for d in run.network.daemons.values()}
-        self.assertEqual({max(run.stored())}, final)
+        run = await started(5, 3)
+        run.store.write(coordination.CONFIGURATION_KEY, source(3, 'three'))
+        await run.run(2_000)
+        daemons = list(run.network.daemons.values())
+        older = [
+            daemon.counters.counts['configuration_older_seen']
+            for daemon in daemons
+        ]
+        self.assertTrue(all(older), older)
+        task = asyncio.create_task(daemons[0].apply('six', 5))
+        await run.run(2_000)
+        run.network.close()
+        self.assertEqual(6, task.result().revision)
+        self.assertEqual([6] * 3, [d.knowledge.revision for d in daemons])
+        self.assertEqual([], history.reverted(run.events))
--- a/tests/failure/test_not_run.py
+++ b/tests/failure/test_not_run.py
@@ -1,15 +1,9 @@
 """A refusal that says "not run" means that the request was not run."""
 
-import os
-import unittest
-
-from samphiredock import metrics
 from samphiredock import protocol
 from standins import memory_runners
-from tests import history_runs
 from tests import simulation_runs
 
-_SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '1'))
 _KEY = 'payout-7'
 _Reason = protocol.NotRunReason
 
@@ -32,27 +26,15 @@
         pass
 
 
-class NotRunTest(unittest.IsolatedAsyncioTestCase):
+class NotRunTest(simulation_runs.RunnersCase):
     """What each failure after the claim lets a caller be told."""
 
-    def setUp(self) -> None:
-        """Start two daemons."""
-        self.metrics = metrics.Metrics('test')
-        self.system = simulation_runs.System(_SEED, self.metrics, 4.0)
-        self.first = self.system.start('entry-1')
-        self.second = self.system.start('entry-2')
-
-    def tearDown(self) -> None:
-        """Judge what was recorded."""
-        self.assertEqual([], history_runs.violations(self.system.history))
-
     async def assert_not_run(
         self, reason: protocol.NotRunReason, **request: object
     ) -> None:
         """Assert a refusal by the first daemon, and that nothing ran."""
         call = self.system.call(self.first, _KEY, **request)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
+        outcome = await self.assert_told(call, protocol.NotRun)
         self.assertIs(reason, outcome.reason)
         self.assertEqual(0, self.system.executions())
 
@@ -61,7 +43,7 @@
     ) -> None:
         """Assert the second daemon's outcome and the executions so far."""
         call = self.system.call(self.second, _KEY, **request)
-        self.assertIsInstance(await self.system.outcome(call), kind)
+        await self.assert_told(call, kind)
         self.assertEqual(executions, self.system.executions())
 
     async def test_store_down(self) -> None:
@@ -105,8 +87,7 @@
         call = self.system.call(self.first, _KEY)
         await self.system.executed()
         self.system.store.outage = True
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.Completed)
+        await self.assert_told(call, protocol.Completed)
         leaving = self.system.start_drain(self.first)
         await self.system.clock.pass_ms(3_000)
         self.assertFalse(leaving.done())
@@ -178,8 +159,7 @@
         for behaviour, executions in (('break', 0), ('break-after', 1)):
             self.system.use(behaviour)
             call = self.system.call(self.first, behaviour)
-            outcome = await self.system.outcome(call)
-            self.assertIsInstance(outcome, protocol.Unknown)
+            await self.assert_told(call, protocol.Unknown)
             self.assertEqual(executions, self.system.executions())
 
     async def test_refused_by_every_target(self) -> None:
@@ -229,8 +209,7 @@
         daemon = self.system.start('entry-3', quarantine)
         self.system.use('lose-target')
         call = self.system.call(daemon, _KEY)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.Unknown)
+        await self.assert_told(call, protocol.Unknown)
         self.assertEqual(1, len(quarantine.lost))
         writes = self.system.store.calls['put']
         outcome = await self.system.outcome(self.system.call(daemon, 'new'))
--- a/tests/simulation_runs.py
+++ b/tests/simulation_runs.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
+import os
 import typing
+import unittest
 
 from samphiredock import metrics
 from samphiredock import protocol
@@ -11,6 +13,9 @@
 from tests import history_runs
 
 
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '1'))
+
+
 class System(memory_runners.RunnerSystem):
     """Daemons, dispatchers, a store and the history of what they did."""
 
@@ -103,6 +108,30 @@
             )
 
 
+class RunnersCase(unittest.IsolatedAsyncioTestCase):
+    """Two daemons; what was recorded is judged at the end of each test."""
+
+    def setUp(self) -> None:
+        """Start them."""
+        self.metrics = metrics.Metrics('test')
+        self.addCleanup(self.metrics.close)
+        self.system = System(SEED, self.metrics, 4.0)
+        self.first = self.system.start('entry-1')
+        self.second = self.system.start('entry-2')
+
+    def tearDown(self) -> None:
+        """Judge what was recorded."""
+        self.assertEqual([], history_runs.violations(self.system.history))
+
+    async def assert_told(
+        self, call: asyncio.Task, kind: type
+    ) -> protocol.RunOutcome:
+        """Assert the kind of a call's outcome; return it."""
+        outcome = await self.system.outcome(call)
+        self.assertIsInstance(outcome, kind)
+        return outcome
+
+
 class Storm:
     """A run of random calls and faults, then calm and last calls."""
 
