--- a/samphiredock/coordination/_claim_holders.py
+++ b/samphiredock/coordination/_claim_holders.py
@@ -90,7 +90,7 @@
             f'{token}: {before} cannot become {status}'
         )
         held.status, held.outcome = status, outcome
-        for member in held.watchers:
+        for member in sorted(held.watchers):
             self._tell(member, token, held)
         if status is protocol.ClaimStatus.UNSETTLED:
             self._unsettled.append(token)
