--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -67,6 +67,7 @@
                 return web.Response(
                     status=response.status,
                     body=await response.read(),
+                    content_type=response.content_type,
                     headers={'X-Daemon': url},
                 )
         except (aiohttp.ClientError, OSError) as error:
