Ports of processes under test cannot be taken by outgoing connections

Cause: ports came from the range that the system gives to outgoing connections, so one could be taken between the choice and the bind. They now come from below that range. A bench whose start fails, and the stores of islands, left processes running: both are ended now.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -115,7 +115,12 @@
 
     async def __aenter__(self) -> 'Bench':
         await self.system.__aenter__()
-        await self._start()
+        try:
+            await self._start()
+        except BaseException:
+            # A failed start must not leave the started processes behind.
+            await self.system.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *details: object) -> None:
@@ -138,7 +143,7 @@
             )
         for number in range(self.daemon_count):
             if self.variant.islands and number:
-                await system.start_store()
+                await system.start_store(f'store-{number}')
             await self._publish()
             site = profile.sites[number % len(profile.sites)]
             name = f'entry-{number + 1}'
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -25,6 +26,9 @@
 from samphiredock import state
 
 _START_LIMIT_S = 20.0
+_LEAST_PORT = 10_000
+_OUTGOING_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+_USUAL_OUTGOING_PORT = 32_768
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -41,16 +45,36 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
+    """Return loopback ports that are free now.
+
+    Ports are below those that the system gives to outgoing connections: one
+    of these may be taken between the choice and the bind of the process
+    that it was chosen for, which then ends with "address already in use".
+    """
+    candidates = range(_LEAST_PORT, _least_outgoing_port())
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        each = socket.socket()
+        try:
+            each.bind(('127.0.0.1', random.SystemRandom().choice(candidates)))
+        except OSError:
+            each.close()
+            continue
+        sockets.append(each)
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
     return ports
 
 
+def _least_outgoing_port() -> int:
+    try:
+        text = _OUTGOING_PORTS.read_text(encoding='ascii')
+    except OSError:
+        return _USUAL_OUTGOING_PORT
+    return max(int(text.split()[0]), _LEAST_PORT + 1_000)
+
+
 def even_snapshot(
     snapshot_id: int,
     indexes: typing.Sequence[str],
@@ -124,11 +148,11 @@
         for process in self.processes.values():
             process.wait()
 
-    async def start_store(self) -> None:
-        """Start the platform stand-in."""
+    async def start_store(self, name: str = 'store') -> None:
+        """Start a platform stand-in; the last started one is used."""
         (port,) = free_ports(1)
         self.store_url = f'http://127.0.0.1:{port}'
-        self.spawn('store', 'standins.store', '--port', str(port))
+        self.spawn(name, 'standins.store', '--port', str(port))
         await self.wait_for(f'{self.store_url}/control/stats')
 
     async def start_targets(
