--- a/benchmarks/experiments.py
+++ b/benchmarks/experiments.py
@@ -72,6 +72,10 @@
     bench.Variant(f'{window} ms', {'batch_window_ms': float(window)})
     for window in (0, 2, 5, 10)
 )
+BOUNDS = tuple(
+    bench.Variant(f'{bound} a daemon', {'in_flight_per_daemon': bound})
+    for bound in (2_000, 8, 3)
+)
 BATCHES = (
     bench.Variant('batches of 32'),
     bench.Variant('one a request', {'batch_items': 1}),
@@ -230,6 +234,16 @@
     _save('canary', asyncio.run(run))
 
 
+@main.command()
+@_daemons
+@_seeds
+def overload(daemons: int, seeds: int) -> None:
+    """How many searches a daemon may have in flight, at 120 % of capacity."""
+    loads = {'at 120 %': HEDGE_LOADS['at-120']}
+    run = _compare_limits(bench.GEBEYA, daemons, BOUNDS, loads, seeds)
+    _save('overload', asyncio.run(run))
+
+
 main.add_command(losses.loss)
 
 
