--- a/samphiredock/coordination/_run_claiming.py
+++ b/samphiredock/coordination/_run_claiming.py
@@ -49,19 +49,10 @@
             if opened.verdict is state.Verdict.GRANTED:
                 run.step('grant')
                 return None
-            if opened.verdict is state.Verdict.FULL:
-                return self._endings.not_run(
-                    run,
-                    protocol.NotRunReason.OVERLOADED,
-                    'the bucket of this key is full of open claims; this '
-                    'attempt was not run',
-                    _run_request.RETRY_AFTER_MS,
-                )
-            if opened.verdict is state.Verdict.KEY_REUSED:
-                return self._reused(run)
+            ended_here = self._ended_by(run, opened)
+            if ended_here is not None:
+                return ended_here
             assert opened.claim is not None
-            if opened.claim.state is state.ClaimState.DONE:
-                return self._replay(run, opened.claim)
             if met is not None and met.token == opened.claim.token:
                 return self._endings.lose(
                     run, 'the holder of the claim is silent'
@@ -79,6 +70,25 @@
                 replaces, met = met.token, None
                 run.step('retake')
 
+    def _ended_by(
+        self, run: _run_request.Run, opened: state.Opened
+    ) -> protocol.RunOutcome | None:
+        """Return the outcome that the bucket gives, None if it is open."""
+        if opened.verdict is state.Verdict.FULL:
+            return self._endings.not_run(
+                run,
+                protocol.NotRunReason.OVERLOADED,
+                'the bucket of this key is full of open claims; this '
+                'attempt was not run',
+                _run_request.RETRY_AFTER_MS,
+            )
+        if opened.verdict is state.Verdict.KEY_REUSED:
+            return self._reused(run)
+        assert opened.claim is not None
+        if opened.claim.state is state.ClaimState.DONE:
+            return self._replay(run, opened.claim)
+        return None
+
     def _unclaimed(
         self, run: _run_request.Run, failure: _claim_bucket.Unavailable | None
     ) -> protocol.RunOutcome:
--- a/standins/target.py
+++ b/standins/target.py
@@ -122,8 +122,17 @@
             return protocol.TargetAnswer(
                 item.attempt_id, cut_short, fingerprint=item.fingerprint
             )
+        return self._read(item, held.key_range, service_ms)
+
+    def _read(
+        self,
+        item: protocol.TargetQuery,
+        key_range: protocol.KeyRange,
+        service_ms: float,
+    ) -> protocol.TargetAnswer:
+        """Return what the shard has, or what the faults make of it."""
         found = data.find(
-            item.index, held.key_range, item.terms, item.index_version
+            item.index, key_range, item.terms, item.index_version
         )
         if self._faults.cold_answers_empty:
             # Lost its shard but answers: it searched no key range.
@@ -139,7 +148,7 @@
             item.attempt_id,
             protocol.TargetStatus.OK,
             echoed,
-            [held.key_range],
+            [key_range],
             self._faults.truncate,
             found[: item.limit],
             service_ms,
