--- a/benchmarks/scatter_cost.py
+++ b/benchmarks/scatter_cost.py
@@ -16,6 +16,7 @@
 from samphiredock import coordination
 from samphiredock import protocol
 from samphiredock import state
+from standins import memory_searches
 
 _SHARDS = 55
 _DISPATCHERS = 12
@@ -56,32 +57,11 @@
 
 
 def _snapshot() -> state.Snapshot:
-    edges = [
-        state.KEY_SPACE_SIZE * number // _SHARDS
-        for number in range(_SHARDS + 1)
-    ]
-    shards = [
-        state.Shard(
-            f's{number}',
-            protocol.KeyRange(edges[number], edges[number + 1]),
-            [f't{number}', f't{number + _SHARDS}'],
-        )
-        for number in range(_SHARDS)
-    ]
-    return state.Snapshot(7, {'claims': state.IndexSnapshot(7, shards)})
+    return memory_searches.make_snapshot(7, _SHARDS, _TARGETS)
 
 
 def _plan(snapshot: state.Snapshot, number: int) -> coordination.Plan:
-    search = state.Search(
-        'history',
-        'claims',
-        160,
-        0.9,
-        'interactive',
-        False,
-        state.MergeKind.BY_SCORE,
-        50,
-    )
+    search = memory_searches.make_search(least_coverage=0.9)
     return coordination.Plan(
         f'q{number}', 'desk', 'site', search, {}, 50, 'f', snapshot, 1e12
     )
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -5,6 +5,7 @@
 from samphiredock import coordination
 from samphiredock import protocol
 from samphiredock import state
+from standins import memory_searches
 from tests import scripted
 
 Status = protocol.SubStatus
@@ -15,7 +16,7 @@
     desk = scripted.Desk()
     for number in range(200):
         desk.tools.latencies.observe(
-            scripted.INDEX, 20.0 if number % 20 == 0 else 5.0
+            memory_searches.INDEX, 20.0 if number % 20 == 0 else 5.0
         )
     desk.begin()
     return desk
@@ -76,7 +77,7 @@
         """With targets shedding, late shards wait: a hedge is more load."""
         for _ in range(30):
             self.desk.tools.latencies.note(
-                scripted.INDEX, Status.SHED, 0.0, 0.0
+                memory_searches.INDEX, Status.SHED, 0.0, 0.0
             )
         self.assertEqual([], self.desk.tick(100.0))
 
@@ -84,11 +85,11 @@
         """Long waits stop hedges, quick answers bring them back."""
         latencies = self.desk.tools.latencies
         for _ in range(30):
-            latencies.note(scripted.INDEX, Status.ANSWERED, 60.0, 5.0)
-        self.assertTrue(latencies.is_overloaded(scripted.INDEX))
+            latencies.note(memory_searches.INDEX, Status.ANSWERED, 60.0, 5.0)
+        self.assertTrue(latencies.is_overloaded(memory_searches.INDEX))
         for _ in range(200):
-            latencies.note(scripted.INDEX, Status.ANSWERED, 0.1, 5.0)
-        self.assertFalse(latencies.is_overloaded(scripted.INDEX))
+            latencies.note(memory_searches.INDEX, Status.ANSWERED, 0.1, 5.0)
+        self.assertFalse(latencies.is_overloaded(memory_searches.INDEX))
 
     def test_no_hedge_beyond_the_budget(self) -> None:
         """A slow replica set cannot draw more than the budget's share."""
@@ -104,7 +105,7 @@
         fall, and more would be hedged each time.
         """
         latencies = self.desk.tools.latencies
-        before = latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+        before = latencies.hedge_delay_ms(memory_searches.INDEX, 0.95)
         for _ in range(250):
             self.desk.tools.budget.deposit(100, 1.0)
             self.desk.begin()
@@ -114,7 +115,7 @@
             due_ms = self.desk.scatter.next_due_ms()
             (hedge,) = self.desk.tick(due_ms - self.desk.now_ms)
             self.desk.give(self.desk.good(hedge))
-        after = latencies.hedge_delay_ms(scripted.INDEX, 0.95)
+        after = latencies.hedge_delay_ms(memory_searches.INDEX, 0.95)
         self.assertGreaterEqual(after, before)
 
 
--- a/tests/failure/test_one_snapshot.py
+++ b/tests/failure/test_one_snapshot.py
@@ -6,6 +6,7 @@
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
+from standins import memory_searches
 from tests import scripted
 
 Status = protocol.SubStatus
@@ -46,7 +47,7 @@
         (second,) = desk.give(desk.failed(first, Status.SNAPSHOT_GONE))
         desk.give(desk.failed(second, Status.SNAPSHOT_GONE))
         self.assertIsNone(desk.outcome)
-        desk.snapshot = scripted.make_snapshot(2, 6)
+        desk.snapshot = memory_searches.make_snapshot(2, 6)
         again = desk.tick(10.0)
         self.assertEqual(6, len(again))
         self.assertEqual({2}, {row.snapshot_id for row in again})
@@ -83,7 +84,7 @@
         sent = 0
         for _ in range(10):
             newer = desk.scatter.tally.search_restarts + 2
-            desk.snapshot = scripted.make_snapshot(newer)
+            desk.snapshot = memory_searches.make_snapshot(newer)
             rows = list(desk.waiting.values())
             sent += len(rows)
             desk.give(*[desk.failed(r, Status.SNAPSHOT_GONE) for r in rows])
@@ -102,10 +103,16 @@
         counters = metrics.Metrics('test')
         self.addCleanup(counters.close)
         door = coordination.SnapshotDoor(counters)
-        configuration = scripted.make_configuration(scripted.make_search())
-        old = scripted.make_snapshot(1)
+        configuration = memory_searches.make_configuration(
+            memory_searches.make_search()
+        )
+        old = memory_searches.make_snapshot(1)
         self.assertIs(old, door.current(old, configuration))
-        shards = scripted.make_snapshot(2).indexes[scripted.INDEX].shards
+        shards = (
+            memory_searches.make_snapshot(2)
+            .indexes[memory_searches.INDEX]
+            .shards
+        )
         first, second, *rest = shards
         low = second.key_range.low
         broken = {
@@ -120,12 +127,14 @@
             'unknown': [_changed(first, replicas=['t99']), second, *rest],
         }
         for name, rows in broken.items():
-            index = {scripted.INDEX: state.IndexSnapshot(2, rows)}
+            index = {memory_searches.INDEX: state.IndexSnapshot(2, rows)}
             offered = state.Snapshot(2, index)
             with self.subTest(name):
                 self.assertIs(old, door.current(offered, configuration))
         self.assertEqual(4, counters.total('snapshots_refused'))
-        wider = scripted.make_configuration(scripted.make_search(), 100)
+        wider = memory_searches.make_configuration(
+            memory_searches.make_search(), 100
+        )
         self.assertIs(offered, door.current(offered, wider))
 
 
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -5,12 +5,13 @@
 from returns import result
 
 from samphiredock import protocol
+from standins import memory_searches
 from tests import scripted
 
 Reason = protocol.NotRunReason
 
-_POISON = scripted.ask(claimant='poison')
-_INNOCENT = scripted.ask(claimant='household-7')
+_POISON = memory_searches.ask(claimant='poison')
+_INNOCENT = memory_searches.ask(claimant='household-7')
 
 
 class QuarantineTest(unittest.IsolatedAsyncioTestCase):
@@ -18,11 +19,11 @@
 
     def setUp(self) -> None:
         """Start the scripted tier."""
-        self.tier = self.start(scripted.make_search(canary=True))
+        self.tier = self.start(memory_searches.make_search(canary=True))
 
-    def start(self, search) -> scripted.Tier:
+    def start(self, search) -> memory_searches.Tier:
         """Return a tier that is closed at the end."""
-        tier = scripted.Tier(search)
+        tier = memory_searches.Tier(search, scripted.SEED)
         self.addCleanup(tier.close)
         return tier
 
@@ -51,7 +52,7 @@
         self.assertIsInstance(first, protocol.Unknown)
         # Two service times and one pause: no wait after the verdict.
         took_ms = self.tier.clock.now_ms() - started_ms
-        self.assertLess(took_ms, 2 * scripted.SERVICE_MS + 30.0)
+        self.assertLess(took_ms, 2 * memory_searches.SERVICE_MS + 30.0)
         await self.tier.move(1.0)
         before_ms = self.tier.clock.now_ms()
         for name in list(self.tier.daemons) * 10:
@@ -82,7 +83,7 @@
         All eight shards are sent at once, so up to eight targets die; each
         later try goes alone, and the second of these convicts.
         """
-        self.tier = self.start(scripted.make_search(canary=False))
+        self.tier = self.start(memory_searches.make_search(canary=False))
         await self.ask('d0', _POISON)
         first = len(self.tier.targets.dead)
         for name in self.tier.daemons:
@@ -97,9 +98,9 @@
         alone in the second slot of a target that it kills.
         """
         for round_number in range(5):
-            self.tier = self.start(scripted.make_search(canary=True))
+            self.tier = self.start(memory_searches.make_search(canary=True))
             requests = [
-                scripted.ask(claimant=f'household-{number}')
+                memory_searches.ask(claimant=f'household-{number}')
                 for number in range(20)
             ]
             requests.insert(round_number * 4, _POISON)
--- a/tests/failure/test_truthful_coverage.py
+++ b/tests/failure/test_truthful_coverage.py
@@ -8,6 +8,7 @@
 
 from samphiredock import protocol
 from samphiredock import state
+from standins import memory_searches
 from tests import scripted
 
 Status = protocol.SubStatus
@@ -70,7 +71,7 @@
 
     def test_below_the_least_coverage_there_is_no_answer(self) -> None:
         """A service that needs 90 % gets no answer at 75 %."""
-        search = scripted.make_search(least_coverage=0.9)
+        search = memory_searches.make_search(least_coverage=0.9)
         desk = scripted.Desk(search=search)
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
@@ -91,8 +92,8 @@
         """
         rng = random.Random(seed)
         desk = scripted.Desk(
-            snapshot=scripted.make_snapshot(1, rng.randint(1, 7)),
-            search=scripted.make_search(least_coverage=least),
+            snapshot=memory_searches.make_snapshot(1, rng.randint(1, 7)),
+            search=memory_searches.make_search(least_coverage=least),
             canary=rng.random() < 0.5,
         )
         searched: list[tuple[int, int]] = []
@@ -113,7 +114,7 @@
 
 def _faulty(
     desk: scripted.Desk, item: protocol.SubQuery, rng: random.Random
-) -> tuple[scripted.Answer, list[tuple[int, int]]]:
+) -> tuple[protocol.SubAnswer, list[tuple[int, int]]]:
     """Return an answer and the ranges that it truly, wholly read."""
     good = desk.good(item)
     low, high = good.ranges[0].low, good.ranges[0].high
--- a/tests/failure/test_whole_answer.py
+++ b/tests/failure/test_whole_answer.py
@@ -3,6 +3,7 @@
 import unittest
 
 from samphiredock import protocol
+from standins import memory_searches
 from tests import scripted
 
 Status = protocol.SubStatus
@@ -76,7 +77,7 @@
         """
         desk = scripted.Desk()
         first, second = list(desk.waiting.values())[:2]
-        crossed = scripted.Answer(
+        crossed = protocol.SubAnswer(
             first.attempt_id, second.target, Status.ANSWERED, 1
         )
         desk.take(desk.scatter.on_answers([crossed], 0.0))
@@ -86,7 +87,7 @@
 
     def test_limit_over_all_shards_is_exact(self) -> None:
         """The best three of all shards are returned, not of the first."""
-        desk = scripted.Desk(search=scripted.make_search(limit=3))
+        desk = scripted.Desk(search=memory_searches.make_search(limit=3))
         rows = list(desk.waiting.values())
         for number, row in enumerate(rows):
             records = [
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,84 +1,20 @@
-"""A scripted tier: real coordinators, fake dispatchers, manual time."""
+"""The decisions of one search, driven by hand."""
 
-import asyncio
 import dataclasses
 import os
 import random
-import typing
 
 from samphiredock import coordination
-from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
-from samphiredock import timers
-from standins import memory_peers
-from standins import memory_platform
-from standins import memory_targets
+from standins import memory_searches
 
 SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
-INDEX = 'claims'
-SERVICE_MS = 3.0
-_STEP_MS = 1.0
 
 Answer = protocol.SubAnswer
 Status = protocol.SubStatus
 
 
-def make_snapshot(
-    snapshot_id: int = 1, shards: int = 4, targets: int = 8
-) -> state.Snapshot:
-    """Return an even snapshot with two replicas a shard."""
-    edges = [state.KEY_SPACE_SIZE * n // shards for n in range(shards + 1)]
-    rows = [
-        state.Shard(
-            f's{n}',
-            protocol.KeyRange(edges[n], edges[n + 1]),
-            [f't{n % targets}', f't{(n + targets // 2) % targets}'],
-        )
-        for n in range(shards)
-    ]
-    index = state.IndexSnapshot(snapshot_id, rows)
-    return state.Snapshot(snapshot_id, {INDEX: index})
-
-
-def make_search(**changes: object) -> state.Search:
-    """Return a search of the index, by score, 50 records."""
-    search = state.Search(
-        'history',
-        INDEX,
-        160,
-        0.5,
-        'interactive',
-        False,
-        state.MergeKind.BY_SCORE,
-        50,
-    )
-    return dataclasses.replace(search, **changes)
-
-
-def make_configuration(
-    search: state.Search, targets: int = 8, **limits: object
-) -> state.Configuration:
-    """Return a configuration of one service at one site."""
-    service = state.Service('desk', {'history': search}, {}, 1.0, 100)
-    return state.Configuration(
-        1,
-        {'desk': service},
-        {'bole-a': state.Site('bole-a', 'addis', 1.0, 1.0, {})},
-        (INDEX,),
-        {
-            f't{n}': state.Target(f't{n}', 'bole-a', 'http://t', 2, 25, 6)
-            for n in range(targets)
-        },
-        state.Limits(**limits),
-    )
-
-
-def ask(**terms: str) -> protocol.SearchRequest:
-    """Return a caller's search."""
-    return protocol.SearchRequest('desk', 'history', terms)
-
-
 @dataclasses.dataclass
 class Desk:
     """One :class:`coordination.Scatter` driven by hand.
@@ -86,8 +22,12 @@
     Dispatcher of target ``tN`` is ``d(N mod 4)``.
     """
 
-    snapshot: state.Snapshot = dataclasses.field(default_factory=make_snapshot)
-    search: state.Search = dataclasses.field(default_factory=make_search)
+    snapshot: state.Snapshot = dataclasses.field(
+        default_factory=memory_searches.make_snapshot
+    )
+    search: state.Search = dataclasses.field(
+        default_factory=memory_searches.make_search
+    )
     limits: state.Limits = dataclasses.field(default_factory=state.Limits)
     canary: bool = False
     now_ms: float = 0.0
@@ -177,7 +117,7 @@
 
     def good(self, item: protocol.SubQuery, **changes: object) -> Answer:
         """Return a whole and sound answer, with changes."""
-        return good_answer(self.snapshot, item, **changes)
+        return memory_searches.good_answer(self.snapshot, item, **changes)
 
     def failed(self, item: protocol.SubQuery, status: Status, **more: object):
         """Return an ending without content."""
@@ -187,92 +127,3 @@
         """Answer what waits, whole, until nothing does."""
         while self.waiting and self.outcome is None:
             self.give(*[self.good(row) for row in self.waiting.values()])
-
-
-def good_answer(
-    snapshot: state.Snapshot, item: protocol.SubQuery, **changes: object
-) -> Answer:
-    """Return a whole answer with one record, read at ``snapshot``."""
-    shards = snapshot.indexes[item.index].shards
-    (shard,) = [row for row in shards if row.shard_id == item.shard_id]
-    values = {
-        'snapshot_id': item.snapshot_id,
-        'ranges': [shard.key_range],
-        'records': [protocol.Record(f'k-{item.shard_id}', 1.0, {})],
-        'service_ms': SERVICE_MS,
-        **changes,
-    }
-    return Answer(item.attempt_id, item.target, Status.ANSWERED, **values)
-
-
-class Daemon:
-    """A coordinator and a quarantine, wired to the scripted tier."""
-
-    def __init__(self, tier: 'Tier', name: str) -> None:
-        peers = tier.network.join(name)
-        tier.targets.serve(peers)
-        self.counters = metrics.Metrics(name)
-        self.quarantine = coordination.Quarantine(
-            peers,
-            peers,
-            memory_platform.MemoryPlatform(tier.store, tier.clock),
-            tier.clock,
-            self.counters,
-        )
-        self.admission = coordination.Admission(tier.clock)
-        self.coordinator = coordination.Coordinator(
-            name, 'bole-a', 1, tier, peers, tier.clock, self.counters,
-            self.quarantine, self.admission, random.Random(f'{SEED}-{name}'),
-        )  # fmt: skip
-
-
-class Tier:
-    """Several daemons over targets in memory; messages take no time."""
-
-    def __init__(self, search: state.Search, daemons: int = 4) -> None:
-        self.clock = timers.ManualTimers()
-        self.snapshot = make_snapshot(1, 8, 16)
-        self.configuration = make_configuration(search, 16)
-        randomness = random.Random(SEED)
-        self.store = memory_platform.MemoryStore(randomness)
-        self.network = memory_peers.MemoryNetwork(self.clock, randomness)
-        self.network.near_ms = (0.0, 0.0)
-        self.targets = memory_targets.MemoryTargets(
-            self.clock,
-            lambda item: good_answer(self.snapshot, item),
-            SERVICE_MS,
-        )
-        self.daemons: dict[str, Daemon] = {}
-        for number in range(daemons):
-            self.add(f'd{number}')
-
-    def add(self, name: str) -> Daemon:
-        """Start one more daemon, which knows nothing yet."""
-        self.daemons[name] = Daemon(self, name)
-        return self.daemons[name]
-
-    def close(self) -> None:
-        """Stop the exporters."""
-        for daemon in self.daemons.values():
-            daemon.counters.close()
-
-    def owner(self, target: str) -> str:
-        return f'd{int(target[1:]) % 2}'
-
-    def is_usable(self, target: str) -> bool:
-        return True
-
-    async def gather(self, *searches: typing.Awaitable) -> list:
-        """Run searches while time moves, until all have outcomes."""
-        tasks = [asyncio.ensure_future(row) for row in searches]
-        while not all(task.done() for task in tasks):
-            await self.move(_STEP_MS)
-        return [task.result() for task in tasks]
-
-    async def move(self, delta_ms: float) -> None:
-        """Deliver the messages, move time, deliver what that caused."""
-        for _ in range(4):
-            await asyncio.sleep(0)
-            self.clock.advance(0.0)
-        self.clock.advance(delta_ms)
-        await asyncio.sleep(0)
--- a/tests/unit/test_coordinator.py
+++ b/tests/unit/test_coordinator.py
@@ -3,6 +3,7 @@
 import unittest
 
 from samphiredock import protocol
+from standins import memory_searches
 from tests import scripted
 
 
@@ -11,7 +12,9 @@
 
     def setUp(self) -> None:
         """Start the scripted tier."""
-        self.tier = scripted.Tier(scripted.make_search(), daemons=3)
+        self.tier = memory_searches.Tier(
+            memory_searches.make_search(), scripted.SEED, daemons=3
+        )
         self.addCleanup(self.tier.close)
         self.daemon = self.tier.daemons['d2']
 
@@ -24,7 +27,7 @@
         self.tier.targets.silent.add('d1')
         started_ms = self.tier.clock.now_ms()
         (outcome,) = await self.tier.gather(
-            self.daemon.coordinator.search(scripted.ask())
+            self.daemon.coordinator.search(memory_searches.ask())
         )
         self.assertIsInstance(outcome, protocol.Partial)
         self.assertEqual(0.5, outcome.coverage)
@@ -41,7 +44,7 @@
         """
         self.tier.targets.silent.add('d1')
         search = self.tier.gather(
-            self.daemon.coordinator.search(scripted.ask())
+            self.daemon.coordinator.search(memory_searches.ask())
         )
         self.tier.clock.after(20.0, self._lose)
         (outcome,) = await search
@@ -54,7 +57,7 @@
 
     async def test_admission_ends_with_the_search(self) -> None:
         """A search frees its place, whatever its outcome."""
-        requests = [scripted.ask(claimant=str(n)) for n in range(3)]
+        requests = [memory_searches.ask(claimant=str(n)) for n in range(3)]
         await self.tier.gather(
             *[self.daemon.coordinator.search(row) for row in requests]
         )
