--- a/samphiredock/state/_snapshots.py
+++ b/samphiredock/state/_snapshots.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from samphiredock.protocol import _outcomes
+from samphiredock import protocol
 
 KEY_SPACE_SIZE = 2**32
 """Keys of every index are placed in ``[0, KEY_SPACE_SIZE)``."""
@@ -14,7 +14,7 @@
     """One shard of one index and the targets that hold a replica."""
 
     shard_id: str
-    key_range: _outcomes.KeyRange
+    key_range: protocol.KeyRange
     replicas: list[str]
 
 
--- a/tests/unit/dispatching.py
+++ b/tests/unit/dispatching.py
@@ -1,4 +1,4 @@
-"""Builders and fakes for the tests of the dispatcher's parts."""
+"""Builders for the tests of the dispatcher's parts."""
 
 import asyncio
 import typing
--- a/tests/unit/test_public_names.py
+++ b/tests/unit/test_public_names.py
@@ -40,6 +40,22 @@
                             missing.add(f'{path.name}: {package}.{node.attr}')
         self.assertEqual(set(), missing)
 
+    def test_private_modules_are_used_within_their_package(self) -> None:
+        """What another package needs of one belongs in its public list."""
+        found = []
+        for path in _ROOT.rglob('*.py'):
+            package = path.relative_to(_ROOT).parts[0]
+            tree = ast.parse(path.read_text(encoding='utf-8'))
+            found += [
+                f'{path.name}: {node.module}.{alias.name}'
+                for node in ast.walk(tree)
+                if isinstance(node, ast.ImportFrom)
+                for alias in node.names
+                if alias.name.startswith('_')
+                and node.module != f'samphiredock.{package}'
+            ]
+        self.assertEqual([], found)
+
     def test_all_lists_what_is_imported(self) -> None:
         for package in _PACKAGES:
             path = _ROOT / package / '__init__.py'
