The spread test asks for a watcher by its public name

Spread._is_watcher became is_watcher when the host list's reading came to ask for it; the test called the old name and ended in an AttributeError. The check is the same.

--- a/tests/failure/test_spread.py
+++ b/tests/failure/test_spread.py
@@ -130,7 +130,7 @@
             frozen = [
                 daemon
                 for daemon in daemons
-                if daemon.spread._is_watcher() and daemon.site == 'sal-a'
+                if daemon.spread.is_watcher() and daemon.site == 'sal-a'
             ]
             self.assertEqual(2, len(frozen))
             for daemon in frozen:
