--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/_dispatcher.py
@@ -71,10 +71,12 @@
         self._configuration: state.Configuration | None = None
         self._shares = _shares.NO_SHARES
         self._handover: _handover.Handover | None = None
+        self._name: str | None = None
         self._owns: typing.Callable[[str], bool] | None = None
         self._posts: dict[str, _exchanges.Post] = {}
         self._outbox = _outbox.Outbox(peers, counters)
         self._ready: set[str] = set()
+        self._stopped = False
         self._tasks: set[asyncio.Task] = set()
         self._exchanges = _exchanges.Exchanges(
             clock, counters, signs, self._outbox.answer, self._silent_after_ms
@@ -98,6 +100,7 @@
             name, self, self._peers, self._clock, self._metrics, lives
         )
         table.subscribe(self._handover.on_changes)
+        self._name = name
         self._owns = lambda target: table.owner(target) == name
 
     def configure(self, configuration: state.Configuration) -> None:
@@ -132,6 +135,10 @@
         while self.in_flight():
             await asyncio.sleep(_DRAIN_POLL_MS / 1000.0)
 
+    def stop(self) -> None:
+        """Refuse what comes after the drain; begun, it would be cut."""
+        self._stopped = True
+
     def in_flight(self) -> int:
         """Return what is queued or sent and not answered.
 
@@ -192,34 +199,21 @@
 
     def _on_batch(self, sender: str, batch: protocol.SubQueryBatch) -> None:
         now_ms = self._clock.now_ms()
-        expires_at_ms = now_ms + batch.budget_ms - self._freshness.age_ms()
-        flow = _shares.Flow(batch.service, batch.site)
-        for item in batch.items:
-            work = _lane_types.Work(
-                sender,
-                batch.query_id,
-                item.attempt_id,
-                expires_at_ms,
-                batch,
-                item,
-                flow,
-                now_ms,
-            )
-            self._submit(item.target, work, now_ms)
+        expires_at_ms = now_ms + batch.budget_ms - self._age_ms(sender)
+        for work in _lane_types.works_of(sender, batch, expires_at_ms, now_ms):
+            self._submit(work.item.target, work, now_ms)
+
+    def _age_ms(self, sender: str) -> float:
+        # A message to oneself waits in no socket: once the freeze has been
+        # noticed it is as fresh as it says.
+        if sender == self._name and not self._freshness.just_woke():
+            return 0.0
+        return self._freshness.age_ms()
 
     def _on_run(self, sender: str, order: protocol.RunOrder) -> None:
         now_ms = self._clock.now_ms()
-        work = _lane_types.Work(
-            sender,
-            '',
-            order.attempt_id,
-            now_ms + order.budget_ms,
-            order,
-            None,
-            _shares.Flow(order.service, order.site),
-            now_ms,
-        )
-        if self._freshness.age_ms() > 0.0:
+        work = _lane_types.work_of_run(sender, order, now_ms)
+        if self._age_ms(sender) > 0.0:
             # The order may have waited in the socket while this process was
             # frozen, and its sender has perhaps given it up since.
             self._metrics.add('runs_refused_after_freeze')
@@ -233,10 +227,10 @@
     def _submit(
         self, target: str, work: _lane_types.Work, now_ms: float
     ) -> None:
-        post = self._post(target)
+        post = None if self._stopped else self._post(target)
         if post is None:
             refusal = _lane_types.Refuse(
-                work, protocol.SubStatus.NOT_OWNER, 'unknown target'
+                work, protocol.SubStatus.NOT_OWNER, 'not served here'
             )
             self._outbox.refuse(target, refusal)
             return
