--- a/samphiredock/state/_configuration.py
+++ b/samphiredock/state/_configuration.py
@@ -101,7 +101,7 @@
     queue_per_target: int = 200
     in_flight_per_daemon: int = 2_000
     hedge_budget: float = 0.05
-    hedge_quantile: float = 0.95
+    hedge_quantile: float = 0.98
     hedge_after_ms: float = 0.0
     batch_window_ms: float = 0.0
     batch_items: int = 32
