--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -139,11 +139,11 @@
         for process in self.processes.values():
             process.wait()
 
-    async def start_store(self) -> None:
-        """Start the platform stand-in."""
+    async def start_store(self, name: str = 'store') -> None:
+        """Start a platform stand-in; the last started one is used."""
         (port,) = free_ports(1)
         self.store_url = f'http://127.0.0.1:{port}'
-        self.spawn('store', 'standins.store', '--port', str(port))
+        self.spawn(name, 'standins.store', '--port', str(port))
         await self.wait_for(f'{self.store_url}/control/stats')
 
     async def start_targets(
