A taken peer address leaves nothing open either

The peer socket is bound in the constructor, after an HTTP session had been made, so the session was collected unclosed and the ZMQ context stayed. The hub is made before the session now and closes its own sockets when it cannot bind; clock and metrics are closed.

--- a/samphiredock/daemon/_parts.py
+++ b/samphiredock/daemon/_parts.py
@@ -46,19 +46,13 @@
         self._settings = settings
         self.clock = timers.LoopTimers()
         self.metrics = metrics.Metrics(settings.name)
+        self.me = _member_of(settings, self.clock.wall_ms())
+        self._codec = protocol.Codec(PEER_MESSAGES)
+        self.hub = self._make_hub(keys)
         self._session = aiohttp.ClientSession()
         self.platform = transport.HttpPlatform(
             self._session, settings.platform_url
         )
-        self.me = _member_of(settings, self.clock.wall_ms())
-        self._codec = protocol.Codec(PEER_MESSAGES)
-        self.hub = transport.PeerHub(
-            settings.name,
-            settings.peer_address,
-            self._codec,
-            self.metrics,
-            _curve_keys(keys),
-        )
         self._make_control()
         self._make_dispatching()
         self._make_coordinating()
@@ -96,6 +90,21 @@
     def _random(self, part: str) -> random.Random:
         return random.Random(f'{part}-{self.me.name}-{self.me.incarnation}')
 
+    def _make_hub(self, keys: state.Keys) -> transport.PeerHub:
+        """Bind the peer address; if it is taken, leave nothing open."""
+        try:
+            return transport.PeerHub(
+                self._settings.name,
+                self._settings.peer_address,
+                self._codec,
+                self.metrics,
+                _curve_keys(keys),
+            )
+        except BaseException:
+            self.clock.close()
+            self.metrics.close()
+            raise
+
     def _make_control(self) -> None:
         self.knowledge = coordination.Knowledge(self.metrics)
         self._snapshots = coordination.SnapshotDoor(self.metrics)
--- a/samphiredock/transport/_peers.py
+++ b/samphiredock/transport/_peers.py
@@ -148,7 +148,11 @@
             )
         self._incoming = self._make_socket(zmq.PULL)
         self._make_server(self._incoming)
-        self._incoming.bind(bind_address)
+        try:
+            self._incoming.bind(bind_address)
+        except zmq.ZMQError:
+            self.close()
+            raise
         self._loop.add_reader(self._incoming.fd, self._drain)
 
     def set_address(self, member: str, address: str) -> None:
