--- a/samphiredock/transport/_platform_http.py
+++ b/samphiredock/transport/_platform_http.py
@@ -13,6 +13,8 @@
 _VERSION_HEADER = 'X-Object-Version'
 _CALL_TIMEOUT_MS = 3_000
 _WATCH_SLACK_MS = 3_000
+_OK = 200
+_NOT_MODIFIED = 304
 
 _STATUS_KINDS = {
     404: _platform.StoreErrorKind.NOT_FOUND,
@@ -49,9 +51,34 @@
 _PAGE = msgspec.json.Decoder(ObjectPage)
 _HOSTS = msgspec.json.Decoder(list[HostRow])
 
+_WRITES = ('PUT', 'DELETE')
+
 _Reply = tuple[int, bytes, typing.Mapping[str, str]]
 
 
+class _AnswerLost(aiohttp.ClientError):
+    """The connection closed under a write, which may have taken effect."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the HTTP library from sending a write a second time.
+
+    It repeats an idempotent method once when a kept-alive connection
+    closes.  The copy of a conditional write that had taken effect is
+    answered with a conflict, and the caller would be told that its change
+    was beaten though it is in force.  The library repeats only after the
+    two errors mapped here, so another error type is enough.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _AnswerLost(type(error).__name__) from error
+
+
 class HttpPlatform:
     """Client of the object service.
 
@@ -74,6 +101,8 @@
         self._session = session
         self._base_url = base_url.rstrip('/')
         self._timeout_ms = timeout_ms
+        self._hosts: tuple[_platform.Host, ...] = ()
+        self._hosts_tag: str | None = None
 
     async def get(
         self, key: str
@@ -140,13 +169,20 @@
         self,
     ) -> result.Result[tuple[_platform.Host, ...], _platform.StoreError]:
         """Read the lagging list of live and leaving hosts."""
-        reply = await self._call('GET', '/hosts')
-        return reply.map(
-            lambda got: tuple(
+        reply = await self._call('GET', '/hosts', tag=self._hosts_tag)
+        return reply.map(self._read_hosts)
+
+    def _read_hosts(self, got: _Reply) -> tuple[_platform.Host, ...]:
+        # A list of thousands of hosts each second would be more than all
+        # other control traffic, so it is sent only when it has changed.
+        status, content, headers = got
+        if status != _NOT_MODIFIED:
+            self._hosts = tuple(
                 _platform.Host(row.name, row.leaving)
-                for row in _HOSTS.decode(got[1])
+                for row in _HOSTS.decode(content)
             )
-        )
+            self._hosts_tag = headers.get('ETag')
+        return self._hosts
 
     def _path(self, key: str) -> str:
         return '/objects/' + urllib.parse.quote(key)
@@ -158,10 +194,13 @@
         body: bytes | None = None,
         expected_version: int | None = None,
         timeout_ms: int | None = None,
+        tag: str | None = None,
     ) -> result.Result[_Reply, _platform.StoreError]:
         headers = {}
         if expected_version is not None:
             headers['If-Match'] = str(expected_version)
+        if tag is not None:
+            headers['If-None-Match'] = tag
         limit = aiohttp.ClientTimeout(
             total=(timeout_ms or self._timeout_ms) / 1000.0
         )
@@ -172,6 +211,7 @@
                 data=body,
                 headers=headers,
                 timeout=limit,
+                middlewares=(_send_once,) if method in _WRITES else (),
             ) as response:
                 content = await response.read()
         except aiohttp.ClientConnectorError as error:
@@ -181,7 +221,7 @@
             return _failure(
                 _platform.StoreErrorKind.LOST, f'{type(error).__name__}'
             )
-        if response.status == 200:
+        if response.status in (_OK, _NOT_MODIFIED):
             return result.Success((response.status, content, response.headers))
         kind = _STATUS_KINDS.get(
             response.status, _platform.StoreErrorKind.LOST
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -26,9 +27,10 @@
 from samphiredock import state
 
 _START_LIMIT_S = 20.0
-_LEAST_PORT = 10_000
-_OUTGOING_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
-_USUAL_OUTGOING_PORT = 32_768
+_LOWEST_PORT = 10_240
+_PORT_COUNT = 20_000
+# Concurrent runs begin far from each other.
+_port_numbers = itertools.count(os.getpid() * 613)
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -45,36 +47,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now.
+    """Return loopback ports that are free now, each given out once.
 
-    Ports are below those that the system gives to outgoing connections: one
-    of these may be taken between the choice and the bind of the process
-    that it was chosen for, which then ends with "address already in use".
+    They lie below the range from which the system takes the ports of
+    outgoing connections (Linux: 32768 and up).  One of that range may be
+    taken by any client between this call and the start of the server.
     """
-    candidates = range(_LEAST_PORT, _least_outgoing_port())
-    sockets: list[socket.socket] = []
-    while len(sockets) < count:
-        each = socket.socket()
-        try:
-            each.bind(('127.0.0.1', random.SystemRandom().choice(candidates)))
-        except OSError:
-            each.close()
-            continue
-        sockets.append(each)
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _LOWEST_PORT + next(_port_numbers) % _PORT_COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
-def _least_outgoing_port() -> int:
-    try:
-        text = _OUTGOING_PORTS.read_text(encoding='ascii')
-    except OSError:
-        return _USUAL_OUTGOING_PORT
-    return max(int(text.split()[0]), _LEAST_PORT + 1_000)
-
-
 def even_snapshot(
     snapshot_id: int,
     indexes: typing.Sequence[str],
@@ -103,6 +93,7 @@
     """Processes of one small system, each known by name."""
 
     def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._random = random.Random()
         self._own_folder = folder is None
         self.folder = folder or pathlib.Path(tempfile.mkdtemp())
         self.processes: dict[str, subprocess.Popen] = {}
@@ -312,6 +303,10 @@
                 return response.status, {'type': 'unreadable'}
             return response.status, msgspec.json.decode(content)
 
+    def new_key(self) -> str:
+        """Return an idempotency key made now."""
+        return protocol.new_idempotency_key(self.wall_ms(), self._random)
+
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
         return int(time.time() * 1000)
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import os
 import unittest
 from unittest import mock
 
@@ -13,33 +12,26 @@
 from samphiredock import protocol
 from samphiredock.state import _claims
 from samphiredock import transport
-from tests import fakes_platform
+from standins import memory_platform
+from standins import memory_runners
 from tests import history_runs
 from tests import simulation_runs
 
-_SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '1'))
 _STORMS = 30
 _KEY = 'payout-7'
-_Fault = fakes_platform.Fault
+_Fault = memory_platform.Fault
 
 
-class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
+class AtMostOnceTest(simulation_runs.RunnersCase):
     """Single failures, driven step by step."""
 
     def setUp(self) -> None:
-        """Start two daemons whose targets answer."""
-        self.metrics = metrics.Metrics('test')
-        self.system = simulation_runs.System(_SEED, self.metrics, 4.0)
+        """Have the targets answer."""
+        super().setUp()
         self.system.use('answer')
-        self.first = self.system.start('entry-1')
-        self.second = self.system.start('entry-2')
-
-    def tearDown(self) -> None:
-        """Judge what was recorded."""
-        self.assertEqual([], history_runs.violations(self.system.history))
 
     async def ask(
-        self, daemon: simulation_runs.Daemon, **request: object
+        self, daemon: memory_runners.Daemon, **request: object
     ) -> protocol.RunOutcome:
         """Return a daemon's outcome of the one request."""
         call = self.system.call(daemon, _KEY, **request)
@@ -49,9 +41,9 @@
         """Freeze the first daemon when its claim is in the store."""
         call = self.system.call(self.first, _KEY)
         await self.system.clock.pass_ms(
-            1_000, lambda: bool(self.system.platform.objects)
+            1_000, lambda: bool(self.system.store.objects)
         )
-        self.first.gate.frozen = True
+        self.first.host.frozen = True
         return call
 
     def use_one_bucket(self) -> None:
@@ -72,7 +64,7 @@
         killed.  Nobody can tell whether it had sent the request, so the
         claim stays in the way for good.
         """
-        self.system.platform.script.append(_Fault.LOST_AFTER)
+        self.system.store.script.append(_Fault.LOST_AFTER)
         await self.hold_claimed()
         self.system.kill(self.first)
         for daemon in (self.second, self.system.start('entry-1')):
@@ -91,7 +83,7 @@
         """
         call = await self.hold_claimed()
         self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         self.assert_ran(await self.system.outcome(call), 1)
         self.assert_ran(await self.ask(self.second), 1)
 
@@ -104,9 +96,8 @@
         call = await self.hold_claimed()
         await self.system.clock.pass_ms(5_000)
         self.assertIsInstance(await self.ask(self.second), protocol.Unknown)
-        self.first.gate.wake(self.system.random)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
+        self.first.host.wake(self.system.random)
+        await self.assert_told(call, protocol.NotRun)
         self.assertEqual(0, self.system.executions())
         self.assert_ran(await self.ask(self.second), 1)
 
@@ -118,11 +109,11 @@
         """
         call = self.system.call(self.first, _KEY)
         await self.system.executed()
-        self.system.platform.outage = True
+        self.system.store.outage = True
         self.assert_ran(await self.system.outcome(call), 1)
         await self.system.clock.pass_ms(50)
         self.system.kill(self.first)
-        self.system.platform.outage = False
+        self.system.store.outage = False
         for daemon in (self.second, self.system.start('entry-1')):
             outcome = await self.ask(daemon)
             self.assertIsInstance(outcome, protocol.Unknown)
@@ -162,7 +153,7 @@
         Its refusal says that it is this request that was not run.
         """
         call = await self.hold_claimed()
-        self.first.gate.wake(self.system.random)
+        self.first.host.wake(self.system.random)
         for daemon in (self.first, self.second, self.second):
             outcome = await self.ask(daemon, body='household-8')
             self.assertIs(protocol.NotRunReason.KEY_REUSED, outcome.reason)
@@ -176,29 +167,27 @@
         the first daemon refuses, and promises never to send.  When the
         store is back, the claim is found open; its holder is asked.
         """
-        self.system.platform.script.append(_Fault.LOST_AFTER)
+        self.system.store.script.append(_Fault.LOST_AFTER)
         call = await self.hold_claimed()
-        self.system.platform.outage = True
-        self.first.gate.wake(self.system.random)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
+        self.system.store.outage = True
+        self.first.host.wake(self.system.random)
+        await self.assert_told(call, protocol.NotRun)
         await self.system.clock.pass_ms(50)
-        self.system.platform.outage = False
+        self.system.store.outage = False
         self.assert_ran(await self.ask(self.second), 1)
         self.assertEqual(1, self.metrics.total('claims_passed_on'))
         self.assert_ran(await self.ask(self.first), 1)
 
     async def assert_refused_and_freed(
-        self, fault: fakes_platform.Fault
+        self, fault: memory_platform.Fault
     ) -> None:
         """Assert that a put with a wrong answer leaves the key usable."""
-        self.system.platform.script.append(fault)
+        self.system.store.script.append(fault)
         call = await self.hold_claimed()
-        self.system.platform.outage = True
-        self.first.gate.wake(self.system.random)
-        outcome = await self.system.outcome(call)
-        self.assertIsInstance(outcome, protocol.NotRun)
-        self.system.platform.outage = False
+        self.system.store.outage = True
+        self.first.host.wake(self.system.random)
+        await self.assert_told(call, protocol.NotRun)
+        self.system.store.outage = False
         await self.system.clock.pass_ms(3_000)
         self.system.kill(self.first)
         self.assert_ran(await self.ask(self.second), 1)
@@ -227,8 +216,8 @@
         run"; the end of the claim is written all the same, so that the put
         fails on the object's version when it arrives.
         """
-        self.system.platform.script.append(_Fault.LATE)
-        self.first.gate.frozen = False
+        self.system.store.script.append(_Fault.LATE)
+        self.first.host.frozen = False
         outcome = await self.ask(self.first, deadline_ms=3)
         self.assertIsInstance(outcome, protocol.NotRun)
         await self.system.clock.pass_ms(1_000)
@@ -255,7 +244,7 @@
         Another writer is ahead of two puts of three; the puts are tried
         again within the deadlines, after growing pauses.
         """
-        self.system.platform.chances = {_Fault.CONFLICT: 0.66}
+        self.system.store.chances = {_Fault.CONFLICT: 0.66}
         self.use_one_bucket()
         keys = [f'batch-{number}' for number in range(40)]
         calls = [
@@ -265,8 +254,7 @@
             for number, key in enumerate(keys)
         ]
         for call in calls:
-            outcome = await self.system.outcome(call)
-            self.assertIsInstance(outcome, protocol.Completed)
+            await self.assert_told(call, protocol.Completed)
         self.assertEqual(40, self.system.executions())
         self.assertGreater(self.metrics.total('claim_conflicts'), 2)
 
@@ -289,7 +277,7 @@
         self.assertTrue(0 < len(refused) < 50, len(refused))
         self.assertEqual({'overloaded'}, {row.reason.value for row in refused})
         sizes = [
-            len(found.value) for found in self.system.platform.objects.values()
+            len(found.value) for found in self.system.store.objects.values()
         ]
         self.assertLess(max(sizes), transport.VALUE_LIMIT_BYTES)
 
@@ -311,19 +299,21 @@
         found: list[str] = []
         counts: collections.Counter[str] = collections.Counter()
         for number in range(count):
-            storm = simulation_runs.Storm(_SEED + number, counters)
+            storm = simulation_runs.Storm(
+                simulation_runs.SEED + number, counters
+            )
             asyncio.run(storm.run())
             system = storm.system
             found += [
-                f'seed {_SEED + number}: {text}'
+                f'seed {simulation_runs.SEED + number}: {text}'
                 for text in history_runs.violations(system.history)
             ]
             if found and is_first_enough:
                 break
             counts.update(system.faults)
-            counts['message lost'] += system.hub.lost
+            counts['message lost'] += system.hub.faults['loss']
             counts.update(
-                {key.value: n for key, n in system.platform.faults.items()}
+                {key.value: n for key, n in system.store.faults.items()}
             )
             for event in system.history:
                 counts[type(event).__name__] += 1
@@ -341,7 +331,7 @@
         callers were told agrees with it.
         """
         found, counts = self.storms(_STORMS)
-        print(f'storms from seed {_SEED}: {dict(counts)}')
+        print(f'storms from seed {simulation_runs.SEED}: {dict(counts)}')
         self.assertEqual([], found)
         self.assertGreater(counts['Called'], 1_000)
         self.assertGreater(counts['Executed'], 200)
--- a/tests/unit/test_claim_holders.py
+++ b/tests/unit/test_claim_holders.py
@@ -1,12 +1,14 @@
 """A holder's word on its claims."""
 
+import asyncio
 import random
 import unittest
 
 from samphiredock.coordination import _claim_holders
 from samphiredock import metrics
 from samphiredock import protocol
-from tests import fakes_run
+from standins import memory_hosts
+from standins import memory_peers
 
 _Status = protocol.ClaimStatus
 _TOKEN = 'entry-1/1/1'
@@ -18,21 +20,21 @@
 
     def setUp(self) -> None:
         """Connect both."""
-        self.clock = fakes_run.SteppedTimers()
-        self.hub = fakes_run.FakeHub(self.clock, random.Random(1))
+        self.clock = memory_hosts.SteppedTimers()
+        self.hub = memory_peers.MemoryNetwork(self.clock, random.Random(1))
         self.metrics = metrics.Metrics('test')
         self.holder = self.make('entry-1')
         self.asker = self.make('entry-2')
 
     def make(self, name: str) -> _claim_holders.Holders:
         """Return one daemon's side."""
-        endpoint = self.hub.join(name, fakes_run.Gate())
+        endpoint = self.hub.join(name)
         return _claim_holders.Holders(endpoint, self.clock, self.metrics)
 
     async def test_end_is_pushed_to_who_waits(self) -> None:
         """The asker hears of the end in milliseconds, not at its next ask."""
         self.holder.begin(_TOKEN)
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(3_000)
         self.assertFalse(ask.done())
         self.holder.change(_TOKEN, _Status.DONE, _DONE)
@@ -43,20 +45,20 @@
         """Neither gives a word that frees the claim."""
         self.holder.begin(_TOKEN)
         self.hub.loss = 1.0
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(_claim_holders.SILENT_MS + 300)
         self.assertIsNone(ask.result())
         self.hub.loss = 0.0
         self.make('entry-1')
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(10)
         self.assertIs(_Status.UNTRACKED, ask.result().status)
 
     async def test_word_of_another_member_does_not_count(self) -> None:
         """Only the holder itself can say that it never sent."""
-        self.hub.join('entry-9', fakes_run.Gate())
+        self.hub.join('entry-9')
         self.holder.begin(_TOKEN)
-        ask = fakes_run.start(self.asker.ask(_TOKEN, 60_000))
+        ask = asyncio.create_task(self.asker.ask(_TOKEN, 60_000))
         await self.clock.pass_ms(1)
         self.hub.send(
             'entry-9',
--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -49,6 +49,13 @@
     return _search(**{**outcome, **change})
 
 
+def _rows_above(low: int) -> list[dict]:
+    held = {
+        row.record.key for row in data.records('claims') if row.place >= low
+    }
+    return [row for row in _rows() if row['key'] in held]
+
+
 class CheckersTest(unittest.TestCase):
     """Good and bad histories, made by hand."""
 
@@ -102,14 +109,25 @@
                 ),
             )
 
+    def test_records_of_covered_ranges_are_all_wanted(self) -> None:
+        """Extra ones are allowed of the missing ranges alone."""
+        half = {'type': 'partial', 'missing': [[0, 2**31]], 'coverage': 0.5}
+        covered = _rows_above(2**31)
+        foreign = {**covered[0], 'key': 'claims-999999'}
+        good = [row for row in _rows() if row not in covered][:1] + covered
+        for bad in (covered[1:], covered + covered[:1], [*covered, foreign]):
+            self.assert_judges(
+                history.check_coverage(
+                    [_whole(**half, records=good)], 'claims', 5_000
+                ),
+                history.check_coverage(
+                    [_whole(**half, records=bad)], 'claims', 5_000
+                ),
+            )
+
     def test_overstated_coverage_is_seen(self) -> None:
         missing = [[0, 2**31]]
-        held = {
-            row.record.key
-            for row in data.records('claims')
-            if row.place >= 2**31
-        }
-        rows = [row for row in _rows() if row['key'] in held]
+        rows = _rows_above(2**31)
         part = _whole(type='partial', missing=missing, records=rows)
         true_part = dataclasses.replace(
             part, outcome={**part.outcome, 'coverage': 0.5}
@@ -127,8 +145,10 @@
         )
 
     def test_reverted_and_late_revisions_are_seen(self) -> None:
-        def sample(at_ms: float, revision: int) -> history.RevisionSample:
-            return history.RevisionSample('d1', 1, at_ms, revision, True)
+        def sample(
+            at_ms: float, revision: int, life: int = 1, ready: bool = True
+        ) -> history.RevisionSample:
+            return history.RevisionSample('d1', life, at_ms, revision, ready)
 
         def check(
             *samples: history.RevisionSample, excused: bool = False
@@ -141,6 +161,8 @@
         good = check(sample(0, 1), sample(200, 2), sample(9_000, 2))
         self.assert_judges(good, check(sample(0, 2), sample(1, 1)))
         self.assert_judges(good, check(sample(9_000, 1)))
+        again = check(sample(0, 2), sample(1, 1, 2, False), sample(2, 2, 2))
+        self.assert_judges(again, check(sample(0, 2), sample(1, 1, 2)))
         self.assertEqual((), check(sample(9_000, 1), excused=True).violations)
 
     def test_work_at_a_left_target_is_seen(self) -> None:
--- a/tests/unit/test_ownership.py
+++ b/tests/unit/test_ownership.py
@@ -1,6 +1,7 @@
 """Owners of targets, and the handover between them."""
 
 import collections
+import typing
 import unittest
 
 from samphiredock.coordination import _dispatcher
@@ -9,6 +10,8 @@
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
+from standins import memory_link
+from standins import memory_peers
 from tests.unit import dispatching
 
 
@@ -16,6 +19,16 @@
     return state.Member(name, site, region, '', '', '', 1)
 
 
+class _CountedMembers(tuple):
+    """Live members that count how often they are gone through."""
+
+    walks = 0
+
+    def __iter__(self) -> typing.Iterator[state.Member]:
+        self.walks += 1
+        return super().__iter__()
+
+
 def _snapshot(**shards: list[str]) -> state.Snapshot:
     """Return a snapshot with one shard an index on some replicas."""
     whole = protocol.KeyRange(0, state.KEY_SPACE_SIZE)
@@ -99,14 +112,14 @@
 
     def setUp(self) -> None:
         self.clock = timers.ManualTimers()
-        self.peers = dispatching.FakePeers()
+        self.peers = memory_peers.RecordingPeers()
         self.counters = metrics.Metrics('test')
         self.addCleanup(self.counters.close)
         self.live = [_member('d1')]
         self.configuration = dispatching.configuration(
             dispatching.target(slots=4)
         )
-        self.link = dispatching.FakeLink(dispatching.target())
+        self.link = memory_link.MemoryLink(dispatching.target())
         self.table = _ownership.OwnershipTable(
             lambda: self.configuration,
             lambda: None,
@@ -145,6 +158,18 @@
             lane.record.on_answer(0, 0.0, 0.0)
         return lane.idle_slots(self.clock.now_ms())
 
+    def test_members_are_gone_through_only_when_they_change(self) -> None:
+        """At 490 members a walk is 0.1 ms, and traffic asks each 20 ms."""
+        self.live = _CountedMembers([_member('d1')])
+        self.table.refresh()
+        walks = self.live.walks
+        for _ in range(50):
+            self.clock.advance(20.0)
+            self.assertEqual('d1', self.table.owner('t1'))
+        self.assertEqual(walks, self.live.walks)
+        self._set_live(self.other)
+        self.assertEqual(self.other, self.table.owner('t1'))
+
     async def test_dead_owners_work_takes_slots_until_seen_free(self) -> None:
         self._set_live('d1', self.other)
         self.link.running = 3
@@ -212,6 +237,21 @@
         self.peers.deliver(protocol.Release('t1'), self.other)
         self.assertEqual(0, self.peers.of(protocol.Released)[1].busy)
 
+    async def test_own_orders_wait_in_no_socket_after_a_freeze(self) -> None:
+        """Only a peer's order may have been sent before the freeze."""
+        self._set_live('d1')
+        self.dispatcher.lane('t1')
+        await dispatching.settle()
+        self.clock.freeze(4_000.0)
+        self.peers.deliver(dispatching.order('1'), 'd1')
+        self.peers.deliver(dispatching.order('2'), self.other)
+        await dispatching.settle()
+        self.assertEqual({'2': ['cancelled']}, self.peers.statuses())
+        self.assertEqual('1', self.link.runs[0][0].attempt_id)
+        self.clock.unseen_gap_ms = 4_000.0
+        self.peers.deliver(dispatching.order('3'), 'd1')
+        self.assertEqual(['cancelled'], self.peers.statuses()['3'])
+
     async def test_work_is_served_by_a_daemon_that_never_owned(self) -> None:
         self._set_live(self.other)
         self.peers.deliver(dispatching.batch(dispatching.item('1')))
