A hedge that found no idle slot goes again after a pause

Ruled out: queueing the hedge at the target (harm with 2 slots a server).

Shown by test_refused_hedge_goes_again_after_a_pause (fails before: nothing is sent after the refusal). Effect on p99 not measured in this commit.

--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -186,9 +186,11 @@
     ) -> None:
         shard = attempt.shard
         status = answer.status
-        self._tools.latencies.note(
-            self._index, status, answer.waited_ms, answer.service_ms
-        )
+        if not shard.hedge_refusals:
+            # The second refusal of one hedge is no second sign of overload.
+            self._tools.latencies.note(
+                self._index, status, answer.waited_ms, answer.service_ms
+            )
         if status is _Status.ANSWERED:
             self._tools.latencies.observe(
                 self._index, now_ms - attempt.sent_ms
@@ -209,6 +211,8 @@
             self._began = True
         elif attempt.item.hedge:
             self._tools.budget.refund()
+            if status is _Status.NO_IDLE_SLOT:
+                self._hedges.refused(shard, now_ms)
         if attempt.alone and status is _Status.ANSWERED:
             if self._caution.note_succeeded(shard):
                 self._tools.suspicions.note_succeeded(self._plan.fingerprint)
--- a/samphiredock/coordination/_scatter_attempts.py
+++ b/samphiredock/coordination/_scatter_attempts.py
@@ -44,10 +44,13 @@
         for attempt in self._out.values():
             if attempt.shard.hedged or attempt.shard.outstanding != 1:
                 continue
-            if attempt.sent_ms + delay_ms <= now_ms:
+            late_from_ms = max(
+                attempt.sent_ms + delay_ms, attempt.shard.hedge_from_ms
+            )
+            if late_from_ms <= now_ms:
                 late.append(attempt)
             else:
-                due_ms = min(due_ms, attempt.sent_ms + delay_ms)
+                due_ms = min(due_ms, late_from_ms)
         return late, due_ms
 
     def has_alone(self) -> bool:
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -8,6 +8,10 @@
 from samphiredock.coordination import _scatter_types
 from samphiredock import state
 
+REFUSAL_LIMIT = 4
+REFUSAL_PAUSE_MS = 8.0
+"""A slot is soon free again where service times are tens of ms."""
+
 OpenTo = typing.Callable[[_scatter_round.ShardState], list[str]]
 
 
@@ -54,6 +58,20 @@
         delay_ms = self._delay_ms()
         self.due_ms = math.inf if delay_ms is None else now_ms + delay_ms
 
+    def refused(self, shard: _scatter_round.ShardState, now_ms: float) -> None:
+        """A hedge found no idle slot: it may go again after a pause.
+
+        Stragglers last for several service times, so that a slot of the
+        other replica is likely to be idle before they end; without a second
+        try one unlucky moment leaves the search to its straggler.
+        """
+        shard.hedge_refusals += 1
+        if shard.hedge_refusals >= REFUSAL_LIMIT:
+            return
+        shard.hedged = False
+        shard.hedge_from_ms = now_ms + REFUSAL_PAUSE_MS
+        self.due_ms = min(self.due_ms, shard.hedge_from_ms)
+
     def stop(self) -> None:
         """Send no more."""
         self.due_ms = math.inf
--- a/samphiredock/coordination/_scatter_round.py
+++ b/samphiredock/coordination/_scatter_round.py
@@ -39,6 +39,8 @@
 
     ``again`` are replicas that refused for a reason that passes; they may
     be tried once more.  ``again_at_ms`` is when, 0 if no pause is on.
+    ``hedged`` says that no (further) hedge is wanted, ``hedge_from_ms``
+    from when on one may be sent after a refused one.
     """
 
     shard: state.Shard
@@ -51,6 +53,8 @@
     pause_ms: float = 0.0
     again_at_ms: float = 0.0
     hedged: bool = False
+    hedge_refusals: int = 0
+    hedge_from_ms: float = 0.0
     gone: bool = False
     settled: bool = False
 
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -72,6 +72,25 @@
         self.desk.give(self.desk.good(self.late))
         self.assertIsInstance(self.desk.outcome, protocol.Answered)
 
+    def test_refused_hedge_goes_again_after_a_pause(self) -> None:
+        """The straggler is still late, and a slot may be idle by now.
+
+        Refused four times it is left to the first attempt, and only the
+        first refusal counts as a sign of overload.
+        """
+        latencies = self.desk.tools.latencies
+        self.desk.tick(50.0)
+        for number in range(4):
+            (hedge,) = [row for row in self.desk.waiting.values() if row.hedge]
+            before = latencies.is_overloaded(scripted.INDEX)
+            self.desk.give(self.desk.failed(hedge, Status.NO_IDLE_SLOT))
+            self.assertEqual([], self.desk.tick(1.0))
+            again = self.desk.tick(8.0)
+            self.assertEqual(number < 3, len(again) == 1)
+            self.assertFalse(before)
+        self.desk.give(self.desk.good(self.late))
+        self.assertIsInstance(self.desk.outcome, protocol.Answered)
+
     def test_no_hedge_while_overloaded(self) -> None:
         """With targets shedding, late shards wait: a hedge is more load."""
         for _ in range(30):
