A coordinator that knows no latencies yet hedges after a quarter of the deadline

A fresh coordinator sent no hedge before it had seen 64 answers, nor asked another shard beside a late canary; its first message to a dispatcher that had died unnoticed was never answered, and the search waited for it until its deadline with nothing merged.

Ruled out: member_lost (a restart is reported as lost and joined, and its attempts are retried, but only seconds later).

Change: while too few latencies are known the delay is a quarter of the search's deadline; the budget and the gate against overload hold as before.

Shown by test_silent_dispatcher_of_the_first_canary (fails before: no second shard is asked).

--- a/samphiredock/coordination/_hedging.py
+++ b/samphiredock/coordination/_hedging.py
@@ -97,13 +97,20 @@
         """Whether hedges would only add to a queue."""
         return self._records[index].is_overloaded()
 
-    def hedge_delay_ms(self, index: str, quantile: float) -> float | None:
-        """Return after how long to hedge; None while no hedge may be sent."""
+    def hedge_delay_ms(
+        self, index: str, quantile: float, unknown_ms: float
+    ) -> float | None:
+        """Return after how long to hedge; None while no hedge may be sent.
+
+        ``unknown_ms`` is the delay while too few latencies are known.
+        """
         record = self._records[index]
         if record.is_overloaded():
             return None
         delay_ms = record.quantile(quantile)
-        return None if delay_ms is None else max(_LEAST_DELAY_MS, delay_ms)
+        if delay_ms is None:
+            return unknown_ms
+        return max(_LEAST_DELAY_MS, delay_ms)
 
     def quantile_ms(self, index: str, quantile: float) -> float:
         """Return a quantile of the latency, 0 while too little is known."""
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -74,7 +74,7 @@
             sub_queries_needed=len(self._round.shards)
         )
         self._hedges = _scatter_hedges.Hedges(
-            tools, self._index, limits, self.tally
+            tools, self._index, limits, self.tally, plan.search.deadline_ms
         )
 
     # Inputs.
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -8,6 +8,12 @@
 from samphiredock.coordination import _scatter_types
 from samphiredock import state
 
+FIRST_DELAY_SHARE = 0.25
+"""Part of the deadline after which a coordinator hedges that knows no
+latencies yet.  A message to a dispatcher that died unnoticed is never
+answered; without any hedge the first searches of a fresh daemon would wait
+for it until their deadline, and a lost canary would leave them empty."""
+
 REFUSAL_LIMIT = 4
 REFUSAL_PAUSE_MS = 8.0
 """A slot is soon free again where service times are tens of ms."""
@@ -25,6 +31,9 @@
     index, limits
         An attempt later than the limits' quantile of the index's latency is
         late, or, if they set one, later than a fixed delay.
+    deadline_ms
+        The search's own; a part of it is the delay while the latency of
+        the index is not known.
     tally
         Where hedges sent and denied are counted.
     """
@@ -35,18 +44,22 @@
         index: str,
         limits: state.Limits,
         tally: _scatter_types.Tally,
+        deadline_ms: float,
     ) -> None:
         self._tools = tools
         self._index = index
         self._quantile = limits.hedge_quantile
         self._fixed_ms = limits.hedge_after_ms
         self._tally = tally
+        self._first_ms = deadline_ms * FIRST_DELAY_SHARE
         self.due_ms = math.inf
 
     def _delay_ms(self) -> float | None:
         latencies = self._tools.latencies
         if not self._fixed_ms:
-            return latencies.hedge_delay_ms(self._index, self._quantile)
+            return latencies.hedge_delay_ms(
+                self._index, self._quantile, self._first_ms
+            )
         # A fixed delay adds to a queue as any other.
         overloaded = latencies.is_overloaded(self._index)
         return None if overloaded else self._fixed_ms
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -83,7 +83,7 @@
         self.desk.tick(50.0)
         for number in range(4):
             (hedge,) = [row for row in self.desk.waiting.values() if row.hedge]
-            before = latencies.is_overloaded(scripted.INDEX)
+            before = latencies.is_overloaded(memory_searches.INDEX)
             self.desk.give(self.desk.failed(hedge, Status.NO_IDLE_SLOT))
             self.assertEqual([], self.desk.tick(1.0))
             again = self.desk.tick(8.0)
@@ -124,7 +124,7 @@
         fall, and more would be hedged each time.
         """
         latencies = self.desk.tools.latencies
-        before = latencies.hedge_delay_ms(memory_searches.INDEX, 0.95)
+        before = latencies.hedge_delay_ms(memory_searches.INDEX, 0.95, 0.0)
         for _ in range(250):
             self.desk.tools.budget.deposit(100, 1.0)
             self.desk.begin()
@@ -134,7 +134,7 @@
             due_ms = self.desk.scatter.next_due_ms()
             (hedge,) = self.desk.tick(due_ms - self.desk.now_ms)
             self.desk.give(self.desk.good(hedge))
-        after = latencies.hedge_delay_ms(memory_searches.INDEX, 0.95)
+        after = latencies.hedge_delay_ms(memory_searches.INDEX, 0.95, 0.0)
         self.assertGreaterEqual(after, before)
 
 
@@ -165,6 +165,30 @@
         )
 
 
+class FreshCoordinatorTest(unittest.TestCase):
+    """A daemon that has just started knows no latencies."""
+
+    def test_silent_dispatcher_of_the_first_canary(self) -> None:
+        """The first search is answered whole, long before its deadline.
+
+        Its canary went to a dispatcher that died and is not missed yet. A
+        quarter of the deadline later another shard is asked beside it, then
+        the rest; the lost shard gets its answer from the other replica.
+        """
+        desk = scripted.Desk(canary=True)
+        (lost,) = desk.waiting.values()
+        (second,) = desk.tick(0.25 * desk.search.deadline_ms)
+        desk.give(desk.good(second))
+        desk.tick(0.5 * desk.search.deadline_ms)
+        answered = [
+            desk.good(row)
+            for row in desk.waiting.values()
+            if row.attempt_id != lost.attempt_id
+        ]
+        desk.give(*answered)
+        self.assertIsInstance(desk.outcome, protocol.Answered)
+
+
 class RetryBudgetTest(unittest.TestCase):
     """Hedges and retries draw from one bucket."""
 
