--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -8,6 +8,16 @@
 from samphiredock.coordination import _scatter_types
 from samphiredock import state
 
+FIRST_DELAY_SHARE = 0.25
+"""Part of the deadline after which a coordinator hedges that knows no
+latencies yet.  A message to a dispatcher that died unnoticed is never
+answered; without any hedge the first searches of a fresh daemon would wait
+for it until their deadline, and a lost canary would leave them empty."""
+
+REFUSAL_LIMIT = 4
+REFUSAL_PAUSE_MS = 8.0
+"""A slot is soon free again where service times are tens of ms."""
+
 OpenTo = typing.Callable[[_scatter_round.ShardState], list[str]]
 
 
@@ -21,6 +31,9 @@
     index, limits
         An attempt later than the limits' quantile of the index's latency is
         late, or, if they set one, later than a fixed delay.
+    deadline_ms
+        The search's own; a part of it is the delay while the latency of
+        the index is not known.
     tally
         Where hedges sent and denied are counted.
     """
@@ -31,18 +44,22 @@
         index: str,
         limits: state.Limits,
         tally: _scatter_types.Tally,
+        deadline_ms: float,
     ) -> None:
         self._tools = tools
         self._index = index
         self._quantile = limits.hedge_quantile
         self._fixed_ms = limits.hedge_after_ms
         self._tally = tally
+        self._first_ms = deadline_ms * FIRST_DELAY_SHARE
         self.due_ms = math.inf
 
     def _delay_ms(self) -> float | None:
         latencies = self._tools.latencies
         if not self._fixed_ms:
-            return latencies.hedge_delay_ms(self._index, self._quantile)
+            return latencies.hedge_delay_ms(
+                self._index, self._quantile, self._first_ms
+            )
         # A fixed delay adds to a queue as any other.
         overloaded = latencies.is_overloaded(self._index)
         return None if overloaded else self._fixed_ms
@@ -54,6 +71,20 @@
         delay_ms = self._delay_ms()
         self.due_ms = math.inf if delay_ms is None else now_ms + delay_ms
 
+    def refused(self, shard: _scatter_round.ShardState, now_ms: float) -> None:
+        """A hedge found no idle slot: it may go again after a pause.
+
+        Stragglers last for several service times, so that a slot of the
+        other replica is likely to be idle before they end; without a second
+        try one unlucky moment leaves the search to its straggler.
+        """
+        shard.hedge_refusals += 1
+        if shard.hedge_refusals >= REFUSAL_LIMIT:
+            return
+        shard.hedged = False
+        shard.hedge_from_ms = now_ms + REFUSAL_PAUSE_MS
+        self.due_ms = min(self.due_ms, shard.hedge_from_ms)
+
     def stop(self) -> None:
         """Send no more."""
         self.due_ms = math.inf
