A target that was dead before convicts no search

A target that could not be reached at all was reported as lost under the exchange, so a content tried alone at two dead targets counted as having crashed both.

Ruled out: stale kept-alive connections (the client drops those that the other end has closed before it uses them).

Change: only a connection that broke while the exchange ran, with a new one refused after it, counts as lost under it; "unreachable" still tells the target's own record.

Shown by test_target_that_was_dead_before_is_not_lost_under_a_request: fails with the old code (True is not false), passes now.

--- a/samphiredock/coordination/_exchanges.py
+++ b/samphiredock/coordination/_exchanges.py
@@ -187,14 +187,22 @@
     async def _after_failure(
         self, post: Post, error: transport.LinkError
     ) -> bool:
-        """Return whether the target is lost; a new connection tells."""
+        """Return whether the target was lost under the exchange.
+
+        A new connection tells. A target that could not be reached in the
+        first place began nothing: if it counted, the loss of a site would
+        put every search that was tried at two of its targets in quarantine.
+        """
         self._metrics.add('target_errors', kind=error.kind.value)
-        lost = error.kind is transport.LinkErrorKind.UNREACHABLE
+        lost_under = False
         if error.kind is transport.LinkErrorKind.BROKEN and not error.ended:
             health = await post.link.health(_PROBE_MS)
-            lost = isinstance(health, result.Failure)
-        post.lane.record.on_failure(lost, self._clock.now_ms())
-        return lost
+            lost_under = isinstance(health, result.Failure)
+        unreachable = error.kind is transport.LinkErrorKind.UNREACHABLE
+        post.lane.record.on_failure(
+            unreachable or lost_under, self._clock.now_ms()
+        )
+        return lost_under
 
     def _sample(self, work: _lane_types.Work, started_ms: float) -> None:
         self._count += 1
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -81,6 +81,26 @@
                 self.assertEqual(len(names) == 1, answer.ran_alone)
                 self.assertEqual(not healthy, answer.target_lost)
 
+    async def test_target_that_was_dead_before_is_not_lost_under_a_request(
+        self,
+    ) -> None:
+        """A dead site convicts no search.
+
+        The targets of a site die; a search that is then tried at two of
+        them finds no connection. It has begun at none, so that neither
+        counts as crashed by it, or its content would be quarantined.
+        """
+        self.dispatcher.lane('t1')
+        self.link.healthy = False
+        await self._deliver(dispatching.batch(dispatching.item('1')))
+        self.link.batches[0][1].set_result(
+            memory_link.failure(_KIND.UNREACHABLE)
+        )
+        await dispatching.settle()
+        (told,) = self.peers.of(protocol.SubAnswerBatch)
+        self.assertIs(protocol.SubStatus.UNREACHABLE, told.answers[0].status)
+        self.assertFalse(told.answers[0].target_lost)
+
     async def test_queued_work_of_a_lost_target_goes_back(self) -> None:
         await self._deliver(dispatching.batch(dispatching.item('1')))
         await self._deliver(dispatching.batch(dispatching.item('2')))
