Targets lost together count against no content

Cause: a rack or a site that fails takes several targets at once, each under another content that ran alone there. Each content became a suspect, and its other copies were refused at every daemon while it was tried alone.

Ruled out: waiting before a suspicion takes effect (a real poison would be sent on meanwhile).

Change: three or more targets lost within two seconds under two or more contents are an outage; contents with a single loss in it are forgiven, and the others are told so that they can tell the same. A content that lost two targets is not.

Shown by tests/unit/test_suspects.py: without the rule test_site_that_fails_makes_no_suspects leaves three suspects.

--- a/samphiredock/coordination/_quarantine.py
+++ b/samphiredock/coordination/_quarantine.py
@@ -124,6 +124,16 @@
         """Count a target lost while it ran this content alone."""
         self._metrics.add('suspect_losses')
         case = self._count_loss(fingerprint, target, service)
+        if not case.losses:
+            # An outage explains it; the others learn the loss, so that they
+            # can tell the same.
+            self._metrics.add('suspects_forgiven')
+            self._broadcaster.broadcast(
+                protocol.SuspectNotice(
+                    fingerprint, case.service, [target], 0.0
+                )
+            )
+            return
         if case.entry is None:
             self._announce_trial(case, _suspects.TRIAL_MS)
             return
--- a/samphiredock/coordination/_suspects.py
+++ b/samphiredock/coordination/_suspects.py
@@ -13,6 +13,8 @@
 _SUSPICION_MS = 600_000.0
 _SAME_CRASH_MS = 2_000.0
 _LOSSES = 2
+_OUTAGE_TARGETS = 3
+_OUTAGE_CONTENTS = 2
 _CASES = 10_000
 
 
@@ -53,12 +55,18 @@
     two slots of the target.  Such a loss is unsure for both: it makes them
     suspects, and only a further loss, beside nobody, convicts.  The
     innocent one is cleared by its next run.
+
+    A rack or a site that fails takes several targets at once, each under
+    another content.  One content cannot have done that, so that those with
+    a single loss in it are no suspects: each would be refused everywhere
+    while it is tried alone.
     """
 
     def __init__(self, quarantine_ms: int = QUARANTINE_MS) -> None:
         self._quarantine_ms = quarantine_ms
         self._cases: dict[str, Case] = {}
         self._losses_at: dict[str, list[tuple[float, str]]] = {}
+        self._recent: list[tuple[float, str, str]] = []
 
     def get(self, fingerprint: str, now_ms: float) -> Case | None:
         """Return the case against a content, unless it has lapsed."""
@@ -105,6 +113,7 @@
         if target not in case.losses:
             case.losses[target] = _Loss(now_ms, True)
             self._match(fingerprint, target, now_ms, wall_ms)
+            self._forgive_outage(fingerprint, target, now_ms)
         self._judge(case, wall_ms)
         return case
 
@@ -154,6 +163,26 @@
                 case.losses[target].sure = False
                 self._judge(case, wall_ms)
 
+    def _forgive_outage(
+        self, fingerprint: str, target: str, now_ms: float
+    ) -> None:
+        """Drop the suspects that an outage of several targets explains."""
+        self._recent = [
+            row for row in self._recent if now_ms - row[0] < _SAME_CRASH_MS
+        ]
+        self._recent.append((now_ms, fingerprint, target))
+        contents = {name for _, name, _ in self._recent}
+        targets = {name for _, _, name in self._recent}
+        if len(targets) < _OUTAGE_TARGETS or len(contents) < _OUTAGE_CONTENTS:
+            return
+        for name in contents:
+            case = self._cases.get(name)
+            if case is not None and len(case.losses) < _LOSSES:
+                case.losses.clear()
+                case.trial_until_ms = 0.0
+                if case.entry is None:
+                    del self._cases[name]
+
     def _judge(self, case: Case, wall_ms: int) -> None:
         if not case.is_convicted():
             # A verdict of moments ago may rest on a loss now in doubt.
--- /dev/null
+++ b/tests/unit/test_suspects.py
@@ -0,0 +1,56 @@
+"""Which contents become suspects, and which are convicted."""
+
+import unittest
+
+from samphiredock.coordination import _suspects
+
+
+class OutageTest(unittest.TestCase):
+    """Several targets are lost within two seconds."""
+
+    def setUp(self) -> None:
+        """Begin without suspects."""
+        self.suspects = _suspects.Suspects()
+
+    def lose(self, content: str, target: str, at_ms: float) -> None:
+        """Count a target lost under a content."""
+        self.suspects.note_lost(content, 's', target, at_ms, int(at_ms))
+
+    def assert_suspects(self, *contents: str) -> None:
+        """The contents that have a case against them."""
+        found = [
+            name
+            for name in ('a', 'b', 'c', 'poison')
+            if self.suspects.get(name, 3_000.0) is not None
+        ]
+        self.assertEqual(list(contents), found)
+
+    def test_site_that_fails_makes_no_suspects(self) -> None:
+        """Three targets die at once, each under another content.
+
+        As suspects the three would be refused at all daemons while each is
+        tried alone, though none of them did anything.
+        """
+        self.lose('a', 't1', 0.0)
+        self.lose('b', 't2', 10.0)
+        self.assert_suspects('a', 'b')
+        self.lose('c', 't3', 20.0)
+        self.assert_suspects()
+
+    def test_losses_far_apart_are_no_outage(self) -> None:
+        for number, content in enumerate('abc'):
+            self.lose(content, f't{number}', number * 2_000.0)
+        self.assert_suspects('a', 'b', 'c')
+
+    def test_one_content_that_lost_two_is_not_forgiven(self) -> None:
+        """A poison is convicted though an outage falls at the same time."""
+        self.lose('poison', 't1', 0.0)
+        self.lose('poison', 't2', 10.0)
+        self.lose('a', 't3', 20.0)
+        self.assert_suspects('poison')
+        self.assertTrue(self.suspects.get('poison', 30.0).is_convicted())
+
+    def test_one_content_alone_is_never_an_outage(self) -> None:
+        for number in range(4):
+            self.lose('poison', f't{number}', 10.0 * number)
+        self.assertTrue(self.suspects.get('poison', 50.0).is_convicted())
