An unreadable answer of the platform is an error value

Cause: a host list or watch page that could not be decoded raised in HttpPlatform and ended the polling or watching task; the daemon would learn nothing more, silently. Ruled out: skipping such answers (a write's answer that cannot be read says nothing of whether it took effect, so it counts as lost). Change: one place reads every answer; what cannot be read is LOST.

--- a/samphiredock/transport/_platform_http.py
+++ b/samphiredock/transport/_platform_http.py
@@ -109,10 +109,11 @@
     ) -> result.Result[_platform.StoredObject, _platform.StoreError]:
         """Read one object."""
         reply = await self._call('GET', self._path(key))
-        return reply.map(
+        return _parsed(
+            reply,
             lambda got: _platform.StoredObject(
                 key, int(got[2][_VERSION_HEADER]), got[1]
-            )
+            ),
         )
 
     async def put(
@@ -130,7 +131,7 @@
         reply = await self._call(
             'PUT', self._path(key), value, expected_version
         )
-        return reply.map(lambda got: int(got[2][_VERSION_HEADER]))
+        return _parsed(reply, lambda got: int(got[2][_VERSION_HEADER]))
 
     async def delete(
         self, key: str, expected_version: int
@@ -139,7 +140,7 @@
         reply = await self._call(
             'DELETE', self._path(key), None, expected_version
         )
-        return reply.map(lambda got: int(got[2][_VERSION_HEADER]))
+        return _parsed(reply, lambda got: int(got[2][_VERSION_HEADER]))
 
     async def scan(
         self, prefix: str
@@ -149,7 +150,7 @@
         """Read all objects below a prefix."""
         query = urllib.parse.urlencode({'prefix': prefix})
         reply = await self._call('GET', f'/objects?{query}')
-        return reply.map(lambda got: _page(got[1]).changed)
+        return _parsed(reply, lambda got: _page(got[1]).changed)
 
     async def watch(
         self, prefix: str, position: int, timeout_ms: int
@@ -163,14 +164,14 @@
             f'/watch?{query}',
             timeout_ms=timeout_ms + _WATCH_SLACK_MS,
         )
-        return reply.map(lambda got: _page(got[1]))
+        return _parsed(reply, lambda got: _page(got[1]))
 
     async def hosts(
         self,
     ) -> result.Result[tuple[_platform.Host, ...], _platform.StoreError]:
         """Read the lagging list of live and leaving hosts."""
         reply = await self._call('GET', '/hosts', tag=self._hosts_tag)
-        return reply.map(self._read_hosts)
+        return _parsed(reply, self._read_hosts)
 
     def _read_hosts(self, got: _Reply) -> tuple[_platform.Host, ...]:
         # A list of thousands of hosts each second would be more than all
@@ -236,6 +237,28 @@
     return result.Failure(_platform.StoreError(kind, detail))
 
 
+_T = typing.TypeVar('_T')
+
+
+def _parsed(
+    reply: result.Result[_Reply, _platform.StoreError],
+    read: typing.Callable[[_Reply], _T],
+) -> result.Result[_T, _platform.StoreError]:
+    """Read an answer; one that cannot be read counts as lost.
+
+    A raised error would end the task that polls or watches, and the daemon
+    would silently learn nothing more.
+    """
+    if isinstance(reply, result.Failure):
+        return reply
+    try:
+        return result.Success(read(reply.unwrap()))
+    except (msgspec.DecodeError, LookupError, ValueError) as error:
+        return _failure(
+            _platform.StoreErrorKind.LOST, f'unreadable answer: {error!r}'
+        )
+
+
 def _page(content: bytes) -> _platform.WatchPage:
     page = _PAGE.decode(content)
     objects = tuple(
--- a/tests/unit/test_platform_http.py
+++ b/tests/unit/test_platform_http.py
@@ -123,3 +123,33 @@
         await self.platform.get('k')
         self.lose_get = True
         self.assertEqual(7, (await self.platform.get('k')).unwrap().version)
+
+
+class UnreadableAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A store that answers every call with 200 and nonsense."""
+
+    async def test_nonsense_is_an_error_value(self) -> None:
+        """The polling and watching tasks go on; a write may be there."""
+
+        async def nonsense(request: web.Request) -> web.Response:
+            return web.Response(body=b'\xff{')
+
+        app = web.Application()
+        app.router.add_route('*', '/{tail:.*}', nonsense)
+        async with (
+            test_utils.TestServer(app) as server,
+            aiohttp.ClientSession() as session,
+        ):
+            url = str(server.make_url('/'))
+            platform = transport.HttpPlatform(session, url)
+            calls = (
+                platform.get('k'),
+                platform.put('k', b'{}', 1),
+                platform.delete('k', 1),
+                platform.scan('k'),
+                platform.watch('k', 1, 10),
+                platform.hosts(),
+            )
+            for call in calls:
+                error = (await call).failure()
+                self.assertIs(transport.StoreErrorKind.LOST, error.kind)
