--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -6,14 +6,14 @@
 from samphiredock import protocol
 from samphiredock import state
 from standins import memory_searches
-from tests import scripted
+from standins import search_desk
 
 Status = protocol.SubStatus
 
 
-def _trained_desk() -> scripted.Desk:
+def _trained_desk() -> search_desk.Desk:
     """Return a desk whose index answers in 5 ms, in 9 of 10 cases."""
-    desk = scripted.Desk()
+    desk = search_desk.Desk()
     for number in range(200):
         desk.tools.latencies.observe(
             memory_searches.INDEX, 20.0 if number % 20 == 0 else 5.0
@@ -175,7 +175,7 @@
         quarter of the deadline later another shard is asked beside it, then
         the rest; the lost shard gets its answer from the other replica.
         """
-        desk = scripted.Desk(canary=True)
+        desk = search_desk.Desk(canary=True)
         (lost,) = desk.waiting.values()
         (second,) = desk.tick(0.25 * desk.search.deadline_ms)
         desk.give(desk.good(second))
@@ -198,7 +198,7 @@
         400 searches of four shards, each attempt broken: beyond the burst
         no more than the share of retries is sent.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         sent = needed = 0
         for _ in range(400):
             desk.begin()
--- a/tests/failure/test_one_snapshot.py
+++ b/tests/failure/test_one_snapshot.py
@@ -7,7 +7,7 @@
 from samphiredock import protocol
 from samphiredock import state
 from standins import memory_searches
-from tests import scripted
+from standins import search_desk
 
 Status = protocol.SubStatus
 
@@ -21,7 +21,7 @@
         A hedge or retry lands on a replica that is one version ahead; its
         answer is refused and counted, and the other replica is asked.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first = next(iter(desk.waiting.values()))
         ahead = desk.good(
             first, snapshot_id=2, records=[protocol.Record('new', 9.0, {})]
@@ -41,7 +41,7 @@
         fourth say that it is gone.  The newer one is learned during the
         wait; every shard is asked again, and the old answers are not used.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         (second,) = desk.give(desk.failed(first, Status.SNAPSHOT_GONE))
@@ -62,7 +62,7 @@
         One shard is gone at both replicas and the store is down, so no
         newer snapshot is learned; half of the budget is spent waiting.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         (second,) = desk.give(desk.failed(first, Status.SNAPSHOT_GONE))
@@ -80,7 +80,7 @@
         Each snapshot is gone by the time its sub-queries arrive, and a
         newer one is always known.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         sent = 0
         for _ in range(10):
             newer = desk.scatter.tally.search_restarts + 2
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -6,7 +6,7 @@
 
 from samphiredock import protocol
 from standins import memory_searches
-from tests import scripted
+from standins import search_desk
 
 Reason = protocol.NotRunReason
 
@@ -23,7 +23,7 @@
 
     def start(self, search) -> memory_searches.Tier:
         """Return a tier that is closed at the end."""
-        tier = memory_searches.Tier(search, scripted.SEED)
+        tier = memory_searches.Tier(search, search_desk.SEED)
         self.addCleanup(tier.close)
         return tier
 
@@ -140,7 +140,7 @@
         died.  No loss is counted; each is asked again alone, one at a time,
         and the answers clear it.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, second, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         lost = {'target_lost': True, 'ran_alone': False}
--- a/tests/failure/test_truthful_coverage.py
+++ b/tests/failure/test_truthful_coverage.py
@@ -9,7 +9,7 @@
 from samphiredock import protocol
 from samphiredock import state
 from standins import memory_searches
-from tests import scripted
+from standins import search_desk
 
 Status = protocol.SubStatus
 
@@ -23,7 +23,7 @@
         2**32 - 1 of 2**32 keys is 0.9999999998, which a float of fewer
         digits, or a rounding for display, would show as whole.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         whole = desk.good(first).ranges[0]
@@ -43,7 +43,7 @@
         One target says it searched the whole key space, another shard's
         targets are down; only what the sound answers read is covered.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, second, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         everything = [protocol.KeyRange(0, state.KEY_SPACE_SIZE)]
@@ -61,7 +61,7 @@
         A target that has not loaded its shard answers well-formed, without
         records and without ranges; its replica has both.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         (again,) = desk.give(desk.good(first, ranges=[], records=[]))
@@ -72,7 +72,7 @@
     def test_below_the_least_coverage_there_is_no_answer(self) -> None:
         """A service that needs 90 % gets no answer at 75 %."""
         search = memory_searches.make_search(least_coverage=0.9)
-        desk = scripted.Desk(search=search)
+        desk = search_desk.Desk(search=search)
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         desk.tick(200.0)
@@ -91,7 +91,7 @@
         searched and delivered.
         """
         rng = random.Random(seed)
-        desk = scripted.Desk(
+        desk = search_desk.Desk(
             snapshot=memory_searches.make_snapshot(1, rng.randint(1, 7)),
             search=memory_searches.make_search(least_coverage=least),
             canary=rng.random() < 0.5,
@@ -113,7 +113,7 @@
 
 
 def _faulty(
-    desk: scripted.Desk, item: protocol.SubQuery, rng: random.Random
+    desk: search_desk.Desk, item: protocol.SubQuery, rng: random.Random
 ) -> tuple[protocol.SubAnswer, list[tuple[int, int]]]:
     """Return an answer and the ranges that it truly, wholly read."""
     good = desk.good(item)
--- a/tests/failure/test_whole_answer.py
+++ b/tests/failure/test_whole_answer.py
@@ -4,7 +4,7 @@
 
 from samphiredock import protocol
 from standins import memory_searches
-from tests import scripted
+from standins import search_desk
 
 Status = protocol.SubStatus
 
@@ -18,7 +18,7 @@
         Each dispatcher's answer arrives twice, since a message was sent
         again; the second is dropped and counted.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, *others = desk.waiting.values()
         answer = desk.good(first)
         desk.give(answer)
@@ -35,7 +35,7 @@
         The first replica stopped early but had found it; its shard is
         asked again elsewhere, and that answer has it too.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, *others = desk.waiting.values()
         desk.give(*[desk.good(row) for row in others])
         (again,) = desk.give(desk.good(first, truncated=True))
@@ -50,7 +50,7 @@
         The dispatcher is lost, the shard is asked elsewhere, and then the
         first dispatcher wakes and sends its answer after all.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first = next(iter(desk.waiting.values()))
         lost = desk.owner(first.target)
         held = [
@@ -75,7 +75,7 @@
         A target crosses two callers' answers; the id is known but belongs
         to another target, so the attempt stays open for its own answer.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         first, second = list(desk.waiting.values())[:2]
         crossed = protocol.SubAnswer(
             first.attempt_id, second.target, Status.ANSWERED, 1
@@ -87,7 +87,7 @@
 
     def test_limit_over_all_shards_is_exact(self) -> None:
         """The best three of all shards are returned, not of the first."""
-        desk = scripted.Desk(search=memory_searches.make_search(limit=3))
+        desk = search_desk.Desk(search=memory_searches.make_search(limit=3))
         rows = list(desk.waiting.values())
         for number, row in enumerate(rows):
             records = [
@@ -108,7 +108,7 @@
         Every attempt ended before a target began, so "not run" is true;
         each replica was asked twice at most.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         while desk.outcome is None:
             rows = list(desk.waiting.values())
             shed = [
@@ -128,7 +128,7 @@
         the batch and may yet run it.
         """
         for status in (None, Status.BROKEN, Status.SILENT, Status.BAD_ANSWER):
-            desk = scripted.Desk()
+            desk = search_desk.Desk()
             first = next(iter(desk.waiting.values()))
             if status is not None:
                 desk.give(desk.failed(first, status))
@@ -144,7 +144,7 @@
 
         No replica of any shard is usable.
         """
-        desk = scripted.Desk()
+        desk = search_desk.Desk()
         desk.unusable = {f't{number}' for number in range(8)}
         desk.begin()
         self.assertIsInstance(desk.outcome, protocol.NotRun)
--- a/tests/unit/test_coordinator.py
+++ b/tests/unit/test_coordinator.py
@@ -4,7 +4,7 @@
 
 from samphiredock import protocol
 from standins import memory_searches
-from tests import scripted
+from standins import search_desk
 
 
 class CoordinatorTest(unittest.IsolatedAsyncioTestCase):
@@ -13,7 +13,7 @@
     def setUp(self) -> None:
         """Start the scripted tier."""
         self.tier = memory_searches.Tier(
-            memory_searches.make_search(), scripted.SEED, daemons=3
+            memory_searches.make_search(), search_desk.SEED, daemons=3
         )
         self.addCleanup(self.tier.close)
         self.daemon = self.tier.daemons['d2']
@@ -79,7 +79,7 @@
 
     def test_the_quicker_replica_gets_most_and_the_other_some(self) -> None:
         """A slow replica is avoided, but seen when it recovers."""
-        replicas = scripted.Desk().tools.replicas
+        replicas = search_desk.Desk().tools.replicas
         for _ in range(50):
             for target, took_ms in (('fast', 2.0), ('slow', 40.0)):
                 replicas.sent(target)
@@ -90,7 +90,7 @@
 
     def test_work_in_flight_counts(self) -> None:
         """Equal replicas share a burst."""
-        replicas = scripted.Desk().tools.replicas
+        replicas = search_desk.Desk().tools.replicas
         chosen = []
         for _ in range(100):
             chosen.append(replicas.choose(['a', 'b']))
