A refused canary spares its shard's replica; copies no longer wait for each other

Cause: a copy whose canary's target was dead already tried the same shard's other replica, or, after two refusals, sent everything; both lose more targets. It moves to the next shard now, and asks whether the content is a suspect before it gives up on canaries. Switched off by hand, each then failing: the caution queue, the suspect check (test_a_refused_canary_moves_to_another_shard), the other dispatcher for a hedge (test_hedge_goes_through_another_dispatcher).

--- a/benchmarks/scatter_cost.py
+++ b/benchmarks/scatter_cost.py
@@ -50,6 +50,10 @@
     def note_succeeded(self, fingerprint: str) -> None:
         """Ignore."""
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return that nothing is suspected."""
+        return False
+
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return that nothing is refused."""
         return False
--- a/samphiredock/coordination/_canary.py
+++ b/samphiredock/coordination/_canary.py
@@ -1,6 +1,5 @@
 """Which contents were lately seen to succeed, and so need no canary."""
 
-import asyncio
 import collections
 
 from samphiredock.coordination import _quarantine
@@ -48,12 +47,7 @@
 
 
 class Verdicts:
-    """Join what searches learn of a content to the quarantine.
-
-    Copies of a content that arrive while its canary is out wait for the
-    verdict, so that a caller who sends a bad one many times at once loses
-    one target, not one for each copy.
-    """
+    """Join what searches learn of a content to the quarantine."""
 
     def __init__(
         self, quarantine: _quarantine.Quarantine, clock: timers.Timers
@@ -61,38 +55,11 @@
         self._quarantine = quarantine
         self._clock = clock
         self._known = KnownContents()
-        self._out: dict[str, asyncio.Event] = {}
 
     def is_known(self, fingerprint: str) -> bool:
         """Whether the content lately succeeded."""
         return self._known.is_known(fingerprint, self._clock.now_ms())
 
-    def begin(self, fingerprint: str) -> bool:
-        """Begin a canary; False if another copy's is out."""
-        if fingerprint in self._out:
-            return False
-        self._out[fingerprint] = asyncio.Event()
-        return True
-
-    def end(self, fingerprint: str) -> None:
-        """The canary is over, with or without a verdict."""
-        event = self._out.pop(fingerprint, None)
-        if event is not None:
-            event.set()
-
-    async def wait(self, fingerprint: str, limit_ms: float) -> None:
-        """Wait until the other copy's canary is over, or the limit."""
-        event = self._out.get(fingerprint)
-        if event is None:
-            return
-        waiter = asyncio.ensure_future(event.wait())
-        timer = self._clock.after(limit_ms, waiter.cancel)
-        try:
-            await asyncio.wait({waiter})
-        finally:
-            timer.cancel()
-            waiter.cancel()
-
     def note_lost(self, fingerprint: str, target: str, service: str) -> None:
         """Count a target lost while it ran this content alone."""
         self._known.forget(fingerprint)
@@ -102,8 +69,11 @@
         """The content ran alone and its target lives."""
         self._known.remember(fingerprint, self._clock.now_ms())
         self._quarantine.note_succeeded(fingerprint)
-        self.end(fingerprint)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether the content is refused from now on."""
         return self._quarantine.is_quarantined(fingerprint)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether a target was lost to the content, here or elsewhere."""
+        return self._quarantine.is_suspect(fingerprint)
--- a/samphiredock/coordination/_coordinator.py
+++ b/samphiredock/coordination/_coordinator.py
@@ -173,27 +173,15 @@
         self, plan: _planner.Plan, limits: state.Limits
     ) -> protocol.SearchOutcome:
         """Run a content that is new, or under suspicion, alone first."""
-        verdicts = self._verdicts
         fingerprint = plan.fingerprint
-        canary = plan.search.canary and not verdicts.is_known(fingerprint)
-        if canary and not verdicts.begin(fingerprint):
-            left_ms = plan.deadline_at_ms - self._clock.now_ms()
-            await verdicts.wait(fingerprint, left_ms)
-            refusal = self._quarantine.refusal(fingerprint)
-            if refusal is not None:
-                return refusal
-            canary = not verdicts.is_known(fingerprint)
-            if canary:
-                verdicts.begin(fingerprint)
+        canary = plan.search.canary and not self._verdicts.is_known(
+            fingerprint
+        )
         left_ms = plan.deadline_at_ms - self._clock.now_ms()
         care = self._quarantine.admit(fingerprint, left_ms)
         suspect = care is _quarantine.Care.SUSPECT
         scatter = _scatter.Scatter(plan, self._tools, limits, canary, suspect)
-        try:
-            return await self._run(plan, scatter)
-        finally:
-            if canary:
-                verdicts.end(fingerprint)
+        return await self._run(plan, scatter)
 
     async def _run(
         self, plan: _planner.Plan, scatter: _scatter.Scatter
--- a/samphiredock/coordination/_quarantine.py
+++ b/samphiredock/coordination/_quarantine.py
@@ -118,6 +118,11 @@
             is not None
         )
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether a target was lost to a content that is not cleared."""
+        now_ms = self._clock.now_ms()
+        return self._suspects.get(fingerprint, now_ms) is not None
+
     def note_lost(
         self, fingerprint: str, target: str, service: str = ''
     ) -> None:
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -253,6 +253,8 @@
 
     def _next_trial(self, now_ms: float) -> None:
         """Ask one shard alone, unless the content has been judged."""
+        if self._tools.suspicions.is_suspect(self._plan.fingerprint):
+            self._caution.suspect()
         if self._tools.suspicions.is_quarantined(self._plan.fingerprint):
             self._finish()
         elif self._caution.needs_no_more():
--- a/samphiredock/coordination/_scatter_caution.py
+++ b/samphiredock/coordination/_scatter_caution.py
@@ -125,6 +125,10 @@
         self._queue = [shard for shard in self._queue if shard in self._lost]
         return free
 
+    def suspect(self) -> None:
+        """A target was lost to the content elsewhere, meanwhile."""
+        self._is_suspect = True
+
     def needs_no_more(self) -> bool:
         """Whether canaries that gave no verdict have cost enough time."""
         return (
--- a/samphiredock/coordination/_scatter_types.py
+++ b/samphiredock/coordination/_scatter_types.py
@@ -36,6 +36,9 @@
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether the content is refused from now on."""
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether a target was lost to the content, here or elsewhere."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendAttempts:
--- a/tests/failure/test_hedging.py
+++ b/tests/failure/test_hedging.py
@@ -50,6 +50,27 @@
         tally = self.desk.scatter.tally
         self.assertEqual((1, 1), (tally.hedges_sent, tally.hedges_won))
 
+    def test_hedge_goes_through_another_dispatcher(self) -> None:
+        """A stalled dispatcher does not get the hedge as well.
+
+        Of the two other replicas one is behind the same dispatcher.
+        """
+        index = self.desk.snapshot.indexes[scripted.INDEX]
+        for shard in index.shards:
+            shard.replicas[:] = ['t0', 't4', 't1']
+        for _ in range(10):
+            self.desk.tools.budget.deposit(100, 1.0)
+            self.desk.begin()
+            first = {
+                row.shard_id: self.desk.owner(row.target)
+                for row in self.desk.waiting.values()
+            }
+            hedges = self.desk.tick(100.0)
+            self.assertEqual(4, len(hedges))
+            for hedge in hedges:
+                owner = self.desk.owner(hedge.target)
+                self.assertNotEqual(first[hedge.shard_id], owner)
+
     def test_refused_hedge_leaves_the_first_attempt(self) -> None:
         """No idle slot: nothing is lost but the hedge, nor paid for it."""
         (hedge,) = self.desk.tick(100.0)
--- a/tests/failure/test_quarantine.py
+++ b/tests/failure/test_quarantine.py
@@ -63,10 +63,9 @@
     async def test_copies_at_one_time(self) -> None:
         """Twenty copies at once through all daemons kill two targets.
 
-        At each daemon one copy is the canary and the others wait for its
-        verdict.  All canaries go to the same target and die with it; the
-        daemons hear of each other's loss, and the next try has one target
-        again.
+        The order in which a content is tried follows from the content, so
+        all canaries go to the same target and die with it; the daemons hear
+        of each other's loss, and the next try has one target again.
         """
         copies = [
             daemon.coordinator.search(_POISON)
@@ -154,6 +153,22 @@
         self.assertIsInstance(desk.outcome, protocol.Answered)
         self.assertEqual(([], 1), (desk.lost, desk.succeeded))
 
+    async def test_a_refused_canary_moves_to_another_shard(self) -> None:
+        """A copy that finds the first target dead spares its replica.
+
+        The target died under another daemon's copy, whose news is late.
+        Both canaries are refused; by then the content is known as a
+        suspect, so the other shards are not sent at once.
+        """
+        desk = scripted.Desk(canary=True)
+        (canary,) = desk.waiting.values()
+        dead = protocol.SubStatus.UNREACHABLE
+        (second,) = desk.give(desk.failed(canary, dead))
+        self.assertNotEqual(canary.shard_id, second.shard_id)
+        desk.suspected = True
+        (third,) = desk.give(desk.failed(second, dead))
+        self.assertIn(third.attempt_id, desk.alone)
+
     async def test_a_suspect_is_tried_by_one_daemon_at_a_time(self) -> None:
         """While one daemon tries a suspect, the others refuse it shortly.
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -98,6 +98,7 @@
         self.lost: list[str] = []
         self.succeeded = 0
         self.quarantine_after = 2
+        self.suspected = False
         self.tools = coordination.Tools(
             self,
             coordination.Replicas(random.Random(SEED), lambda target: True),
@@ -140,6 +141,9 @@
     def is_quarantined(self, fingerprint: str) -> bool:
         return len(set(self.lost)) >= self.quarantine_after
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        return self.suspected or bool(self.lost)
+
     # Driving it.
 
     def take(self, effects: list) -> list[protocol.SubQuery]:
