Drain, history and quarantine are tested through the real command line

Cause: these operator calls were tested with fakes behind the HTTP interface only; since the parts are wired they can be run end to end.

Change: one process test drains a target at one daemon and reads it at another, undrains it, reads history and quarantine, and asks for an unknown target. The example system that three tests start is a stand-in now.

--- a/tests/process/test_operators.py
+++ b/tests/process/test_operators.py
@@ -9,9 +9,10 @@
 import unittest
 
 from standins import cluster
-from tests.process import test_thin_path
+from standins import small_system
 
 ROOT = pathlib.Path(__file__).parents[2]
+_TRIES = 40
 
 
 async def command(
@@ -48,7 +49,7 @@
         as the same revision.
         """
         async with cluster.Cluster() as system:
-            await test_thin_path.start_small_system(system, 3)
+            await small_system.start(system, 3)
             first, second = list(system.daemons.values())[:2]
             _, shown = await command(first, 'config', 'show')
             files = [self._write(system, shown['base'], w) for w in (3.0, 5.0)]
@@ -65,6 +66,34 @@
             _, fleet = await command(second, 'status')
             self.assertEqual({2}, set(fleet['revisions'].values()))
 
+    async def test_a_drain_at_one_daemon_holds_at_the_others(self) -> None:
+        """The operator drains through one daemon and looks at another.
+
+        The word goes through the platform's object; the history and the
+        quarantine are read the same way, and an unknown name is refused.
+        """
+        async with cluster.Cluster() as system:
+            await small_system.start(system, 3)
+            first, second = list(system.daemons.values())[:2]
+            for verb, usable in (('drain', False), ('undrain', True)):
+                status, _ = await command(first, 'target', verb, 'shard-1')
+                self.assertEqual(0, status)
+                for _ in range(_TRIES):
+                    _, seen = await command(second, 'status')
+                    rows = {row['name']: row for row in seen['target_rows']}
+                    if rows['shard-1']['usable'] == usable:
+                        break
+                self.assertEqual(usable, rows['shard-1']['usable'])
+                self.assertTrue(rows['shard-2']['usable'])
+            self.assertEqual(
+                3, (await command(first, 'target', 'drain', 'nope'))[0]
+            )
+            self.assertEqual(
+                (0, []), await command(second, 'quarantine', 'list')
+            )
+            _, history = await command(second, 'config', 'history')
+            self.assertEqual([1], [row['revision'] for row in history])
+
     def _write(
         self, system: cluster.Cluster, base: dict, weight: float
     ) -> str:
--- a/tests/process/test_thin_path.py
+++ b/tests/process/test_thin_path.py
@@ -1,13 +1,9 @@
 """A search and an unrepeatable request, end to end through processes."""
 
-import pathlib
 import unittest
 
-import json5
-
 from standins import cluster
-
-_BASE = pathlib.Path(__file__).parents[2] / 'examples' / 'gebeya'
+from standins import small_system
 
 
 class ThinPathTest(unittest.IsolatedAsyncioTestCase):
@@ -21,7 +17,7 @@
         second caller reads the same receipt and nothing runs again.
         """
         async with cluster.Cluster() as system:
-            await start_small_system(system, 3)
+            await small_system.start(system, 3)
             first, second = list(system.daemons.values())[:2]
             body = {
                 'service': 'field-claims',
@@ -51,38 +47,3 @@
             self.assertEqual(
                 [False, True], [row[1]['replayed'] for row in answers]
             )
-
-
-async def start_small_system(system: cluster.Cluster, daemons: int) -> None:
-    """Start a store, six targets and some daemons, all configured."""
-    await system.start_store()
-    shards = ['shard-1', 'shard-2', 'shard-3', 'shard-4']
-    desks = ['desk-1', 'desk-2']
-    await system.start_targets(shards)
-    await system.start_targets(desks, '--slots', '4')
-    text = (_BASE / 'base.json').read_text(encoding='utf-8')
-    base = json5.loads(text)
-    for name, url in system.target_urls.items():
-        base['targets'][name]['url'] = url
-    await system.put_object(
-        'configuration/current',
-        {
-            'revision': 1,
-            'change_id': 'first',
-            'author': 'test',
-            'accepted_at_ms': 0,
-            'base': base,
-            'overlays': {},
-        },
-    )
-    await system.put_object(
-        'snapshots/current',
-        cluster.even_snapshot(1, ['claims', 'clip-rights'], shards, 8, 2),
-    )
-    sites = list(base['sites'])
-    for number in range(daemons):
-        site = sites[number % len(sites)]
-        name = f'entry-{number + 1}'
-        system.place_daemon(name, site, base['sites'][site]['region'])
-        system.start_daemon(name)
-    await system.wait_ready()
