The product passes requests on, on the users' platform

Cause: nothing of samphiredock ran on the prepared hosts. Their platform has routes, targets that register in its store, and HTTP that is passed on unchanged; the product knew only its own searches through dispatchers.

Change: one decision core behind both doors. coordination/forwarding turns a passed-on request into a plan for the Scatter that searches use (a route to one service is a scatter over one shard); Scatter grows a time to answer by, a bound on the targets that run a request, requests that may not be repeated, a budget by shard, and gives up when the least coverage is out of reach. transport grows connections that judge whole answers (_http_channel), a pool of them and the entry server. platform/ only translates: settings by a template, store, wire, headers.

Ruled out: a dispatcher's hop (doubles bytes between sites, nothing gained at 8 hosts); aiohttp's client towards targets (hides whether a body without a length was reset, and bytes between exchanges).

test_public_names: a package below another is part of it; the check of private modules compares by prefix now and covers the new package.

--- a/samphiredock/coordination/_planner.py
+++ b/samphiredock/coordination/_planner.py
@@ -1,6 +1,7 @@
 """Turn a caller's search into a plan over one snapshot."""
 
 import dataclasses
+import math
 
 from returns import result
 import xxhash
@@ -11,7 +12,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """Everything about one search that is fixed when it starts."""
+    """Everything about one search that is fixed when it starts.
+
+    ``answer_by_ms`` is when an answer with the least coverage goes out
+    though shards are missing, ``attempts_per_shard`` how many targets may
+    run the search for one shard (0: any), and ``repeatable`` whether a
+    second target may be asked though a first may have begun.
+    ``may_restart`` allows to begin anew at a newer snapshot.
+    """
 
     query_id: str
     service: str
@@ -22,6 +30,10 @@
     fingerprint: str
     snapshot: state.Snapshot
     deadline_at_ms: float
+    answer_by_ms: float = math.inf
+    attempts_per_shard: int = 0
+    repeatable: bool = True
+    may_restart: bool = True
 
     @property
     def shards(self) -> list[state.Shard]:
--- a/samphiredock/coordination/_replicas.py
+++ b/samphiredock/coordination/_replicas.py
@@ -5,7 +5,7 @@
 
 _SMOOTHING = 0.2
 _START_MS = 1.0
-_OTHER_SITE_FACTOR = 1.05
+OTHER_SITE_FACTOR = 1.05
 _EXPLORE_SHARE = 0.01
 
 
@@ -30,20 +30,28 @@
     rng
         Seeded source of randomness.
     is_near
-        Whether a target is in this daemon's site; preferred when equal.
+        Whether a target is in this daemon's site.
+    other_site_factor
+        How much longer a target at another site may look before it is
+        passed over: 1.05 decides between equals only.
     """
 
     def __init__(
-        self, rng: random.Random, is_near: typing.Callable[[str], bool]
+        self,
+        rng: random.Random,
+        is_near: typing.Callable[[str], bool],
+        other_site_factor: float = OTHER_SITE_FACTOR,
     ) -> None:
         self._rng = rng
+        self._other_site_factor = other_site_factor
         self._is_near = is_near
         self._loads: dict[str, _TargetLoad] = {}
 
     def _load(self, target: str) -> _TargetLoad:
         load = self._loads.get(target)
         if load is None:
-            factor = 1.0 if self._is_near(target) else _OTHER_SITE_FACTOR
+            near = self._is_near(target)
+            factor = 1.0 if near else self._other_site_factor
             load = self._loads[target] = _TargetLoad(factor)
         return load
 
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -64,12 +64,15 @@
         self._seen: dict[_Status, int] = {}
         self._began = False
         self._finish_effect: _scatter_types.Finish | None = None
-        self._wait = _scatter_restart.SnapshotWait(plan.deadline_at_ms)
+        self._wait = _scatter_restart.SnapshotWait(
+            plan.deadline_at_ms, plan.may_restart
+        )
         self._again_due_ms = math.inf
         self._caution = _scatter_caution.Caution(
             plan.fingerprint, canary, suspect
         )
         self._trial_at_ms = 0.0
+        self._answer_due_ms = plan.answer_by_ms
         self.tally = _scatter_types.Tally(
             sub_queries_needed=len(self._round.shards)
         )
@@ -107,6 +110,8 @@
             self._send_hedges(now_ms)
         if now_ms >= self._again_due_ms:
             self._try_again(now_ms)
+        if now_ms >= self._answer_due_ms:
+            self._answer_due_ms = math.inf
         return self._done(now_ms)
 
     def on_member_lost(
@@ -117,7 +122,7 @@
             if attempt.dispatcher == member and not self._finish_effect:
                 self._attempts.end(attempt, None)
                 self._began = True
-                self._tools.budget.owe()
+                self._tools.budget.owe(attempt.shard.shard.shard_id)
                 self._retry(attempt.shard, False, now_ms)
         return self._done(now_ms)
 
@@ -128,6 +133,7 @@
             self._hedges.due_ms,
             self._again_due_ms,
             self._wait.due_ms(),
+            self._answer_due_ms,
         )
         if self._caution.is_waiting() and not self._attempts.has_alone():
             due_ms = min(due_ms, self._trial_at_ms)
@@ -137,16 +143,22 @@
 
     def _begin_round(self, now_ms: float) -> None:
         shards = self._round.shards
-        self._tools.budget.deposit(len(shards), self._limits.hedge_budget)
+        self._tools.budget.note_needed(
+            [shard.shard.shard_id for shard in shards],
+            self._limits.hedge_budget,
+        )
         for shard in self._caution.begin(shards):
             self._attempt(shard, now_ms)
         self._arm_hedges(now_ms)
 
     def _arm_hedges(self, now_ms: float) -> None:
-        if self._caution.allows_hedges():
+        if self._plan.repeatable and self._caution.allows_hedges():
             self._hedges.arm(now_ms)
 
     def _open_to(self, shard: _scatter_round.ShardState) -> list[str]:
+        limit = self._plan.attempts_per_shard
+        if limit and len(shard.ran) >= limit:
+            return []
         is_usable = self._tools.routes.is_usable
         tried = shard.tried
         return [
@@ -207,12 +219,16 @@
         self._attempts.end(
             attempt, now_ms - attempt.sent_ms if useful else None
         )
-        if status not in protocol.NEVER_STARTED:
+        began = status not in protocol.NEVER_STARTED
+        charged = status in self._tools.budget.also_charged
+        if began:
             self._began = True
-        elif attempt.item.hedge:
-            self._tools.budget.refund()
-            if status is _Status.NO_IDLE_SLOT:
-                self._hedges.refused(shard, now_ms)
+        else:
+            shard.ran.discard(attempt.item.target)
+        if attempt.item.hedge and not began and not charged:
+            self._tools.budget.refund(shard.shard.shard_id)
+        if attempt.item.hedge and status is _Status.NO_IDLE_SLOT:
+            self._hedges.refused(shard, now_ms)
         if attempt.alone and status is _Status.ANSWERED:
             if self._caution.note_succeeded(shard):
                 self._tools.suspicions.note_succeeded(self._plan.fingerprint)
@@ -222,12 +238,15 @@
             self._settle(shard, now_ms)
         elif verdict is _Verdict.QUARANTINED:
             self._finish()
+        elif began and not self._plan.repeatable:
+            # Another target would run it a second time.
+            self._settle(shard, now_ms)
         elif verdict is _Verdict.LOST:
             self._take_loss(shard, answer, now_ms)
         else:
             rule = _scatter_judge.RETRY_RULES[verdict]
             _scatter_judge.apply(rule, answer, shard, self.tally)
-            self._retry(shard, rule.costly, now_ms)
+            self._retry(shard, rule.costly or charged, now_ms)
 
     def _take_loss(
         self,
@@ -243,7 +262,7 @@
         self._caution.note_lost(shard)
         self._hedges.stop()
         self._trial_at_ms = now_ms + _SUSPECT_PAUSE_MS
-        self._tools.budget.owe()
+        self._tools.budget.owe(shard.shard.shard_id)
         if answer.ran_alone:
             self._tools.suspicions.note_lost(
                 self._plan.fingerprint, answer.target, self._plan.service
@@ -283,7 +302,8 @@
         if not candidates:
             self._give_up(shard, now_ms)
             return
-        if costly and not self._tools.budget.spend_retry():
+        shard_id = shard.shard.shard_id
+        if costly and not self._tools.budget.spend_retry(shard_id):
             self.tally.retries_denied += 1
             self._settle(shard, now_ms)
             return
@@ -341,13 +361,26 @@
             self._resolve_stuck(now_ms)
         while self._may_try(now_ms):
             self._next_trial(now_ms)
-        if not self._round.unsettled:
+        if not self._round.unsettled or self._is_enough(now_ms):
             self._finish()
         effects = self._attempts.collect()
         if self._finish_effect:
             effects.append(self._finish_effect)
         return effects
 
+    def _is_enough(self, now_ms: float) -> bool:
+        """Whether waiting on would cost the caller more than it gains.
+
+        An answer is due at ``answer_by_ms``: the caller is better served
+        by the least coverage in time than by all of it too late.  When the
+        least is out of reach, the caller learns it at once.
+        """
+        if self._finish_effect or self._wait.is_on():
+            return False
+        if now_ms >= self._plan.answer_by_ms and self._round.has_least():
+            return True
+        return not self._wait.may_restart() and self._round.is_hopeless()
+
     def _may_try(self, now_ms: float) -> bool:
         return (
             not self._finish_effect
@@ -398,5 +431,6 @@
         self._finish_effect = _scatter_types.Finish(
             _scatter_round.outcome_of(
                 self._round, self._older, self._seen, self._began
-            )
+            ),
+            self._round.accepted(),
         )
--- a/samphiredock/coordination/_scatter_attempts.py
+++ b/samphiredock/coordination/_scatter_attempts.py
@@ -83,6 +83,7 @@
             shard, item, dispatcher, now_ms, alone
         )
         shard.tried.add(target)
+        shard.ran.add(target)
         shard.outstanding += 1
         self._replicas.sent(target)
         key = (dispatcher, alone)
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -119,7 +119,7 @@
 
     def _may_hedge(self, shard: _scatter_round.ShardState) -> bool:
         shard.hedged = True
-        if self._tools.budget.spend_hedge():
+        if self._tools.budget.spend_hedge(shard.shard.shard_id):
             self._tally.hedges_sent += 1
             return True
         self._tally.hedges_denied += 1
--- a/samphiredock/coordination/_scatter_restart.py
+++ b/samphiredock/coordination/_scatter_restart.py
@@ -17,11 +17,13 @@
     answer with what the old one gave.
     """
 
-    def __init__(self, deadline_at_ms: float) -> None:
+    def __init__(
+        self, deadline_at_ms: float, may_restart: bool = True
+    ) -> None:
         self._deadline_at_ms = deadline_at_ms
         self._until_ms = math.inf
         self._look_ms = math.inf
-        self._restarts_left = _RESTARTS
+        self._restarts_left = _RESTARTS if may_restart else 0
 
     def may_restart(self) -> bool:
         """Whether another restart is allowed."""
--- a/samphiredock/coordination/_scatter_round.py
+++ b/samphiredock/coordination/_scatter_round.py
@@ -39,12 +39,14 @@
 
     ``again`` are replicas that refused for a reason that passes; they may
     be tried once more.  ``again_at_ms`` is when, 0 if no pause is on.
+    ``ran`` are the targets that have begun it, for all that is known.
     ``hedged`` says that no (further) hedge is wanted, ``hedge_from_ms``
     from when on one may be sent after a refused one.
     """
 
     shard: state.Shard
     tried: set[str] = dataclasses.field(default_factory=set)
+    ran: set[str] = dataclasses.field(default_factory=set)
     again: set[str] = dataclasses.field(default_factory=set)
     answers: list[protocol.SubAnswer] = dataclasses.field(default_factory=list)
     ranges: list[protocol.KeyRange] = dataclasses.field(default_factory=list)
@@ -80,6 +82,11 @@
         self.index_version = index.version
         self.shards = [ShardState(shard) for shard in index.shards]
         self.unsettled = len(self.shards)
+        self._lost_keys = 0
+
+    @property
+    def _answered(self) -> int:
+        return sum(1 for shard in self.shards if shard.answers)
 
     def settle(self, shard: ShardState) -> None:
         """Expect nothing more of this shard."""
@@ -87,6 +94,23 @@
             shard.settled = True
             shard.again_at_ms = 0.0
             self.unsettled -= 1
+            if not shard.ranges:
+                key_range = shard.shard.key_range
+                self._lost_keys += key_range.high - key_range.low
+
+    def has_least(self) -> bool:
+        """Whether the answers so far reach the least coverage."""
+        least = needed_keys(self.plan.search.least_coverage)
+        return self._answered > 0 and self.keys() >= least
+
+    def is_hopeless(self) -> bool:
+        """Whether the least coverage cannot be reached any more."""
+        least = needed_keys(self.plan.search.least_coverage)
+        return state.KEY_SPACE_SIZE - self._lost_keys < least
+
+    def accepted(self) -> tuple[protocol.SubAnswer, ...]:
+        """Return the answers whose content may be merged."""
+        return tuple(row for shard in self.shards for row in shard.answers)
 
     def covered(self) -> list[protocol.KeyRange]:
         """Return the key ranges that the accepted answers searched."""
@@ -102,7 +126,7 @@
         """Return the answer at this snapshot, None below the least."""
         plan = self.plan
         covered = self.covered()
-        answers = [row for shard in self.shards for row in shard.answers]
+        answers = self.accepted()
         keys = _merge.covered_keys(covered)
         if not answers or keys < needed_keys(plan.search.least_coverage):
             return None
--- a/samphiredock/coordination/_scatter_types.py
+++ b/samphiredock/coordination/_scatter_types.py
@@ -3,13 +3,37 @@
 import dataclasses
 import typing
 
-from samphiredock.coordination import _budget
 from samphiredock.coordination import _hedging
 from samphiredock.coordination import _replicas
 from samphiredock import protocol
 from samphiredock import state
 
 
+class Budget(typing.Protocol):
+    """What sub-queries beyond the needed ones are drawn from.
+
+    ``also_charged`` are the endings without a run whose second try draws
+    from the budget all the same.
+    """
+
+    also_charged: frozenset[protocol.SubStatus]
+
+    def note_needed(self, shards: typing.Sequence[str], share: float) -> None:
+        """Earn for the first sub-query of each shard."""
+
+    def spend_hedge(self, shard: str = '') -> bool:
+        """Take from it for a hedge on a shard, if there is enough."""
+
+    def spend_retry(self, shard: str = '') -> bool:
+        """Take from it for a second try of a shard, if there is enough."""
+
+    def owe(self, shard: str = '') -> None:
+        """Take from it for a try that cannot be refused."""
+
+    def refund(self, shard: str = '') -> None:
+        """Give back what was taken for a hedge that no target began."""
+
+
 class Routes(typing.Protocol):
     """Where attempts may go."""
 
@@ -59,9 +83,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finish:
-    """Give the caller this outcome; nothing follows it."""
+    """Give the caller this outcome; nothing follows it.
+
+    ``accepted`` are the answers that it was merged from.
+    """
 
     outcome: protocol.SearchOutcome
+    accepted: tuple[protocol.SubAnswer, ...] = ()
 
 
 Effect = SendAttempts | DropAttempts | Finish
@@ -101,5 +129,5 @@
     routes: Routes
     replicas: _replicas.Replicas
     latencies: _hedging.Latencies
-    budget: _budget.ExtraBudget
+    budget: Budget
     suspicions: Suspicions
--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -15,6 +15,7 @@
 from samphiredock.coordination import _membership
 from samphiredock.coordination import _pause
 from samphiredock.coordination import _relay
+from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
@@ -29,6 +30,9 @@
 _RELAY_LIMIT_BYTES = 65_536
 
 ObjectHandler = typing.Callable[[transport.StoredObject], None]
+PageHandler = typing.Callable[[transport.WatchPage], None]
+
+_log = logs.logger('watcher')
 
 
 class Watcher:
@@ -40,14 +44,26 @@
         The object service.
     clock, counters
         The timers and metrics of this daemon.
+    watch_ms
+        How long one watch waits for a change.
+    collect_ms
+        How long to let changes gather after one: when many targets start
+        at once, each would end a watch of every daemon.
     """
 
     def __init__(
         self,
-        platform: transport.Platform,
+        platform: transport.Objects,
         clock: timers.Timers,
         counters: metrics.Metrics,
+        watch_ms: int = _WATCH_MS,
+        collect_ms: float = 0.0,
     ) -> None:
+        self._watch_ms = watch_ms
+        self._collect_ms = collect_ms
+        self._page_handlers: dict[str, PageHandler] = {}
+        self._on_outage: list[typing.Callable[[], None]] = []
+        self._failing: set[str] = set()
         self._platform = platform
         self._clock = clock
         self._metrics = counters
@@ -68,6 +84,18 @@
         """
         self._handlers[prefix] = handler
 
+    def follow_pages(self, prefix: str, handler: PageHandler) -> None:
+        """Call ``handler`` with each page of changes below ``prefix``.
+
+        For parts to which it matters that an object is gone.  To be called
+        before :meth:`start`.
+        """
+        self._page_handlers[prefix] = handler
+
+    def on_outage(self, callback: typing.Callable[[], None]) -> None:
+        """Call back at each call that the store did not answer."""
+        self._on_outage.append(callback)
+
     def share_among(
         self,
         is_watcher: typing.Callable[[], bool],
@@ -91,8 +119,9 @@
 
     def start(self) -> None:
         """Watch in the background."""
-        self._unread = set(self._handlers)
-        for prefix in self._handlers:
+        prefixes = [*self._handlers, *self._page_handlers]
+        self._unread = set(prefixes)
+        for prefix in prefixes:
             task = asyncio.create_task(self._follow(prefix))
             self._tasks.append(task)
 
@@ -112,13 +141,18 @@
                     await _pause.pause(self._clock, _CHECK_MS)
                     continue
             polled_ms = self._clock.now_ms()
-            timeout_ms = _WATCH_MS if watching else 0
+            timeout_ms = self._watch_ms if watching else 0
             reply = await self._platform.watch(prefix, position, timeout_ms)
             self._note_read(prefix)
             if isinstance(reply, result.Failure):
+                if self._note_failure(prefix, reply.failure()):
+                    position = 0
                 await _pause.pause(self._clock, _PAUSE_MS)
                 continue
+            self._note_success(prefix)
             page = reply.unwrap()
+            if prefix in self._page_handlers:
+                self._page_handlers[prefix](page)
             for stored in page.changed:
                 self.take(stored)
                 if position and watching:
@@ -126,6 +160,30 @@
             if not page.changed and position == 0:
                 await _pause.pause(self._clock, _PAUSE_MS)
             position = page.position
+            if page.changed or page.gone:
+                await _pause.pause(self._clock, self._collect_ms)
+
+    def _note_failure(self, prefix: str, error: transport.StoreError) -> bool:
+        """Tell of a failed call; True if all must be read anew."""
+        self._metrics.add('store_watch_failures', kind=error.kind.value)
+        if prefix not in self._failing:
+            self._failing.add(prefix)
+            _log.warning(
+                'store lost',
+                prefix=prefix,
+                kind=error.kind.value,
+                why=error.detail[:200],
+            )
+        if error.kind is transport.StoreErrorKind.FORGOTTEN:
+            return True
+        for callback in self._on_outage:
+            callback()
+        return False
+
+    def _note_success(self, prefix: str) -> None:
+        if prefix in self._failing:
+            self._failing.discard(prefix)
+            _log.notice('store regained', prefix=prefix)
 
     def _poll_ms(self) -> float:
         return _POLL_MS * max(1.0, self._size() / _SIZE_OF_POLL)
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -0,0 +1,444 @@
+"""The task that passes requests on: one scatter a request, targets asked
+directly.
+
+The decisions are those of :class:`coordination.Scatter`; this module turns
+its effects into HTTP exchanges and their ends into answers.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import math
+import typing
+
+from returns import result
+
+from samphiredock.coordination import _scatter
+from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.forwarding import _live_targets
+from samphiredock.coordination.forwarding import _route_plans
+from samphiredock.coordination.forwarding import _routing
+from samphiredock.coordination.forwarding import _splitter
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+LOSER_GRACE_MS = 150.0
+"""How long an exchange that is not needed any more may still end by itself.
+A target that pauses for 120 ms answers within it, and its connection stays
+open; a new one would hold a slot of the target for 6 ms."""
+
+NO_TARGET_RETRY_MS = 300
+"""When to come back if too few shards have a target that can be reached.
+A target that was given up is tried again after 200 ms."""
+
+_Status = protocol.SubStatus
+
+_LINK_STATUS = {
+    transport.LinkErrorKind.UNREACHABLE: _Status.UNREACHABLE,
+    transport.LinkErrorKind.BROKEN: _Status.BROKEN,
+    transport.LinkErrorKind.SILENT: _Status.SILENT,
+    transport.LinkErrorKind.BAD_ANSWER: _Status.BAD_ANSWER,
+}
+
+_log = logs.logger('forwarding')
+
+
+class Dialect(typing.Protocol):
+    """The targets' HTTP protocol, as the forwarder uses it."""
+
+    def target_request(
+        self,
+        request: protocol.ForwardRequest,
+        target: state.LiveTarget,
+        left_ms: float,
+    ) -> protocol.HttpRequest:
+        """Return what goes out to a target."""
+
+    def read_reply(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> protocol.TargetReply:
+        """Return what a target's answer means."""
+
+    def is_reply_to(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> bool:
+        """Whether an answer belongs to this request and to no other."""
+
+
+class Links(typing.Protocol):
+    """Connections to targets."""
+
+    async def exchange(
+        self,
+        target: state.LiveTarget,
+        request: protocol.HttpRequest,
+        timeout_ms: float,
+        is_reply: typing.Callable[[protocol.HttpReply], bool],
+    ) -> result.Result[protocol.HttpReply, transport.LinkError]:
+        """Send a request once and return its answer.
+
+        Answers for which ``is_reply`` is false belong to other requests.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardSettings:
+    """Bounds of the forwarder.
+
+    ``caller_way_ms`` is what connecting and the way from the caller and
+    back take of a route's aim.
+    """
+
+    site: str
+    caller_way_ms: float
+    limits: state.Limits
+
+
+@dataclasses.dataclass(slots=True)
+class _Flight:
+    """One request that has no outcome yet."""
+
+    plan: _route_plans.ForwardPlan
+    scatter: _scatter.Scatter
+    done: asyncio.Future
+    started_ms: float
+    timer: timers.Subscription | None = None
+    armed_ms: float = math.inf
+    tasks: dict[str, asyncio.Task] = dataclasses.field(default_factory=dict)
+    replies: dict[str, protocol.TargetReply] = dataclasses.field(
+        default_factory=dict
+    )
+    failure: protocol.TargetReply | None = None
+    endings: list[str] = dataclasses.field(default_factory=list)
+
+
+class Forwarder:
+    """Pass requests on to targets and merge what comes back.
+
+    Parameters
+    ----------
+    settings
+        Its bounds.
+    routing, targets
+        What is known of routes and targets.
+    tools
+        Records, latencies and the budget that all requests share.
+    dialect, links
+        The targets' protocol, and the connections to them.
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardSettings,
+        routing: _routing.RoutingKnowledge,
+        targets: _live_targets.LiveTargets,
+        tools: _scatter_types.Tools,
+        dialect: Dialect,
+        links: Links,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._routing = routing
+        self._targets = targets
+        self._tools = tools
+        self._dialect = dialect
+        self._links = links
+        self._clock = clock
+        self._metrics = counters
+        self._splitter = _splitter.Splitter()
+        self._numbers = itertools.count(1)
+        self._in_flight = 0
+
+    def in_flight(self) -> int:
+        """Return how many requests have no outcome yet."""
+        return self._in_flight
+
+    async def forward(
+        self, request: protocol.ForwardRequest
+    ) -> protocol.ForwardOutcome:
+        """Pass one request on; cancelling this cancels its sub-queries."""
+        started_ms = self._clock.now_ms()
+        planned = self._plan(request, started_ms)
+        if isinstance(planned, result.Failure):
+            refusal = planned.failure()
+            self._note_refusal(request, refusal)
+            return refusal
+        self._in_flight += 1
+        try:
+            return await self._run(planned.unwrap(), started_ms)
+        finally:
+            self._in_flight -= 1
+
+    # Before anything is sent.
+
+    def _plan(
+        self, request: protocol.ForwardRequest, now_ms: float
+    ) -> result.Result[_route_plans.ForwardPlan, protocol.NotRun]:
+        table = self._routing.table
+        if table is None:
+            return _refused(
+                protocol.NotRunReason.NOT_READY,
+                'no routing table yet',
+                NO_TARGET_RETRY_MS,
+            )
+        route = table.match(request.host, request.path)
+        if route is None:
+            return _refused(
+                protocol.NotRunReason.UNKNOWN_ROUTE,
+                f'got host {request.host[:80]!r} and path '
+                f'{request.path[:80]!r}, expected a route of version '
+                f'{table.version}',
+                0,
+            )
+        services = route.shards or (self._splitter.choose(route),)
+        targets = {
+            service: self._targets.of_service(service) for service in services
+        }
+        open_to = sum(
+            any(map(self._targets.is_usable, names))
+            for names in targets.values()
+        )
+        least = _route_plans.least_shards(route) if route.shards else 1
+        if open_to < least:
+            # Waiting would end in the same refusal, only later.
+            return _refused(
+                protocol.NotRunReason.NO_TARGET,
+                f'got {open_to} services of {len(services)} with a target '
+                f'that can be reached, expected at least {least}',
+                NO_TARGET_RETRY_MS,
+            )
+        return result.Success(
+            _route_plans.make_forward_plan(
+                request,
+                route,
+                table.version,
+                services,
+                targets,
+                str(next(self._numbers)),
+                self._settings.site,
+                now_ms,
+                self._settings.caller_way_ms,
+            )
+        )
+
+    # One request.
+
+    async def _run(
+        self, plan: _route_plans.ForwardPlan, started_ms: float
+    ) -> protocol.ForwardOutcome:
+        scatter = _scatter.Scatter(
+            plan.scatter, self._tools, self._settings.limits
+        )
+        done = asyncio.get_running_loop().create_future()
+        flight = _Flight(plan, scatter, done, started_ms)
+        try:
+            self._carry_out(flight, scatter.start(started_ms))
+            finish: _scatter_types.Finish = await done
+        except asyncio.CancelledError:
+            # The caller has left: nobody wants what targets still work on.
+            for task in flight.tasks.values():
+                task.cancel()
+            self._metrics.add('requests_left', route=plan.route.name)
+            raise
+        finally:
+            if flight.timer is not None:
+                flight.timer.cancel()
+        outcome = self._outcome(flight, finish)
+        self._note_end(flight, outcome)
+        return outcome
+
+    def _carry_out(
+        self, flight: _Flight, effects: list[_scatter_types.Effect]
+    ) -> None:
+        for effect in effects:
+            if isinstance(effect, _scatter_types.SendAttempts):
+                for item in effect.items:
+                    self._send(flight, item)
+            elif isinstance(effect, _scatter_types.DropAttempts):
+                for attempt_id in effect.attempt_ids:
+                    self._drop(flight, attempt_id)
+            elif not flight.done.done():
+                flight.done.set_result(effect)
+        if not flight.done.done():
+            self._arm(flight)
+
+    def _arm(self, flight: _Flight) -> None:
+        """Keep one timer a request, at the next thing that falls due."""
+        due_ms = flight.scatter.next_due_ms()
+        if due_ms >= flight.armed_ms:
+            return
+        if flight.timer is not None:
+            flight.timer.cancel()
+        flight.armed_ms = due_ms
+        flight.timer = self._clock.after(
+            due_ms - self._clock.now_ms(), lambda: self._on_due(flight)
+        )
+
+    def _on_due(self, flight: _Flight) -> None:
+        flight.timer = None
+        flight.armed_ms = math.inf
+        if not flight.done.done():
+            now_ms = self._clock.now_ms()
+            self._carry_out(flight, flight.scatter.on_tick(now_ms))
+
+    def _send(self, flight: _Flight, item: protocol.SubQuery) -> None:
+        task = asyncio.create_task(self._exchange(flight, item))
+        flight.tasks[item.attempt_id] = task
+        task.add_done_callback(
+            lambda done: flight.tasks.pop(item.attempt_id, None)
+        )
+
+    def _drop(self, flight: _Flight, attempt_id: str) -> None:
+        task = flight.tasks.get(attempt_id)
+        if task is not None:
+            self._clock.after(LOSER_GRACE_MS, task.cancel)
+
+    async def _exchange(
+        self, flight: _Flight, item: protocol.SubQuery
+    ) -> None:
+        sent_ms = self._clock.now_ms()
+        target = self._targets.get(item.target)
+        if target is None:
+            self._ended(flight, item, _Status.UNREACHABLE, 'gone')
+            return
+        request = flight.plan.request
+        left_ms = flight.plan.scatter.deadline_at_ms - sent_ms
+        reply = await self._links.exchange(
+            target,
+            self._dialect.target_request(request, target, left_ms),
+            left_ms,
+            lambda got: self._dialect.is_reply_to(request, got),
+        )
+        if isinstance(reply, result.Failure):
+            error = reply.failure()
+            status = _LINK_STATUS[error.kind]
+            self._observe(target, status, sent_ms)
+            self._ended(flight, item, status, error.detail)
+            return
+        read = self._dialect.read_reply(request, reply.unwrap())
+        self._observe(target, read.status, sent_ms)
+        if read.status is _Status.ANSWERED:
+            flight.replies[item.attempt_id] = read
+        elif read.may_be_passed:
+            flight.failure = read
+        self._ended(flight, item, read.status, read.detail)
+
+    def _observe(
+        self, target: state.LiveTarget, status: protocol.SubStatus, sent: float
+    ) -> None:
+        """Take an exchange's end into the record of its target."""
+        if self._targets.get(target.target_id) is None:
+            return
+        now_ms = self._clock.now_ms()
+        record = self._targets.record(target.target_id)
+        if status is _Status.ANSWERED:
+            record.on_answer(1, now_ms - sent, now_ms)
+        elif status is _Status.UNREACHABLE:
+            record.on_failure(True, now_ms)
+        elif status in (_Status.BROKEN, _Status.BAD_ANSWER):
+            record.on_failure(False, now_ms)
+        elif status is _Status.NOT_OWNER:
+            self._targets.misdirected(target.target_id)
+
+    def _ended(
+        self,
+        flight: _Flight,
+        item: protocol.SubQuery,
+        status: protocol.SubStatus,
+        detail: str,
+    ) -> None:
+        if status is not _Status.ANSWERED:
+            flight.endings.append(f'{item.target}: {status.value} {detail}')
+        if flight.done.done():
+            return
+        ranges = []
+        if status is _Status.ANSWERED:
+            shard = next(
+                row
+                for row in flight.plan.scatter.shards
+                if row.shard_id == item.shard_id
+            )
+            ranges = [shard.key_range]
+        answer = protocol.SubAnswer(
+            item.attempt_id, item.target, status, item.snapshot_id, ranges
+        )
+        now_ms = self._clock.now_ms()
+        self._carry_out(flight, flight.scatter.on_answers([answer], now_ms))
+
+    # The end.
+
+    def _outcome(
+        self, flight: _Flight, finish: _scatter_types.Finish
+    ) -> protocol.ForwardOutcome:
+        plan = flight.plan
+        outcome = finish.outcome
+        if isinstance(outcome, protocol.Answered | protocol.Partial):
+            parts = [flight.replies[row.attempt_id] for row in finish.accepted]
+            if not plan.is_gather:
+                return protocol.Passed(parts[0].reply)
+            return protocol.Gathered(
+                tuple(part.receipt or '' for part in parts),
+                len(plan.services) - len(parts),
+                _route_plans.merge_parts(
+                    [part.reply.body for part in parts], plan.route.top
+                ),
+            )
+        if isinstance(outcome, protocol.NotRun):
+            return outcome
+        if flight.failure is not None and not plan.is_gather:
+            return protocol.Passed(flight.failure.reply)
+        if self._clock.now_ms() >= plan.scatter.deadline_at_ms:
+            return protocol.TimedOut(outcome.detail)
+        return outcome
+
+    def _note_refusal(
+        self, request: protocol.ForwardRequest, refusal: protocol.NotRun
+    ) -> None:
+        self._metrics.add('requests_refused', reason=refusal.reason.value)
+        _log.info(
+            'request refused',
+            request=request.request_id,
+            reason=refusal.reason.value,
+            why=refusal.detail,
+        )
+
+    def _note_end(
+        self, flight: _Flight, outcome: protocol.ForwardOutcome
+    ) -> None:
+        plan = flight.plan
+        name = type(outcome).__name__.lower()
+        took_ms = self._clock.now_ms() - flight.started_ms
+        labels = {'service': plan.route.name, 'request_class': name}
+        self._metrics.observe('request_latency_ms', took_ms, **labels)
+        tally = flight.scatter.tally
+        for counter in _scatter_types.COUNTED:
+            amount = getattr(tally, counter)
+            if amount:
+                self._metrics.add_bulk(counter, amount, route=plan.route.name)
+        _log.info(
+            'request ended',
+            request=plan.request.request_id,
+            route=plan.route.name,
+            version=plan.scatter.snapshot.snapshot_id,
+            outcome=name,
+            took_ms=round(took_ms, 1),
+            missing=getattr(outcome, 'missing', 0),
+            hedges=tally.hedges_sent,
+            hedges_denied=tally.hedges_denied,
+            retries=tally.retries,
+            endings=flight.endings[:8],
+            why=getattr(outcome, 'detail', ''),
+        )
+
+
+def _refused(
+    reason: protocol.NotRunReason, detail: str, retry_after_ms: int
+) -> result.Failure[protocol.NotRun]:
+    return result.Failure(protocol.NotRun(reason, detail, retry_after_ms))
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_live_targets.py
@@ -0,0 +1,153 @@
+"""The targets that are running now, and which of them may get work."""
+
+import collections
+import typing
+
+from samphiredock.coordination import _target_record
+from samphiredock import logs
+from samphiredock import state
+from samphiredock import timers
+
+RETURN_MS = 2_500.0
+"""How long an entry may be missing after the store has been away.  Entries
+lapse while nobody can renew them and are back within about two seconds;
+taken as gone at once, all targets would be lost with the store."""
+
+_log = logs.logger('targets')
+
+
+class LiveTargets:
+    """Targets by id and by service, with what was observed of each.
+
+    Implements :class:`coordination.Routes` for targets that are asked
+    directly: each is its own dispatcher.
+    """
+
+    snapshot: state.Snapshot | None = None
+
+    def __init__(self, clock: timers.Timers) -> None:
+        self._clock = clock
+        self._targets: dict[str, state.LiveTarget] = {}
+        self._records: dict[str, _target_record.TargetRecord] = {}
+        self._by_service: dict[str, list[str]] = {}
+        self._missing: dict[str, float] = {}
+        self._misdirected: set[str] = set()
+        self._store_back_ms = -RETURN_MS
+        self._on_gone: list[typing.Callable[[state.LiveTarget], None]] = []
+
+    # What is known.
+
+    def get(self, target_id: str) -> state.LiveTarget | None:
+        """Return a target that is registered."""
+        return self._targets.get(target_id)
+
+    def record(self, target_id: str) -> _target_record.TargetRecord:
+        """Return what was observed of a registered target."""
+        return self._records[target_id]
+
+    def of_service(self, service: str) -> list[str]:
+        """Return the ids of a service's targets that are not leaving."""
+        return self._by_service.get(service, [])
+
+    def is_empty(self) -> bool:
+        """Whether no target is known yet."""
+        return not self._targets
+
+    def all(self) -> list[state.LiveTarget]:
+        """Return every registered target."""
+        return list(self._targets.values())
+
+    # Routes.
+
+    def owner(self, target: str) -> str | None:
+        """A target that is asked directly is its own dispatcher."""
+        return target if target in self._targets else None
+
+    def is_usable(self, target: str) -> bool:
+        """Whether a target may get new work."""
+        found = self._targets.get(target)
+        if found is None or found.leaving or target in self._misdirected:
+            return False
+        return not self._records[target].is_lost(self._clock.now_ms())
+
+    # Changes.
+
+    def on_gone(
+        self, callback: typing.Callable[[state.LiveTarget], None]
+    ) -> None:
+        """Call back with each target that is not registered any more."""
+        self._on_gone.append(callback)
+
+    def put(self, target: state.LiveTarget) -> None:
+        """Take in a target's newest entry."""
+        self._missing.pop(target.target_id, None)
+        before = self._targets.get(target.target_id)
+        if before == target:
+            return
+        if before is None:
+            self._records[target.target_id] = _target_record.TargetRecord()
+        if before is None or before.leaving != target.leaving:
+            _log.info(
+                'target entry',
+                target=target.target_id,
+                service=target.service,
+                leaving=target.leaving,
+                new=before is None,
+            )
+        self._targets[target.target_id] = target
+        self._records[target.target_id].set_leaving(target.leaving)
+        self._index()
+
+    def remove(self, target_id: str) -> None:
+        """A target's entry is gone; while the store returns, wait for it."""
+        if target_id not in self._targets:
+            return
+        now_ms = self._clock.now_ms()
+        until_ms = self._store_back_ms + RETURN_MS
+        if now_ms >= until_ms:
+            self._drop(target_id)
+            return
+        self._missing[target_id] = until_ms
+        self._clock.after(until_ms - now_ms, self._drop_missing)
+
+    def keep_only(self, target_ids: typing.Container[str]) -> None:
+        """The store has been read whole: what it lacks is gone."""
+        for target_id in list(self._targets):
+            if target_id not in target_ids:
+                self.remove(target_id)
+
+    def store_is_away(self) -> None:
+        """The store did not answer; entries may lapse meanwhile."""
+        self._store_back_ms = self._clock.now_ms()
+
+    def misdirected(self, target_id: str) -> None:
+        """Another target has the address now: nothing more goes there."""
+        if target_id in self._targets:
+            self._misdirected.add(target_id)
+
+    def _drop_missing(self) -> None:
+        now_ms = self._clock.now_ms()
+        # Another outage since then moves the end of the wait.
+        until_ms = self._store_back_ms + RETURN_MS
+        if now_ms < until_ms:
+            self._clock.after(until_ms - now_ms, self._drop_missing)
+            return
+        for target_id in list(self._missing):
+            self._drop(target_id)
+
+    def _drop(self, target_id: str) -> None:
+        self._missing.pop(target_id, None)
+        self._misdirected.discard(target_id)
+        target = self._targets.pop(target_id)
+        del self._records[target_id]
+        self._index()
+        _log.info('target gone', target=target_id, service=target.service)
+        for callback in self._on_gone:
+            callback(target)
+
+    def _index(self) -> None:
+        index: dict[str, list[str]] = collections.defaultdict(list)
+        for target in self._targets.values():
+            if not target.leaving:
+                index[target.service].append(target.target_id)
+        self._by_service = dict(index)
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_routing.py
@@ -0,0 +1,50 @@
+"""Which routing table is in force here."""
+
+import typing
+
+from samphiredock import logs
+from samphiredock import state
+
+_log = logs.logger('routing')
+
+
+class RoutingKnowledge:
+    """The newest routing table; an older one never comes back.
+
+    A stale read, or an answer that was overtaken, may show an older version
+    after a newer one.  A caller would then see a route vanish that it has
+    just used.
+    """
+
+    def __init__(self) -> None:
+        self._table: state.RoutingTable | None = None
+        self._subscribers: list[
+            typing.Callable[[state.RoutingTable], None]
+        ] = []
+
+    @property
+    def table(self) -> state.RoutingTable | None:
+        """The table in force, None before the first."""
+        return self._table
+
+    def subscribe(
+        self, callback: typing.Callable[[state.RoutingTable], None]
+    ) -> None:
+        """Call back with each table that is put in force."""
+        self._subscribers.append(callback)
+
+    def offer(self, table: state.RoutingTable) -> bool:
+        """Put a table in force if it is newer than the one held."""
+        held = self._table.version if self._table else None
+        if held is not None and table.version <= held:
+            return False
+        self._table = table
+        _log.notice(
+            'routing table in force',
+            version=table.version,
+            before=held,
+            routes=len(table.routes),
+        )
+        for callback in self._subscribers:
+            callback(table)
+        return True
--- a/samphiredock/logs.py
+++ b/samphiredock/logs.py
@@ -1,6 +1,7 @@
 """Structured logs: one JSON object a line, for changes of state only."""
 
 import sys
+import typing
 
 import logbook
 import msgspec
@@ -17,9 +18,9 @@
     return msgspec.json.encode(row, enc_hook=str).decode()
 
 
-def set_up(level: str) -> None:
-    """Send log lines of ``level`` and above to standard error."""
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+def set_up(level: str, stream: typing.TextIO = sys.stderr) -> None:
+    """Send log lines of ``level`` and above to a stream."""
+    handler = logbook.StreamHandler(stream, level=level.upper())
     handler.formatter = _format
     handler.push_application()
 
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -11,6 +11,15 @@
 from samphiredock.protocol._dispatch_messages import Released
 from samphiredock.protocol._dispatch_messages import TargetSign
 from samphiredock.protocol._dispatch_messages import TargetSignsWanted
+from samphiredock.protocol._forwarding import ForwardOutcome
+from samphiredock.protocol._forwarding import ForwardRequest
+from samphiredock.protocol._forwarding import Gathered
+from samphiredock.protocol._forwarding import Headers
+from samphiredock.protocol._forwarding import HttpReply
+from samphiredock.protocol._forwarding import HttpRequest
+from samphiredock.protocol._forwarding import Passed
+from samphiredock.protocol._forwarding import TargetReply
+from samphiredock.protocol._forwarding import TimedOut
 from samphiredock.protocol._idempotency import canonical_key
 from samphiredock.protocol._idempotency import issue_time_ms
 from samphiredock.protocol._idempotency import new_idempotency_key
@@ -105,7 +114,13 @@
     'Confirmations',
     'DaemonRevision',
     'Envelope',
+    'ForwardOutcome',
+    'ForwardRequest',
+    'Gathered',
+    'Headers',
     'HeldVersions',
+    'HttpReply',
+    'HttpRequest',
     'KeyRange',
     'MemberRow',
     'MemberState',
@@ -120,6 +135,7 @@
     'OperatorErrorKind',
     'Outcome',
     'Partial',
+    'Passed',
     'Probe',
     'ProbeAnswer',
     'ProbeAsk',
@@ -153,12 +169,14 @@
     'TargetCancelAnswer',
     'TargetHealth',
     'TargetQuery',
+    'TargetReply',
     'TargetRow',
     'TargetRun',
     'TargetRunAnswer',
     'TargetSign',
     'TargetSignsWanted',
     'TargetStatus',
+    'TimedOut',
     'Unknown',
     'canonical_key',
     'issue_time_ms',
--- a/samphiredock/protocol/_outcomes.py
+++ b/samphiredock/protocol/_outcomes.py
@@ -42,6 +42,7 @@
     NO_SNAPSHOT = 'no-snapshot'
     SHUTTING_DOWN = 'shutting-down'
     NOT_READY = 'not-ready'
+    UNKNOWN_ROUTE = 'unknown-route'
 
 
 class Answered(msgspec.Struct, frozen=True, tag='answered'):
--- a/samphiredock/state/__init__.py
+++ b/samphiredock/state/__init__.py
@@ -27,9 +27,17 @@
 from samphiredock.state._configuration import Site
 from samphiredock.state._configuration import Target
 from samphiredock.state._directory import Member
+from samphiredock.state._entry_settings import EntrySettings
+from samphiredock.state._entry_settings import load_entry_settings
 from samphiredock.state._files import read_file
 from samphiredock.state._keys import Keys
 from samphiredock.state._keys import load_keys
+from samphiredock.state._routes import CallerLimits
+from samphiredock.state._routes import LiveTarget
+from samphiredock.state._routes import RECORD_BYTES
+from samphiredock.state._routes import Route
+from samphiredock.state._routes import RoutingTable
+from samphiredock.state._routes import WeightedService
 from samphiredock.state._settings import load_settings
 from samphiredock.state._settings import Settings
 from samphiredock.state._settings import TlsSettings
@@ -41,15 +49,18 @@
 
 __all__ = [
     'Bucket',
+    'CallerLimits',
     'Claim',
     'ClaimState',
     'Configuration',
     'ConfigurationSource',
+    'EntrySettings',
     'IndexSnapshot',
     'KEEP_MS',
     'KEY_SPACE_SIZE',
     'Keys',
     'Limits',
+    'LiveTarget',
     'Member',
     'MergeKind',
     'OUTCOME_LIMIT_BYTES',
@@ -57,8 +68,11 @@
     'Operation',
     'Place',
     'Problem',
+    'RECORD_BYTES',
     'REQUEST_CLASSES',
     'RETENTION_LIMIT_MS',
+    'Route',
+    'RoutingTable',
     'Search',
     'Service',
     'Settings',
@@ -68,11 +82,13 @@
     'Target',
     'TlsSettings',
     'Verdict',
+    'WeightedService',
     'check_snapshot',
     'compile_source',
     'content_digest',
     'decode_bucket',
     'done_claim',
+    'load_entry_settings',
     'load_keys',
     'load_settings',
     'not_run_claim',
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -3,6 +3,9 @@
 from samphiredock.transport._caller_http import caller_application
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_HEADER
 from samphiredock.transport._caller_http import Service
+from samphiredock.transport._channel_pool import ChannelPool
+from samphiredock.transport._entry_http import Entry
+from samphiredock.transport._entry_http import entry_server
 from samphiredock.transport._operator_http import Operations
 from samphiredock.transport._operator_http import operator_application
 from samphiredock.transport._peers import Broadcaster
@@ -12,6 +15,7 @@
 from samphiredock.transport._peers import Peers
 from samphiredock.transport._platform import CREATE_ONLY
 from samphiredock.transport._platform import Host
+from samphiredock.transport._platform import Objects
 from samphiredock.transport._platform import Platform
 from samphiredock.transport._platform import StoredObject
 from samphiredock.transport._platform import StoreError
@@ -19,6 +23,11 @@
 from samphiredock.transport._platform import VALUE_LIMIT_BYTES
 from samphiredock.transport._platform import WatchPage
 from samphiredock.transport._platform_http import HttpPlatform
+from samphiredock.transport._store_calls import parse_store_reply
+from samphiredock.transport._store_calls import STORE_CALL_TIMEOUT_MS
+from samphiredock.transport._store_calls import STORE_WATCH_SLACK_MS
+from samphiredock.transport._store_calls import StoreCalls
+from samphiredock.transport._store_calls import StoreReply
 from samphiredock.transport._target_http import HttpTargetLink
 from samphiredock.transport._target_http import LinkError
 from samphiredock.transport._target_http import LinkErrorKind
@@ -27,7 +36,9 @@
 __all__ = [
     'Broadcaster',
     'CREATE_ONLY',
+    'ChannelPool',
     'CurveKeys',
+    'Entry',
     'Handler',
     'Host',
     'HttpPlatform',
@@ -35,17 +46,24 @@
     'IDEMPOTENCY_KEY_HEADER',
     'LinkError',
     'LinkErrorKind',
+    'Objects',
     'Operations',
     'PeerHub',
     'Peers',
     'Platform',
+    'STORE_CALL_TIMEOUT_MS',
+    'STORE_WATCH_SLACK_MS',
     'Service',
+    'StoreCalls',
     'StoreError',
     'StoreErrorKind',
+    'StoreReply',
     'StoredObject',
     'TargetLink',
     'VALUE_LIMIT_BYTES',
     'WatchPage',
     'caller_application',
+    'entry_server',
     'operator_application',
+    'parse_store_reply',
 ]
--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -36,6 +36,7 @@
     protocol.NotRunReason.NO_SNAPSHOT: 503,
     protocol.NotRunReason.SHUTTING_DOWN: 503,
     protocol.NotRunReason.NOT_READY: 503,
+    protocol.NotRunReason.UNKNOWN_ROUTE: 404,
 }
 
 _TYPE_STATUS = {
--- a/samphiredock/transport/_platform.py
+++ b/samphiredock/transport/_platform.py
@@ -19,13 +19,18 @@
 
 
 class StoreErrorKind(enum.Enum):
-    """Why a call gave no value."""
+    """Why a call gave no value.
+
+    ``FORGOTTEN``: the store has dropped the changes after the position of
+    a watch; reading everything anew is the only way on.
+    """
 
     NOT_FOUND = 'not-found'
     CONFLICT = 'conflict'
     UNAVAILABLE = 'unavailable'
     LOST = 'lost'
     REFUSED = 'refused'
+    FORGOTTEN = 'forgotten'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,11 +52,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchPage:
-    """Objects changed after ``position``; ``gone`` lists deleted keys."""
+    """Objects changed after ``position``; ``gone`` lists deleted keys.
+
+    A ``whole`` page holds everything there is: what it lacks is gone too.
+    """
 
     changed: tuple[StoredObject, ...]
     gone: tuple[str, ...]
     position: int
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,8 +71,8 @@
     leaving: bool
 
 
-class Platform(typing.Protocol):
-    """The object service and host list, as the coordination layer uses it."""
+class Objects(typing.Protocol):
+    """The object service, as the coordination layer uses it."""
 
     async def get(self, key: str) -> result.Result[StoredObject, StoreError]:
         """Read one object."""
@@ -82,9 +91,13 @@
         """Delete if the stored version is as expected."""
 
     async def scan(
-        self, prefix: str
+        self, prefix: str, may_be_stale: bool = False
     ) -> result.Result[tuple[StoredObject, ...], StoreError]:
-        """Read all objects below a prefix."""
+        """Read all objects below a prefix.
+
+        With ``may_be_stale`` the answer may be some seconds old, which
+        costs the store less.
+        """
 
     async def watch(
         self, prefix: str, position: int, timeout_ms: int
@@ -94,6 +107,10 @@
         Position 0 returns everything there is at once.
         """
 
+
+class Platform(Objects, typing.Protocol):
+    """The object service with the platform's list of hosts."""
+
     async def hosts(
         self,
     ) -> result.Result[tuple[Host, ...], StoreError]:
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -44,6 +44,7 @@
         page = _page('CONFIGURATION.md')
         kinds = (
             state.Settings,
+            state.EntrySettings,
             state.TlsSettings,
             state.Limits,
             state.Search,
--- a/tests/unit/test_public_names.py
+++ b/tests/unit/test_public_names.py
@@ -9,6 +9,11 @@
 _PACKAGES = ('coordination', 'protocol', 'state', 'transport')
 
 
+def _is_below(module: str | None, package: str) -> bool:
+    """Whether a module is a package or lies within it."""
+    return f'{module}.'.startswith(f'{package}.')
+
+
 class PublicNamesTest(unittest.TestCase):
     """The public modules of the packages."""
 
@@ -52,12 +57,12 @@
                 if isinstance(node, ast.ImportFrom)
                 for alias in node.names
                 if alias.name.startswith('_')
-                and node.module != f'samphiredock.{package}'
+                and not _is_below(node.module, f'samphiredock.{package}')
             ]
         self.assertEqual([], found)
 
     def test_all_lists_what_is_imported(self) -> None:
-        for package in _PACKAGES:
+        for package in (*_PACKAGES, 'coordination/forwarding'):
             path = _ROOT / package / '__init__.py'
             tree = ast.parse(path.read_text(encoding='utf-8'))
             imported = [
