Requests that go badly leave their decisions in the log; tests of the door

Cause: the log had one line a request with no way to its cause, and a reader that is slow would have blocked the loop. The new modules had no tests.

Change: _request_log keeps a request's decisions until its end is known and writes them only if it went badly, within two bounds a second; what is left out is counted. logs.BoundedStream never blocks.

--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -16,10 +16,10 @@
 from samphiredock.coordination import _scatter
 from samphiredock.coordination import _scatter_types
 from samphiredock.coordination.forwarding import _live_targets
+from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _route_plans
 from samphiredock.coordination.forwarding import _routing
 from samphiredock.coordination.forwarding import _splitter
-from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
@@ -44,8 +44,6 @@
     transport.LinkErrorKind.BAD_ANSWER: _Status.BAD_ANSWER,
 }
 
-_log = logs.logger('forwarding')
-
 
 class Dialect(typing.Protocol):
     """The targets' HTTP protocol, as the forwarder uses it."""
@@ -105,7 +103,7 @@
     plan: _route_plans.ForwardPlan
     scatter: _scatter.Scatter
     done: asyncio.Future
-    started_ms: float
+    trail: _request_log.Trail
     timer: timers.Subscription | None = None
     armed_ms: float = math.inf
     tasks: dict[str, asyncio.Task] = dataclasses.field(default_factory=dict)
@@ -113,7 +111,7 @@
         default_factory=dict
     )
     failure: protocol.TargetReply | None = None
-    endings: list[str] = dataclasses.field(default_factory=list)
+    asked: set[str] = dataclasses.field(default_factory=set)
 
 
 class Forwarder:
@@ -153,6 +151,7 @@
         self._clock = clock
         self._metrics = counters
         self._splitter = _splitter.Splitter()
+        self._request_log = _request_log.RequestLog(clock, counters)
         self._numbers = itertools.count(1)
         self._in_flight = 0
 
@@ -167,9 +166,7 @@
         started_ms = self._clock.now_ms()
         planned = self._plan(request, started_ms)
         if isinstance(planned, result.Failure):
-            refusal = planned.failure()
-            self._note_refusal(request, refusal)
-            return refusal
+            return self._refuse(request, planned.failure(), started_ms)
         self._in_flight += 1
         try:
             return await self._run(planned.unwrap(), started_ms)
@@ -237,7 +234,7 @@
             plan.scatter, self._tools, self._settings.limits
         )
         done = asyncio.get_running_loop().create_future()
-        flight = _Flight(plan, scatter, done, started_ms)
+        flight = _Flight(plan, scatter, done, _request_log.Trail(started_ms))
         try:
             self._carry_out(flight, scatter.start(started_ms))
             finish: _scatter_types.Finish = await done
@@ -246,6 +243,7 @@
             for task in flight.tasks.values():
                 task.cancel()
             self._metrics.add('requests_left', route=plan.route.name)
+            self._note_end(flight, None)
             raise
         finally:
             if flight.timer is not None:
@@ -289,6 +287,18 @@
             self._carry_out(flight, flight.scatter.on_tick(now_ms))
 
     def _send(self, flight: _Flight, item: protocol.SubQuery) -> None:
+        why = 'first'
+        if item.shard_id in flight.asked:
+            why = 'hedge' if item.hedge else 'retry'
+        flight.asked.add(item.shard_id)
+        flight.trail.note(
+            self._clock.now_ms(),
+            'sent',
+            attempt=item.attempt_id,
+            shard=item.shard_id,
+            target=item.target,
+            why=why,
+        )
         task = asyncio.create_task(self._exchange(flight, item))
         flight.tasks[item.attempt_id] = task
         task.add_done_callback(
@@ -296,6 +306,10 @@
         )
 
     def _drop(self, flight: _Flight, attempt_id: str) -> None:
+        if not flight.done.done():
+            flight.trail.note(
+                self._clock.now_ms(), 'not needed', attempt=attempt_id
+            )
         task = flight.tasks.get(attempt_id)
         if task is not None:
             self._clock.after(LOSER_GRACE_MS, task.cancel)
@@ -354,10 +368,18 @@
         status: protocol.SubStatus,
         detail: str,
     ) -> None:
-        if status is not _Status.ANSWERED:
-            flight.endings.append(f'{item.target}: {status.value} {detail}')
         if flight.done.done():
             return
+        if status is not _Status.ANSWERED:
+            flight.trail.note(
+                self._clock.now_ms(),
+                'failed',
+                attempt=item.attempt_id,
+                shard=item.shard_id,
+                target=item.target,
+                status=status.value,
+                why=detail,
+            )
         ranges = []
         if status is _Status.ANSWERED:
             shard = next(
@@ -398,23 +420,30 @@
             return protocol.TimedOut(outcome.detail)
         return outcome
 
-    def _note_refusal(
-        self, request: protocol.ForwardRequest, refusal: protocol.NotRun
-    ) -> None:
+    def _refuse(
+        self,
+        request: protocol.ForwardRequest,
+        refusal: protocol.NotRun,
+        started_ms: float,
+    ) -> protocol.NotRun:
         self._metrics.add('requests_refused', reason=refusal.reason.value)
-        _log.info(
-            'request refused',
-            request=request.request_id,
+        self._request_log.end(
+            request.request_id,
+            _request_log.Trail(started_ms),
+            False,
+            outcome='refused',
             reason=refusal.reason.value,
             why=refusal.detail,
+            retry_after_ms=refusal.retry_after_ms,
         )
+        return refusal
 
     def _note_end(
-        self, flight: _Flight, outcome: protocol.ForwardOutcome
+        self, flight: _Flight, outcome: protocol.ForwardOutcome | None
     ) -> None:
         plan = flight.plan
-        name = type(outcome).__name__.lower()
-        took_ms = self._clock.now_ms() - flight.started_ms
+        name = type(outcome).__name__.lower() if outcome else 'caller left'
+        took_ms = self._clock.now_ms() - flight.trail.started_ms
         labels = {'service': plan.route.name, 'request_class': name}
         self._metrics.observe('request_latency_ms', took_ms, **labels)
         tally = flight.scatter.tally
@@ -422,18 +451,25 @@
             amount = getattr(tally, counter)
             if amount:
                 self._metrics.add_bulk(counter, amount, route=plan.route.name)
-        _log.info(
-            'request ended',
-            request=plan.request.request_id,
+        missing = getattr(outcome, 'missing', 0)
+        status = getattr(getattr(outcome, 'reply', None), 'status', 200)
+        served = isinstance(outcome, protocol.Gathered | protocol.Passed)
+        in_time = took_ms <= plan.route.aim_ms
+        self._request_log.end(
+            plan.request.request_id,
+            flight.trail,
+            served and in_time and not missing and status < 300,
+            outcome=name,
+            status=status if served else None,
             route=plan.route.name,
             version=plan.scatter.snapshot.snapshot_id,
-            outcome=name,
-            took_ms=round(took_ms, 1),
-            missing=getattr(outcome, 'missing', 0),
+            aim_ms=plan.route.aim_ms,
+            shards=len(plan.services),
+            missing=missing,
             hedges=tally.hedges_sent,
             hedges_denied=tally.hedges_denied,
             retries=tally.retries,
-            endings=flight.endings[:8],
+            retries_denied=tally.retries_denied,
             why=getattr(outcome, 'detail', ''),
         )
 
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_request_log.py
@@ -0,0 +1,107 @@
+"""Log lines about requests: few for those that went well.
+
+Every request has a line at its end.  One that did not go well has a line
+for each decision as well: to whom it was sent and why, what came back, what
+was refused and with which budget left.  The decisions are kept until the
+end is known, so that a good request's never take the place of a bad one's.
+"""
+
+import dataclasses
+import typing
+
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import timers
+
+GOOD_LINES_PER_S = 50.0
+"""A daemon serves about 15 requests a second; at a burst of thousands the
+lines of good ones are a sample."""
+
+BAD_LINES_PER_S = 400.0
+"""Decisions of 10 to 20 failed requests a second.  A line takes some 60 us,
+so that both bounds together stay under 3 % of a core."""
+
+_log = logs.logger('requests')
+
+
+class _Bucket:
+    """Lines that may be written now, filled by time."""
+
+    def __init__(self, per_s: float) -> None:
+        self._per_s = per_s
+        self._tokens = per_s
+        self._at_ms = 0.0
+
+    def take(self, count: int, now_ms: float) -> bool:
+        passed_s = max(0.0, now_ms - self._at_ms) / 1000.0
+        self._at_ms = now_ms
+        filled = self._tokens + passed_s * self._per_s
+        self._tokens = min(self._per_s, filled)
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """One decision about a request, ``at_ms`` after it came."""
+
+    at_ms: float
+    event: str
+    facts: typing.Mapping[str, object]
+
+
+class Trail:
+    """The decisions about one request, until its end is known."""
+
+    __slots__ = ('started_ms', 'decisions')
+
+    def __init__(self, started_ms: float) -> None:
+        self.started_ms = started_ms
+        self.decisions: list[Decision] = []
+
+    def note(self, now_ms: float, event: str, **facts: object) -> None:
+        """Keep one decision."""
+        at_ms = round(now_ms - self.started_ms, 1)
+        self.decisions.append(Decision(at_ms, event, facts))
+
+
+class RequestLog:
+    """Writes the lines, and counts those that are left out.
+
+    Parameters
+    ----------
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self, clock: timers.Timers, counters: metrics.Metrics
+    ) -> None:
+        self._clock = clock
+        self._metrics = counters
+        self._good = _Bucket(GOOD_LINES_PER_S)
+        self._bad = _Bucket(BAD_LINES_PER_S)
+
+    def end(
+        self,
+        request_id: str,
+        trail: Trail,
+        good: bool,
+        **facts: object,
+    ) -> None:
+        """Write a request's end, and its decisions if it went badly."""
+        lines = [] if good else trail.decisions
+        bucket = self._good if good else self._bad
+        if not bucket.take(1 + len(lines), self._clock.now_ms()):
+            self._metrics.add('request_lines_left_out', 1 + len(lines))
+            return
+        for row in lines:
+            _log.info(
+                row.event, request=request_id, at_ms=row.at_ms, **row.facts
+            )
+        took_ms = round(self._clock.now_ms() - trail.started_ms, 1)
+        _log.info(
+            'request ended', request=request_id, took_ms=took_ms, **facts
+        )
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -20,6 +20,7 @@
 
 _SHUTDOWN_TICK_MS = 50.0
 _METRICS_FLUSH_MS = 1_000.0
+_LOG_FLUSH_MS = 200.0
 _EXIT_MS = 500.0
 """What is kept of the time before the kill for closing down."""
 
@@ -77,11 +78,17 @@
         Its addresses and bounds.
     adapter
         The platform's names and wire.
+    log_stream
+        Where the log lines go.
     """
 
     def __init__(
-        self, settings: state.EntrySettings, adapter: Adapter
+        self,
+        settings: state.EntrySettings,
+        adapter: Adapter,
+        log_stream: logs.BoundedStream,
     ) -> None:
+        self._log_stream = log_stream
         self._settings = settings
         self._adapter = adapter
         self._clock = timers.LoopTimers()
@@ -244,6 +251,7 @@
         Raises ``OSError`` if an address cannot be listened on.
         """
         self._clock.every(_METRICS_FLUSH_MS, self._metrics.flush)
+        self._clock.every(_LOG_FLUSH_MS, self._log_stream.flush)
         self._watcher.start()
         self._presence.start()
         settings = self._settings
--- a/samphiredock/daemon/entry.py
+++ b/samphiredock/daemon/entry.py
@@ -30,9 +30,10 @@
     if check:
         click.echo(f'{settings_path}: valid')
         return
-    logs.set_up(settings.log_level, sys.stdout)
+    stream = logs.BoundedStream(sys.stdout.fileno())
+    logs.set_up(settings.log_level, stream)
     try:
-        asyncio.run(_serve(settings, adapter))
+        asyncio.run(_serve(settings, adapter, stream))
     except OSError as error:
         click.echo(f'cannot run with {settings_path}: {error}', err=True)
         sys.exit(_CANNOT_RUN_STATUS)
@@ -47,9 +48,13 @@
     return loaded.unwrap()
 
 
-async def _serve(settings: state.EntrySettings, adapter: Adapter) -> None:
+async def _serve(
+    settings: state.EntrySettings,
+    adapter: Adapter,
+    stream: logs.BoundedStream,
+) -> None:
     loop = asyncio.get_running_loop()
-    node = EntryNode(settings, adapter)
+    node = EntryNode(settings, adapter, stream)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.on_signal)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
--- a/samphiredock/logs.py
+++ b/samphiredock/logs.py
@@ -1,11 +1,75 @@
-"""Structured logs: one JSON object a line, for changes of state only."""
+"""Structured logs: one JSON object a line.
 
+Writing never blocks: a reader that is too slow costs lines, which are
+counted, and not the requests.
+"""
+
+import os
 import sys
 import typing
 
 import logbook
 import msgspec
 
+BUFFER_LIMIT_BYTES = 262_144
+"""What waits for a slow reader at most: some seconds of lines at 1,000 a
+second, and a small part of a daemon's memory."""
+
+
+class BoundedStream:
+    """A text stream on a descriptor that does not block.
+
+    Parameters
+    ----------
+    descriptor
+        An open file or pipe; it is made non-blocking.
+    limit_bytes
+        What may wait; lines beyond are left out and counted.
+    """
+
+    def __init__(
+        self, descriptor: int, limit_bytes: int = BUFFER_LIMIT_BYTES
+    ) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._limit_bytes = limit_bytes
+        self._waiting = bytearray()
+        self._unreported = 0
+        self.left_out = 0
+
+    def write(self, text: str) -> int:
+        """Write as much as goes without waiting, and keep the rest."""
+        data = text.encode('utf-8', 'replace')
+        if len(self._waiting) + len(data) > self._limit_bytes:
+            self.left_out += 1
+            self._unreported += 1
+            return len(text)
+        if self._unreported and not self._waiting:
+            self._waiting += _line(
+                event='log lines left out', count=self._unreported
+            )
+            self._unreported = 0
+        self._waiting += data
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what waits, as far as it goes."""
+        try:
+            while self._waiting:
+                written = os.write(self._descriptor, self._waiting)
+                del self._waiting[:written]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads any more; there is no place left to say so.
+            self.left_out += 1
+            self._waiting.clear()
+
+
+def _line(**fields: object) -> bytes:
+    return msgspec.json.encode(fields, enc_hook=str) + b'\n'
+
 
 def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
     row = {
@@ -18,7 +82,9 @@
     return msgspec.json.encode(row, enc_hook=str).decode()
 
 
-def set_up(level: str, stream: typing.TextIO = sys.stderr) -> None:
+def set_up(
+    level: str, stream: typing.TextIO | BoundedStream = sys.stderr
+) -> None:
     """Send log lines of ``level`` and above to a stream."""
     handler = logbook.StreamHandler(stream, level=level.upper())
     handler.formatter = _format
--- /dev/null
+++ b/standins/memory_links.py
@@ -0,0 +1,216 @@
+"""Targets that are asked directly, answered by hand, in memory."""
+
+import asyncio
+import dataclasses
+import os
+import random
+import typing
+
+from returns import result
+
+from samphiredock import coordination
+from samphiredock.coordination import forwarding
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+
+Reply = result.Result[protocol.HttpReply, transport.LinkError]
+
+
+@dataclasses.dataclass(eq=False)
+class Sent:
+    """One exchange that waits for the test to end it."""
+
+    target: str
+    request: protocol.HttpRequest
+    done: asyncio.Future[Reply]
+    cancelled: bool = False
+
+    def answer(self, body: bytes, receipt: str = '') -> None:
+        """End it with a success."""
+        headers = (('Receipt', receipt or f'receipt-{self.target}'),)
+        self.end(result.Success(protocol.HttpReply(200, headers, body)))
+
+    def refuse(self, status: int = 503) -> None:
+        """End it with a refusal that says that nothing ran."""
+        headers = (('Refused', '1'),)
+        self.end(result.Success(protocol.HttpReply(status, headers)))
+
+    def fail(self, status: int = 500) -> None:
+        """End it with the target's own failure."""
+        headers = (('Receipt', f'receipt-{self.target}'),)
+        self.end(result.Success(protocol.HttpReply(status, headers, b'no')))
+
+    def lose(self, kind: transport.LinkErrorKind) -> None:
+        """End it without an answer."""
+        self.end(result.Failure(transport.LinkError(kind, 'by the test')))
+
+    def end(self, reply: Reply) -> None:
+        """End it."""
+        if not self.done.done():
+            self.done.set_result(reply)
+
+
+class HandLinks:
+    """Implements the forwarder's links; every exchange waits in ``open``."""
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+
+    @property
+    def open(self) -> list[Sent]:
+        """The exchanges that have not ended."""
+        return [row for row in self.sent if not row.done.done()]
+
+    async def exchange(
+        self,
+        target: state.LiveTarget,
+        request: protocol.HttpRequest,
+        timeout_ms: float,
+        is_reply: typing.Callable[[protocol.HttpReply], bool],
+    ) -> Reply:
+        """Wait for the test."""
+        future = asyncio.get_running_loop().create_future()
+        sent = Sent(target.target_id, request, future)
+        self.sent.append(sent)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            sent.cancelled = True
+            raise
+
+
+class PlainDialect:
+    """The least that a dialect must do."""
+
+    def target_request(
+        self,
+        request: protocol.ForwardRequest,
+        target: state.LiveTarget,
+        left_ms: float,
+    ) -> protocol.HttpRequest:
+        """Pass the request on with the time that is left."""
+        headers = (*request.headers, ('Left', str(int(left_ms))))
+        return protocol.HttpRequest(
+            request.method, request.path, headers, request.body
+        )
+
+    def is_reply_to(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> bool:
+        """Every answer is the right one."""
+        return True
+
+    def read_reply(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> protocol.TargetReply:
+        """Success, refusal or failure, by status and ``Refused``."""
+        receipt = reply.header('Receipt')
+        status = protocol.SubStatus.BROKEN
+        if reply.status == 200:
+            status = protocol.SubStatus.ANSWERED
+        elif reply.header('Refused'):
+            status = protocol.SubStatus.SHED
+        return protocol.TargetReply(
+            status, reply, receipt, may_be_passed=reply.status == 500
+        )
+
+
+class ForwardDesk:
+    """A forwarder whose targets are answered by hand, time moved by hand.
+
+    Routes: ``/all/`` asks ``shards`` shards with two targets each,
+    ``/one/`` a service with three, ``/once/`` the same for requests that
+    may not be repeated.
+    """
+
+    def __init__(self, shards: int = 10, daemons: int | None = 1) -> None:
+        self.clock = timers.ManualTimers()
+        self.links = HandLinks()
+        self.targets = forwarding.LiveTargets(self.clock)
+        self.routing = forwarding.RoutingKnowledge()
+        self.counters = metrics.Metrics('test')
+        self.latencies = coordination.Latencies()
+        self.budget = forwarding.WindowBudget(
+            self.clock, 0.2, 56.0, 10_000.0, lambda: daemons
+        )
+        self.shards = tuple(f's{number}' for number in range(shards))
+        self.offer(1)
+        for service, count in [*((name, 2) for name in self.shards), ('p', 3)]:
+            for number in range(count):
+                self.put(f'{service}-{number}', service)
+        tools = coordination.Tools(
+            self.targets,
+            coordination.Replicas(random.Random(SEED), lambda target: True),
+            self.latencies,
+            self.budget,
+            forwarding.NoSuspicions(),
+        )
+        self.forwarder = forwarding.Forwarder(
+            forwarding.ForwardSettings(
+                'here', 9.0, state.Limits(hedge_quantile=0.85)
+            ),
+            self.routing,
+            self.targets,
+            tools,
+            PlainDialect(),
+            self.links,
+            self.clock,
+            self.counters,
+        )
+
+    def offer(self, version: int, **changes: typing.Any) -> None:
+        """Put a routing table in force."""
+        common = {'host': 'h', 'timeout_ms': 600.0, 'aim_ms': 118.0}
+        one = (state.WeightedService('p', 1.0),)
+        routes = (
+            state.Route(
+                'all', prefix='/all/', repeatable=True, attempts=2,
+                shards=changes.get('shards', self.shards), top=5,
+                least_share=changes.get('least_share', 0.8), **common,
+            ),
+            state.Route(
+                'one', prefix='/one/', repeatable=True, attempts=2,
+                services=one, **common,
+            ),
+            state.Route(
+                'once', prefix='/once/', repeatable=False, attempts=2,
+                services=one, **common,
+            ),
+        )  # fmt: skip
+        self.routing.offer(
+            state.RoutingTable(version, routes, {}, state.CallerLimits())
+        )
+
+    def put(self, name: str, service: str, **changes: typing.Any) -> None:
+        """Register a target."""
+        self.targets.put(
+            state.LiveTarget(
+                name, service, '127.0.0.1:1', 'here', 2, **changes
+            )
+        )
+
+    def ask(
+        self, path: str, request_id: str = 'id', method: str = 'GET'
+    ) -> asyncio.Task[protocol.ForwardOutcome]:
+        """Send a caller's request."""
+        request = protocol.ForwardRequest(
+            request_id, method, 'h', path, (), b'', 2_000.0
+        )
+        return asyncio.create_task(self.forwarder.forward(request))
+
+    async def advance(self, delta_ms: float) -> None:
+        """Let everything run, move the time, let everything run."""
+        await settle()
+        self.clock.advance(delta_ms)
+        await settle()
+
+
+async def settle() -> None:
+    """Give every task that can run its turn."""
+    for _ in range(10):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/standins/scripted_target.py
@@ -0,0 +1,95 @@
+"""A target that answers with the bytes a test tells it to."""
+
+import asyncio
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """One request as it came."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = typing.Callable[
+    [Seen, asyncio.StreamWriter], typing.Awaitable[typing.Any]
+]
+
+
+async def read_request(reader: asyncio.StreamReader) -> Seen | None:
+    """Read one request, None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    line, *rows = head.decode('latin-1').rstrip().split('\r\n')
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (row.partition(':') for row in rows)
+    }
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    return Seen(line, headers, body)
+
+
+class ScriptedTarget:
+    """Listens on a port of its own; ``script`` answers each request."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.closed = 0
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> str:
+        """Listen; return ``IP:port``."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+        while True:
+            seen = await read_request(reader)
+            if seen is None:
+                break
+            self.seen.append(seen)
+            await self.script(seen, writer)
+            if writer.is_closing():
+                break
+        self.closed += 1
+        writer.close()
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        for writer in self._writers:
+            writer.close()
+        if self._server is not None:
+            self._server.close()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Break a connection off, so that its peer sees a reset."""
+    writer.transport.abort()
+
+
+def answer(
+    request_id: str,
+    body: bytes = b'',
+    status: int = 200,
+    headers: typing.Mapping[str, str] = {},
+    framed: bool = True,
+) -> bytes:
+    """Return an answer; without a frame it ends with its connection."""
+    rows = {'Request-Id': request_id, **headers}
+    if framed:
+        rows['Content-Length'] = str(len(body))
+    text = ''.join(f'{name}: {value}\r\n' for name, value in rows.items())
+    return f'HTTP/1.1 {status} Status\r\n{text}\r\n'.encode() + body
--- /dev/null
+++ b/tests/unit/test_live_targets.py
@@ -0,0 +1,122 @@
+"""Which targets are running, as the store and the answers show it."""
+
+import unittest
+
+from samphiredock.coordination import forwarding
+from samphiredock import state
+from samphiredock import timers
+
+
+def target(name: str, **changes: object) -> state.LiveTarget:
+    """Return an entry of service ``s``."""
+    values = {
+        'target_id': name,
+        'service': 's',
+        'address': '127.0.0.1:1',
+        'site': 'here',
+        'slots': 2,
+    }
+    return state.LiveTarget(**{**values, **changes})
+
+
+class LiveTargetsTest(unittest.TestCase):
+    """Entries that come, change and go."""
+
+    def setUp(self) -> None:
+        """Register one target."""
+        self.clock = timers.ManualTimers(10_000.0)
+        self.live = forwarding.LiveTargets(self.clock)
+        self.gone: list[str] = []
+        self.live.on_gone(lambda row: self.gone.append(row.target_id))
+        self.live.put(target('a'))
+
+    def test_a_leaving_target_gets_no_new_work(self) -> None:
+        """It still serves what it has, so it is not gone."""
+        self.live.put(target('a', leaving=True))
+        self.assertFalse(self.live.is_usable('a'))
+        self.assertEqual([], self.live.of_service('s'))
+        self.assertEqual([], self.gone)
+
+    def test_a_removed_entry_is_gone_at_once(self) -> None:
+        """The store was there all the time, so the target has left."""
+        self.live.remove('a')
+        self.assertFalse(self.live.is_usable('a'))
+        self.assertEqual(['a'], self.gone)
+
+    def test_entries_that_lapse_in_an_outage_are_awaited(self) -> None:
+        """The caller would be refused by every daemon at once.
+
+        The store is away, and entries lapse since nobody can renew them.
+        It returns without them; the targets run and register again within
+        two seconds.
+        """
+        self.live.store_is_away()
+        self.live.keep_only(set())
+        self.assertTrue(self.live.is_usable('a'))
+        self.clock.advance(2_000.0)
+        self.live.put(target('a'))
+        self.clock.advance(5_000.0)
+        self.assertTrue(self.live.is_usable('a'))
+
+    def test_what_is_not_back_after_the_wait_is_gone(self) -> None:
+        """A target that ended during the outage never comes back."""
+        self.live.store_is_away()
+        self.live.remove('a')
+        self.clock.advance(2_499.0)
+        self.assertTrue(self.live.is_usable('a'))
+        self.clock.advance(2.0)
+        self.assertEqual(['a'], self.gone)
+
+    def test_a_second_outage_begins_the_wait_anew(self) -> None:
+        """Else the entry would be dropped while nobody can renew it."""
+        self.live.store_is_away()
+        self.live.remove('a')
+        self.clock.advance(2_000.0)
+        self.live.store_is_away()
+        self.clock.advance(2_000.0)
+        self.assertTrue(self.live.is_usable('a'))
+        self.clock.advance(600.0)
+        self.assertEqual(['a'], self.gone)
+
+    def test_a_misdirected_address_is_not_used_again(self) -> None:
+        """Another target answers there now; the entry is only late."""
+        self.live.misdirected('a')
+        self.assertFalse(self.live.is_usable('a'))
+
+    def test_a_lost_target_is_tried_again_after_a_pause(self) -> None:
+        """Else a target that returned would stay unused for ever."""
+        self.live.record('a').on_failure(True, self.clock.now_ms())
+        self.assertFalse(self.live.is_usable('a'))
+        self.clock.advance(300.0)
+        self.assertTrue(self.live.is_usable('a'))
+
+
+class SplitterTest(unittest.TestCase):
+    """Requests of a route that several services share."""
+
+    def _route(self, *weights: float) -> state.Route:
+        services = tuple(
+            state.WeightedService(f's{number}', weight)
+            for number, weight in enumerate(weights)
+        )
+        return state.Route(
+            'r', 'h', '/', True, 1_000.0, 500.0, 1, services=services
+        )
+
+    def test_each_service_gets_its_proportion(self) -> None:
+        """Off by less than one request after any number of them."""
+        splitter = forwarding.Splitter()
+        route = self._route(0.7, 0.2, 0.1)
+        counts = {'s0': 0, 's1': 0, 's2': 0}
+        for number in range(1, 301):
+            counts[splitter.choose(route)] += 1
+            self.assertAlmostEqual(0.7 * number, counts['s0'], delta=1.0)
+            self.assertAlmostEqual(0.1 * number, counts['s2'], delta=1.0)
+
+    def test_new_weights_hold_from_the_next_request(self) -> None:
+        """What was owed under the old weights is forgotten."""
+        splitter = forwarding.Splitter()
+        for _ in range(5):
+            splitter.choose(self._route(0.9, 0.1))
+        chosen = [splitter.choose(self._route(0.0, 1.0)) for _ in range(5)]
+        self.assertEqual(['s1'] * 5, chosen)
--- /dev/null
+++ b/tests/unit/test_prepared_hosts.py
@@ -0,0 +1,209 @@
+"""The adapter to the users' platform: names, wire, settings."""
+
+import json
+import pathlib
+import sys
+import unittest
+
+from returns import result
+
+from samphiredock import protocol
+from samphiredock import state
+
+_FOLDER = pathlib.Path(__file__).parents[2] / 'platform'
+sys.path.append(str(_FOLDER))
+
+import prepared_hosts  # noqa: E402
+
+Status = protocol.SubStatus
+
+CONFIGURATION = {
+    'Version': 7,
+    'Routes': [
+        {
+            'Name': 'r-1',
+            'Host': 'h.example',
+            'PathPrefix': '/a/',
+            'Kind': 'idempotent',
+            'TimeoutMs': 300,
+            'TargetLatencyMs': 56,
+            'Priority': 2,
+            'Gather': ['s1', 's2'],
+            'MaxAttempts': 2,
+            'TopK': 5,
+            'MinVersion': 0.75,
+        },
+        {
+            'Name': 'r-2',
+            'Host': 'h.example',
+            'PathPrefix': '/b/',
+            'Kind': 'non_idempotent',
+            'TimeoutMs': 2000,
+            'TargetLatencyMs': 544,
+            'Split': [
+                {'Service': 'p', 'Weight': 0.7},
+                {'Service': 'q', 'Weight': 0.3},
+            ],
+            'MaxAttempts': 1,
+            'Unheard': True,
+        },
+    ],
+    'Services': [{'Name': 's1', 'HealthPath': '/x', 'MaxConns': 26}],
+    'Limits': {
+        'MaxHeaderBytes': 16384,
+        'MaxBodyBytes': 262144,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+}
+
+HEADERS = (
+    ('Host', 'h.example'),
+    ('Request-Id', 'id-1'),
+    ('Deadline-Ms', '250'),
+    ('Connection', 'keep-alive, X-Hop'),
+    ('X-Hop', 'mine'),
+    ('X-Kept', 'yes'),
+    ('Expect-Instance', 'smuggled'),
+)
+
+
+class AdapterTest(unittest.TestCase):
+    """What is said in the platform's words, in samphiredock's."""
+
+    def setUp(self) -> None:
+        """Make an adapter."""
+        self.adapter = prepared_hosts.PreparedHosts()
+
+    def _request(
+        self, *headers: tuple[str, str]
+    ) -> result.Result[protocol.ForwardRequest, str]:
+        return self.adapter.read_request(
+            'GET', '/a/b?c=%20', headers or HEADERS, b''
+        )
+
+    def test_a_configuration_becomes_a_routing_table(self) -> None:
+        """Also with fields that nobody has heard of."""
+        value = json.dumps(CONFIGURATION).encode()
+        table = self.adapter.read_routing(value).unwrap()
+        self.assertEqual(7, table.version)
+        self.assertEqual({'s1': 26}, table.connections)
+        gather, split = table.routes
+        self.assertEqual(('s1', 's2'), gather.shards)
+        self.assertEqual((5, 0.75), (gather.top, gather.least_share))
+        self.assertEqual((56.0, 300.0), (gather.aim_ms, gather.timeout_ms))
+        self.assertTrue(gather.repeatable)
+        self.assertFalse(split.repeatable)
+        self.assertEqual(0.3, split.services[1].weight)
+        self.assertEqual(262144, table.limits.body_bytes)
+
+    def test_an_entry_becomes_a_target(self) -> None:
+        """Its id is in the key alone."""
+        entry = {
+            'Service': 's1', 'Addr': '10.0.0.9:80', 'Zone': 'z',
+            'Version': 'v1', 'Slots': 2, 'State': 'draining',
+            'WarmupLeftMs': 300, 'Seq': 4,
+        }  # fmt: skip
+        value = json.dumps(entry).encode()
+        target = self.adapter.read_target('servers/i-1', value).unwrap()
+        self.assertEqual(
+            state.LiveTarget('i-1', 's1', '10.0.0.9:80', 'z', 2, True, 300.0),
+            target,
+        )
+
+    def test_what_cannot_be_read_is_a_value(self) -> None:
+        """A raised error would end the task that follows the store."""
+        for value in (b'', b'null', b'{"Version": "x"}', b'[]'):
+            with self.subTest(value):
+                read = self.adapter.read_routing(value)
+                self.assertIsInstance(read, result.Failure)
+                read = self.adapter.read_target('servers/i', value)
+                self.assertIsInstance(read, result.Failure)
+
+    def test_headers_of_one_connection_stay_on_it(self) -> None:
+        """Nor may a caller set what this system sets."""
+        request = self._request().unwrap()
+        target = state.LiveTarget('i-1', 's1', '10.0.0.9:80', 'z', 2)
+        sent = self.adapter.target_request(request, target, 199.9)
+        self.assertEqual('/a/b?c=%20', sent.path)
+        headers = dict(sent.headers)
+        self.assertEqual(len(headers), len(sent.headers))
+        self.assertEqual('i-1', headers['Expect-Instance'])
+        self.assertEqual('199', headers['Deadline-Ms'])
+        self.assertEqual('id-1', headers['Request-Id'])
+        self.assertEqual('yes', headers['X-Kept'])
+        self.assertNotIn('X-Hop', headers)
+        self.assertNotIn('Connection', headers)
+
+    def test_bad_requests_say_what_is_wrong(self) -> None:
+        """A clear error each; nothing is sent to a target."""
+        for headers, word in (
+            ((('Host', 'h'),), 'Request-Id'),
+            ((('Request-Id', 'a'), ('Deadline-Ms', '-5')), 'Deadline-Ms'),
+            ((('Request-Id', 'a'), ('Deadline-Ms', '1e3')), 'Deadline-Ms'),
+            ((('Request-Id', 'a'), ('Deadline-Ms', '')), 'Deadline-Ms'),
+        ):
+            with self.subTest(headers):
+                self.assertIn(word, self._request(*headers).failure())
+
+    def test_what_a_targets_answer_means(self) -> None:
+        """Only what says so has not run; nothing else promises that."""
+        request = self._request().unwrap()
+        receipt = ('Answer-Stamp', 'x')
+        refused = ('Not-Run', '1')
+        for status, headers, meaning, passed in (
+            (200, (receipt,), Status.ANSWERED, False),
+            (200, (), Status.BAD_ANSWER, False),
+            (503, (refused,), Status.SHED, False),
+            (429, (refused,), Status.SHED, False),
+            (421, (), Status.NOT_OWNER, False),
+            (503, (receipt,), Status.BROKEN, False),
+            (500, (receipt,), Status.BROKEN, True),
+            (504, (receipt,), Status.BROKEN, True),
+        ):
+            with self.subTest(status=status, headers=headers):
+                reply = protocol.HttpReply(status, headers)
+                read = self.adapter.read_reply(request, reply)
+                self.assertIs(meaning, read.status)
+                self.assertEqual(passed, read.may_be_passed)
+
+    def test_an_answer_belongs_to_the_request_whose_id_it_bears(self) -> None:
+        """A success without an id belongs to none."""
+        request = self._request().unwrap()
+        for status, headers, expected in (
+            (200, (('request-id', 'id-1'),), True),
+            (200, (('Request-Id', 'id-0'),), False),
+            (200, (), False),
+            (503, (), True),
+            (503, (('Request-Id', 'id-0'),), False),
+        ):
+            with self.subTest(status=status, headers=headers):
+                reply = protocol.HttpReply(status, headers)
+                self.assertEqual(
+                    expected, self.adapter.is_reply_to(request, reply)
+                )
+
+    def test_every_outcome_has_an_answer(self) -> None:
+        """Only "not run" promises that the request has not run."""
+        reasons = protocol.NotRunReason
+        for outcome, status in (
+            (protocol.NotRun(reasons.NO_TARGET, 'why', 300), 503),
+            (protocol.NotRun(reasons.UNKNOWN_ROUTE, 'why', 0), 404),
+            (protocol.Unknown('why', 300), 502),
+            (protocol.TimedOut('why'), 504),
+        ):
+            with self.subTest(outcome):
+                reply = self.adapter.caller_reply(outcome)
+                self.assertEqual(status, reply.status)
+        reply = self.adapter.caller_reply(
+            protocol.NotRun(reasons.OVERLOADED, 'why', 250)
+        )
+        self.assertEqual('0.250', reply.header('Retry-After'))
+
+    def test_a_merged_answer_names_its_parts(self) -> None:
+        """The receipts of the parts, and how many are missing."""
+        outcome = protocol.Gathered(('a', 'b'), 1, b'body')
+        reply = self.adapter.caller_reply(outcome)
+        self.assertEqual('a, b', reply.header('Part-Stamps'))
+        self.assertEqual('1', reply.header('Missing-Parts'))
+        self.assertEqual(b'body', reply.body)
--- /dev/null
+++ b/tests/unit/test_window_budget.py
@@ -0,0 +1,85 @@
+"""The common retry budget, kept by each daemon on its own."""
+
+import unittest
+
+from samphiredock.coordination import forwarding
+from samphiredock import protocol
+from samphiredock import timers
+
+RATIO = 0.2
+SLACK = 56.0
+WINDOW_MS = 10_000.0
+
+
+class WindowBudgetTest(unittest.TestCase):
+    """One shard, several daemons."""
+
+    def setUp(self) -> None:
+        """Make one daemon's budget."""
+        self.clock = timers.ManualTimers()
+        self.daemons: int | None = 8
+
+    def _budget(self) -> forwarding.WindowBudget:
+        return forwarding.WindowBudget(
+            self.clock, RATIO, SLACK, WINDOW_MS, lambda: self.daemons
+        )
+
+    def _spend_all(self, budget: forwarding.WindowBudget) -> int:
+        spent = 0
+        while budget.spend_retry('s'):
+            spent += 1
+        return spent
+
+    def test_all_daemons_together_keep_the_budget(self) -> None:
+        """Each spends all that it may, at the same moment."""
+        budgets = [self._budget() for _ in range(8)]
+        needed = [100, 0, 3, 40, 7, 250, 1, 60]
+        for budget, count in zip(budgets, needed, strict=True):
+            budget.note_needed(['s'] * count, 0.0)
+        spent = sum(self._spend_all(budget) for budget in budgets)
+        self.assertLessEqual(spent, RATIO * sum(needed) + SLACK)
+        self.assertGreater(spent, 0.7 * (RATIO * sum(needed) + SLACK))
+
+    def test_without_a_count_of_daemons_no_slack_is_used(self) -> None:
+        """A daemon that knows less must not assume that it is alone."""
+        self.daemons = None
+        budget = self._budget()
+        self.assertEqual(0, self._spend_all(budget))
+        budget.note_needed(['s'] * 100, 0.0)
+        self.assertEqual(int(0.9 * RATIO * 100), self._spend_all(budget))
+
+    def test_every_window_keeps_it(self) -> None:
+        """Spending over time is not more than a window's in any window."""
+        budget = self._budget()
+        times = []
+        for _ in range(300):
+            self.clock.advance(100.0)
+            while budget.spend_hedge('s'):
+                times.append(self.clock.now_ms())
+        for begin in times:
+            count = sum(begin <= at < begin + WINDOW_MS for at in times)
+            self.assertLessEqual(count, SLACK / 8)
+
+    def test_shards_do_not_share(self) -> None:
+        """One slow shard does not take the others' hedges."""
+        budget = self._budget()
+        self._spend_all(budget)
+        self.assertTrue(budget.spend_retry('other'))
+
+    def test_the_last_part_is_kept_for_retries(self) -> None:
+        """Hedges stop first: a missing shard is worse than a late one."""
+        budget = self._budget()
+        budget.note_needed(['s'] * 100, 0.0)
+        while budget.spend_hedge('s'):
+            pass
+        self.assertTrue(budget.spend_retry('s'))
+
+    def test_a_hedge_that_reached_nobody_is_given_back(self) -> None:
+        """A refused connection is no arrival; a refusal by the target is."""
+        budget = self._budget()
+        left = budget.left('s')
+        budget.spend_hedge('s')
+        budget.refund('s')
+        self.assertEqual(left, budget.left('s'))
+        self.assertIn(protocol.SubStatus.SHED, budget.also_charged)
+        self.assertNotIn(protocol.SubStatus.UNREACHABLE, budget.also_charged)
