--- a/samphiredock/coordination/_planner.py
+++ b/samphiredock/coordination/_planner.py
@@ -18,7 +18,8 @@
     though shards are missing, ``attempts_per_shard`` how many targets may
     run the search for one shard (0: any), and ``repeatable`` whether a
     second target may be asked though a first may have begun.
-    ``may_restart`` allows to begin anew at a newer snapshot.
+    ``may_restart`` allows to begin anew at a newer snapshot, and
+    ``first_hedge_ms`` is when to hedge while no latencies are known.
     """
 
     query_id: str
@@ -34,6 +35,7 @@
     attempts_per_shard: int = 0
     repeatable: bool = True
     may_restart: bool = True
+    first_hedge_ms: float | None = None
 
     @property
     def shards(self) -> list[state.Shard]:
--- a/samphiredock/coordination/_replicas.py
+++ b/samphiredock/coordination/_replicas.py
@@ -1,5 +1,6 @@
 """Which replica of a shard gets an attempt."""
 
+import collections
 import random
 import typing
 
@@ -8,15 +9,32 @@
 OTHER_SITE_FACTOR = 1.05
 _EXPLORE_SHARE = 0.01
 
+_FORGET_HALF_MS = 5_000.0
+"""Half-life of a latency that is not measured any more.  A target that was
+slow for some seconds is asked again about so long after, and not only by
+the small share that goes anywhere."""
+
 
 class _TargetLoad:
-    __slots__ = ('in_flight', 'latency_ms', 'factor')
+    __slots__ = ('started_ms', 'latency_ms', 'measured_ms', 'factor')
 
     def __init__(self, factor: float) -> None:
-        self.in_flight = 0
+        self.started_ms: collections.deque[float] = collections.deque()
         self.latency_ms = _START_MS
+        self.measured_ms = 0.0
         self.factor = factor
 
+    def expected_ms(self, now_ms: float) -> float:
+        """Return the smoothed latency, or the age of what is overdue.
+
+        An exchange that hangs has no latency yet, and work would be sent
+        after it until it ends.
+        """
+        forgotten = 0.5 ** ((now_ms - self.measured_ms) / _FORGET_HALF_MS)
+        smoothed_ms = _START_MS + (self.latency_ms - _START_MS) * forgotten
+        oldest_ms = now_ms - self.started_ms[0] if self.started_ms else 0.0
+        return max(smoothed_ms, oldest_ms)
+
 
 class Replicas:
     """Least expected wait among two replicas drawn at random.
@@ -31,6 +49,8 @@
         Seeded source of randomness.
     is_near
         Whether a target is in this daemon's site.
+    now_ms
+        The monotonic clock; without one nothing is forgotten.
     other_site_factor
         How much longer a target at another site may look before it is
         passed over: 1.05 decides between equals only.
@@ -41,7 +61,9 @@
         rng: random.Random,
         is_near: typing.Callable[[str], bool],
         other_site_factor: float = OTHER_SITE_FACTOR,
+        now_ms: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._now_ms = now_ms
         self._rng = rng
         self._other_site_factor = other_site_factor
         self._is_near = is_near
@@ -74,15 +96,28 @@
 
     def _wait(self, target: str) -> float:
         load = self._load(target)
-        return (load.in_flight + 1) * load.latency_ms * load.factor
+        latency_ms = load.expected_ms(self._now_ms())
+        return (len(load.started_ms) + 1) * latency_ms * load.factor
 
     def sent(self, target: str) -> None:
         """Count an attempt as in flight."""
-        self._load(target).in_flight += 1
+        self._load(target).started_ms.append(self._now_ms())
 
     def ended(self, target: str, took_ms: float | None) -> None:
         """Count an attempt as ended; ``took_ms`` None leaves the record."""
         load = self._load(target)
-        load.in_flight -= 1
+        load.started_ms.popleft()
         if took_ms is not None:
-            load.latency_ms += _SMOOTHING * (took_ms - load.latency_ms)
+            self.measured(target, took_ms)
+
+    def measured(self, target: str, took_ms: float) -> None:
+        """Take in a latency; also of an attempt that was ended before."""
+        load = self._load(target)
+        load.latency_ms += _SMOOTHING * (took_ms - load.latency_ms)
+        load.measured_ms = self._now_ms()
+
+    def forget(self, target: str) -> None:
+        """Drop the record of a target that is gone."""
+        load = self._loads.get(target)
+        if load is not None and not load.started_ms:
+            del self._loads[target]
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -22,6 +22,7 @@
 # of a copy that another daemon ran at the same moment arrives.
 _SUSPECT_PAUSE_MS = 20.0
 
+
 _Status = protocol.SubStatus
 _Verdict = _scatter_judge.Verdict
 
@@ -77,7 +78,7 @@
             sub_queries_needed=len(self._round.shards)
         )
         self._hedges = _scatter_hedges.Hedges(
-            tools, self._index, limits, self.tally, plan.search.deadline_ms
+            tools, self._index, limits, self.tally, _first_hedge_ms(plan)
         )
 
     # Inputs.
@@ -434,3 +435,9 @@
             ),
             self._round.accepted(),
         )
+
+
+def _first_hedge_ms(plan: _planner.Plan) -> float:
+    if plan.first_hedge_ms is not None:
+        return plan.first_hedge_ms
+    return plan.search.deadline_ms * _scatter_hedges.FIRST_DELAY_SHARE
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/_scatter_hedges.py
@@ -31,9 +31,8 @@
     index, limits
         An attempt later than the limits' quantile of the index's latency is
         late, or, if they set one, later than a fixed delay.
-    deadline_ms
-        The search's own; a part of it is the delay while the latency of
-        the index is not known.
+    first_ms
+        The delay while the latency of the index is not known.
     tally
         Where hedges sent and denied are counted.
     """
@@ -44,14 +43,14 @@
         index: str,
         limits: state.Limits,
         tally: _scatter_types.Tally,
-        deadline_ms: float,
+        first_ms: float,
     ) -> None:
         self._tools = tools
         self._index = index
         self._quantile = limits.hedge_quantile
         self._fixed_ms = limits.hedge_after_ms
         self._tally = tally
-        self._first_ms = deadline_ms * FIRST_DELAY_SHARE
+        self._first_ms = first_ms
         self.due_ms = math.inf
 
     def _delay_ms(self) -> float | None:
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -318,9 +318,22 @@
         self, flight: _Flight, item: protocol.SubQuery
     ) -> None:
         sent_ms = self._clock.now_ms()
+        try:
+            await self._exchange_once(flight, item, sent_ms)
+        except asyncio.CancelledError:
+            # Cut as a loser, or since its caller left: the time it had is
+            # the only thing that a silent target ever shows.
+            self._tools.replicas.measured(
+                item.target, self._clock.now_ms() - sent_ms
+            )
+            raise
+
+    async def _exchange_once(
+        self, flight: _Flight, item: protocol.SubQuery, sent_ms: float
+    ) -> None:
         target = self._targets.get(item.target)
         if target is None:
-            self._ended(flight, item, _Status.UNREACHABLE, 'gone')
+            self._ended(flight, item, _Status.UNREACHABLE, 'gone', sent_ms)
             return
         request = flight.plan.request
         left_ms = flight.plan.scatter.deadline_at_ms - sent_ms
@@ -334,7 +347,7 @@
             error = reply.failure()
             status = _LINK_STATUS[error.kind]
             self._observe(target, status, sent_ms)
-            self._ended(flight, item, status, error.detail)
+            self._ended(flight, item, status, error.detail, sent_ms)
             return
         read = self._dialect.read_reply(request, reply.unwrap())
         self._observe(target, read.status, sent_ms)
@@ -342,7 +355,7 @@
             flight.replies[item.attempt_id] = read
         elif read.may_be_passed:
             flight.failure = read
-        self._ended(flight, item, read.status, read.detail)
+        self._ended(flight, item, read.status, read.detail, sent_ms)
 
     def _observe(
         self, target: state.LiveTarget, status: protocol.SubStatus, sent: float
@@ -367,8 +380,13 @@
         item: protocol.SubQuery,
         status: protocol.SubStatus,
         detail: str,
+        sent_ms: float,
     ) -> None:
         if flight.done.done():
+            # Its time was not known when the scatter ended.
+            self._tools.replicas.measured(
+                item.target, self._clock.now_ms() - sent_ms
+            )
             return
         if status is not _Status.ANSWERED:
             flight.trail.note(
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -17,6 +17,10 @@
 """What is left for the merge and the way to the socket when an answer is
 due: 20 parts merge in about 1 ms, the rest is for a busy loop."""
 
+FIRST_HEDGE_SHARE = 0.3
+"""Part of a route's aim after which a daemon hedges that knows no latencies
+yet.  Work takes some 15 % of the aim, and the hedge needs as much again."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardPlan:
@@ -116,6 +120,7 @@
         route.attempts,
         route.repeatable,
         may_restart=False,
+        first_hedge_ms=route.aim_ms * FIRST_HEDGE_SHARE,
     )
     return ForwardPlan(request, route, services, plan)
 
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -128,7 +128,10 @@
         tools = coordination.Tools(
             self._targets,
             coordination.Replicas(
-                rng, self._is_near, settings.other_site_factor
+                rng,
+                self._is_near,
+                settings.other_site_factor,
+                self._clock.now_ms,
             ),
             coordination.Latencies(),
             forwarding.WindowBudget(
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -95,7 +95,7 @@
             keep_ms = outcome.keep_ms
             return result.Success(outcome.reply)
         finally:
-            self._release(pool, channel, keep_ms)
+            self._release(pool, target, channel, keep_ms)
 
     def forget(self, target: state.LiveTarget) -> None:
         """Close the idle connections to a target that is gone."""
@@ -167,9 +167,13 @@
     def _release(
         self,
         pool: _Pool,
+        target: state.LiveTarget,
         channel: _http_channel.HttpChannel,
         keep_ms: float | None,
     ) -> None:
+        if pool.open > max(1, self._limit(target)):
+            # More daemons share the target's connections than before.
+            channel.close()
         if channel.is_open:
             limit_ms = _IDLE_LIMIT_MS if keep_ms is None else keep_ms
             until_ms = self._clock.now_ms() + limit_ms - _IDLE_MARGIN_MS
