--- a/samphiredock/coordination/_replicas.py
+++ b/samphiredock/coordination/_replicas.py
@@ -6,6 +6,13 @@
 
 _SMOOTHING = 0.2
 _START_MS = 1.0
+
+_SURPRISE_FACTOR = 4.0
+_SURPRISE_SHARE = 0.5
+"""A latency of several times the usual one moves the record faster.  A
+target that turned slow or silent would else get five more requests from
+each daemon before another is preferred, each of which needs a hedge."""
+
 OTHER_SITE_FACTOR = 1.05
 _EXPLORE_SHARE = 0.01
 
@@ -110,10 +117,24 @@
         if took_ms is not None:
             self.measured(target, took_ms)
 
+    def lingers(self, target: str, sent_ms: float) -> None:
+        """Count an attempt as in flight that was ended here, but runs on.
+
+        :meth:`ended` follows when its exchange has ended.
+        """
+        started_ms = self._load(target).started_ms
+        started_ms.append(sent_ms)
+        if len(started_ms) > 1 and started_ms[-2] > sent_ms:
+            self._load(target).started_ms = collections.deque(
+                sorted(started_ms)
+            )
+
     def measured(self, target: str, took_ms: float) -> None:
         """Take in a latency; also of an attempt that was ended before."""
         load = self._load(target)
-        load.latency_ms += _SMOOTHING * (took_ms - load.latency_ms)
+        surprise = took_ms > _SURPRISE_FACTOR * load.latency_ms
+        share = _SURPRISE_SHARE if surprise else _SMOOTHING
+        load.latency_ms += share * (took_ms - load.latency_ms)
         load.measured_ms = self._now_ms()
 
     def forget(self, target: str) -> None:
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -96,6 +96,16 @@
     limits: state.Limits
 
 
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """One exchange with a target; ``lingers`` after nobody needs it."""
+
+    target: str
+    sent_ms: float
+    task: asyncio.Task | None = None
+    lingers: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class _Flight:
     """One request that has no outcome yet."""
@@ -106,12 +116,12 @@
     trail: _request_log.Trail
     timer: timers.Subscription | None = None
     armed_ms: float = math.inf
-    tasks: dict[str, asyncio.Task] = dataclasses.field(default_factory=dict)
     replies: dict[str, protocol.TargetReply] = dataclasses.field(
         default_factory=dict
     )
     failure: protocol.TargetReply | None = None
     asked: set[str] = dataclasses.field(default_factory=set)
+    exchanges: dict[str, _Exchange] = dataclasses.field(default_factory=dict)
 
 
 class Forwarder:
@@ -240,8 +250,9 @@
             finish: _scatter_types.Finish = await done
         except asyncio.CancelledError:
             # The caller has left: nobody wants what targets still work on.
-            for task in flight.tasks.values():
-                task.cancel()
+            for exchange in flight.exchanges.values():
+                if exchange.task is not None:
+                    exchange.task.cancel()
             self._metrics.add('requests_left', route=plan.route.name)
             self._note_end(flight, None)
             raise
@@ -299,41 +310,39 @@
             target=item.target,
             why=why,
         )
-        task = asyncio.create_task(self._exchange(flight, item))
-        flight.tasks[item.attempt_id] = task
-        task.add_done_callback(
-            lambda done: flight.tasks.pop(item.attempt_id, None)
+        exchange = _Exchange(item.target, self._clock.now_ms())
+        exchange.task = asyncio.create_task(self._exchange(flight, item))
+        flight.exchanges[item.attempt_id] = exchange
+        exchange.task.add_done_callback(
+            lambda task: self._exchange_over(flight, item.attempt_id)
         )
 
+    def _exchange_over(self, flight: _Flight, attempt_id: str) -> None:
+        """Also after a cut: its time is all that a silent target shows."""
+        exchange = flight.exchanges.pop(attempt_id)
+        if exchange.lingers:
+            took_ms = self._clock.now_ms() - exchange.sent_ms
+            self._tools.replicas.ended(exchange.target, took_ms)
+
     def _drop(self, flight: _Flight, attempt_id: str) -> None:
         if not flight.done.done():
             flight.trail.note(
                 self._clock.now_ms(), 'not needed', attempt=attempt_id
             )
-        task = flight.tasks.get(attempt_id)
-        if task is not None:
-            self._clock.after(LOSER_GRACE_MS, task.cancel)
+        exchange = flight.exchanges.get(attempt_id)
+        if exchange is None or exchange.task is None:
+            return
+        exchange.lingers = True
+        self._tools.replicas.lingers(exchange.target, exchange.sent_ms)
+        self._clock.after(LOSER_GRACE_MS, exchange.task.cancel)
 
     async def _exchange(
         self, flight: _Flight, item: protocol.SubQuery
     ) -> None:
         sent_ms = self._clock.now_ms()
-        try:
-            await self._exchange_once(flight, item, sent_ms)
-        except asyncio.CancelledError:
-            # Cut as a loser, or since its caller left: the time it had is
-            # the only thing that a silent target ever shows.
-            self._tools.replicas.measured(
-                item.target, self._clock.now_ms() - sent_ms
-            )
-            raise
-
-    async def _exchange_once(
-        self, flight: _Flight, item: protocol.SubQuery, sent_ms: float
-    ) -> None:
         target = self._targets.get(item.target)
         if target is None:
-            self._ended(flight, item, _Status.UNREACHABLE, 'gone', sent_ms)
+            self._ended(flight, item, _Status.UNREACHABLE, 'gone')
             return
         request = flight.plan.request
         left_ms = flight.plan.scatter.deadline_at_ms - sent_ms
@@ -347,7 +356,7 @@
             error = reply.failure()
             status = _LINK_STATUS[error.kind]
             self._observe(target, status, sent_ms)
-            self._ended(flight, item, status, error.detail, sent_ms)
+            self._ended(flight, item, status, error.detail)
             return
         read = self._dialect.read_reply(request, reply.unwrap())
         self._observe(target, read.status, sent_ms)
@@ -355,7 +364,7 @@
             flight.replies[item.attempt_id] = read
         elif read.may_be_passed:
             flight.failure = read
-        self._ended(flight, item, read.status, read.detail, sent_ms)
+        self._ended(flight, item, read.status, read.detail)
 
     def _observe(
         self, target: state.LiveTarget, status: protocol.SubStatus, sent: float
@@ -380,13 +389,8 @@
         item: protocol.SubQuery,
         status: protocol.SubStatus,
         detail: str,
-        sent_ms: float,
     ) -> None:
         if flight.done.done():
-            # Its time was not known when the scatter ended.
-            self._tools.replicas.measured(
-                item.target, self._clock.now_ms() - sent_ms
-            )
             return
         if status is not _Status.ANSWERED:
             flight.trail.note(
--- a/samphiredock/coordination/forwarding/_window_budget.py
+++ b/samphiredock/coordination/forwarding/_window_budget.py
@@ -12,11 +12,11 @@
 from samphiredock import protocol
 from samphiredock import timers
 
-_USED_SHARE = 0.9
+_USED_SHARE = 0.95
 """Part of the budget that is spent.  What is sent now may arrive in the
 next window, together with what that one sends."""
 
-_HEDGE_SHARE = 0.7
+_HEDGE_SHARE = 0.85
 """Part of ours that hedges may take.  The rest is for retries: without one
 a shard is missing from the answer, without a hedge the answer is late."""
 
