--- a/samphiredock/coordination/_target_record.py
+++ b/samphiredock/coordination/_target_record.py
@@ -44,6 +44,7 @@
         self._good = 0
         self._failures = 0
         self._resume_at_ms = 0.0
+        self._lost_at_ms = 0.0
         self._item_ms: float | None = None
         self._item_at_ms = 0.0
         self._items_per_ms = 0.0
@@ -83,6 +84,8 @@
         """An exchange gave no answer; ``lost``: nor did a new connection."""
         self._good = 0
         self._failures += 1
+        if lost and self.state != 'lost':
+            self._lost_at_ms = now_ms
         self.trigger('gone' if lost else 'failed')
         if self.state == 'lost':
             pause_ms = _LOST_PAUSE_MS * 2 ** min(self._failures - 1, 8)
@@ -114,6 +117,10 @@
         """Return until when nothing is to be sent, 0.0 for no pause."""
         return self._resume_at_ms
 
+    def lost_for_ms(self, now_ms: float) -> float:
+        """Return how long the target has been lost, 0.0 if it is not."""
+        return now_ms - self._lost_at_ms if self.state == 'lost' else 0.0
+
     def is_lost(self, now_ms: float) -> bool:
         """Whether sending would be in vain; a trial follows the pause."""
         return self.state == 'lost' and now_ms < self._resume_at_ms
--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -47,8 +47,8 @@
     watch_ms
         How long one watch waits for a change.
     collect_ms
-        How long to let changes gather after one: when many targets start
-        at once, each would end a watch of every daemon.
+        By prefix, how long to let changes gather after one: when many
+        targets start at once, each would end a watch of every daemon.
     """
 
     def __init__(
@@ -57,13 +57,14 @@
         clock: timers.Timers,
         counters: metrics.Metrics,
         watch_ms: int = _WATCH_MS,
-        collect_ms: float = 0.0,
+        collect_ms: typing.Mapping[str, float] = {},
     ) -> None:
         self._watch_ms = watch_ms
         self._collect_ms = collect_ms
         self._page_handlers: dict[str, PageHandler] = {}
         self._on_outage: list[typing.Callable[[], None]] = []
         self._failing: set[str] = set()
+        self._followed_ms: dict[str, float] = {}
         self._platform = platform
         self._clock = clock
         self._metrics = counters
@@ -92,6 +93,17 @@
         """
         self._page_handlers[prefix] = handler
 
+    def has_followed_since(self, since_ms: float) -> bool:
+        """Whether a watch of every prefix that began later has answered.
+
+        What is known is then as new as the store had it at that time.
+        """
+        prefixes = [*self._handlers, *self._page_handlers]
+        return all(
+            self._followed_ms.get(prefix, -1.0) >= since_ms
+            for prefix in prefixes
+        )
+
     def on_outage(self, callback: typing.Callable[[], None]) -> None:
         """Call back at each call that the store did not answer."""
         self._on_outage.append(callback)
@@ -149,7 +161,7 @@
                     position = 0
                 await _pause.pause(self._clock, _PAUSE_MS)
                 continue
-            self._note_success(prefix)
+            self._note_success(prefix, polled_ms if watching else None)
             page = reply.unwrap()
             if prefix in self._page_handlers:
                 self._page_handlers[prefix](page)
@@ -160,8 +172,10 @@
             if not page.changed and position == 0:
                 await _pause.pause(self._clock, _PAUSE_MS)
             position = page.position
-            if page.changed or page.gone:
-                await _pause.pause(self._clock, self._collect_ms)
+            if prefix in self._page_handlers and (page.changed or page.gone):
+                await _pause.pause(
+                    self._clock, self._collect_ms.get(prefix, 0.0)
+                )
 
     def _note_failure(self, prefix: str, error: transport.StoreError) -> bool:
         """Tell of a failed call; True if all must be read anew."""
@@ -180,7 +194,9 @@
             callback()
         return False
 
-    def _note_success(self, prefix: str) -> None:
+    def _note_success(self, prefix: str, asked_ms: float | None) -> None:
+        if asked_ms is not None:
+            self._followed_ms[prefix] = asked_ms
         if prefix in self._failing:
             self._failing.discard(prefix)
             _log.notice('store regained', prefix=prefix)
--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -4,22 +4,40 @@
 from samphiredock.coordination.forwarding._forwarder import Forwarder
 from samphiredock.coordination.forwarding._forwarder import ForwardSettings
 from samphiredock.coordination.forwarding._forwarder import Links
+from samphiredock.coordination.forwarding._handover import as_target
+from samphiredock.coordination.forwarding._handover import coordinator_reply
+from samphiredock.coordination.forwarding._handover import HandoverDialect
+from samphiredock.coordination.forwarding._handover import HandoverRouting
+from samphiredock.coordination.forwarding._handover import read_handed_over
+from samphiredock.coordination.forwarding._handover import refusal
 from samphiredock.coordination.forwarding._live_targets import LiveTargets
 from samphiredock.coordination.forwarding._no_suspicions import NoSuspicions
 from samphiredock.coordination.forwarding._presence import Presence
+from samphiredock.coordination.forwarding._roles import coordinators_of
+from samphiredock.coordination.forwarding._roles import Daemon
+from samphiredock.coordination.forwarding._roles import Role
 from samphiredock.coordination.forwarding._routing import RoutingKnowledge
 from samphiredock.coordination.forwarding._splitter import Splitter
 from samphiredock.coordination.forwarding._window_budget import WindowBudget
 
 __all__ = [
+    'Daemon',
     'Dialect',
     'ForwardSettings',
     'Forwarder',
+    'HandoverDialect',
+    'HandoverRouting',
     'Links',
     'LiveTargets',
     'NoSuspicions',
     'Presence',
+    'Role',
     'RoutingKnowledge',
     'Splitter',
     'WindowBudget',
+    'as_target',
+    'coordinator_reply',
+    'coordinators_of',
+    'read_handed_over',
+    'refusal',
 ]
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -18,7 +18,6 @@
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _route_plans
-from samphiredock.coordination.forwarding import _routing
 from samphiredock.coordination.forwarding import _splitter
 from samphiredock import metrics
 from samphiredock import protocol
@@ -53,8 +52,9 @@
         request: protocol.ForwardRequest,
         target: state.LiveTarget,
         left_ms: float,
+        repeated: bool,
     ) -> protocol.HttpRequest:
-        """Return what goes out to a target."""
+        """Return what goes out to a target; ``repeated`` if not first."""
 
     def read_reply(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
@@ -67,6 +67,25 @@
         """Whether an answer belongs to this request and to no other."""
 
 
+class Table(typing.Protocol):
+    """One version of the routes."""
+
+    @property
+    def version(self) -> int:
+        """The number of the version."""
+
+    def match(self, host: str, path: str) -> state.Route | None:
+        """Return the route of a request."""
+
+
+class Routing(typing.Protocol):
+    """What is known of the routes."""
+
+    @property
+    def table(self) -> Table | None:
+        """The table in force, None before the first."""
+
+
 class Links(typing.Protocol):
     """Connections to targets."""
 
@@ -98,10 +117,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Exchange:
-    """One exchange with a target; ``lingers`` after nobody needs it."""
+    """One exchange with a target; ``lingers`` after nobody needs it.
+
+    ``repeated`` says that its shard was sent to another target before.
+    """
 
     target: str
     sent_ms: float
+    repeated: bool
     task: asyncio.Task | None = None
     lingers: bool = False
 
@@ -144,7 +167,7 @@
     def __init__(
         self,
         settings: ForwardSettings,
-        routing: _routing.RoutingKnowledge,
+        routing: Routing,
         targets: _live_targets.LiveTargets,
         tools: _scatter_types.Tools,
         dialect: Dialect,
@@ -170,11 +193,24 @@
         return self._in_flight
 
     async def forward(
-        self, request: protocol.ForwardRequest
+        self,
+        request: protocol.ForwardRequest,
+        repeated: bool = False,
+        hop_ms: float = 0.0,
     ) -> protocol.ForwardOutcome:
-        """Pass one request on; cancelling this cancels its sub-queries."""
+        """Pass one request on; cancelling this cancels its sub-queries.
+
+        Parameters
+        ----------
+        request
+            The caller's.
+        repeated
+            Another daemon may be at it: all that is sent is extra.
+        hop_ms
+            What the way over another daemon takes of the route's aim.
+        """
         started_ms = self._clock.now_ms()
-        planned = self._plan(request, started_ms)
+        planned = self._plan(request, started_ms, repeated, hop_ms)
         if isinstance(planned, result.Failure):
             return self._refuse(request, planned.failure(), started_ms)
         self._in_flight += 1
@@ -186,7 +222,11 @@
     # Before anything is sent.
 
     def _plan(
-        self, request: protocol.ForwardRequest, now_ms: float
+        self,
+        request: protocol.ForwardRequest,
+        now_ms: float,
+        repeated: bool,
+        hop_ms: float,
     ) -> result.Result[_route_plans.ForwardPlan, protocol.NotRun]:
         table = self._routing.table
         if table is None:
@@ -221,6 +261,13 @@
                 f'that can be reached, expected at least {least}',
                 NO_TARGET_RETRY_MS,
             )
+        budget = self._tools.budget
+        if repeated and not all(map(budget.spend_retry, services)):
+            return _refused(
+                protocol.NotRunReason.OVERLOADED,
+                'no budget is left to run this a second time',
+                NO_TARGET_RETRY_MS,
+            )
         return result.Success(
             _route_plans.make_forward_plan(
                 request,
@@ -231,7 +278,8 @@
                 str(next(self._numbers)),
                 self._settings.site,
                 now_ms,
-                self._settings.caller_way_ms,
+                self._settings.caller_way_ms + hop_ms,
+                repeated,
             )
         )
 
@@ -310,7 +358,7 @@
             target=item.target,
             why=why,
         )
-        exchange = _Exchange(item.target, self._clock.now_ms())
+        exchange = _Exchange(item.target, self._clock.now_ms(), why != 'first')
         exchange.task = asyncio.create_task(self._exchange(flight, item))
         flight.exchanges[item.attempt_id] = exchange
         exchange.task.add_done_callback(
@@ -345,10 +393,11 @@
             self._ended(flight, item, _Status.UNREACHABLE, 'gone')
             return
         request = flight.plan.request
+        repeated = flight.exchanges[item.attempt_id].repeated
         left_ms = flight.plan.scatter.deadline_at_ms - sent_ms
         reply = await self._links.exchange(
             target,
-            self._dialect.target_request(request, target, left_ms),
+            self._dialect.target_request(request, target, left_ms, repeated),
             left_ms,
             lambda got: self._dialect.is_reply_to(request, got),
         )
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -0,0 +1,186 @@
+"""Hand a whole request over to a daemon that coordinates.
+
+The hand-over is a scatter over one shard whose replicas are the
+coordinators, so that a lost one costs a second try and never a request.
+Between daemons a request keeps its own headers; what is added for the hop
+has names of its own.
+"""
+
+import dataclasses
+
+from samphiredock.coordination.forwarding import _roles
+from samphiredock.coordination.forwarding import _routing
+from samphiredock import protocol
+from samphiredock import state
+
+SERVICE = 'coordinators'
+"""The service under which the coordinators are listed as targets."""
+
+_LEFT = 'Samphiredock-Left-Ms'
+_ID = 'Samphiredock-Request'
+_VERSION = 'Samphiredock-Version'
+_REPEATED = 'Samphiredock-Repeated'
+_REFUSED = 'Samphiredock-Refused'
+_PREFIX = 'samphiredock-'
+
+UNKNOWN_ROUTE_MS = 10_000.0
+"""Timeout of a request whose route is not known here; the coordinator
+knows it, or answers at once that there is none."""
+
+_Status = protocol.SubStatus
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedOver:
+    """A request from another daemon.
+
+    ``least_version`` is the newest routing table whose effect that daemon
+    has seen: one that is older must not be used for it, or its callers
+    would see a change undone.  A ``repeated`` request may be run by
+    another coordinator already.
+    """
+
+    headers: protocol.Headers
+    request_id: str
+    left_ms: float
+    least_version: int
+    repeated: bool
+
+
+def read_handed_over(headers: protocol.Headers) -> HandedOver | None:
+    """Return what the hop added, None if it is not whole."""
+    added = {
+        name.lower(): value
+        for name, value in headers
+        if name.lower().startswith(_PREFIX)
+    }
+    kept = tuple(
+        row for row in headers if not row[0].lower().startswith(_PREFIX)
+    )
+    try:
+        return HandedOver(
+            kept,
+            added[_ID.lower()],
+            float(added[_LEFT.lower()]),
+            int(added[_VERSION.lower()]),
+            _REPEATED.lower() in added,
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+def coordinator_reply(
+    reply: protocol.HttpReply, handed: HandedOver, version: int
+) -> protocol.HttpReply:
+    """Return the answer to a caller with what the hop adds."""
+    added = ((_ID, handed.request_id), (_VERSION, str(version)))
+    return dataclasses.replace(reply, headers=reply.headers + added)
+
+
+def refusal(handed: HandedOver | None, why: str) -> protocol.HttpReply:
+    """Return the answer of a daemon that cannot coordinate now."""
+    request_id = handed.request_id if handed else ''
+    headers = ((_REFUSED, '1'), (_ID, request_id))
+    return protocol.HttpReply(503, headers, why.encode())
+
+
+class HandoverRouting:
+    """One route for everything: to the coordinators.
+
+    The routing table of this daemon may be old; only whether a request may
+    be repeated, and how long it may take, is read from it.
+    """
+
+    def __init__(self, routing: _routing.RoutingKnowledge) -> None:
+        self._routing = routing
+
+    @property
+    def table(self) -> 'HandoverRouting':
+        """The table itself; it is always there."""
+        return self
+
+    @property
+    def version(self) -> int:
+        """The version of the table that it reads."""
+        table = self._routing.table
+        return table.version if table else 0
+
+    def match(self, host: str, path: str) -> state.Route:
+        """Return the way of one request."""
+        table = self._routing.table
+        found = table.match(host, path) if table else None
+        to_coordinators = (state.WeightedService(SERVICE, 1.0),)
+        if found is None:
+            return state.Route(
+                'unknown', host, '/', False, UNKNOWN_ROUTE_MS,
+                UNKNOWN_ROUTE_MS, 0, services=to_coordinators,
+            )  # fmt: skip
+        return dataclasses.replace(
+            found, services=to_coordinators, shards=(), attempts=0
+        )
+
+
+class HandoverDialect:
+    """What goes between two daemons; implements the forwarder's dialect."""
+
+    def __init__(self, routing: _routing.RoutingKnowledge) -> None:
+        self._routing = routing
+        self._seen_version = 0
+
+    def _least_version(self) -> int:
+        table = self._routing.table
+        held = table.version if table else 0
+        return max(held, self._seen_version)
+
+    def target_request(
+        self,
+        request: protocol.ForwardRequest,
+        target: state.LiveTarget,
+        left_ms: float,
+        repeated: bool,
+    ) -> protocol.HttpRequest:
+        """Return the request with what the hop adds."""
+        added = [
+            (_ID, request.request_id),
+            (_LEFT, f'{left_ms:.1f}'),
+            (_VERSION, str(self._least_version())),
+        ]
+        if repeated:
+            added.append((_REPEATED, '1'))
+        return protocol.HttpRequest(
+            request.method,
+            request.path,
+            request.headers + tuple(added),
+            request.body,
+        )
+
+    def is_reply_to(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> bool:
+        """Whether an answer belongs to this request and to no other."""
+        return reply.header(_ID) == request.request_id
+
+    def read_reply(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> protocol.TargetReply:
+        """A coordinator's answer is the caller's, unless it refused."""
+        if reply.header(_REFUSED) is not None:
+            return protocol.TargetReply(_Status.SHED, reply, detail='refused')
+        version = reply.header(_VERSION) or ''
+        if version.isdigit():
+            self._seen_version = max(self._seen_version, int(version))
+        kept = tuple(
+            row
+            for row in reply.headers
+            if not row[0].lower().startswith(_PREFIX)
+        )
+        return protocol.TargetReply(
+            _Status.ANSWERED, dataclasses.replace(reply, headers=kept)
+        )
+
+
+def as_target(daemon: _roles.Daemon) -> state.LiveTarget:
+    """Return a coordinator as a target of hand-overs."""
+    return state.LiveTarget(
+        daemon.name, SERVICE, daemon.address, daemon.site, slots=1
+    )
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -1,4 +1,4 @@
-"""How many daemons there are, by an object of each in the store.
+"""Which daemons there are, by an object of each in the store.
 
 The daemons share the retry budget.  One that counts too few would use more
 than its part, so an object that was left behind by a lost daemon does no
@@ -6,20 +6,27 @@
 """
 
 import asyncio
+import typing
 
 import msgspec
 from returns import result
 
 from samphiredock.coordination import _pause
+from samphiredock.coordination.forwarding import _roles
 from samphiredock import logs
 from samphiredock import timers
 from samphiredock import transport
 
 DAEMONS_PREFIX = 'samphiredock-daemons/'
 
-COUNT_EVERY_MS = 5_000.0
-"""How soon a daemon that was added gets its part of the budget."""
+LIST_EVERY_MS = 5_000.0
+"""How soon a daemon that was added gets its part of the budget.  The list
+may be stale, which costs the store a tenth of a call."""
 
+FIRST_LIST_MS = 1_000.0
+"""How often the list is read while the daemons start together."""
+
+_STARTING_LISTS = 5
 _RETRY_MS = 1_000.0
 
 _log = logs.logger('presence')
@@ -27,42 +34,50 @@
 
 class _Entry(msgspec.Struct, frozen=True):
     site: str
+    address: str
+    cores: float
+
+
+_decode = msgspec.json.Decoder(_Entry).decode
 
 
 class Presence:
-    """Registers this daemon and counts the others.
+    """Registers this daemon and lists the others.
 
     Parameters
     ----------
-    name, site
+    me
         This daemon; a restart has the same name.
     store
         Where the objects are.
     clock
         The timers of this daemon.
+    on_list
+        Called with the daemons each time that they were listed.
     """
 
     def __init__(
         self,
-        name: str,
-        site: str,
+        me: _roles.Daemon,
         store: transport.Objects,
         clock: timers.Timers,
+        on_list: typing.Callable[[tuple[_roles.Daemon, ...]], None],
     ) -> None:
-        self._key = DAEMONS_PREFIX + name
-        self._value = msgspec.json.encode(_Entry(site))
+        self._me = me
+        self._key = DAEMONS_PREFIX + me.name
         self._store = store
         self._clock = clock
-        self._count: int | None = None
-        self._version = 0
+        self._on_list = on_list
+        self._daemons: tuple[_roles.Daemon, ...] = ()
         self._task: asyncio.Task | None = None
+        self._version = 0
 
-    def daemons(self) -> int | None:
-        """Return how many daemons there are, None while it is not known."""
-        return self._count
+    def daemons(self) -> tuple[_roles.Daemon, ...]:
+        """Return the daemons of the newest list, empty before the first."""
+        return self._daemons
 
     def start(self) -> None:
-        """Register and count in the background."""
+        """Register and list in the background."""
         self._task = asyncio.create_task(self._run())
 
     async def leave(self) -> None:
@@ -78,27 +93,50 @@
     async def _run(self) -> None:
         while not await self._register():
             await _pause.pause(self._clock, _RETRY_MS)
+        for number in range(_STARTING_LISTS):
+            # The first is not stale: a daemon that starts among others
+            # knows them at once.
+            await self._list(may_be_stale=number > 0)
+            await _pause.pause(self._clock, FIRST_LIST_MS)
         while True:
-            await self._recount()
-            await _pause.pause(self._clock, COUNT_EVERY_MS)
+            await self._list(may_be_stale=True)
+            await _pause.pause(self._clock, LIST_EVERY_MS)
 
     async def _register(self) -> bool:
-        reply = await self._store.put(
-            self._key, self._value, transport.CREATE_ONLY
-        )
+        me = self._me
+        value = msgspec.json.encode(_Entry(me.site, me.address, me.cores))
+        reply = await self._store.put(self._key, value, transport.CREATE_ONLY)
         if isinstance(reply, result.Success):
             self._version = reply.unwrap()
             return True
         # A conflict is this daemon's own object, from before a restart.
         return reply.failure().kind is transport.StoreErrorKind.CONFLICT
 
-    async def _recount(self) -> None:
-        reply = await self._store.scan(DAEMONS_PREFIX, may_be_stale=True)
+    async def _list(self, may_be_stale: bool) -> None:
+        reply = await self._store.scan(DAEMONS_PREFIX, may_be_stale)
         if isinstance(reply, result.Failure):
             return
-        versions = {row.key: row.version for row in reply.unwrap()}
-        self._version = versions.get(self._key, self._version)
-        found = versions.keys() | {self._key}
-        if len(found) != self._count:
-            _log.info('daemons counted', now=len(found), before=self._count)
-        self._count = len(found)
+        rows = {row.key: row for row in reply.unwrap()}
+        if self._key in rows:
+            self._version = rows[self._key].version
+        found = {self._me.name: self._me}
+        for row in rows.values():
+            daemon = _read(row)
+            if daemon is not None:
+                found.setdefault(daemon.name, daemon)
+        if len(found) != len(self._daemons):
+            _log.info(
+                'daemons listed', now=len(found), before=len(self._daemons)
+            )
+        self._daemons = tuple(found.values())
+        self._on_list(self._daemons)
+
+
+def _read(stored: transport.StoredObject) -> _roles.Daemon | None:
+    name = stored.key.removeprefix(DAEMONS_PREFIX)
+    try:
+        entry = _decode(stored.value)
+    except msgspec.DecodeError as error:
+        _log.error('object cannot be read', key=stored.key, why=str(error))
+        return None
+    return _roles.Daemon(name, entry.site, entry.address, entry.cores)
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_roles.py
@@ -0,0 +1,116 @@
+"""Which daemons ask the targets, and which hand requests over to those.
+
+A target takes few connections, a connection that is seldom used is cold,
+and a part that crosses between sites costs more than a merged answer.  So
+where there are many daemons, or none of the targets is near, a few daemons
+near the targets coordinate: they follow the store, keep warm connections
+and merge.  The others hand the whole request over, one hop.
+"""
+
+import collections
+import dataclasses
+import typing
+
+import xxhash
+
+NEAR_SHARE = 0.5
+"""A site coordinates if it has at least this part of the targets that the
+best site has.  Half: with fewer, most parts come from other sites."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Daemon:
+    """A daemon as the others know it; ``address`` is for its peers.
+
+    ``cores`` is how many cores' worth of work it does.
+    """
+
+    name: str
+    site: str
+    address: str
+    cores: float
+
+
+def coordinators_of(
+    daemons: typing.Iterable[Daemon],
+    targets_by_site: typing.Mapping[str, int],
+    per_site: int,
+) -> frozenset[str]:
+    """Return the names of the daemons that coordinate.
+
+    Parameters
+    ----------
+    daemons
+        Those that are known and not known to be down.
+    targets_by_site
+        How many targets each site has; empty while not known.
+    per_site
+        How many daemons of a site coordinate at most; the largest do.
+    """
+    by_site: dict[str, list[Daemon]] = collections.defaultdict(list)
+    for daemon in daemons:
+        by_site[daemon.site].append(daemon)
+    most = max(targets_by_site.values(), default=0)
+    near = [
+        site
+        for site in by_site
+        if targets_by_site.get(site, 0) >= NEAR_SHARE * most
+    ]
+    chosen: set[str] = set()
+    for site in near or by_site:
+        ranked = sorted(by_site[site], key=_rank)
+        chosen.update(daemon.name for daemon in ranked[:per_site])
+    return frozenset(chosen)
+
+
+def _rank(daemon: Daemon) -> tuple[float, int]:
+    """Larger hosts first; equal ones by a hash, the same everywhere."""
+    return -daemon.cores, xxhash.xxh64_intdigest(daemon.name)
+
+
+class Role:
+    """What this daemon is, and since when.
+
+    Parameters
+    ----------
+    name
+        This daemon.
+    per_site
+        How many daemons of a site coordinate.
+    """
+
+    def __init__(self, name: str, per_site: int) -> None:
+        self._name = name
+        self._per_site = per_site
+        self._alone_until_ms = 0.0
+        self.coordinators: frozenset[str] = frozenset()
+        self.coordinates = True
+        self.since_ms = 0.0
+
+    def update(
+        self,
+        daemons: typing.Collection[Daemon],
+        targets_by_site: typing.Mapping[str, int],
+        now_ms: float,
+    ) -> bool:
+        """Take in what is known; True if this daemon's part changed."""
+        if not daemons:
+            return False
+        self.coordinators = coordinators_of(
+            daemons, targets_by_site, self._per_site
+        )
+        coordinates = (
+            self._name in self.coordinators or now_ms < self._alone_until_ms
+        )
+        if coordinates == self.coordinates:
+            return False
+        self.coordinates = coordinates
+        self.since_ms = now_ms
+        return True
+
+    def stand_in(self, now_ms: float, for_ms: float) -> None:
+        """Coordinate for a time, since no coordinator can be reached."""
+        self._alone_until_ms = now_ms + for_ms
+        if not self.coordinates:
+            self.coordinates = True
+            self.since_ms = now_ms
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -69,6 +69,7 @@
     site: str,
     now_ms: float,
     caller_way_ms: float,
+    repeated: bool = False,
 ) -> ForwardPlan:
     """Fix deadline, shards and least coverage of one request.
 
@@ -78,6 +79,9 @@
         The services to ask, and the targets of each.
     caller_way_ms
         What the way from the caller and back takes of the route's aim.
+    repeated
+        Another daemon may be at it, and may have sent it to one target of
+        each shard; no more than one more is allowed.
     """
     limit_ms = route.timeout_ms
     if request.deadline_ms is not None:
@@ -117,10 +121,11 @@
         snapshot,
         now_ms + limit_ms,
         answer_by_ms,
-        route.attempts,
+        1 if repeated else route.attempts,
         route.repeatable,
         may_restart=False,
         first_hedge_ms=route.aim_ms * FIRST_HEDGE_SHARE,
+        repeated=repeated,
     )
     return ForwardPlan(request, route, services, plan)
 
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -1,6 +1,8 @@
 """A daemon that passes requests on: its HTTP interfaces, start and stop."""
 
 import asyncio
+import collections
+import dataclasses
 import random
 import typing
 
@@ -24,6 +26,22 @@
 _EXIT_MS = 500.0
 """What is kept of the time before the kill for closing down."""
 
+_PEER_CONNECTIONS = 16
+"""Connections to one coordinator; 60 daemons then hold under 1,000 there,
+of 4,100 descriptors."""
+
+_HOP_MS = 4.0
+"""What the way over another daemon takes of a route's aim: 1.4 ms between
+sites each way, and the work of one more program."""
+
+_STAND_IN_MS = 20_000.0
+"""How long a daemon coordinates that found no coordinator: some of its
+lists of the daemons, so that it does not change its part at each failure."""
+
+_DOWN_MS = 3_000.0
+"""A coordinator that could not be reached for so long is passed over when
+the coordinators are chosen.  A restart takes about 1 s."""
+
 _BACKLOG = 1_024
 """Connections that may wait to be accepted; callers come in bursts."""
 
@@ -34,6 +52,7 @@
     """What the node needs of the platform that it runs on."""
 
     routing_prefix: str
+    routing_key: str
     targets_prefix: str
 
     def store(
@@ -97,21 +116,42 @@
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
-        store = adapter.store(self._session, settings.platform_address)
+        self._store = adapter.store(self._session, settings.platform_address)
         self._routing = forwarding.RoutingKnowledge()
         self._targets = forwarding.LiveTargets(self._clock)
+        self._role = forwarding.Role(
+            settings.name, settings.coordinators_per_site
+        )
         self._presence = forwarding.Presence(
-            settings.name, settings.site, store, self._clock
+            forwarding.Daemon(
+                settings.name,
+                settings.site,
+                settings.peer_address,
+                settings.cores,
+            ),
+            self._store,
+            self._clock,
+            self._on_daemons,
         )
         self._watcher = coordination.Watcher(
-            store,
+            self._store,
             self._clock,
             self._metrics,
             settings.watch_ms,
-            settings.collect_ms,
+            {adapter.targets_prefix: settings.collect_ms},
+        )
+        self._watcher.share_among(
+            lambda: self._role.coordinates,
+            lambda: len(self._presence.daemons()),
+            lambda stored: None,
         )
         self._links = transport.ChannelPool(self._clock, self._connections_to)
         self._forwarder = self._make_forwarder()
+        self._peers = forwarding.LiveTargets(self._clock)
+        self._peer_links = transport.ChannelPool(
+            self._clock, lambda target: _PEER_CONNECTIONS
+        )
+        self._handover = self._make_handover()
         self._shutdown = _shutdown.Shutdown(
             settings.balancer_lag_ms,
             settings.stop_limit_s * 1000.0 - _EXIT_MS,
@@ -139,7 +179,7 @@
                 settings.retry_ratio,
                 settings.retry_slack,
                 settings.retry_window_s * 1000.0,
-                self._presence.daemons,
+                self._budget_parts,
             ),
             forwarding.NoSuspicions(),
         )
@@ -158,17 +198,86 @@
             self._metrics,
         )
 
+    def _make_handover(self) -> forwarding.Forwarder:
+        settings = self._settings
+        tools = coordination.Tools(
+            self._peers,
+            coordination.Replicas(
+                random.Random(settings.name),
+                self._is_near_peer,
+                settings.other_site_factor,
+                self._clock.now_ms,
+            ),
+            coordination.Latencies(),
+            coordination.ExtraBudget(),
+            forwarding.NoSuspicions(),
+        )
+        return forwarding.Forwarder(
+            forwarding.ForwardSettings(settings.site, 0.0, state.Limits()),
+            forwarding.HandoverRouting(self._routing),
+            self._peers,
+            tools,
+            forwarding.HandoverDialect(self._routing),
+            self._peer_links,
+            self._clock,
+            self._metrics,
+        )
+
     def _is_near(self, target_id: str) -> bool:
         target = self._targets.get(target_id)
         return target is not None and target.site == self._settings.site
 
+    def _is_near_peer(self, name: str) -> bool:
+        peer = self._peers.get(name)
+        return peer is not None and peer.site == self._settings.site
+
+    def _budget_parts(self) -> int | None:
+        """Return how many daemons share budget and connections."""
+        return len(self._role.coordinators) or None
+
     def _connections_to(self, target: state.LiveTarget) -> int:
         """Return this daemon's part of the connections a target takes."""
         table = self._routing.table
-        daemons = self._presence.daemons()
-        if table is None or daemons is None:
+        parts = self._budget_parts()
+        if table is None or parts is None:
             return 1
-        return table.connections.get(target.service, 1) // daemons
+        return table.connections.get(target.service, 1) // parts
+
+    # Which daemons coordinate.
+
+    def _on_daemons(self, daemons: tuple[forwarding.Daemon, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        up = [row for row in daemons if not self._seems_down(row, now_ms)]
+        targets = collections.Counter(row.site for row in self._targets.all())
+        if self._role.update(up, targets, now_ms):
+            _log.notice('role', coordinates=self._role.coordinates)
+        others = {
+            row.name: row
+            for row in daemons
+            if row.name in self._role.coordinators
+            and row.name != self._settings.name
+        }
+        for row in others.values():
+            self._peers.put(forwarding.as_target(row))
+        self._peers.keep_only(others)
+
+    def _seems_down(self, daemon: forwarding.Daemon, now_ms: float) -> bool:
+        """Whether a coordinator could not be reached for some time."""
+        peer = self._peers.get(daemon.name)
+        if peer is None:
+            return False
+        record = self._peers.record(daemon.name)
+        return record.lost_for_ms(now_ms) > _DOWN_MS
+
+    def _coordinates(self) -> bool:
+        """Whether this daemon asks the targets itself.
+
+        After a time of handing over, what it knows may be old; it has to
+        have followed the store since it took the part on.
+        """
+        return self._role.coordinates and self._watcher.has_followed_since(
+            self._role.since_ms
+        )
 
     # What is learned from the store.
 
@@ -181,14 +290,18 @@
         )
         self._watcher.on_outage(self._targets.store_is_away)
         self._targets.on_gone(self._links.forget)
+        self._peers.on_gone(self._peer_links.forget)
 
     def _on_routing(self, page: transport.WatchPage) -> None:
         for stored in page.changed:
-            read = self._adapter.read_routing(stored.value)
-            if isinstance(read, result.Failure):
-                self._note_unreadable(stored.key, read.failure())
-                continue
-            self._routing.offer(read.unwrap())
+            self._take_routing(stored)
+
+    def _take_routing(self, stored: transport.StoredObject) -> None:
+        read = self._adapter.read_routing(stored.value)
+        if isinstance(read, result.Failure):
+            self._note_unreadable(stored.key, read.failure())
+            return
+        self._routing.offer(read.unwrap())
 
     def _on_targets(self, page: transport.WatchPage) -> None:
         listed = set()
@@ -224,11 +337,71 @@
             if isinstance(read, result.Failure):
                 self._metrics.add('http_errors', interface='entry', status=400)
                 return protocol.HttpReply(400, body=read.failure().encode())
-            outcome = await self._forwarder.forward(read.unwrap())
+            outcome = await self._serve(read.unwrap())
             return self._adapter.caller_reply(outcome)
         finally:
             self._open_requests -= 1
 
+    async def _serve(
+        self, request: protocol.ForwardRequest
+    ) -> protocol.ForwardOutcome:
+        if self._coordinates():
+            return await self._forwarder.forward(request)
+        outcome = await self._handover.forward(request)
+        if (
+            isinstance(outcome, protocol.NotRun)
+            and outcome.reason is protocol.NotRunReason.NO_TARGET
+        ):
+            # No coordinator can be reached: this daemon becomes one until
+            # they are back.
+            self._role.stand_in(self._clock.now_ms(), _STAND_IN_MS)
+        return outcome
+
+    async def handle_peer(
+        self,
+        method: str,
+        path: str,
+        headers: protocol.Headers,
+        body: bytes,
+    ) -> protocol.HttpReply:
+        """Answer a request that another daemon handed over."""
+        handed = forwarding.read_handed_over(headers)
+        if handed is None:
+            return forwarding.refusal(handed, 'headers of the hop missing')
+        read = self._adapter.read_request(method, path, handed.headers, body)
+        if isinstance(read, result.Failure):
+            return forwarding.refusal(handed, read.failure())
+        if not await self._knows(handed.least_version):
+            return forwarding.refusal(handed, 'behind, or no coordinator')
+        self._open_requests += 1
+        try:
+            request = dataclasses.replace(
+                read.unwrap(), deadline_ms=handed.left_ms
+            )
+            outcome = await self._forwarder.forward(
+                request, handed.repeated, _HOP_MS
+            )
+        finally:
+            self._open_requests -= 1
+        return forwarding.coordinator_reply(
+            self._adapter.caller_reply(outcome), handed, self._version()
+        )
+
+    async def _knows(self, least_version: int) -> bool:
+        """Whether this daemon can serve with a table that new."""
+        if not self._coordinates():
+            return False
+        if self._version() >= least_version:
+            return True
+        key = self._adapter.routing_key
+        reply = await self._store.get(key)
+        if isinstance(reply, result.Success):
+            self._take_routing(reply.unwrap())
+        return self._version() >= least_version
+
+    def _version(self) -> int:
+        return self._routing.table.version if self._routing.table else 0
+
     def is_closing(self) -> bool:
         """Whether connections should end after the current answer."""
         return self._shutdown.phase is not _shutdown.Phase.SERVING
@@ -262,6 +435,10 @@
             transport.entry_server(self, self._metrics),
             settings.caller_address,
         )
+        await self._listen(
+            transport.entry_server(_PeerDoor(self), self._metrics),
+            settings.peer_address,
+        )
         await self._listen(web.Server(self._say_ready), settings.ready_address)
         if settings.metrics_address is not None:
             await self._listen(
@@ -296,6 +473,7 @@
             await runner.cleanup()
         self._watcher.close()
         self._links.close()
+        self._peer_links.close()
         await self._session.close()
         self._clock.close()
         _log.notice('stopped', name=self._settings.name)
@@ -330,6 +508,15 @@
         self._stopped.set()
 
 
+class _PeerDoor:
+    """The server for other daemons, behind which the same node is."""
+
+    def __init__(self, node: EntryNode) -> None:
+        self.handle = node.handle_peer
+        self.is_closing = node.is_closing
+        self.limits = node.limits
+
+
 _PHASE_ACTIONS = {
     _shutdown.Phase.LEAVING: EntryNode._begin_leaving,
     _shutdown.Phase.DRAINING: EntryNode._begin_draining,
