--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -115,6 +115,7 @@
     async def _list(self, may_be_stale: bool) -> None:
         reply = await self._store.scan(DAEMONS_PREFIX, may_be_stale)
         if isinstance(reply, result.Failure):
+            _log.info('daemons not listed', why=reply.failure().detail)
             return
         rows = {row.key: row for row in reply.unwrap()}
         if self._key in rows:
