--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -10,6 +10,7 @@
 
 from returns import result
 
+from samphiredock.coordination import _background
 from samphiredock.coordination import _exchange
 from samphiredock.coordination import _knowledge
 from samphiredock.coordination import _membership
@@ -134,7 +135,7 @@
         prefixes = [*self._handlers, *self._page_handlers]
         self._unread = set(prefixes)
         for prefix in prefixes:
-            task = asyncio.create_task(self._follow(prefix))
+            task = _background.start(self._follow(prefix), f'watch {prefix}')
             self._tasks.append(task)
 
     def close(self) -> None:
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns import result
 
+from samphiredock.coordination import _background
 from samphiredock.coordination import _pause
 from samphiredock.coordination.forwarding import _roles
 from samphiredock import logs
@@ -78,7 +79,7 @@
 
     def start(self) -> None:
         """Register and list in the background."""
-        self._task = asyncio.create_task(self._run())
+        self._task = _background.start(self._run(), 'presence')
 
     async def leave(self) -> None:
         """Remove this daemon's object."""
