--- a/samphiredock/coordination/forwarding/_roles.py
+++ b/samphiredock/coordination/forwarding/_roles.py
@@ -65,7 +65,7 @@
 
 def _rank(daemon: Daemon) -> tuple[float, int]:
     """Larger hosts first; equal ones by a hash, the same everywhere."""
-    return -daemon.cores, xxhash.xxh64_intdigest(daemon.name)
+    return -daemon.cores, xxhash.xxh64_intdigest(daemon.name.encode())
 
 
 class Role:
