--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -25,6 +25,10 @@
 from samphiredock import timers
 from samphiredock import transport
 
+FIRST_HEDGE_SHARE = 0.3
+"""Part of a route's aim after which a daemon hedges that knows no latencies
+yet.  Work takes some 15 % of the aim, and the hedge needs as much again."""
+
 LOSER_GRACE_MS = 150.0
 """How long an exchange that is not needed any more may still end by itself.
 A target that pauses for 120 ms answers within it, and its connection stays
@@ -107,21 +111,24 @@
     """Bounds of the forwarder.
 
     ``caller_way_ms`` is what connecting and the way from the caller and
-    back take of a route's aim.
+    back take of a route's aim; ``first_hedge_share`` the part of the aim
+    after which a request is hedged while no latencies are known.
     """
 
     site: str
     caller_way_ms: float
     limits: state.Limits
+    first_hedge_share: float = FIRST_HEDGE_SHARE
 
 
 @dataclasses.dataclass(slots=True)
 class _Exchange:
     """One exchange with a target; ``lingers`` after nobody needs it.
 
-    ``repeated`` says that its shard was sent to another target before.
+    ``repeated`` says that another target may have begun its shard.
     """
 
+    shard_id: str
     target: str
     sent_ms: float
     repeated: bool
@@ -131,7 +138,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Flight:
-    """One request that has no outcome yet."""
+    """One request that has no outcome yet.
+
+    ``begun`` are the shards that some target may have begun.
+    """
 
     plan: _route_plans.ForwardPlan
     scatter: _scatter.Scatter
@@ -144,6 +154,7 @@
     )
     failure: protocol.TargetReply | None = None
     asked: set[str] = dataclasses.field(default_factory=set)
+    begun: set[str] = dataclasses.field(default_factory=set)
     exchanges: dict[str, _Exchange] = dataclasses.field(default_factory=dict)
 
 
@@ -195,8 +206,7 @@
     async def forward(
         self,
         request: protocol.ForwardRequest,
-        repeated: bool = False,
-        hop_ms: float = 0.0,
+        hop: _route_plans.Hop | None = None,
     ) -> protocol.ForwardOutcome:
         """Pass one request on; cancelling this cancels its sub-queries.
 
@@ -204,13 +214,11 @@
         ----------
         request
             The caller's.
-        repeated
-            Another daemon may be at it: all that is sent is extra.
-        hop_ms
-            What the way over another daemon takes of the route's aim.
+        hop
+            The way over another daemon, if it was handed over.
         """
         started_ms = self._clock.now_ms()
-        planned = self._plan(request, started_ms, repeated, hop_ms)
+        planned = self._plan(request, started_ms, hop)
         if isinstance(planned, result.Failure):
             return self._refuse(request, planned.failure(), started_ms)
         self._in_flight += 1
@@ -225,8 +233,7 @@
         self,
         request: protocol.ForwardRequest,
         now_ms: float,
-        repeated: bool,
-        hop_ms: float,
+        hop: _route_plans.Hop | None,
     ) -> result.Result[_route_plans.ForwardPlan, protocol.NotRun]:
         table = self._routing.table
         if table is None:
@@ -261,8 +268,19 @@
                 f'that can be reached, expected at least {least}',
                 NO_TARGET_RETRY_MS,
             )
+        if hop is not None:
+            targets = {
+                service: _route_plans.narrow(
+                    self._usable(names), route.attempts, request, hop
+                )
+                for service, names in targets.items()
+            }
         budget = self._tools.budget
-        if repeated and not all(map(budget.spend_retry, services)):
+        if (
+            hop is not None
+            and hop.repeated
+            and not all(map(budget.spend_retry, services))
+        ):
             return _refused(
                 protocol.NotRunReason.OVERLOADED,
                 'no budget is left to run this a second time',
@@ -278,11 +296,20 @@
                 str(next(self._numbers)),
                 self._settings.site,
                 now_ms,
-                self._settings.caller_way_ms + hop_ms,
-                repeated,
+                self._settings.caller_way_ms,
+                route.aim_ms * self._settings.first_hedge_share,
+                hop,
             )
         )
 
+    def _usable(self, names: list[str]) -> list[state.LiveTarget]:
+        found = [
+            self._targets.get(name)
+            for name in names
+            if self._targets.is_usable(name)
+        ]
+        return [target for target in found if target is not None]
+
     # One request.
 
     async def _run(
@@ -350,6 +377,8 @@
         if item.shard_id in flight.asked:
             why = 'hedge' if item.hedge else 'retry'
         flight.asked.add(item.shard_id)
+        repeated = item.shard_id in flight.begun
+        flight.begun.add(item.shard_id)
         flight.trail.note(
             self._clock.now_ms(),
             'sent',
@@ -358,7 +387,9 @@
             target=item.target,
             why=why,
         )
-        exchange = _Exchange(item.target, self._clock.now_ms(), why != 'first')
+        exchange = _Exchange(
+            item.shard_id, item.target, self._clock.now_ms(), repeated
+        )
         exchange.task = asyncio.create_task(self._exchange(flight, item))
         flight.exchanges[item.attempt_id] = exchange
         exchange.task.add_done_callback(
@@ -441,6 +472,12 @@
     ) -> None:
         if flight.done.done():
             return
+        if status in protocol.NEVER_STARTED and not any(
+            row.shard_id == item.shard_id
+            for attempt, row in flight.exchanges.items()
+            if attempt != item.attempt_id
+        ):
+            flight.begun.discard(item.shard_id)
         if status is not _Status.ANSWERED:
             flight.trail.note(
                 self._clock.now_ms(),
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from samphiredock.coordination.forwarding import _roles
+from samphiredock.coordination.forwarding import _route_plans
 from samphiredock.coordination.forwarding import _routing
 from samphiredock import protocol
 from samphiredock import state
@@ -20,6 +21,7 @@
 _ID = 'Samphiredock-Request'
 _VERSION = 'Samphiredock-Version'
 _REPEATED = 'Samphiredock-Repeated'
+_SITE = 'Samphiredock-Site'
 _REFUSED = 'Samphiredock-Refused'
 _PREFIX = 'samphiredock-'
 
@@ -36,15 +38,14 @@
 
     ``least_version`` is the newest routing table whose effect that daemon
     has seen: one that is older must not be used for it, or its callers
-    would see a change undone.  A ``repeated`` request may be run by
-    another coordinator already.
+    would see a change undone.
     """
 
     headers: protocol.Headers
     request_id: str
     left_ms: float
     least_version: int
-    repeated: bool
+    hop: _route_plans.Hop
 
 
 def read_handed_over(headers: protocol.Headers) -> HandedOver | None:
@@ -63,7 +64,7 @@
             added[_ID.lower()],
             float(added[_LEFT.lower()]),
             int(added[_VERSION.lower()]),
-            _REPEATED.lower() in added,
+            _route_plans.Hop(added[_SITE.lower()], _REPEATED.lower() in added),
         )
     except (KeyError, ValueError):
         return None
@@ -126,6 +127,7 @@
     def __init__(self, routing: _routing.RoutingKnowledge) -> None:
         self._routing = routing
         self._seen_version = 0
+        self._sites: dict[str, str] = {}
 
     def _least_version(self) -> int:
         table = self._routing.table
@@ -144,6 +146,7 @@
             (_ID, request.request_id),
             (_LEFT, f'{left_ms:.1f}'),
             (_VERSION, str(self._least_version())),
+            (_SITE, self._first_site(request, target)),
         ]
         if repeated:
             added.append((_REPEATED, '1'))
@@ -154,6 +157,16 @@
             request.body,
         )
 
+    def _first_site(
+        self, request: protocol.ForwardRequest, target: state.LiveTarget
+    ) -> str:
+        """Return the site that a request was handed over to first."""
+        return self._sites.setdefault(request.request_id, target.site)
+
+    def forget(self, request: protocol.ForwardRequest) -> None:
+        """A request has its outcome."""
+        self._sites.pop(request.request_id, None)
+
     def is_reply_to(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
     ) -> bool:
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -27,7 +27,7 @@
 FIRST_LIST_MS = 1_000.0
 """How often the list is read while the daemons start together."""
 
-_STARTING_LISTS = 5
+_STARTING_LISTS = 8
 _RETRY_MS = 1_000.0
 
 _log = logs.logger('presence')
@@ -72,11 +72,16 @@
         self._daemons: tuple[_roles.Daemon, ...] = ()
         self._task: asyncio.Task | None = None
         self._version = 0
+        self._was_here = False
 
     def daemons(self) -> tuple[_roles.Daemon, ...]:
         """Return the daemons of the newest list, empty before the first."""
         return self._daemons
 
+    def was_here_before(self) -> bool:
+        """Whether this daemon was restarted in a system that runs."""
+        return self._was_here
+
     def start(self) -> None:
         """Register and list in the background."""
         self._task = _background.start(self._run(), 'presence')
@@ -111,7 +116,10 @@
             self._version = reply.unwrap()
             return True
         # A conflict is this daemon's own object, from before a restart.
-        return reply.failure().kind is transport.StoreErrorKind.CONFLICT
+        self._was_here = (
+            reply.failure().kind is transport.StoreErrorKind.CONFLICT
+        )
+        return self._was_here
 
     async def _list(self, may_be_stale: bool) -> None:
         reply = await self._store.scan(DAEMONS_PREFIX, may_be_stale)
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -9,6 +9,8 @@
 import dataclasses
 import math
 
+import xxhash
+
 from samphiredock.coordination import _planner
 from samphiredock import protocol
 from samphiredock import state
@@ -17,9 +19,45 @@
 """What is left for the merge and the way to the socket when an answer is
 due: 20 parts merge in about 1 ms, the rest is for a busy loop."""
 
-FIRST_HEDGE_SHARE = 0.3
-"""Part of a route's aim after which a daemon hedges that knows no latencies
-yet.  Work takes some 15 % of the aim, and the hedge needs as much again."""
+
+HOP_MS = 4.0
+"""What the way over another daemon takes of a route's aim: 1.4 ms between
+sites each way, and the work of one more program."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hop:
+    """How a request that was handed over came here.
+
+    ``site`` is where it was handed over first.  A ``repeated`` request may
+    be run by another daemon already.
+    """
+
+    site: str
+    repeated: bool
+
+
+def narrow(
+    usable: list[state.LiveTarget],
+    attempts: int,
+    request: protocol.ForwardRequest,
+    hop: Hop,
+) -> list[str]:
+    """Return the only targets that may run a request that was handed over.
+
+    If its coordinator is lost, another one runs it again and knows nothing
+    of the first one's attempts.  Both choose the same few targets, by the
+    request and the site it was handed to, so that no more run it than the
+    route allows.
+    """
+
+    def rank(target: state.LiveTarget) -> tuple[bool, int]:
+        text = f'{request.request_id}/{target.target_id}'
+        digest = xxhash.xxh64_intdigest(text.encode())
+        return target.site != hop.site, digest
+
+    chosen = sorted(usable, key=rank)[: attempts or None]
+    return [target.target_id for target in chosen]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +107,8 @@
     site: str,
     now_ms: float,
     caller_way_ms: float,
-    repeated: bool = False,
+    first_hedge_ms: float,
+    hop: Hop | None = None,
 ) -> ForwardPlan:
     """Fix deadline, shards and least coverage of one request.
 
@@ -79,10 +118,14 @@
         The services to ask, and the targets of each.
     caller_way_ms
         What the way from the caller and back takes of the route's aim.
-    repeated
-        Another daemon may be at it, and may have sent it to one target of
-        each shard; no more than one more is allowed.
+    first_hedge_ms
+        When to hedge while no latencies are known.
+    hop
+        The way over another daemon, if it was handed over.
     """
+    repeated = hop is not None and hop.repeated
+    if hop is not None:
+        caller_way_ms += HOP_MS
     limit_ms = route.timeout_ms
     if request.deadline_ms is not None:
         limit_ms = min(limit_ms, request.deadline_ms)
@@ -121,10 +164,10 @@
         snapshot,
         now_ms + limit_ms,
         answer_by_ms,
-        1 if repeated else route.attempts,
+        route.attempts,
         route.repeatable,
         may_restart=False,
-        first_hedge_ms=route.aim_ms * FIRST_HEDGE_SHARE,
+        first_hedge_ms=first_hedge_ms,
         repeated=repeated,
     )
     return ForwardPlan(request, route, services, plan)
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -30,14 +30,17 @@
 """Connections to one coordinator; 60 daemons then hold under 1,000 there,
 of 4,100 descriptors."""
 
-_HOP_MS = 4.0
-"""What the way over another daemon takes of a route's aim: 1.4 ms between
-sites each way, and the work of one more program."""
+_LATE_COORDINATOR_SHARE = 1.0
+"""A coordinator that is slower than the aim of a route is taken for lost
+while no latencies are known; earlier, it may only wait for a slow target."""
 
 _STAND_IN_MS = 20_000.0
 """How long a daemon coordinates that found no coordinator: some of its
 lists of the daemons, so that it does not change its part at each failure."""
 
+_SETTLE_MS = 2_500.0
+"""Targets that start together register within about this time."""
+
 _DOWN_MS = 3_000.0
 """A coordinator that could not be reached for so long is passed over when
 the coordinators are chosen.  A restart takes about 1 s."""
@@ -151,7 +154,11 @@
         self._peer_links = transport.ChannelPool(
             self._clock, lambda target: _PEER_CONNECTIONS
         )
+        self._peer_dialect = forwarding.HandoverDialect(self._routing)
         self._handover = self._make_handover()
+        self._settled = False
+        self._settling_targets = 0
+        self._settling_since_ms = 0.0
         self._shutdown = _shutdown.Shutdown(
             settings.balancer_lag_ms,
             settings.stop_limit_s * 1000.0 - _EXIT_MS,
@@ -213,11 +220,13 @@
             forwarding.NoSuspicions(),
         )
         return forwarding.Forwarder(
-            forwarding.ForwardSettings(settings.site, 0.0, state.Limits()),
+            forwarding.ForwardSettings(
+                settings.site, 0.0, state.Limits(), _LATE_COORDINATOR_SHARE
+            ),
             forwarding.HandoverRouting(self._routing),
             self._peers,
             tools,
-            forwarding.HandoverDialect(self._routing),
+            self._peer_dialect,
             self._peer_links,
             self._clock,
             self._metrics,
@@ -247,6 +256,8 @@
 
     def _on_daemons(self, daemons: tuple[forwarding.Daemon, ...]) -> None:
         now_ms = self._clock.now_ms()
+        if not self._is_settled(now_ms):
+            return
         up = [row for row in daemons if not self._seems_down(row, now_ms)]
         targets = collections.Counter(row.site for row in self._targets.all())
         if self._role.update(up, targets, now_ms):
@@ -261,6 +272,23 @@
             self._peers.put(forwarding.as_target(row))
         self._peers.keep_only(others)
 
+    def _is_settled(self, now_ms: float) -> bool:
+        """Whether the targets are listed well enough to choose by them.
+
+        When the whole system starts, they register one after the other; a
+        choice by the first few would change with each of them.
+        """
+        targets = len(self._targets.all())
+        if targets != self._settling_targets:
+            self._settling_targets = targets
+            self._settling_since_ms = now_ms
+        quiet_ms = now_ms - self._settling_since_ms
+        self._settled = self._settled or (
+            targets > 0
+            and (self._presence.was_here_before() or quiet_ms > _SETTLE_MS)
+        )
+        return self._settled
+
     def _seems_down(self, daemon: forwarding.Daemon, now_ms: float) -> bool:
         """Whether a coordinator could not be reached for some time."""
         peer = self._peers.get(daemon.name)
@@ -347,7 +375,10 @@
     ) -> protocol.ForwardOutcome:
         if self._coordinates():
             return await self._forwarder.forward(request)
-        outcome = await self._handover.forward(request)
+        try:
+            outcome = await self._handover.forward(request)
+        finally:
+            self._peer_dialect.forget(request)
         if (
             isinstance(outcome, protocol.NotRun)
             and outcome.reason is protocol.NotRunReason.NO_TARGET
@@ -378,9 +409,7 @@
             request = dataclasses.replace(
                 read.unwrap(), deadline_ms=handed.left_ms
             )
-            outcome = await self._forwarder.forward(
-                request, handed.repeated, _HOP_MS
-            )
+            outcome = await self._forwarder.forward(request, handed.hop)
         finally:
             self._open_requests -= 1
         return forwarding.coordinator_reply(
@@ -389,6 +418,10 @@
 
     async def _knows(self, least_version: int) -> bool:
         """Whether this daemon can serve with a table that new."""
+        if not self._role.coordinates:
+            # Another daemon takes this one for a coordinator; lists differ
+            # for some seconds after a change.
+            self._role.stand_in(self._clock.now_ms(), _STAND_IN_MS)
         if not self._coordinates():
             return False
         if self._version() >= least_version:
--- a/tests/unit/test_roles.py
+++ b/tests/unit/test_roles.py
@@ -1,5 +1,6 @@
 """Which daemons coordinate, and how a request is handed over."""
 
+import dataclasses
 import unittest
 
 from samphiredock.coordination import forwarding
@@ -94,8 +95,16 @@
         self.assertEqual('id', handed.request_id)
         self.assertEqual(321.5, handed.left_ms)
         self.assertEqual(4, handed.least_version)
-        self.assertTrue(handed.repeated)
-        self.assertFalse(self._handed().repeated)
+        self.assertTrue(handed.hop.repeated)
+        self.assertFalse(self._handed().hop.repeated)
+
+    def test_a_second_coordinator_learns_the_first_ones_site(self) -> None:
+        """Both then choose the same targets for it."""
+        self._handed()
+        self.target = dataclasses.replace(self.target, site='b')
+        self.assertEqual('a', self._handed(True).hop.site)
+        self.dialect.forget(self.request)
+        self.assertEqual('b', self._handed().hop.site)
 
     def test_a_version_once_seen_is_the_least_from_then_on(self) -> None:
         """A caller would see a change undone.
