--- a/samphiredock/coordination/_replicas.py
+++ b/samphiredock/coordination/_replicas.py
@@ -92,7 +92,7 @@
         draw = self._rng.random()
         if draw < _EXPLORE_SHARE:
             return candidates[int(draw / _EXPLORE_SHARE * count)]
-        first = int(draw * count)
+        first = self._first(candidates, draw)
         second = (first + 1) % count
         if count > 2:
             second = (first + 1 + int(self._rng.random() * (count - 1))) % (
@@ -101,6 +101,22 @@
         one, other = candidates[first], candidates[second]
         return one if self._wait(one) <= self._wait(other) else other
 
+    def _first(self, candidates: typing.Sequence[str], draw: float) -> int:
+        """Return the place of the first candidate, a near one if any is.
+
+        Where another site counts much worse, two candidates at random
+        would leave the only near one out a third of the time.
+        """
+        if self._other_site_factor > OTHER_SITE_FACTOR:
+            near = [
+                at
+                for at, name in enumerate(candidates)
+                if self._load(name).factor == 1.0
+            ]
+            if near:
+                return near[int(draw * len(near))]
+        return int(draw * len(candidates))
+
     def _wait(self, target: str) -> float:
         load = self._load(target)
         latency_ms = load.expected_ms(self._now_ms())
--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -58,7 +58,7 @@
         clock: timers.Timers,
         counters: metrics.Metrics,
         watch_ms: int = _WATCH_MS,
-        collect_ms: typing.Mapping[str, float] = {},
+        collect_ms: typing.Mapping[str, typing.Callable[[], float]] = {},
     ) -> None:
         self._watch_ms = watch_ms
         self._collect_ms = collect_ms
@@ -173,10 +173,8 @@
             if not page.changed and position == 0:
                 await _pause.pause(self._clock, _PAUSE_MS)
             position = page.position
-            if prefix in self._page_handlers and (page.changed or page.gone):
-                await _pause.pause(
-                    self._clock, self._collect_ms.get(prefix, 0.0)
-                )
+            if prefix in self._collect_ms and (page.changed or page.gone):
+                await _pause.pause(self._clock, self._collect_ms[prefix]())
 
     def _note_failure(self, prefix: str, error: transport.StoreError) -> bool:
         """Tell of a failed call; True if all must be read anew."""
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import typing
 
 import msgspec
@@ -27,7 +28,7 @@
 FIRST_LIST_MS = 1_000.0
 """How often the list is read while the daemons start together."""
 
-_STARTING_LISTS = 8
+_STARTING_LISTS = 3
 _RETRY_MS = 1_000.0
 
 _log = logs.logger('presence')
@@ -55,6 +56,8 @@
         The timers of this daemon.
     on_list
         Called with the daemons each time that they were listed.
+    is_settled
+        Whether the system has started; until then the list is read often.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         store: transport.Objects,
         clock: timers.Timers,
         on_list: typing.Callable[[tuple[_roles.Daemon, ...]], None],
+        is_settled: typing.Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_settled = is_settled
         self._me = me
         self._key = DAEMONS_PREFIX + me.name
         self._store = store
@@ -99,14 +104,14 @@
     async def _run(self) -> None:
         while not await self._register():
             await _pause.pause(self._clock, _RETRY_MS)
-        for number in range(_STARTING_LISTS):
-            # The first is not stale: a daemon that starts among others
-            # knows them at once.
-            await self._list(may_be_stale=number > 0)
-            await _pause.pause(self._clock, FIRST_LIST_MS)
-        while True:
+        # The first is not stale: a daemon that starts among others knows
+        # them at once.
+        await self._list(may_be_stale=False)
+        for number in itertools.count():
+            starting = number < _STARTING_LISTS or not self._is_settled()
+            every_ms = FIRST_LIST_MS if starting else LIST_EVERY_MS
+            await _pause.pause(self._clock, every_ms)
             await self._list(may_be_stale=True)
-            await _pause.pause(self._clock, LIST_EVERY_MS)
 
     async def _register(self) -> bool:
         me = self._me
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -39,7 +39,11 @@
 lists of the daemons, so that it does not change its part at each failure."""
 
 _SETTLE_MS = 2_500.0
-"""Targets that start together register within about this time."""
+"""Targets that start together register within a second of each other."""
+
+_STARTING_MS = 1_000.0
+"""How long changes gather while the targets register: each would end a
+watch of every daemon, 60 calls for one target."""
 
 _DOWN_MS = 3_000.0
 """A coordinator that could not be reached for so long is passed over when
@@ -111,6 +115,9 @@
         log_stream: logs.BoundedStream,
     ) -> None:
         self._log_stream = log_stream
+        self._settled = False
+        self._settling_targets = 0
+        self._settling_since_ms = 0.0
         self._settings = settings
         self._adapter = adapter
         self._clock = timers.LoopTimers()
@@ -135,13 +142,14 @@
             self._store,
             self._clock,
             self._on_daemons,
+            lambda: self._settled,
         )
         self._watcher = coordination.Watcher(
             self._store,
             self._clock,
             self._metrics,
             settings.watch_ms,
-            {adapter.targets_prefix: settings.collect_ms},
+            {adapter.targets_prefix: self._collect_ms},
         )
         self._watcher.share_among(
             lambda: self._role.coordinates,
@@ -156,9 +164,6 @@
         )
         self._peer_dialect = forwarding.HandoverDialect(self._routing)
         self._handover = self._make_handover()
-        self._settled = False
-        self._settling_targets = 0
-        self._settling_since_ms = 0.0
         self._shutdown = _shutdown.Shutdown(
             settings.balancer_lag_ms,
             settings.stop_limit_s * 1000.0 - _EXIT_MS,
@@ -289,6 +294,10 @@
         )
         return self._settled
 
+    def _collect_ms(self) -> float:
+        """Return how long changes of targets gather before the next watch."""
+        return self._settings.collect_ms if self._settled else _STARTING_MS
+
     def _seems_down(self, daemon: forwarding.Daemon, now_ms: float) -> bool:
         """Whether a coordinator could not be reached for some time."""
         peer = self._peers.get(daemon.name)
