A stand-in of the users' platform, and tests of the real program on it

Change: prepared_store (objects, watches, 410, cuts, outage, lost writes), prepared_system (targets that answer 421, receipts, lost answers; daemons as processes, ended by pid), test_platform with nine cases: merge, bad input, at most once, leaving targets, lost history and older versions, an outage with lapsed entries, a stop under load, a killed coordinator, the log trail.

--- /dev/null
+++ b/standins/prepared_store.py
@@ -0,0 +1,206 @@
+"""A stand-in of the store on the users' platform, in memory.
+
+Objects by kind and name over HTTP, with revisions, conditions and watches,
+and switches for the faults that the platform's pages tell of.
+"""
+
+import asyncio
+import dataclasses
+import json
+import typing
+
+from aiohttp import web
+
+_Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass
+class StoreFaults:
+    """What goes wrong, until it is set back.
+
+    ``status`` answers every call with it, ``silent`` answers none,
+    ``lose_writes`` does so many writes and breaks their connections,
+    ``stale`` shows reads that may be stale as of this revision.
+    """
+
+    status: int = 0
+    silent: bool = False
+    lose_writes: int = 0
+    stale: int | None = None
+
+
+class PreparedStore:
+    """The store; ``put`` and ``remove`` are the operator and the targets."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._objects: dict[tuple[str, str], _Json] = {}
+        self._events: list[tuple[int, str, _Json, bool]] = []
+        self._revision = 1
+        self._oldest = 1
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self._cut = asyncio.Event()
+
+    async def start(self) -> str:
+        """Listen; return ``IP:port``."""
+        app = web.Application()
+        app.router.add_route('*', '/objects/{kind}', self._kind)
+        app.router.add_route('*', '/objects/{kind}/{name}', self._one)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, '127.0.0.1', 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        return f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    # The operator and the targets.
+
+    def put(self, kind: str, name: str, spec: _Json) -> None:
+        """Write an object whatever it was."""
+        self._revision += 1
+        meta = {'Name': name, 'Revision': self._revision}
+        row = {'meta': meta, 'spec': spec, 'status': None}
+        self._objects[kind, name] = row
+        self._note(kind, row, False)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object, if it is there."""
+        row = self._objects.pop((kind, name), None)
+        if row is not None:
+            self._revision += 1
+            self._note(kind, row, True)
+
+    def names(self, kind: str) -> set[str]:
+        """Return the names of a kind's objects."""
+        return {name for held, name in self._objects if held == kind}
+
+    def forget_history(self) -> None:
+        """Watches from before are answered with 410, and cut."""
+        self._oldest = self._revision + 1
+        self._events.clear()
+        self.cut_watches()
+
+    def cut_watches(self) -> None:
+        """Break the connection of every watch that waits."""
+        cut, self._cut = self._cut, asyncio.Event()
+        cut.set()
+
+    def _note(self, kind: str, row: _Json, removed: bool) -> None:
+        self._events.append((self._revision, kind, row, removed))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    # Calls.
+
+    async def _fault(self, request: web.Request) -> web.Response | None:
+        self.calls += 1
+        if self.faults.silent:
+            await asyncio.sleep(3_600)
+        if self.faults.status:
+            return web.Response(status=self.faults.status)
+        return None
+
+    async def _kind(self, request: web.Request) -> web.StreamResponse:
+        kind = request.match_info['kind']
+        fault = await self._fault(request)
+        if fault is not None:
+            return fault
+        if request.method == 'POST':
+            return await self._create(request, kind)
+        if 'Watch' in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get('after', '')
+        rows = sorted(
+            (name, row)
+            for (held, name), row in self._objects.items()
+            if held == kind and name > after
+        )
+        page = [row for _, row in rows[:50]]
+        body = {
+            'items': page,
+            'HasMore': len(rows) > len(page),
+            'CurrentRev': self._revision,
+        }
+        return web.json_response(body)
+
+    async def _watch(
+        self, request: web.Request, kind: str
+    ) -> web.StreamResponse:
+        position = int(request.query['Watch'])
+        if position + 1 < self._oldest:
+            return web.Response(status=410)
+        cut = self._cut
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + int(request.query['WaitMs']) / 1000.0
+        while True:
+            found = [
+                {'Object': row, 'Tombstone': removed}
+                for revision, held, row, removed in self._events
+                if revision > position and held == kind
+            ]
+            left_s = ends_s - loop.time()
+            if found or left_s <= 0:
+                return web.json_response(
+                    {'events': found, 'CurrentRev': self._revision}
+                )
+            waits = [
+                asyncio.ensure_future(event.wait())
+                for event in (self._changed, cut)
+            ]
+            await asyncio.wait(
+                waits,
+                timeout=left_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for wait in waits:
+                wait.cancel()
+            if cut.is_set():
+                raise ConnectionResetError
+
+    async def _create(
+        self, request: web.Request, kind: str
+    ) -> web.StreamResponse:
+        body = json.loads(await request.read())
+        name = body['meta']['Name']
+        if (kind, name) in self._objects:
+            return web.json_response(self._objects[kind, name], status=409)
+        self.put(kind, name, body['spec'])
+        return self._written(request, kind, name)
+
+    async def _one(self, request: web.Request) -> web.StreamResponse:
+        kind, name = request.match_info['kind'], request.match_info['name']
+        fault = await self._fault(request)
+        if fault is not None:
+            return fault
+        held = self._objects.get((kind, name))
+        if held is None:
+            return web.Response(status=404)
+        if request.method == 'GET':
+            return web.json_response(held)
+        if request.method == 'DELETE':
+            wanted = int(request.query.get('Revision', 0))
+        else:
+            body = json.loads(await request.read())
+            wanted = body['meta'].get('Revision', 0)
+        if wanted and wanted != held['meta']['Revision']:
+            return web.json_response(held, status=409)
+        if request.method == 'DELETE':
+            self.remove(kind, name)
+            return web.json_response(held)
+        self.put(kind, name, body['spec'])
+        return self._written(request, kind, name)
+
+    def _written(
+        self, request: web.Request, kind: str, name: str
+    ) -> web.StreamResponse:
+        if self.faults.lose_writes:
+            self.faults.lose_writes -= 1
+            raise ConnectionResetError
+        return web.json_response(self._objects[kind, name])
--- /dev/null
+++ b/standins/prepared_system.py
@@ -0,0 +1,252 @@
+"""A small system on the users' platform: store, targets, real daemons.
+
+The store and the targets run in this process, the daemons are the real
+program, each a process of its own that is ended here by its pid.
+"""
+
+import asyncio
+import collections
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import aiohttp
+
+from standins import cluster
+from standins import prepared_store
+from standins import scripted_target
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_START_LIMIT_S = 20.0
+_STOP_LIMIT_S = 15.0
+
+SHARDS = ('shard-1', 'shard-2', 'shard-3', 'shard-4')
+DESK = 'desk'
+HOST = 'claims.example'
+
+
+class PreparedTarget:
+    """One target: answers with its receipt, and logs what it ran."""
+
+    def __init__(self, target_id: str, service: str, log: list[str]) -> None:
+        self.target_id = target_id
+        self.service = service
+        self.delay_s = 0.0
+        self.lose_answers = False
+        self._log = log
+        self._server = scripted_target.ScriptedTarget(self._answer)
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listen."""
+        self.address = await self._server.start()
+
+    async def stop(self) -> None:
+        """Close every connection and stop listening."""
+        await self._server.stop()
+
+    def records(self) -> bytes:
+        """Return the records of this target's shard."""
+        return b''.join(
+            f'{self.service:>8}{number:08}'.encode() for number in range(9)
+        )
+
+    async def _answer(
+        self, seen: scripted_target.Seen, writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = seen.headers['request-id']
+        if seen.headers.get('expect-instance') != self.target_id:
+            writer.write(scripted_target.answer(request_id, status=421))
+            return
+        self._log.append(f'{request_id} {self.target_id}')
+        await asyncio.sleep(self.delay_s)
+        if self.lose_answers:
+            scripted_target.reset(writer)
+            return
+        receipt = f'{request_id}.{self.target_id}'
+        writer.write(
+            scripted_target.answer(
+                request_id,
+                self.records(),
+                headers={'Answer-Stamp': receipt},
+            )
+        )
+
+
+class PreparedSystem:
+    """Use as an asynchronous context manager."""
+
+    def __init__(self) -> None:
+        self.store = prepared_store.PreparedStore()
+        self.targets: dict[str, PreparedTarget] = {}
+        self.runs: list[str] = []
+        self.doors: dict[str, str] = {}
+        self._store_address = ''
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._ready: dict[str, str] = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> 'PreparedSystem':
+        self._store_address = await self.store.start()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for name in list(self._processes):
+            await self.stop_daemon(name, signal.SIGKILL)
+        for target in self.targets.values():
+            await target.stop()
+        assert self._session is not None
+        await self._session.close()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    async def start_targets(self, replicas: int = 2) -> None:
+        """Start ``replicas`` targets a service and register them."""
+        for service in (*SHARDS, DESK):
+            for number in range(replicas):
+                name = f'{service}-{number}'
+                target = PreparedTarget(name, service, self.runs)
+                await target.start()
+                self.targets[name] = target
+                self.register(name)
+
+    def register(self, name: str, state: str = 'ready') -> None:
+        """Write a target's entry."""
+        target = self.targets[name]
+        entry = {
+            'Service': target.service,
+            'Addr': target.address,
+            'Zone': 'bole-a',
+            'Version': 'v1',
+            'Slots': 2,
+            'State': state,
+            'WarmupLeftMs': 0,
+            'Seq': 1,
+        }
+        self.store.put('servers', name, entry)
+
+    def configure(
+        self, version: int, prefix: str = '/search/', **changes: typing.Any
+    ) -> None:
+        """Write a configuration with three routes."""
+        common = {'Host': HOST, 'TimeoutMs': 3_000, 'MaxAttempts': 2}
+        routes = [
+            {
+                'Name': 'search', 'PathPrefix': prefix, 'Gather': SHARDS,
+                'Kind': 'idempotent', 'TargetLatencyMs': 1_000, 'TopK': 5,
+                'MinVersion': 0.75, **common,
+            },
+            {
+                'Name': 'fetch', 'PathPrefix': '/fetch/', 'Service': DESK,
+                'Kind': 'idempotent', 'TargetLatencyMs': 1_000, **common,
+            },
+            {
+                'Name': 'pay', 'PathPrefix': '/pay/', 'Service': DESK,
+                'Kind': 'non_idempotent', 'TargetLatencyMs': 1_000, **common,
+            },
+        ]  # fmt: skip
+        services = [
+            {'Name': name, 'HealthPath': '/healthz', 'MaxConns': 40}
+            for name in (*SHARDS, DESK)
+        ]
+        configuration = {
+            'Version': version,
+            'Routes': routes,
+            'Services': services,
+            **changes,
+        }
+        self.store.put('config', 'main', configuration)
+
+    async def start_daemon(self, name: str, **settings: object) -> None:
+        """Start the real program and wait until it is ready."""
+        front, ready, peer, metrics = (
+            f'127.0.0.1:{port}' for port in cluster.free_ports(4)
+        )
+        path = pathlib.Path(self._folder.name) / f'{name}.json5'
+        stated = {
+            'name': name, 'site': 'bole-a', 'caller_address': front,
+            'ready_address': ready, 'peer_address': peer,
+            'metrics_address': metrics, 'retry_slack': 56, 'retry_ratio': 0.2,
+            'platform_address': self._store_address, 'balancer_lag_ms': 300,
+            **settings,
+        }  # fmt: skip
+        path.write_text(json.dumps(stated), encoding='utf-8')
+        log = (path.with_suffix('.log')).open('ab')
+        command = [sys.executable, str(_ROOT / 'platform' / 'entry.py')]
+        self._processes[name] = subprocess.Popen(
+            [*command, '--settings', str(path)], stdout=log, stderr=log
+        )
+        log.close()
+        self.doors[name] = front
+        self._ready[name] = ready
+        await self.wait_ready(name)
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a daemon says that it is ready."""
+        assert self._session is not None
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + _START_LIMIT_S
+        while loop.time() < ends_s:
+            try:
+                url = f'http://{self._ready[name]}/readyz'
+                async with self._session.get(url) as got:
+                    if got.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f'{name} is not ready\n{self.log(name)[-4000:]}')
+
+    def log(self, name: str) -> str:
+        """Return what a daemon has logged."""
+        path = pathlib.Path(self._folder.name) / f'{name}.log'
+        return path.read_text(encoding='utf-8')
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a daemon a signal."""
+        self._processes[name].send_signal(number)
+
+    async def stop_daemon(
+        self, name: str, number: signal.Signals = signal.SIGTERM
+    ) -> int:
+        """End a daemon by its pid; return its exit status."""
+        process = self._processes.pop(name)
+        process.send_signal(number)
+        waiting = asyncio.to_thread(process.wait)
+        return await asyncio.wait_for(waiting, _STOP_LIMIT_S)
+
+    async def ask(
+        self,
+        daemon: str,
+        path: str,
+        request_id: str,
+        method: str = 'GET',
+        deadline_ms: int = 3_000,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a caller's request; return status, headers and body."""
+        assert self._session is not None
+        headers = {
+            'Host': HOST,
+            'Request-Id': request_id,
+            'Deadline-Ms': str(deadline_ms),
+        }
+        url = f'http://{self.doors[daemon]}{path}'
+        async with self._session.request(method, url, headers=headers) as got:
+            return got.status, dict(got.headers), await got.read()
+
+    def runs_of(self, request_id: str) -> list[str]:
+        """Return the targets that began a request."""
+        rows = (row.split() for row in self.runs)
+        return [target for asked, target in rows if asked == request_id]
+
+    def run_counts(self) -> collections.Counter[str]:
+        """Return how many targets began each request."""
+        return collections.Counter(row.split()[0] for row in self.runs)
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,198 @@
+"""The real program on a stand-in of the users' platform."""
+
+import asyncio
+import json
+import signal
+import unittest
+
+from standins import prepared_system
+
+
+class PlatformTest(unittest.IsolatedAsyncioTestCase):
+    """Store and targets in this process, daemons as processes."""
+
+    async def asyncSetUp(self) -> None:
+        """Start store and targets; the configuration is version 3."""
+        self.system = await prepared_system.PreparedSystem().__aenter__()
+        self.addAsyncCleanup(self.system.__aexit__, None, None, None)
+        await self.system.start_targets()
+        self.system.configure(3)
+
+    async def _until(self, status: int, daemon: str, path: str) -> None:
+        """Ask until an answer has a status; fails by the test's own limit."""
+        for number in range(400):
+            got, _, _ = await self.system.ask(daemon, path, f'try-{number}')
+            if got == status:
+                return
+            await asyncio.sleep(0.02)
+        self.fail(f'never {status}: {self.system.log(daemon)[-2000:]}')
+
+    async def test_a_search_asks_every_shard(self) -> None:
+        """The greatest records of all parts, and each part's receipt."""
+        await self.system.start_daemon('one')
+        status, headers, body = await self.system.ask(
+            'one', '/search/x?y=%20', 'r1'
+        )
+        self.assertEqual(200, status)
+        self.assertEqual('0', headers['Missing-Parts'])
+        receipts = headers['Part-Stamps'].split(', ')
+        asked = {row.removeprefix('r1.').rsplit('-', 1)[0] for row in receipts}
+        self.assertEqual(set(prepared_system.SHARDS), asked)
+        every = b''.join(
+            self.system.targets[f'{shard}-0'].records()
+            for shard in prepared_system.SHARDS
+        )
+        rows = [every[at : at + 16] for at in range(0, len(every), 16)]
+        self.assertEqual(b''.join(sorted(rows, reverse=True)[:5]), body)
+
+    async def test_bad_requests_get_a_clear_error(self) -> None:
+        """Nothing is sent to a target."""
+        await self.system.start_daemon('one')
+        for path, request_id, status in (
+            ('/none/x', 'r1', 404),
+            ('/search', 'r2', 404),
+            ('/fetch/x', '', 400),
+        ):
+            got, _, _ = await self.system.ask('one', path, request_id)
+            self.assertEqual(status, got, path)
+        self.assertEqual([], self.system.runs)
+
+    async def test_a_lost_answer_is_not_run_a_second_time(self) -> None:
+        """The target ran it and its answer is lost with the connection.
+
+        The caller is told neither "done" nor "not run": 502 promises
+        nothing, so it does not ask again.
+        """
+        await self.system.start_daemon('one')
+        for number in range(2):
+            self.system.targets[f'desk-{number}'].lose_answers = True
+        status, _, _ = await self.system.ask('one', '/pay/x', 'p1', 'POST')
+        self.assertEqual(502, status)
+        self.assertEqual(1, len(self.system.runs_of('p1')))
+
+    async def test_a_leaving_target_gets_no_new_work(self) -> None:
+        """Its entry says so; the other one serves."""
+        await self.system.start_daemon('one')
+        self.system.register('desk-0', 'draining')
+        for number in range(400):
+            before = len(self.system.runs)
+            await self.system.ask('one', '/fetch/x', f'f{number}')
+            if number > 3 and 'desk-0' not in str(self.system.runs[-20:]):
+                break
+            self.assertEqual(before + 1, len(self.system.runs))
+            await asyncio.sleep(0.02)
+        else:
+            self.fail('desk-0 still gets work')
+
+    async def test_changes_come_after_a_cut_and_a_lost_history(self) -> None:
+        """A route is added while the store cuts and forgets watches.
+
+        The watch is answered with 410: all is read anew, the new route is
+        in force, and an older version that is shown later is not.
+        """
+        await self.system.start_daemon('one')
+        self.system.store.cut_watches()
+        self.system.configure(4, '/found/')
+        self.system.store.forget_history()
+        await self._until(200, 'one', '/found/x')
+        self.system.configure(2, '/search/')
+        await asyncio.sleep(0.6)
+        status, _, _ = await self.system.ask('one', '/found/x', 'r9')
+        self.assertEqual(200, status)
+
+    async def test_an_outage_of_the_store_costs_no_request(self) -> None:
+        """Entries lapse in it and are back after it."""
+        await self.system.start_daemon('one')
+        self.system.store.faults.status = 503
+        self.system.store.cut_watches()
+        for name in self.system.targets:
+            self.system.store.remove('servers', name)
+        for number in range(20):
+            status, _, _ = await self.system.ask(
+                'one', '/search/x', f'o{number}'
+            )
+            self.assertEqual(200, status)
+            await asyncio.sleep(0.02)
+        self.system.store.faults.status = 0
+        for number in range(20):
+            status, _, _ = await self.system.ask(
+                'one', '/search/x', f'b{number}'
+            )
+            self.assertEqual(200, status)
+            await asyncio.sleep(0.02)
+            if number == 5:
+                for name in self.system.targets:
+                    self.system.register(name)
+
+    async def test_a_stop_cuts_no_request(self) -> None:
+        """Callers go on using open connections until they are closed."""
+        await self.system.start_daemon('one')
+        for target in self.system.targets.values():
+            target.delay_s = 0.05
+        statuses: list[int] = []
+
+        async def caller(number: int) -> None:
+            for step in range(100):
+                try:
+                    status, headers, _ = await self.system.ask(
+                        'one', '/search/x', f's{number}-{step}'
+                    )
+                except OSError:
+                    # No new connection is taken any more: nothing was sent.
+                    return
+                statuses.append(status)
+
+        tasks = [asyncio.create_task(caller(number)) for number in range(8)]
+        await asyncio.sleep(0.3)
+        exit_status = await self.system.stop_daemon('one')
+        await asyncio.gather(*tasks)
+        self.assertEqual(0, exit_status)
+        self.assertEqual({200}, set(statuses))
+        self.assertEqual(
+            set(), self.system.store.names('samphiredock-daemons')
+        )
+
+    async def test_a_lost_coordinator_costs_no_request(self) -> None:
+        """One of three daemons coordinates; it is killed.
+
+        The others hand over to it.  Its connections break, they find that
+        nobody takes its place in their list, and stand in themselves.
+        """
+        for name in ('one', 'two', 'three'):
+            await self.system.start_daemon(name, coordinators_per_site=1)
+        lost = await self._coordinator()
+        await self.system.stop_daemon(lost, signal.SIGKILL)
+        for name in self.system.doors:
+            if name != lost:
+                await self._until(200, name, '/search/x')
+
+    async def _coordinator(self) -> str:
+        """Wait until two daemons hand over; return the third."""
+        for _ in range(400):
+            handing = [
+                name
+                for name in self.system.doors
+                if '"coordinates":false' in self.system.log(name)
+            ]
+            if len(handing) == 2:
+                break
+            await asyncio.sleep(0.05)
+        status, _, _ = await self.system.ask(handing[0], '/search/x', 'h1')
+        self.assertEqual(200, status)
+        self.assertEqual(4, len(self.system.runs_of('h1')))
+        return next(iter(set(self.system.doors) - set(handing)))
+
+    async def test_the_log_leads_from_a_request_to_its_cause(self) -> None:
+        """Every line is an object; the failed request's are all there."""
+        await self.system.start_daemon('one')
+        for number in range(2):
+            self.system.targets[f'desk-{number}'].lose_answers = True
+        await self.system.ask('one', '/pay/x', 'p1', 'POST')
+        rows = [json.loads(row) for row in self.system.log('one').splitlines()]
+        trail = [row for row in rows if row.get('request') == 'p1']
+        self.assertEqual(
+            ['sent', 'failed', 'request ended'],
+            [row['event'] for row in trail],
+        )
+        self.assertEqual('broken', trail[1]['status'])
+        self.assertEqual('unknown', trail[2]['outcome'])
