--- /dev/null
+++ b/tests/unit/test_logs.py
@@ -0,0 +1,93 @@
+"""Log lines never hold up the program."""
+
+import json
+import os
+import unittest
+
+from samphiredock.coordination.forwarding import _request_log
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import timers
+
+
+class BoundedStreamTest(unittest.TestCase):
+    """A pipe whose reader is slow."""
+
+    def setUp(self) -> None:
+        """Open a pipe."""
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+
+    def _drain(self) -> bytes:
+        os.set_blocking(self.reader, False)
+        found = b''
+        while True:
+            try:
+                part = os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return found
+            if not part:
+                return found
+            found += part
+
+    def test_a_reader_that_does_not_read_costs_lines_not_time(self) -> None:
+        """The lines left out are counted, and said so when it reads on."""
+        stream = logs.BoundedStream(self.writer, 10_000)
+        self.addCleanup(os.close, self.writer)
+        line = json.dumps({'event': 'x' * 90}) + '\n'
+        for _ in range(5_000):
+            stream.write(line)
+        self.assertGreater(stream.left_out, 0)
+        got = self._drain()
+        stream.flush()
+        stream.write(line)
+        got += self._drain()
+        rows = [json.loads(row) for row in got.splitlines()]
+        told = [row['count'] for row in rows if 'count' in row]
+        self.assertEqual([stream.left_out], told)
+        written = len([row for row in rows if 'count' not in row])
+        self.assertEqual(5_001, written + stream.left_out)
+
+    def test_a_reader_that_is_gone_is_no_error(self) -> None:
+        """The daemon serves on without its log."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        stream = logs.BoundedStream(writer)
+        stream.write('a line\n')
+        self.assertEqual(1, stream.left_out)
+
+
+class RequestLogTest(unittest.TestCase):
+    """Which requests leave which lines."""
+
+    def setUp(self) -> None:
+        """Make a log whose lines are counted by what is left out."""
+        self.clock = timers.ManualTimers()
+        self.counters = metrics.Metrics('test')
+        self.addCleanup(self.counters.close)
+        self.log = _request_log.RequestLog(self.clock, self.counters)
+
+    def _left_out(self) -> float:
+        return self.counters.total('request_lines_left_out')
+
+    def _end(self, good: bool) -> None:
+        trail = _request_log.Trail(self.clock.now_ms())
+        trail.note(self.clock.now_ms(), 'sent', target='t')
+        self.log.end('id', trail, good, outcome='x')
+
+    def test_good_requests_do_not_take_the_place_of_bad_ones(self) -> None:
+        """Ten thousand good ones in a second, then one that failed."""
+        for _ in range(10_000):
+            self._end(True)
+        before = self._left_out()
+        self.assertGreater(before, 9_000)
+        self._end(False)
+        self.assertEqual(before, self._left_out())
+
+    def test_the_volume_is_bounded(self) -> None:
+        """Also if every request fails."""
+        for _ in range(10_000):
+            self._end(False)
+        written = 20_000 - self._left_out()
+        self.assertLessEqual(written, _request_log.BAD_LINES_PER_S)
