Contents that crash targets are refused; settings change while it runs

Cause: a request may crash each target that runs it and comes again at any daemon; nothing in the new door stopped it. SIGHUP was ignored, and so was a settings file that changes without a signal.

Change: _crash_guard convicts a content under which targets were lost in two requests, one after the other; a live target is told from a lost one by a connection. Daemons tell each other over the peers' door. One outage is one occasion, so that it convicts nobody. entry.py reads the settings again on SIGHUP and when the file changes; what needs a restart is logged.

Ruled out: the dispatchers' way (a suspect runs alone first): the caller's time is over before that ends; and the store as the place for verdicts: a third watch of every daemon for something that comes seldom.

Tests: test_crash_guard (twice, one outage, one bad target, other contents, the end), test_platform.test_settings_change_while_it_runs.

--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -10,12 +10,12 @@
 
 from returns import result
 
-from samphiredock.coordination import _background
 from samphiredock.coordination import _exchange
 from samphiredock.coordination import _knowledge
 from samphiredock.coordination import _membership
 from samphiredock.coordination import _pause
 from samphiredock.coordination import _relay
+from samphiredock.coordination import background
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
@@ -135,7 +135,7 @@
         prefixes = [*self._handlers, *self._page_handlers]
         self._unread = set(prefixes)
         for prefix in prefixes:
-            task = _background.start(self._follow(prefix), f'watch {prefix}')
+            task = background.start(self._follow(prefix), f'watch {prefix}')
             self._tasks.append(task)
 
     def close(self) -> None:
--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -1,5 +1,8 @@
 """Requests that are passed on to targets unchanged, and merged."""
 
+from samphiredock.coordination.forwarding._crash_guard import CrashGuard
+from samphiredock.coordination.forwarding._crash_guard import fingerprint_of
+from samphiredock.coordination.forwarding._crash_guard import Loss
 from samphiredock.coordination.forwarding._forwarder import Dialect
 from samphiredock.coordination.forwarding._forwarder import Forwarder
 from samphiredock.coordination.forwarding._forwarder import ForwardSettings
@@ -8,7 +11,10 @@
 from samphiredock.coordination.forwarding._handover import coordinator_reply
 from samphiredock.coordination.forwarding._handover import HandoverDialect
 from samphiredock.coordination.forwarding._handover import HandoverRouting
+from samphiredock.coordination.forwarding._handover import loss_notice
+from samphiredock.coordination.forwarding._handover import LOSS_PATH
 from samphiredock.coordination.forwarding._handover import read_handed_over
+from samphiredock.coordination.forwarding._handover import read_loss
 from samphiredock.coordination.forwarding._handover import refusal
 from samphiredock.coordination.forwarding._live_targets import LiveTargets
 from samphiredock.coordination.forwarding._no_suspicions import NoSuspicions
@@ -21,14 +27,17 @@
 from samphiredock.coordination.forwarding._window_budget import WindowBudget
 
 __all__ = [
+    'CrashGuard',
     'Daemon',
     'Dialect',
     'ForwardSettings',
     'Forwarder',
     'HandoverDialect',
     'HandoverRouting',
+    'LOSS_PATH',
     'Links',
     'LiveTargets',
+    'Loss',
     'NoSuspicions',
     'Presence',
     'Role',
@@ -38,6 +47,9 @@
     'as_target',
     'coordinator_reply',
     'coordinators_of',
+    'fingerprint_of',
+    'loss_notice',
     'read_handed_over',
+    'read_loss',
     'refusal',
 ]
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -15,6 +15,7 @@
 
 from samphiredock.coordination import _scatter
 from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.forwarding import _crash_guard
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _route_plans
@@ -105,6 +106,9 @@
         Answers for which ``is_reply`` is false belong to other requests.
         """
 
+    async def is_listening(self, target: state.LiveTarget) -> bool:
+        """Whether a target takes connections."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardSettings:
@@ -173,6 +177,8 @@
         The targets' protocol, and the connections to them.
     clock, counters
         The timers and metrics of this daemon.
+    crashes
+        Which contents crash targets; None if nothing is to be refused.
     """
 
     def __init__(
@@ -185,7 +191,9 @@
         links: Links,
         clock: timers.Timers,
         counters: metrics.Metrics,
+        crashes: _crash_guard.CrashGuard | None = None,
     ) -> None:
+        self._crashes = crashes
         self._settings = settings
         self._routing = routing
         self._targets = targets
@@ -251,6 +259,9 @@
                 f'{table.version}',
                 0,
             )
+        refusal = self._crashes.refusal(request) if self._crashes else None
+        if refusal is not None:
+            return result.Failure(refusal)
         services = route.shards or (self._splitter.choose(route),)
         targets = {
             service: self._targets.of_service(service) for service in services
@@ -437,6 +448,8 @@
             status = _LINK_STATUS[error.kind]
             self._observe(target, status, sent_ms)
             self._ended(flight, item, status, error.detail)
+            if status is _Status.BROKEN and self._crashes is not None:
+                await self._look_for_crash(request, target)
             return
         read = self._dialect.read_reply(request, reply.unwrap())
         self._observe(target, read.status, sent_ms)
@@ -446,6 +459,29 @@
             flight.failure = read
         self._ended(flight, item, read.status, read.detail)
 
+    async def _look_for_crash(
+        self, request: protocol.ForwardRequest, target: state.LiveTarget
+    ) -> None:
+        """Tell a target that died from one that only lost an answer.
+
+        A live target takes a connection at once.
+        """
+        assert self._crashes is not None
+        if not await self._links.is_listening(target):
+            self._targets_lost(target)
+            self._crashes.found(
+                _crash_guard.Loss(
+                    _crash_guard.fingerprint_of(request),
+                    request.request_id,
+                    target.target_id,
+                )
+            )
+
+    def _targets_lost(self, target: state.LiveTarget) -> None:
+        if self._targets.get(target.target_id) is not None:
+            record = self._targets.record(target.target_id)
+            record.on_failure(True, self._clock.now_ms())
+
     def _observe(
         self, target: state.LiveTarget, status: protocol.SubStatus, sent: float
     ) -> None:
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -8,6 +8,9 @@
 
 import dataclasses
 
+import msgspec
+
+from samphiredock.coordination.forwarding import _crash_guard
 from samphiredock.coordination.forwarding import _roles
 from samphiredock.coordination.forwarding import _route_plans
 from samphiredock.coordination.forwarding import _routing
@@ -85,6 +88,26 @@
     return protocol.HttpReply(503, headers, why.encode())
 
 
+LOSS_PATH = '/samphiredock/losses'
+"""Where daemons tell each other of targets lost under a content."""
+
+
+def loss_notice(loss: _crash_guard.Loss) -> protocol.HttpRequest:
+    """Return what the other daemons are told."""
+    headers = (('Host', 'samphiredock'), ('Content-Type', 'application/json'))
+    return protocol.HttpRequest(
+        'POST', LOSS_PATH, headers, msgspec.json.encode(loss)
+    )
+
+
+def read_loss(body: bytes) -> _crash_guard.Loss | None:
+    """Return what another daemon tells, None if it cannot be read."""
+    try:
+        return msgspec.json.decode(body, type=_crash_guard.Loss)
+    except msgspec.DecodeError:
+        return None
+
+
 class HandoverRouting:
     """One route for everything: to the coordinators.
 
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -12,8 +12,8 @@
 import msgspec
 from returns import result
 
-from samphiredock.coordination import _background
 from samphiredock.coordination import _pause
+from samphiredock.coordination import background
 from samphiredock.coordination.forwarding import _roles
 from samphiredock import logs
 from samphiredock import timers
@@ -89,7 +89,7 @@
 
     def start(self) -> None:
         """Register and list in the background."""
-        self._task = _background.start(self._run(), 'presence')
+        self._task = background.start(self._run(), 'presence')
 
     async def leave(self) -> None:
         """Remove this daemon's object."""
--- a/samphiredock/coordination/forwarding/_window_budget.py
+++ b/samphiredock/coordination/forwarding/_window_budget.py
@@ -75,6 +75,12 @@
         self._daemons = daemons
         self._groups: dict[str, _Group] = collections.defaultdict(_Group)
 
+    def set_bounds(self, ratio: float, slack: float, window_ms: float) -> None:
+        """Keep to other bounds from now on."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+
     def note_needed(self, shards: typing.Sequence[str], share: float) -> None:
         """Count the first request to each shard; ``share`` is not used."""
         now_ms = self._clock.now_ms()
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from samphiredock import coordination
+from samphiredock.coordination import background
 from samphiredock.coordination import forwarding
 from samphiredock.daemon import _shutdown
 from samphiredock import logs
@@ -26,6 +27,9 @@
 _EXIT_MS = 500.0
 """What is kept of the time before the kill for closing down."""
 
+_RELOADED = ('retry_ratio', 'retry_slack', 'retry_window_s', 'collect_ms')
+"""Settings that take effect without a restart."""
+
 _PEER_CONNECTIONS = 16
 """Connections to one coordinator; 60 daemons then hold under 1,000 there,
 of 4,100 descriptors."""
@@ -34,6 +38,9 @@
 """A coordinator that is slower than the aim of a route is taken for lost
 while no latencies are known; earlier, it may only wait for a slow target."""
 
+_NOTICE_LIMIT_MS = 1_000.0
+"""A peer that takes longer is down; its callers go elsewhere as well."""
+
 _STAND_IN_MS = 20_000.0
 """How long a daemon coordinates that found no coordinator: some of its
 lists of the daemons, so that it does not change its part at each failure."""
@@ -157,6 +164,9 @@
             lambda stored: None,
         )
         self._links = transport.ChannelPool(self._clock, self._connections_to)
+        self._crashes = forwarding.CrashGuard(
+            self._clock, self._metrics, self._tell_loss
+        )
         self._forwarder = self._make_forwarder()
         self._peers = forwarding.LiveTargets(self._clock)
         self._peer_links = transport.ChannelPool(
@@ -177,6 +187,13 @@
     def _make_forwarder(self) -> forwarding.Forwarder:
         settings = self._settings
         rng = random.Random(settings.name)
+        self._budget = forwarding.WindowBudget(
+            self._clock,
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s * 1000.0,
+            self._budget_parts,
+        )
         tools = coordination.Tools(
             self._targets,
             coordination.Replicas(
@@ -186,13 +203,7 @@
                 self._clock.now_ms,
             ),
             coordination.Latencies(),
-            forwarding.WindowBudget(
-                self._clock,
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window_s * 1000.0,
-                self._budget_parts,
-            ),
+            self._budget,
             forwarding.NoSuspicions(),
         )
         return forwarding.Forwarder(
@@ -208,6 +219,7 @@
             self._links,
             self._clock,
             self._metrics,
+            self._crashes,
         )
 
     def _make_handover(self) -> forwarding.Forwarder:
@@ -405,6 +417,12 @@
         body: bytes,
     ) -> protocol.HttpReply:
         """Answer a request that another daemon handed over."""
+        if path == forwarding.LOSS_PATH:
+            loss = forwarding.read_loss(body)
+            if loss is None:
+                return protocol.HttpReply(400, body=b'no loss in the body')
+            self._crashes.note(loss)
+            return protocol.HttpReply(204)
         handed = forwarding.read_handed_over(headers)
         if handed is None:
             return forwarding.refusal(handed, 'headers of the hop missing')
@@ -441,6 +459,25 @@
             self._take_routing(reply.unwrap())
         return self._version() >= least_version
 
+    def _tell_loss(self, loss: forwarding.Loss) -> None:
+        """Tell the other coordinators; the content may come to any next."""
+        request = forwarding.loss_notice(loss)
+        for peer in self._peers.all():
+            background.start(self._tell(peer, request), 'tell of a loss')
+
+    async def _tell(
+        self, peer: state.LiveTarget, request: protocol.HttpRequest
+    ) -> None:
+        reply = await self._peer_links.exchange(
+            peer, request, _NOTICE_LIMIT_MS, lambda reply: True
+        )
+        if isinstance(reply, result.Failure):
+            _log.info(
+                'peer not told',
+                peer=peer.target_id,
+                why=reply.failure().detail,
+            )
+
     def _version(self) -> int:
         return self._routing.table.version if self._routing.table else 0
 
@@ -504,6 +541,31 @@
             body=self._metrics.render(), content_type='text/plain'
         )
 
+    def reload(self, settings: state.EntrySettings) -> None:
+        """Take over settings that have changed while it runs.
+
+        What cannot change without a restart keeps its value; the log says
+        which fields those are.
+        """
+        before = dataclasses.asdict(self._settings)
+        changed = [
+            name
+            for name, value in dataclasses.asdict(settings).items()
+            if value != before[name]
+        ]
+        self._budget.set_bounds(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s * 1000.0,
+        )
+        taken = {name: getattr(settings, name) for name in _RELOADED}
+        self._settings = dataclasses.replace(self._settings, **taken)
+        _log.notice(
+            'settings read again',
+            changed=changed,
+            need_restart=sorted(set(changed) - set(_RELOADED)),
+        )
+
     def on_signal(self) -> None:
         """Begin a graceful shutdown, or hurry one."""
         self._shutdown.on_signal(self._clock.now_ms())
--- a/samphiredock/daemon/entry.py
+++ b/samphiredock/daemon/entry.py
@@ -8,6 +8,7 @@
 import click
 from returns import result
 
+from samphiredock.coordination import background
 from samphiredock.daemon import _entry_node
 from samphiredock import logs
 from samphiredock import state
@@ -15,9 +16,44 @@
 Adapter = _entry_node.Adapter
 EntryNode = _entry_node.EntryNode
 
+_LOOK_S = 2.0
+"""How often the settings file is looked at; it may change without a signal."""
+
 _CANNOT_RUN_STATUS = 1
 _INVALID_STATUS = 2
 
+_log = logs.logger('entry')
+
+
+class _Source:
+    """The settings file, while the daemon runs."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._seen = self._stamp()
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            found = self._path.stat()
+        except OSError as error:
+            _log.error('settings cannot be looked at', why=str(error))
+            return 0, 0
+        return found.st_mtime_ns, found.st_size
+
+    def has_changed(self) -> bool:
+        """Whether the file is another than at the last read."""
+        return self._stamp() != self._seen
+
+    def read_for(self, node: EntryNode) -> None:
+        """Hand the file's settings to a node; a broken file is only told."""
+        self._seen = self._stamp()
+        loaded = state.load_entry_settings(self._path)
+        if isinstance(loaded, result.Failure):
+            problems = [str(problem) for problem in loaded.failure()]
+            _log.error('settings are not valid', problems=problems)
+            return
+        node.reload(loaded.unwrap())
+
 
 def run(settings_path: pathlib.Path, check: bool, adapter: Adapter) -> None:
     """Run one daemon until SIGTERM or SIGINT.
@@ -30,10 +66,11 @@
     if check:
         click.echo(f'{settings_path}: valid')
         return
+    source = _Source(settings_path)
     stream = logs.BoundedStream(sys.stdout.fileno())
     logs.set_up(settings.log_level, stream)
     try:
-        asyncio.run(_serve(settings, adapter, stream))
+        asyncio.run(_serve(settings, adapter, stream, source))
     except OSError as error:
         click.echo(f'cannot run with {settings_path}: {error}', err=True)
         sys.exit(_CANNOT_RUN_STATUS)
@@ -52,11 +89,22 @@
     settings: state.EntrySettings,
     adapter: Adapter,
     stream: logs.BoundedStream,
+    source: _Source,
 ) -> None:
     loop = asyncio.get_running_loop()
     node = EntryNode(settings, adapter, stream)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.on_signal)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, lambda: source.read_for(node))
     await node.start()
+    looking = background.start(_look_for_changes(source, node), 'settings')
     await node.wait_stopped()
+    looking.cancel()
+
+
+async def _look_for_changes(source: _Source, node: EntryNode) -> None:
+    """Read the settings again when the file changes without a signal."""
+    while True:
+        await asyncio.sleep(_LOOK_S)
+        if source.has_changed():
+            source.read_for(node)
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -97,6 +97,16 @@
         finally:
             self._release(pool, target, channel, keep_ms)
 
+    async def is_listening(self, target: state.LiveTarget) -> bool:
+        """Whether a target takes connections; the one made is kept."""
+        pool = self._pools[target.target_id]
+        ends_ms = self._clock.now_ms() + CONNECT_LIMIT_MS
+        channel = await self._connect(pool, target, ends_ms)
+        if isinstance(channel, _target_http.LinkError):
+            return False
+        self._release(pool, target, channel, None)
+        return True
+
     def forget(self, target: state.LiveTarget) -> None:
         """Close the idle connections to a target that is gone."""
         pool = self._pools.pop(target.target_id, None)
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
+        self.dead: set[str] = set()
 
     @property
     def open(self) -> list[Sent]:
@@ -83,6 +84,10 @@
             sent.cancelled = True
             raise
 
+    async def is_listening(self, target: state.LiveTarget) -> bool:
+        """Whether the test has not put the target among the dead."""
+        return target.target_id not in self.dead
+
 
 class PlainDialect:
     """The least that a dialect must do."""
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -86,6 +86,7 @@
         self.runs: list[str] = []
         self.doors: dict[str, str] = {}
         self._store_address = ''
+        self._settings: dict[str, dict[str, object]] = {}
         self._processes: dict[str, subprocess.Popen] = {}
         self._ready: dict[str, str] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -170,15 +171,13 @@
         front, ready, peer, metrics = (
             f'127.0.0.1:{port}' for port in cluster.free_ports(4)
         )
-        path = pathlib.Path(self._folder.name) / f'{name}.json5'
-        stated = {
+        self._settings[name] = {
             'name': name, 'site': 'bole-a', 'caller_address': front,
             'ready_address': ready, 'peer_address': peer,
             'metrics_address': metrics, 'retry_slack': 56, 'retry_ratio': 0.2,
             'platform_address': self._store_address, 'balancer_lag_ms': 300,
-            **settings,
         }  # fmt: skip
-        path.write_text(json.dumps(stated), encoding='utf-8')
+        path = self.write_settings(name, **settings)
         log = (path.with_suffix('.log')).open('ab')
         command = [sys.executable, str(_ROOT / 'platform' / 'entry.py')]
         self._processes[name] = subprocess.Popen(
@@ -189,6 +188,14 @@
         self._ready[name] = ready
         await self.wait_ready(name)
 
+    def write_settings(self, name: str, **changes: object) -> pathlib.Path:
+        """Write a daemon's settings file with some fields changed."""
+        self._settings[name].update(changes)
+        path = pathlib.Path(self._folder.name) / f'{name}.json5'
+        text = json.dumps(self._settings[name])
+        path.write_text(text, encoding='utf-8')
+        return path
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a daemon says that it is ready."""
         assert self._session is not None
--- /dev/null
+++ b/tests/failure/test_crash_guard.py
@@ -0,0 +1,93 @@
+"""Requests that crash each target that runs them, sent again and again."""
+
+import unittest
+
+from samphiredock.coordination import forwarding
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import timers
+
+
+def request(path: str = '/a/poison') -> protocol.ForwardRequest:
+    """Return a caller's request."""
+    return protocol.ForwardRequest('id', 'GET', 'h', path, (), b'', 500.0)
+
+
+class CrashGuardTest(unittest.TestCase):
+    """Two daemons that tell each other of lost targets."""
+
+    def setUp(self) -> None:
+        """Wire two guards together."""
+        self.clock = timers.ManualTimers()
+        self.counters = metrics.Metrics('test')
+        self.addCleanup(self.counters.close)
+        self.guards: list[forwarding.CrashGuard] = []
+        self.guards = [
+            forwarding.CrashGuard(
+                self.clock,
+                self.counters,
+                lambda loss, at=at: self.guards[1 - at].note(loss),
+            )
+            for at in range(2)
+        ]
+
+    def _lose(
+        self, guard: int, request_id: str, *targets: str, path: str = ''
+    ) -> None:
+        content = forwarding.fingerprint_of(request(path or '/a/poison'))
+        for target in targets:
+            loss = forwarding.Loss(content, request_id, target)
+            self.guards[guard].found(loss)
+
+    def _refused(self, guard: int, path: str = '/a/poison') -> bool:
+        refusal = self.guards[guard].refusal(request(path))
+        return refusal is not None
+
+    def test_a_content_that_crashes_twice_is_refused_everywhere(self) -> None:
+        """Its caller sends it again, to another daemon each time.
+
+        The first request takes three targets, the second one more; from
+        then on no daemon sends it to a target.
+        """
+        self._lose(0, 'r1', 't1', 't2', 't3')
+        self.assertFalse(self._refused(0))
+        self.clock.advance(400.0)
+        self._lose(1, 'r2', 't4')
+        self.assertTrue(self._refused(0))
+        self.assertTrue(self._refused(1))
+        refusal = self.guards[0].refusal(request())
+        self.assertIs(protocol.NotRunReason.QUARANTINED, refusal.reason)
+
+    def test_one_outage_convicts_nobody(self) -> None:
+        """Ten targets fail at once under requests that are innocent.
+
+        Two callers had sent the same content, and both saw the failure.
+        """
+        for number in range(10):
+            self._lose(0, 'r1', f't{number}')
+            self._lose(1, 'r2', f't{number}')
+            self.clock.advance(10.0)
+        self.assertFalse(self._refused(0))
+
+    def test_one_target_that_crashes_again_convicts_nobody(self) -> None:
+        """The fault is the target's own."""
+        self._lose(0, 'r1', 't1')
+        self.clock.advance(1_000.0)
+        self._lose(0, 'r2', 't1')
+        self.assertFalse(self._refused(0))
+
+    def test_other_contents_are_served(self) -> None:
+        """Only the same method, host, path and body are refused."""
+        self._lose(0, 'r1', 't1')
+        self.clock.advance(1_000.0)
+        self._lose(0, 'r2', 't2')
+        self.assertTrue(self._refused(0))
+        self.assertFalse(self._refused(0, '/a/other'))
+
+    def test_a_conviction_ends(self) -> None:
+        """The targets may have been mended meanwhile."""
+        self._lose(0, 'r1', 't1')
+        self.clock.advance(1_000.0)
+        self._lose(0, 'r2', 't2')
+        self.clock.advance(60_001.0)
+        self.assertFalse(self._refused(0))
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -182,6 +182,24 @@
         self.assertEqual(4, len(self.system.runs_of('h1')))
         return next(iter(set(self.system.doors) - set(handing)))
 
+    async def test_settings_change_while_it_runs(self) -> None:
+        """With a signal and without; a broken file changes nothing."""
+        await self.system.start_daemon('one')
+        self.system.write_settings('one', retry_ratio=0.4)
+        self.system.send('one', signal.SIGHUP)
+        await self._logged('one', '"changed":["retry_ratio"]')
+        self.system.write_settings('one', retry_ratio='much')
+        await self._logged('one', 'settings are not valid')
+        status, _, _ = await self.system.ask('one', '/search/x', 'r1')
+        self.assertEqual(200, status)
+
+    async def _logged(self, daemon: str, text: str) -> None:
+        for _ in range(400):
+            if text in self.system.log(daemon):
+                return
+            await asyncio.sleep(0.05)
+        self.fail(f'never logged {text}: {self.system.log(daemon)[-2000:]}')
+
     async def test_the_log_leads_from_a_request_to_its_cause(self) -> None:
         """Every line is an object; the failed request's are all there."""
         await self.system.start_daemon('one')
