samphiredock explain: a request's story and its cause from the logs

Cause: an on-call engineer has only logs; the lines were there, but the way from an id to a cause had to be known.

The forwarder's last line names the shards without an answer, and readiness is logged when it changes.

Tests: test_explain (seven ends, handed-over requests, broken lines).

--- a/samphiredock/cli/main.py
+++ b/samphiredock/cli/main.py
@@ -4,6 +4,7 @@
 
 from samphiredock.cli import _config
 from samphiredock.cli import _exits
+from samphiredock.cli import _explain
 from samphiredock.cli import _fleet
 from samphiredock.cli import _keys
 from samphiredock.cli import _requests
@@ -24,6 +25,7 @@
   samphiredock search field-claims claimant-history kebele=bole
   samphiredock run relief-payout release-payout household=household-7
   samphiredock target drain desk-1
+  samphiredock explain 9c41d07be2a35f68 entry-1.log entry-2.log
 
 {_exits.EXIT_HELP}"""
 
@@ -41,6 +43,7 @@
     _fleet.target,
     _fleet.quarantine,
     _keys.keys,
+    _explain.explain,
 ):
     main.add_command(_command)
 
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -35,6 +35,9 @@
 A target that pauses for 120 ms answers within it, and its connection stays
 open; a new one would hold a slot of the target for 6 ms."""
 
+_NAMED = 8
+"""Shards that a log line names at most; the count says how many more."""
+
 NO_TARGET_RETRY_MS = 300
 """When to come back if too few shards have a target that can be reached.
 A target that was given up is tried again after 200 ms."""
@@ -159,6 +162,7 @@
     failure: protocol.TargetReply | None = None
     asked: set[str] = dataclasses.field(default_factory=set)
     begun: set[str] = dataclasses.field(default_factory=set)
+    answered: set[str] = dataclasses.field(default_factory=set)
     exchanges: dict[str, _Exchange] = dataclasses.field(default_factory=dict)
 
 
@@ -454,6 +458,7 @@
         read = self._dialect.read_reply(request, reply.unwrap())
         self._observe(target, read.status, sent_ms)
         if read.status is _Status.ANSWERED:
+            flight.answered.add(item.shard_id)
             flight.replies[item.attempt_id] = read
         elif read.may_be_passed:
             flight.failure = read
@@ -582,6 +587,13 @@
         )
         return refusal
 
+    def _unanswered(self, flight: _Flight) -> list[str]:
+        return [
+            name
+            for name in flight.plan.services
+            if name not in flight.answered
+        ]
+
     def _note_end(
         self, flight: _Flight, outcome: protocol.ForwardOutcome | None
     ) -> None:
@@ -610,6 +622,7 @@
             aim_ms=plan.route.aim_ms,
             shards=len(plan.services),
             missing=missing,
+            unanswered=self._unanswered(flight)[:_NAMED],
             hedges=tally.hedges_sent,
             hedges_denied=tally.hedges_denied,
             retries=tally.retries,
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -122,6 +122,7 @@
         log_stream: logs.BoundedStream,
     ) -> None:
         self._log_stream = log_stream
+        self._said_ready = False
         self._settled = False
         self._settling_targets = 0
         self._settling_since_ms = 0.0
@@ -534,7 +535,17 @@
         await site.start()
 
     async def _say_ready(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self.is_ready() else 503)
+        ready = self.is_ready()
+        if ready != self._said_ready:
+            self._said_ready = ready
+            _log.notice(
+                'readiness',
+                ready=ready,
+                phase=self._shutdown.phase.value,
+                table=self._version() or None,
+                targets=len(self._targets.all()),
+            )
+        return web.Response(status=200 if ready else 503)
 
     async def _show_metrics(self, request: web.BaseRequest) -> web.Response:
         return web.Response(
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,126 @@
+"""The operator's command that tells a request's story."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from click import testing
+
+from samphiredock.cli import main
+
+
+def _row(second: int, event: str, **facts: object) -> str:
+    row = {'time': f'2026-12-02T10:00:{second:02}.000', 'event': event}
+    return json.dumps({**row, 'level': 'info', 'part': 'requests', **facts})
+
+
+def _end(second: int, outcome: str, **facts: object) -> str:
+    common = {'took_ms': 50.0, 'aim_ms': 100.0, 'shards': 4, 'status': 200}
+    return _row(
+        second, 'request ended', outcome=outcome, **{**common, **facts}
+    )
+
+
+class ExplainTest(unittest.TestCase):
+    """Log files written by the test."""
+
+    def setUp(self) -> None:
+        """Make a folder."""
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.path = pathlib.Path(holder.name) / 'log'
+
+    def _explain(self, rows: list[str], *words: str) -> str:
+        self.path.write_text('\n'.join(rows), encoding='utf-8')
+        run = testing.CliRunner().invoke(
+            main.main, ['explain', *(words or ('r1',)), str(self.path)]
+        )
+        self.output = run.output
+        self.exit_code = run.exit_code
+        return run.output.strip().splitlines()[-1]
+
+    def test_six_ways_to_fail_each_with_its_cause(self) -> None:
+        """The last line names what decided it."""
+        failed = _row(
+            1, 'failed', request='r1', shard='s1', target='t1',
+            status='broken', why='ConnectionResetError', at_ms=3.0,
+        )  # fmt: skip
+        for rows, words in (
+            (
+                [_end(2, 'refused', request='r1', reason='no-target')],
+                ('refused', 'reached'),
+            ),
+            ([failed, _end(2, 'unknown', request='r1')], ('t1', 'broke off')),
+            (
+                [_end(2, 'timedout', request='r1', unanswered=['s2'])],
+                ('s2', '50.0 ms'),
+            ),
+            (
+                [_end(2, 'caller left', request='r1', unanswered=['s3'])],
+                ('left', 's3'),
+            ),
+            (
+                [
+                    _end(
+                        2, 'gathered', request='r1', missing=1,
+                        unanswered=['s4'], hedges_denied=2,
+                    )
+                ],
+                ('1 of 4', 's4', 'budget refused 2'),
+            ),
+            (
+                [_end(2, 'passed', request='r1', took_ms=180.0)],
+                ('late', '180.0 ms of 100.0 ms'),
+            ),
+            (
+                [_end(2, 'passed', request='r1', status=500)],
+                ('answered 500 itself',),
+            ),
+        ):  # fmt: skip
+            with self.subTest(words):
+                cause = self._explain(rows)
+                self.assertEqual(0, self.exit_code, self.output)
+                for word in words:
+                    self.assertIn(word, cause)
+
+    def test_the_coordinators_end_tells_more_than_the_entrys(self) -> None:
+        """The daemon that handed over only saw a 502 that it passed on."""
+        rows = [
+            f'12.1 entry-2 {_end(3, "passed", request="r1", status=502)}',
+            f'12.0 entry-1 {_end(2, "unknown", request="r1", why="lost")}',
+        ]
+        cause = self._explain(rows)
+        self.assertIn('may have run', cause)
+        self.assertLess(
+            self.output.index('entry-1'), self.output.index('entry-2')
+        )
+
+    def test_other_requests_and_broken_lines_are_passed_over(self) -> None:
+        """A log may begin in the middle of a line."""
+        rows = ['"event": "x"}', '{"event": ', _end(2, 'passed', request='r1')]
+        self.assertIn('in time', self._explain(rows))
+        self._explain(rows, 'r2')
+        self.assertEqual(1, self.exit_code)
+        self.assertIn('expected some', self.output)
+
+    def test_json_for_programs(self) -> None:
+        """One value with the cause and the lines."""
+        self._explain([_end(2, 'passed', request='r1')], '--json', 'r1')
+        told = json.loads(self.output)
+        self.assertEqual('request ended', told['lines'][0]['event'])
+
+    def test_why_a_daemon_is_not_ready(self) -> None:
+        """The lines that decide it, from a time on."""
+        rows = [
+            _row(1, 'started'),
+            _row(2, 'sent', request='r1'),
+            _row(3, 'store lost', prefix='config/'),
+            _row(4, 'readiness', ready=False, table=None),
+        ]
+        cause = self._explain(
+            rows, '--why-not-ready', '--since', '2026-12-02T10:00:02'
+        )
+        self.assertIn('readiness', cause)
+        self.assertNotIn('started', self.output)
+        self.assertIn('store lost', self.output)
