--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -66,6 +66,10 @@
         self._on_outage: list[typing.Callable[[], None]] = []
         self._failing: set[str] = set()
         self._followed_ms: dict[str, float] = {}
+        self._polled_ms: dict[str, float] = {}
+        self._stale_period_ms: typing.Callable[[str], float | None] | None = (
+            None
+        )
         self._platform = platform
         self._clock = clock
         self._metrics = counters
@@ -94,6 +98,32 @@
         """
         self._page_handlers[prefix] = handler
 
+    def poll_stale(
+        self, period_ms: typing.Callable[[str], float | None]
+    ) -> None:
+        """Read by polls that may be stale while not watching.
+
+        ``period_ms`` gives the time between polls of a prefix, None for
+        none.  For parts that need to know roughly only.
+        """
+        self._stale_period_ms = period_ms
+
+    async def _poll_stale(self, prefix: str) -> None:
+        period_ms = self._stale_period_ms(prefix)
+        waited_ms = self._clock.now_ms() - self._polled_ms.get(prefix, -1e12)
+        if period_ms is None or waited_ms < period_ms:
+            await _pause.pause(self._clock, _CHECK_MS)
+            return
+        self._polled_ms[prefix] = self._clock.now_ms()
+        reply = await self._platform.scan(prefix, may_be_stale=True)
+        self._note_read(prefix)
+        if isinstance(reply, result.Failure):
+            self._note_failure(prefix, reply.failure())
+            return
+        self._note_success(prefix, None)
+        page = transport.WatchPage(reply.unwrap(), (), 0, whole=True)
+        self._page_handlers[prefix](page)
+
     def has_followed_since(self, since_ms: float) -> bool:
         """Whether a watch of every prefix that began later has answered.
 
@@ -148,6 +178,10 @@
         polled_ms = self._clock.now_ms()
         while True:
             watching = self._is_watcher()
+            if not watching and self._stale_period_ms is not None:
+                position = 0
+                await self._poll_stale(prefix)
+                continue
             if position and not watching:
                 waited_ms = self._clock.now_ms() - polled_ms
                 if waited_ms < self._poll_ms():
--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -21,6 +21,7 @@
 from samphiredock.coordination.forwarding._presence import Presence
 from samphiredock.coordination.forwarding._roles import coordinators_of
 from samphiredock.coordination.forwarding._roles import Daemon
+from samphiredock.coordination.forwarding._roles import is_near
 from samphiredock.coordination.forwarding._roles import Role
 from samphiredock.coordination.forwarding._routing import RoutingKnowledge
 from samphiredock.coordination.forwarding._splitter import Splitter
@@ -48,6 +49,7 @@
     'coordinator_reply',
     'coordinators_of',
     'fingerprint_of',
+    'is_near',
     'loss_notice',
     'read_handed_over',
     'read_loss',
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import itertools
 import typing
 
@@ -28,7 +29,7 @@
 FIRST_LIST_MS = 1_000.0
 """How often the list is read while the daemons start together."""
 
-_STARTING_LISTS = 3
+_STARTING_LISTS = 5
 _RETRY_MS = 1_000.0
 
 _log = logs.logger('presence')
@@ -38,6 +39,7 @@
     site: str
     address: str
     cores: float
+    near: bool = True
 
 
 _decode = msgspec.json.Decoder(_Entry).decode
@@ -56,8 +58,6 @@
         The timers of this daemon.
     on_list
         Called with the daemons each time that they were listed.
-    is_settled
-        Whether the system has started; until then the list is read often.
     """
 
     def __init__(
@@ -66,9 +66,7 @@
         store: transport.Objects,
         clock: timers.Timers,
         on_list: typing.Callable[[tuple[_roles.Daemon, ...]], None],
-        is_settled: typing.Callable[[], bool] = lambda: True,
     ) -> None:
-        self._is_settled = is_settled
         self._me = me
         self._key = DAEMONS_PREFIX + me.name
         self._store = store
@@ -77,20 +75,20 @@
         self._daemons: tuple[_roles.Daemon, ...] = ()
         self._task: asyncio.Task | None = None
         self._version = 0
-        self._was_here = False
+        self._first = asyncio.Event()
 
     def daemons(self) -> tuple[_roles.Daemon, ...]:
         """Return the daemons of the newest list, empty before the first."""
         return self._daemons
 
-    def was_here_before(self) -> bool:
-        """Whether this daemon was restarted in a system that runs."""
-        return self._was_here
-
     def start(self) -> None:
         """Register and list in the background."""
         self._task = background.start(self._run(), 'presence')
 
+    async def listed_once(self) -> None:
+        """Wait until the list has been asked for once."""
+        await self._first.wait()
+
     async def leave(self) -> None:
         """Remove this daemon's object."""
         if self._task is not None:
@@ -103,28 +101,49 @@
 
     async def _run(self) -> None:
         while not await self._register():
+            # The store is away: nobody is known, so this daemon reads for
+            # itself.
+            self._first.set()
             await _pause.pause(self._clock, _RETRY_MS)
         # The first is not stale: a daemon that starts among others knows
         # them at once.
         await self._list(may_be_stale=False)
+        self._first.set()
         for number in itertools.count():
-            starting = number < _STARTING_LISTS or not self._is_settled()
+            starting = number < _STARTING_LISTS
             every_ms = FIRST_LIST_MS if starting else LIST_EVERY_MS
             await _pause.pause(self._clock, every_ms)
             await self._list(may_be_stale=True)
 
     async def _register(self) -> bool:
-        me = self._me
-        value = msgspec.json.encode(_Entry(me.site, me.address, me.cores))
-        reply = await self._store.put(self._key, value, transport.CREATE_ONLY)
+        reply = await self._store.put(
+            self._key, self._value(), transport.CREATE_ONLY
+        )
         if isinstance(reply, result.Success):
             self._version = reply.unwrap()
             return True
         # A conflict is this daemon's own object, from before a restart.
-        self._was_here = (
-            reply.failure().kind is transport.StoreErrorKind.CONFLICT
+        return reply.failure().kind is transport.StoreErrorKind.CONFLICT
+
+    def _value(self) -> bytes:
+        me = self._me
+        return msgspec.json.encode(
+            _Entry(me.site, me.address, me.cores, me.near)
         )
-        return self._was_here
+
+    def set_near(self, near: bool) -> None:
+        """Tell the others whether this daemon is near the targets."""
+        if near != self._me.near:
+            self._me = dataclasses.replace(self._me, near=near)
+            background.start(self._rewrite(), 'presence')
+
+    async def _rewrite(self) -> None:
+        reply = await self._store.put(self._key, self._value(), self._version)
+        if isinstance(reply, result.Failure):
+            # Wrong for a while: it gets requests that others serve nearer.
+            _log.info('object not written', why=reply.failure().detail)
+            return
+        self._version = reply.unwrap()
 
     async def _list(self, may_be_stale: bool) -> None:
         reply = await self._store.scan(DAEMONS_PREFIX, may_be_stale)
@@ -154,4 +173,6 @@
     except msgspec.DecodeError as error:
         _log.error('object cannot be read', key=stored.key, why=str(error))
         return None
-    return _roles.Daemon(name, entry.site, entry.address, entry.cores)
+    return _roles.Daemon(
+        name, entry.site, entry.address, entry.cores, entry.near
+    )
--- a/samphiredock/coordination/forwarding/_roles.py
+++ b/samphiredock/coordination/forwarding/_roles.py
@@ -29,50 +29,60 @@
 class Daemon:
     """A daemon as the others know it; ``address`` is for its peers.
 
-    ``cores`` is how many cores' worth of work it does.
+    ``cores`` is how many cores' worth of work it does, ``near`` whether its
+    site has targets enough to coordinate.
     """
 
     name: str
     site: str
     address: str
     cores: float
+    near: bool = True
 
 
-def coordinators_of(
-    daemons: typing.Iterable[Daemon],
-    targets_by_site: typing.Mapping[str, int],
-    per_site: int,
-) -> frozenset[str]:
-    """Return the names of the daemons that coordinate.
+def candidates_of(
+    daemons: typing.Iterable[Daemon], per_site: int
+) -> list[Daemon]:
+    """Return the daemons that may coordinate: the largest of each site.
 
     Parameters
     ----------
     daemons
         Those that are known and not known to be down.
-    targets_by_site
-        How many targets each site has; empty while not known.
     per_site
-        How many daemons of a site coordinate at most; the largest do.
+        How many of a site at most.
     """
     by_site: dict[str, list[Daemon]] = collections.defaultdict(list)
     for daemon in daemons:
         by_site[daemon.site].append(daemon)
-    most = max(targets_by_site.values(), default=0)
-    near = [
-        site
-        for site in by_site
-        if targets_by_site.get(site, 0) >= NEAR_SHARE * most
-    ]
-    chosen: set[str] = set()
-    for site in near or by_site:
-        ranked = sorted(by_site[site], key=_rank)
+    chosen = []
+    for rows in by_site.values():
+        ranked = sorted(rows, key=_rank)
         least_cores = ranked[0].cores * LARGE_SHARE
-        chosen.update(
-            daemon.name
+        chosen += [
+            daemon
             for daemon in ranked[:per_site]
             if daemon.cores >= least_cores
-        )
-    return frozenset(chosen)
+        ]
+    return chosen
+
+
+def coordinators_of(
+    daemons: typing.Iterable[Daemon], per_site: int
+) -> frozenset[str]:
+    """Return the names of the daemons that coordinate.
+
+    Those candidates that are near the targets; all of them if none is.
+    """
+    candidates = candidates_of(daemons, per_site)
+    near = [daemon for daemon in candidates if daemon.near]
+    return frozenset(daemon.name for daemon in near or candidates)
+
+
+def is_near(site: str, targets_by_site: typing.Mapping[str, int]) -> bool:
+    """Whether a site has enough of the targets to coordinate."""
+    most = max(targets_by_site.values(), default=0)
+    return targets_by_site.get(site, 0) >= NEAR_SHARE * most
 
 
 def _rank(daemon: Daemon) -> tuple[float, int]:
@@ -96,21 +106,19 @@
         self._per_site = per_site
         self._alone_until_ms = 0.0
         self.coordinators: frozenset[str] = frozenset()
+        self.is_candidate = False
         self.coordinates = True
         self.since_ms = 0.0
 
     def update(
-        self,
-        daemons: typing.Collection[Daemon],
-        targets_by_site: typing.Mapping[str, int],
-        now_ms: float,
+        self, daemons: typing.Collection[Daemon], now_ms: float
     ) -> bool:
         """Take in what is known; True if this daemon's part changed."""
         if not daemons:
             return False
-        self.coordinators = coordinators_of(
-            daemons, targets_by_site, self._per_site
-        )
+        candidates = candidates_of(daemons, self._per_site)
+        self.is_candidate = any(row.name == self._name for row in candidates)
+        self.coordinators = coordinators_of(daemons, self._per_site)
         coordinates = (
             self._name in self.coordinators or now_ms < self._alone_until_ms
         )
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -48,6 +48,12 @@
 _SETTLE_MS = 2_500.0
 """Targets that start together register within a second of each other."""
 
+_ROUGH_MS = 20_000.0
+"""Between reads by a daemon that hands over."""
+
+_FIRST_READ_MS = 1_000.0
+"""Between reads while there is no routing table yet."""
+
 _STARTING_MS = 1_000.0
 """How long changes gather while the targets register: each would end a
 watch of every daemon, 60 calls for one target."""
@@ -150,7 +156,6 @@
             self._store,
             self._clock,
             self._on_daemons,
-            lambda: self._settled,
         )
         self._watcher = coordination.Watcher(
             self._store,
@@ -160,10 +165,9 @@
             {adapter.targets_prefix: self._collect_ms},
         )
         self._watcher.share_among(
-            lambda: self._role.coordinates,
-            lambda: len(self._presence.daemons()),
-            lambda stored: None,
+            self._watches, lambda: 1, lambda stored: None
         )
+        self._watcher.poll_stale(self._stale_period_ms)
         self._links = transport.ChannelPool(self._clock, self._connections_to)
         self._crashes = forwarding.CrashGuard(
             self._clock, self._metrics, self._tell_loss
@@ -274,11 +278,13 @@
 
     def _on_daemons(self, daemons: tuple[forwarding.Daemon, ...]) -> None:
         now_ms = self._clock.now_ms()
-        if not self._is_settled(now_ms):
-            return
-        up = [row for row in daemons if not self._seems_down(row, now_ms)]
         targets = collections.Counter(row.site for row in self._targets.all())
-        if self._role.update(up, targets, now_ms):
+        if self._role.is_candidate and self._is_settled(now_ms):
+            self._presence.set_near(
+                forwarding.is_near(self._settings.site, targets)
+            )
+        up = [row for row in daemons if not self._seems_down(row, now_ms)]
+        if self._role.update(up, now_ms):
             _log.notice('role', coordinates=self._role.coordinates)
         others = {
             row.name: row
@@ -301,12 +307,25 @@
             self._settling_targets = targets
             self._settling_since_ms = now_ms
         quiet_ms = now_ms - self._settling_since_ms
-        self._settled = self._settled or (
-            targets > 0
-            and (self._presence.was_here_before() or quiet_ms > _SETTLE_MS)
-        )
+        if targets and quiet_ms > _SETTLE_MS:
+            self._settled = True
         return self._settled
 
+    def _watches(self) -> bool:
+        """Whether this daemon follows the store itself."""
+        role = self._role
+        return role.coordinates or (role.is_candidate and not self._settled)
+
+    def _stale_period_ms(self, prefix: str) -> float | None:
+        """Return how often to read what is handed over anyhow.
+
+        Of the routes only timeouts and what may be repeated are of use; of
+        the targets, candidates need to know where most of them are.
+        """
+        if prefix == self._adapter.targets_prefix:
+            return _ROUGH_MS if self._role.is_candidate else None
+        return _ROUGH_MS if self._routing.table else _FIRST_READ_MS
+
     def _collect_ms(self) -> float:
         """Return how long changes of targets gather before the next watch."""
         return self._settings.collect_ms if self._settled else _STARTING_MS
@@ -496,9 +515,15 @@
         return (
             not self.is_closing()
             and self._routing.table is not None
-            and not self._targets.is_empty()
+            and self._can_serve()
         )
 
+    def _can_serve(self) -> bool:
+        """Whether it knows targets, or somebody who does."""
+        if self._role.coordinates:
+            return not self._targets.is_empty()
+        return not self._peers.is_empty()
+
     # Life.
 
     async def start(self) -> None:
@@ -508,8 +533,8 @@
         """
         self._clock.every(_METRICS_FLUSH_MS, self._metrics.flush)
         self._clock.every(_LOG_FLUSH_MS, self._log_stream.flush)
-        self._watcher.start()
         self._presence.start()
+        self._starting = background.start(self._start_watching(), 'start')
         settings = self._settings
         await self._listen(
             transport.entry_server(self, self._metrics),
@@ -526,6 +551,12 @@
             )
         _log.notice('started', name=settings.name, site=settings.site)
 
+    async def _start_watching(self) -> None:
+        # Most daemons of a large system never follow the targets; whether
+        # this one does is known by the first list of the others.
+        await self._presence.listed_once()
+        self._watcher.start()
+
     async def _listen(self, server: web.Server, address: str) -> None:
         host, _, port = address.rpartition(':')
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
--- a/tests/unit/test_roles.py
+++ b/tests/unit/test_roles.py
@@ -24,17 +24,20 @@
 
     def test_daemons_far_from_the_targets_hand_over(self) -> None:
         """Each part of an answer would cross between sites."""
-        chosen = forwarding.coordinators_of(
-            daemons(a=3, b=3, c=2), {'a': 21, 'b': 21, 'c': 2}, 3
-        )
+        targets = {'a': 21, 'b': 21, 'c': 2}
+        rows = [
+            dataclasses.replace(
+                row, near=forwarding.is_near(row.site, targets)
+            )
+            for row in daemons(a=3, b=3, c=2)
+        ]
+        chosen = forwarding.coordinators_of(rows, 3)
         self.assertEqual({'a', 'b'}, {name[0] for name in chosen})
         self.assertEqual(6, len(chosen))
 
     def test_the_largest_of_a_site_coordinate(self) -> None:
         """The others of 60 daemons keep no connections to targets."""
-        chosen = forwarding.coordinators_of(
-            daemons(a=20, b=20), {'a': 90, 'b': 90}, 2
-        )
+        chosen = forwarding.coordinators_of(daemons(a=20, b=20), 2)
         self.assertEqual({'a-0', 'a-1', 'b-0', 'b-1'}, chosen)
 
     def test_a_small_host_does_not_coordinate_beside_large_ones(self) -> None:
@@ -43,9 +46,9 @@
             forwarding.Daemon(f'd{n}', 'a', '10.0.0.1:1', cores)
             for n, cores in enumerate((2.15, 0.5, 2.15, 0.5))
         ]
-        chosen = forwarding.coordinators_of(rows, {'a': 5}, 3)
+        chosen = forwarding.coordinators_of(rows, 3)
         self.assertEqual({'d0', 'd2'}, chosen)
-        chosen = forwarding.coordinators_of(rows[1::2], {'a': 5}, 3)
+        chosen = forwarding.coordinators_of(rows[1::2], 3)
         self.assertEqual({'d1', 'd3'}, chosen)
 
     def test_equal_daemons_are_ranked_the_same_whatever_the_order(
@@ -56,27 +59,29 @@
             forwarding.Daemon(f'd{n}', 'a', '10.0.0.1:1', 1.0)
             for n in range(9)
         ]
-        one = forwarding.coordinators_of(rows, {'a': 5}, 3)
-        other = forwarding.coordinators_of(rows[::-1], {'a': 5}, 3)
+        one = forwarding.coordinators_of(rows, 3)
+        other = forwarding.coordinators_of(rows[::-1], 3)
         self.assertEqual(one, other)
 
     def test_a_site_without_daemons_does_not_leave_nobody(self) -> None:
         """All targets are at a site whose daemons are gone."""
-        chosen = forwarding.coordinators_of(daemons(c=2), {'a': 40}, 3)
-        self.assertEqual(2, len(chosen))
+        rows = [dataclasses.replace(row, near=False) for row in daemons(c=2)]
+        self.assertEqual(2, len(forwarding.coordinators_of(rows, 3)))
 
     def test_a_daemon_stands_in_when_no_coordinator_is_left(self) -> None:
         """Its callers would be refused until the list is mended."""
         role = forwarding.Role('c-0', 3)
-        rows = daemons(a=3, c=2)
-        targets = {'a': 20, 'c': 1}
-        self.assertTrue(role.update(rows, targets, 1_000.0))
+        rows = [
+            dataclasses.replace(row, near=row.site == 'a')
+            for row in daemons(a=3, c=2)
+        ]
+        self.assertTrue(role.update(rows, 1_000.0))
         self.assertFalse(role.coordinates)
         role.stand_in(2_000.0, 20_000.0)
         self.assertTrue(role.coordinates)
         self.assertEqual(2_000.0, role.since_ms)
-        self.assertFalse(role.update(rows, targets, 21_000.0))
-        self.assertTrue(role.update(rows, targets, 22_001.0))
+        self.assertFalse(role.update(rows, 21_000.0))
+        self.assertTrue(role.update(rows, 22_001.0))
         self.assertFalse(role.coordinates)
 
 
