A request is handed over once

A coordinator was late, the hand-over was hedged, and the second coordinator chose anew.

Ruled out: narrowing both coordinators to the same two targets; they know different targets as lost, so that the sets differ (that is what broke), and a fixed set leaves two replicas of three.

Change: a hand-over is never repeated once a coordinator may have begun; one that takes no connection or refuses costs another try, as before.

Test: test_a_request_is_not_handed_over_a_second_time.

--- a/samphiredock/coordination/_planner.py
+++ b/samphiredock/coordination/_planner.py
@@ -20,7 +20,6 @@
     second target may be asked though a first may have begun.
     ``may_restart`` allows to begin anew at a newer snapshot, and
     ``first_hedge_ms`` is when to hedge while no latencies are known.
-    A ``repeated`` request earns nothing for the budget.
     """
 
     query_id: str
@@ -37,7 +36,6 @@
     repeatable: bool = True
     may_restart: bool = True
     first_hedge_ms: float | None = None
-    repeated: bool = False
 
     @property
     def shards(self) -> list[state.Shard]:
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/_scatter.py
@@ -144,11 +144,10 @@
 
     def _begin_round(self, now_ms: float) -> None:
         shards = self._round.shards
-        if not self._plan.repeated:
-            self._tools.budget.note_needed(
-                [shard.shard.shard_id for shard in shards],
-                self._limits.hedge_budget,
-            )
+        self._tools.budget.note_needed(
+            [shard.shard.shard_id for shard in shards],
+            self._limits.hedge_budget,
+        )
         for shard in self._caution.begin(shards):
             self._attempt(shard, now_ms)
         self._arm_hedges(now_ms)
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -60,9 +60,8 @@
         request: protocol.ForwardRequest,
         target: state.LiveTarget,
         left_ms: float,
-        repeated: bool,
     ) -> protocol.HttpRequest:
-        """Return what goes out to a target; ``repeated`` if not first."""
+        """Return what goes out to a target."""
 
     def read_reply(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
@@ -118,37 +117,27 @@
     """Bounds of the forwarder.
 
     ``caller_way_ms`` is what connecting and the way from the caller and
-    back take of a route's aim; ``first_hedge_share`` the part of the aim
-    after which a request is hedged while no latencies are known.
+    back take of a route's aim.
     """
 
     site: str
     caller_way_ms: float
     limits: state.Limits
-    first_hedge_share: float = FIRST_HEDGE_SHARE
 
 
 @dataclasses.dataclass(slots=True)
 class _Exchange:
-    """One exchange with a target; ``lingers`` after nobody needs it.
+    """One exchange with a target; ``lingers`` after nobody needs it."""
 
-    ``repeated`` says that another target may have begun its shard.
-    """
-
-    shard_id: str
     target: str
     sent_ms: float
-    repeated: bool
     task: asyncio.Task | None = None
     lingers: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class _Flight:
-    """One request that has no outcome yet.
-
-    ``begun`` are the shards that some target may have begun.
-    """
+    """One request that has no outcome yet."""
 
     plan: _route_plans.ForwardPlan
     scatter: _scatter.Scatter
@@ -161,7 +150,6 @@
     )
     failure: protocol.TargetReply | None = None
     asked: set[str] = dataclasses.field(default_factory=set)
-    begun: set[str] = dataclasses.field(default_factory=set)
     answered: set[str] = dataclasses.field(default_factory=set)
     exchanges: dict[str, _Exchange] = dataclasses.field(default_factory=dict)
 
@@ -218,7 +206,7 @@
     async def forward(
         self,
         request: protocol.ForwardRequest,
-        hop: _route_plans.Hop | None = None,
+        hop_ms: float = 0.0,
     ) -> protocol.ForwardOutcome:
         """Pass one request on; cancelling this cancels its sub-queries.
 
@@ -226,11 +214,11 @@
         ----------
         request
             The caller's.
-        hop
-            The way over another daemon, if it was handed over.
+        hop_ms
+            What the way over another daemon takes of the route's aim.
         """
         started_ms = self._clock.now_ms()
-        planned = self._plan(request, started_ms, hop)
+        planned = self._plan(request, started_ms, hop_ms)
         if isinstance(planned, result.Failure):
             return self._refuse(request, planned.failure(), started_ms)
         self._in_flight += 1
@@ -245,7 +233,7 @@
         self,
         request: protocol.ForwardRequest,
         now_ms: float,
-        hop: _route_plans.Hop | None,
+        hop_ms: float,
     ) -> result.Result[_route_plans.ForwardPlan, protocol.NotRun]:
         table = self._routing.table
         if table is None:
@@ -283,24 +271,6 @@
                 f'that can be reached, expected at least {least}',
                 NO_TARGET_RETRY_MS,
             )
-        if hop is not None:
-            targets = {
-                service: _route_plans.narrow(
-                    self._usable(names), route.attempts, request, hop
-                )
-                for service, names in targets.items()
-            }
-        budget = self._tools.budget
-        if (
-            hop is not None
-            and hop.repeated
-            and not all(map(budget.spend_retry, services))
-        ):
-            return _refused(
-                protocol.NotRunReason.OVERLOADED,
-                'no budget is left to run this a second time',
-                NO_TARGET_RETRY_MS,
-            )
         return result.Success(
             _route_plans.make_forward_plan(
                 request,
@@ -311,20 +281,11 @@
                 str(next(self._numbers)),
                 self._settings.site,
                 now_ms,
-                self._settings.caller_way_ms,
-                route.aim_ms * self._settings.first_hedge_share,
-                hop,
+                self._settings.caller_way_ms + hop_ms,
+                route.aim_ms * FIRST_HEDGE_SHARE,
             )
         )
 
-    def _usable(self, names: list[str]) -> list[state.LiveTarget]:
-        found = [
-            self._targets.get(name)
-            for name in names
-            if self._targets.is_usable(name)
-        ]
-        return [target for target in found if target is not None]
-
     # One request.
 
     async def _run(
@@ -392,8 +353,6 @@
         if item.shard_id in flight.asked:
             why = 'hedge' if item.hedge else 'retry'
         flight.asked.add(item.shard_id)
-        repeated = item.shard_id in flight.begun
-        flight.begun.add(item.shard_id)
         flight.trail.note(
             self._clock.now_ms(),
             'sent',
@@ -402,9 +361,7 @@
             target=item.target,
             why=why,
         )
-        exchange = _Exchange(
-            item.shard_id, item.target, self._clock.now_ms(), repeated
-        )
+        exchange = _Exchange(item.target, self._clock.now_ms())
         exchange.task = asyncio.create_task(self._exchange(flight, item))
         flight.exchanges[item.attempt_id] = exchange
         exchange.task.add_done_callback(
@@ -439,11 +396,10 @@
             self._ended(flight, item, _Status.UNREACHABLE, 'gone')
             return
         request = flight.plan.request
-        repeated = flight.exchanges[item.attempt_id].repeated
         left_ms = flight.plan.scatter.deadline_at_ms - sent_ms
         reply = await self._links.exchange(
             target,
-            self._dialect.target_request(request, target, left_ms, repeated),
+            self._dialect.target_request(request, target, left_ms),
             left_ms,
             lambda got: self._dialect.is_reply_to(request, got),
         )
@@ -513,12 +469,6 @@
     ) -> None:
         if flight.done.done():
             return
-        if status in protocol.NEVER_STARTED and not any(
-            row.shard_id == item.shard_id
-            for attempt, row in flight.exchanges.items()
-            if attempt != item.attempt_id
-        ):
-            flight.begun.discard(item.shard_id)
         if status is not _Status.ANSWERED:
             flight.trail.note(
                 self._clock.now_ms(),
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -1,7 +1,10 @@
 """Hand a whole request over to a daemon that coordinates.
 
 The hand-over is a scatter over one shard whose replicas are the
-coordinators, so that a lost one costs a second try and never a request.
+coordinators.  One that takes no connection, or refuses, costs another try.
+One that is lost with the request may have sent it to targets, nobody knows
+to which: another one might send it to more of them than the route allows,
+so the caller is told at once and may ask again under a new id.
 Between daemons a request keeps its own headers; what is added for the hop
 has names of its own.
 """
@@ -12,7 +15,6 @@
 
 from samphiredock.coordination.forwarding import _crash_guard
 from samphiredock.coordination.forwarding import _roles
-from samphiredock.coordination.forwarding import _route_plans
 from samphiredock.coordination.forwarding import _routing
 from samphiredock import protocol
 from samphiredock import state
@@ -23,8 +25,6 @@
 _LEFT = 'Samphiredock-Left-Ms'
 _ID = 'Samphiredock-Request'
 _VERSION = 'Samphiredock-Version'
-_REPEATED = 'Samphiredock-Repeated'
-_SITE = 'Samphiredock-Site'
 _REFUSED = 'Samphiredock-Refused'
 _PREFIX = 'samphiredock-'
 
@@ -48,7 +48,6 @@
     request_id: str
     left_ms: float
     least_version: int
-    hop: _route_plans.Hop
 
 
 def read_handed_over(headers: protocol.Headers) -> HandedOver | None:
@@ -67,7 +66,6 @@
             added[_ID.lower()],
             float(added[_LEFT.lower()]),
             int(added[_VERSION.lower()]),
-            _route_plans.Hop(added[_SITE.lower()], _REPEATED.lower() in added),
         )
     except (KeyError, ValueError):
         return None
@@ -111,8 +109,8 @@
 class HandoverRouting:
     """One route for everything: to the coordinators.
 
-    The routing table of this daemon may be old; only whether a request may
-    be repeated, and how long it may take, is read from it.
+    The routing table of this daemon may be old; only how long a request
+    may take is read from it.
     """
 
     def __init__(self, routing: _routing.RoutingKnowledge) -> None:
@@ -140,7 +138,11 @@
                 UNKNOWN_ROUTE_MS, 0, services=to_coordinators,
             )  # fmt: skip
         return dataclasses.replace(
-            found, services=to_coordinators, shards=(), attempts=0
+            found,
+            services=to_coordinators,
+            shards=(),
+            attempts=0,
+            repeatable=False,
         )
 
 
@@ -150,7 +152,6 @@
     def __init__(self, routing: _routing.RoutingKnowledge) -> None:
         self._routing = routing
         self._seen_version = 0
-        self._sites: dict[str, str] = {}
 
     def _least_version(self) -> int:
         table = self._routing.table
@@ -162,17 +163,13 @@
         request: protocol.ForwardRequest,
         target: state.LiveTarget,
         left_ms: float,
-        repeated: bool,
     ) -> protocol.HttpRequest:
         """Return the request with what the hop adds."""
         added = [
             (_ID, request.request_id),
             (_LEFT, f'{left_ms:.1f}'),
             (_VERSION, str(self._least_version())),
-            (_SITE, self._first_site(request, target)),
         ]
-        if repeated:
-            added.append((_REPEATED, '1'))
         return protocol.HttpRequest(
             request.method,
             request.path,
@@ -180,16 +177,6 @@
             request.body,
         )
 
-    def _first_site(
-        self, request: protocol.ForwardRequest, target: state.LiveTarget
-    ) -> str:
-        """Return the site that a request was handed over to first."""
-        return self._sites.setdefault(request.request_id, target.site)
-
-    def forget(self, request: protocol.ForwardRequest) -> None:
-        """A request has its outcome."""
-        self._sites.pop(request.request_id, None)
-
     def is_reply_to(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
     ) -> bool:
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -9,8 +9,6 @@
 import dataclasses
 import math
 
-import xxhash
-
 from samphiredock.coordination import _planner
 from samphiredock import protocol
 from samphiredock import state
@@ -20,46 +18,6 @@
 due: 20 parts merge in about 1 ms, the rest is for a busy loop."""
 
 
-HOP_MS = 4.0
-"""What the way over another daemon takes of a route's aim: 1.4 ms between
-sites each way, and the work of one more program."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hop:
-    """How a request that was handed over came here.
-
-    ``site`` is where it was handed over first.  A ``repeated`` request may
-    be run by another daemon already.
-    """
-
-    site: str
-    repeated: bool
-
-
-def narrow(
-    usable: list[state.LiveTarget],
-    attempts: int,
-    request: protocol.ForwardRequest,
-    hop: Hop,
-) -> list[str]:
-    """Return the only targets that may run a request that was handed over.
-
-    If its coordinator is lost, another one runs it again and knows nothing
-    of the first one's attempts.  Both choose the same few targets, by the
-    request and the site it was handed to, so that no more run it than the
-    route allows.
-    """
-
-    def rank(target: state.LiveTarget) -> tuple[bool, int]:
-        text = f'{request.request_id}/{target.target_id}'
-        digest = xxhash.xxh64_intdigest(text.encode())
-        return target.site != hop.site, digest
-
-    chosen = sorted(usable, key=rank)[: attempts or None]
-    return [target.target_id for target in chosen]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardPlan:
     """What one passed-on request is, fixed when it comes."""
@@ -108,7 +66,6 @@
     now_ms: float,
     caller_way_ms: float,
     first_hedge_ms: float,
-    hop: Hop | None = None,
 ) -> ForwardPlan:
     """Fix deadline, shards and least coverage of one request.
 
@@ -120,12 +77,7 @@
         What the way from the caller and back takes of the route's aim.
     first_hedge_ms
         When to hedge while no latencies are known.
-    hop
-        The way over another daemon, if it was handed over.
     """
-    repeated = hop is not None and hop.repeated
-    if hop is not None:
-        caller_way_ms += HOP_MS
     limit_ms = route.timeout_ms
     if request.deadline_ms is not None:
         limit_ms = min(limit_ms, request.deadline_ms)
@@ -168,7 +120,6 @@
         route.repeatable,
         may_restart=False,
         first_hedge_ms=first_hedge_ms,
-        repeated=repeated,
     )
     return ForwardPlan(request, route, services, plan)
 
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -34,9 +34,9 @@
 """Connections to one coordinator; 60 daemons then hold under 1,000 there,
 of 4,100 descriptors."""
 
-_LATE_COORDINATOR_SHARE = 1.0
-"""A coordinator that is slower than the aim of a route is taken for lost
-while no latencies are known; earlier, it may only wait for a slow target."""
+_HOP_MS = 4.0
+"""What the way over another daemon takes of a route's aim: 1.4 ms between
+sites each way, and the work of one more program."""
 
 _NOTICE_LIMIT_MS = 1_000.0
 """A peer that takes longer is down; its callers go elsewhere as well."""
@@ -242,9 +242,7 @@
             forwarding.NoSuspicions(),
         )
         return forwarding.Forwarder(
-            forwarding.ForwardSettings(
-                settings.site, 0.0, state.Limits(), _LATE_COORDINATOR_SHARE
-            ),
+            forwarding.ForwardSettings(settings.site, 0.0, state.Limits()),
             forwarding.HandoverRouting(self._routing),
             self._peers,
             tools,
@@ -416,10 +414,7 @@
     ) -> protocol.ForwardOutcome:
         if self._coordinates():
             return await self._forwarder.forward(request)
-        try:
-            outcome = await self._handover.forward(request)
-        finally:
-            self._peer_dialect.forget(request)
+        outcome = await self._handover.forward(request)
         if (
             isinstance(outcome, protocol.NotRun)
             and outcome.reason is protocol.NotRunReason.NO_TARGET
@@ -456,7 +451,7 @@
             request = dataclasses.replace(
                 read.unwrap(), deadline_ms=handed.left_ms
             )
-            outcome = await self._forwarder.forward(request, handed.hop)
+            outcome = await self._forwarder.forward(request, _HOP_MS)
         finally:
             self._open_requests -= 1
         return forwarding.coordinator_reply(
