Connections are opened before the first request needs them

Change: a coordinator connects to each new target within 1.5 s of seeing it. Test: test_a_target_is_warmed_once.

--- a/samphiredock/coordination/forwarding/_live_targets.py
+++ b/samphiredock/coordination/forwarding/_live_targets.py
@@ -34,6 +34,7 @@
         self._misdirected: set[str] = set()
         self._store_back_ms = -RETURN_MS
         self._on_gone: list[typing.Callable[[state.LiveTarget], None]] = []
+        self._on_new: list[typing.Callable[[state.LiveTarget], None]] = []
 
     # What is known.
 
@@ -78,6 +79,12 @@
         """Call back with each target that is not registered any more."""
         self._on_gone.append(callback)
 
+    def on_new(
+        self, callback: typing.Callable[[state.LiveTarget], None]
+    ) -> None:
+        """Call back with each target that is seen for the first time."""
+        self._on_new.append(callback)
+
     def put(self, target: state.LiveTarget) -> None:
         """Take in a target's newest entry."""
         self._missing.pop(target.target_id, None)
@@ -97,6 +104,9 @@
         self._targets[target.target_id] = target
         self._records[target.target_id].set_leaving(target.leaving)
         self._index()
+        if before is None:
+            for callback in self._on_new:
+                callback(target)
 
     def remove(self, target_id: str) -> None:
         """A target's entry is gone; while the store returns, wait for it."""
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -48,6 +48,10 @@
 _SETTLE_MS = 2_500.0
 """Targets that start together register within a second of each other."""
 
+_WARM_WITHIN_MS = 1_500.0
+"""In this time after they were seen new targets get a connection of every
+coordinator, spread so that their slots are not all held at once."""
+
 _ROUGH_MS = 20_000.0
 """Between reads by a daemon that hands over."""
 
@@ -129,6 +133,7 @@
     ) -> None:
         self._log_stream = log_stream
         self._said_ready = False
+        self._rng = random.Random(settings.name)
         self._settled = False
         self._settling_targets = 0
         self._settling_since_ms = 0.0
@@ -357,6 +362,7 @@
         )
         self._watcher.on_outage(self._targets.store_is_away)
         self._targets.on_gone(self._links.forget)
+        self._targets.on_new(self._warm_later)
         self._peers.on_gone(self._peer_links.forget)
 
     def _on_routing(self, page: transport.WatchPage) -> None:
@@ -370,6 +376,20 @@
             return
         self._routing.offer(read.unwrap())
 
+    def _warm_later(self, target: state.LiveTarget) -> None:
+        """Connect to a new target before the first request needs it.
+
+        The shards of a new index start some seconds before a configuration
+        names them; a search would else open a connection to each at once,
+        and each of these holds a slot for some ms.
+        """
+
+        def warm() -> None:
+            if self._role.coordinates:
+                background.start(self._links.warm(target), 'warm')
+
+        self._clock.after(self._rng.uniform(0.0, _WARM_WITHIN_MS), warm)
+
     def _on_targets(self, page: transport.WatchPage) -> None:
         listed = set()
         for stored in page.changed:
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -97,6 +97,11 @@
         finally:
             self._release(pool, target, channel, keep_ms)
 
+    async def warm(self, target: state.LiveTarget) -> None:
+        """Open a connection to a target that has none yet."""
+        if not self._pools[target.target_id].open:
+            await self.is_listening(target)
+
     async def is_listening(self, target: state.LiveTarget) -> bool:
         """Whether a target takes connections; the one made is kept."""
         pool = self._pools[target.target_id]
--- a/tests/unit/test_http_channel.py
+++ b/tests/unit/test_http_channel.py
@@ -56,6 +56,13 @@
             self.assertEqual(f'r{number}'.encode(), reply.body)
         self.assertEqual(1, self.target.connections)
 
+    async def test_a_target_is_warmed_once(self) -> None:
+        """The first request finds a connection that is open."""
+        await self.pool.warm(self.entry)
+        await self.pool.warm(self.entry)
+        await self._ask('a')
+        self.assertEqual(1, self.target.connections)
+
     async def test_a_late_answer_to_another_request_is_passed_over(
         self,
     ) -> None:
