--- a/samphiredock/cli/_explain.py
+++ b/samphiredock/cli/_explain.py
@@ -8,6 +8,9 @@
 
 _Row = dict[str, typing.Any]
 
+_COORDINATORS = ['coordinators']
+"""What a daemon that handed a request over names as without an answer."""
+
 _REFUSED_BECAUSE = {
     'not-ready': 'the daemon had no routing table yet',
     'unknown-route': 'no route of the version in force fits its path',
@@ -79,12 +82,10 @@
     ends = [line.row for line in story if line.event == 'request ended']
     if not ends:
         return 'no end is in these logs: a daemon was lost, or lines are'
-    # Where it was handed over, the coordinator's end comes first, and
-    # tells more than "passed".
-    end = next(
-        (row for row in ends if _went_badly(row)),
-        ends[-1],
-    )
+    # Where it was handed over, the coordinator's end tells more.
+    own = [row for row in ends if row.get('unanswered') != _COORDINATORS]
+    bad = [row for row in [*own, *ends] if _went_badly(row)]
+    end = bad[0] if bad else ends[-1]
     failed = [line.row for line in story if line.event == 'failed']
     return _CAUSES[end['outcome']](end, failed)
 
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -96,6 +96,14 @@
             self.output.index('entry-1'), self.output.index('entry-2')
         )
 
+    def test_a_coordinator_without_an_answer_is_no_cause(self) -> None:
+        """Its own end says which target it waited for."""
+        rows = [
+            _end(2, 'timedout', request='r1', unanswered=['coordinators']),
+            _end(2, 'timedout', request='r1', unanswered=['s7']),
+        ]
+        self.assertIn('no answer from s7', self._explain(rows))
+
     def test_other_requests_and_broken_lines_are_passed_over(self) -> None:
         """A log may begin in the middle of a line."""
         rows = ['"event": "x"}', '{"event": ', _end(2, 'passed', request='r1')]
