--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -25,9 +25,8 @@
 _METRICS_FLUSH_MS = 1_000.0
 _LOG_FLUSH_MS = 200.0
 _EXIT_MS = 1_200.0
-"""What is kept of the time before the kill for closing down: the doors take
-0.4 s, and a slow host the rest.  With 0.5 s two processes of a played day
-were killed while they closed."""
+"""What is kept of the time before the kill for closing down: the four doors
+wait up to 0.1 s each, and a slow host needs the rest."""
 
 _RELOADED = ('retry_ratio', 'retry_slack', 'retry_window_s', 'collect_ms')
 """Settings that take effect without a restart."""
