The entry daemon's node in three parts, each with one job

Change, no behaviour: _entry_knowledge, _entry_service and _entry_node, with the adapter's interface in _entry_adapter; the forwarder's interfaces in _forward_types; one Door type for both servers.

--- /dev/null
+++ b/samphiredock/coordination/forwarding/_forward_types.py
@@ -0,0 +1,83 @@
+"""What the forwarder needs of others, and its bounds."""
+
+import dataclasses
+import typing
+
+from returns import result
+
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import transport
+
+
+class Dialect(typing.Protocol):
+    """The targets' HTTP protocol, as the forwarder uses it."""
+
+    def target_request(
+        self,
+        request: protocol.ForwardRequest,
+        target: state.LiveTarget,
+        left_ms: float,
+    ) -> protocol.HttpRequest:
+        """Return what goes out to a target."""
+
+    def read_reply(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> protocol.TargetReply:
+        """Return what a target's answer means."""
+
+    def is_reply_to(
+        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
+    ) -> bool:
+        """Whether an answer belongs to this request and to no other."""
+
+
+class Table(typing.Protocol):
+    """One version of the routes."""
+
+    @property
+    def version(self) -> int:
+        """The number of the version."""
+
+    def match(self, host: str, path: str) -> state.Route | None:
+        """Return the route of a request."""
+
+
+class Routing(typing.Protocol):
+    """What is known of the routes."""
+
+    @property
+    def table(self) -> Table | None:
+        """The table in force, None before the first."""
+
+
+class Links(typing.Protocol):
+    """Connections to targets."""
+
+    async def exchange(
+        self,
+        target: state.LiveTarget,
+        request: protocol.HttpRequest,
+        timeout_ms: float,
+        is_reply: typing.Callable[[protocol.HttpReply], bool],
+    ) -> result.Result[protocol.HttpReply, transport.LinkError]:
+        """Send a request once and return its answer.
+
+        Answers for which ``is_reply`` is false belong to other requests.
+        """
+
+    async def is_listening(self, target: state.LiveTarget) -> bool:
+        """Whether a target takes connections."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardSettings:
+    """Bounds of the forwarder.
+
+    ``caller_way_ms`` is what connecting and the way from the caller and
+    back take of a route's aim.
+    """
+
+    site: str
+    caller_way_ms: float
+    limits: state.Limits
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -9,13 +9,13 @@
 import dataclasses
 import itertools
 import math
-import typing
 
 from returns import result
 
 from samphiredock.coordination import _scatter
 from samphiredock.coordination import _scatter_types
 from samphiredock.coordination.forwarding import _crash_guard
+from samphiredock.coordination.forwarding import _forward_types
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _route_plans
@@ -52,79 +52,6 @@
 }
 
 
-class Dialect(typing.Protocol):
-    """The targets' HTTP protocol, as the forwarder uses it."""
-
-    def target_request(
-        self,
-        request: protocol.ForwardRequest,
-        target: state.LiveTarget,
-        left_ms: float,
-    ) -> protocol.HttpRequest:
-        """Return what goes out to a target."""
-
-    def read_reply(
-        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
-    ) -> protocol.TargetReply:
-        """Return what a target's answer means."""
-
-    def is_reply_to(
-        self, request: protocol.ForwardRequest, reply: protocol.HttpReply
-    ) -> bool:
-        """Whether an answer belongs to this request and to no other."""
-
-
-class Table(typing.Protocol):
-    """One version of the routes."""
-
-    @property
-    def version(self) -> int:
-        """The number of the version."""
-
-    def match(self, host: str, path: str) -> state.Route | None:
-        """Return the route of a request."""
-
-
-class Routing(typing.Protocol):
-    """What is known of the routes."""
-
-    @property
-    def table(self) -> Table | None:
-        """The table in force, None before the first."""
-
-
-class Links(typing.Protocol):
-    """Connections to targets."""
-
-    async def exchange(
-        self,
-        target: state.LiveTarget,
-        request: protocol.HttpRequest,
-        timeout_ms: float,
-        is_reply: typing.Callable[[protocol.HttpReply], bool],
-    ) -> result.Result[protocol.HttpReply, transport.LinkError]:
-        """Send a request once and return its answer.
-
-        Answers for which ``is_reply`` is false belong to other requests.
-        """
-
-    async def is_listening(self, target: state.LiveTarget) -> bool:
-        """Whether a target takes connections."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardSettings:
-    """Bounds of the forwarder.
-
-    ``caller_way_ms`` is what connecting and the way from the caller and
-    back take of a route's aim.
-    """
-
-    site: str
-    caller_way_ms: float
-    limits: state.Limits
-
-
 @dataclasses.dataclass(slots=True)
 class _Exchange:
     """One exchange with a target; ``lingers`` after nobody needs it."""
@@ -175,12 +102,12 @@
 
     def __init__(
         self,
-        settings: ForwardSettings,
-        routing: Routing,
+        settings: _forward_types.ForwardSettings,
+        routing: _forward_types.Routing,
         targets: _live_targets.LiveTargets,
         tools: _scatter_types.Tools,
-        dialect: Dialect,
-        links: Links,
+        dialect: _forward_types.Dialect,
+        links: _forward_types.Links,
         clock: timers.Timers,
         counters: metrics.Metrics,
         crashes: _crash_guard.CrashGuard | None = None,
--- /dev/null
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -0,0 +1,300 @@
+"""What an entry daemon learns from the store, and which part it has."""
+
+import collections
+
+from returns import result
+
+from samphiredock import coordination
+from samphiredock.coordination import background
+from samphiredock.coordination import forwarding
+from samphiredock.daemon import _entry_adapter
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+_STAND_IN_MS = 20_000.0
+"""How long a daemon coordinates that found no coordinator: some of its
+lists of the daemons, so that it does not change its part at each failure."""
+
+_SETTLE_MS = 2_500.0
+"""Targets that start together register within a second of each other."""
+
+_ROUGH_MS = 60_000.0
+"""Between reads by a daemon that hands over.  A configuration of 350 routes
+has 100 KB; 60 daemons that read it each 20 s move 300 KB/s."""
+
+_FIRST_READ_MS = 1_000.0
+"""Between reads while there is no routing table yet."""
+
+_STARTING_MS = 1_000.0
+"""How long changes gather while the targets register: each would end a
+watch of every daemon, 60 calls for one target."""
+
+_DOWN_MS = 3_000.0
+"""A coordinator that could not be reached for so long is passed over when
+the coordinators are chosen.  A restart takes about 1 s."""
+
+_log = logs.logger('entry')
+
+
+class EntryKnowledge:
+    """Routes, targets and the other daemons, as the store shows them.
+
+    Parameters
+    ----------
+    settings
+        The daemon's own.
+    adapter
+        The platform's names and wire.
+    store
+        The platform's store.
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self,
+        settings: state.EntrySettings,
+        adapter: _entry_adapter.Adapter,
+        store: transport.Objects,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._store = store
+        self._clock = clock
+        self._metrics = counters
+        self._settled = False
+        self._settling_targets = 0
+        self._settling_since_ms = 0.0
+        self.routing = forwarding.RoutingKnowledge()
+        self.targets = forwarding.LiveTargets(clock)
+        self.peers = forwarding.LiveTargets(clock)
+        self._role = forwarding.Role(
+            settings.name, settings.coordinators_per_site
+        )
+        self._presence = forwarding.Presence(
+            forwarding.Daemon(
+                settings.name,
+                settings.site,
+                settings.peer_address,
+                settings.cores * settings.core_share,
+            ),
+            store,
+            clock,
+            self._on_daemons,
+        )
+        self._watcher = self._make_watcher()
+
+    def _make_watcher(self) -> coordination.Watcher:
+        adapter = self._adapter
+        watcher = coordination.Watcher(
+            self._store,
+            self._clock,
+            self._metrics,
+            self._settings.watch_ms,
+            {adapter.targets_prefix: self._collect_ms},
+        )
+        watcher.share_among(self._watches, lambda: 1, lambda stored: None)
+        watcher.poll_stale(self._stale_period_ms)
+        watcher.follow_pages(adapter.routing_prefix, self._on_routing)
+        watcher.follow_pages(adapter.targets_prefix, self._on_targets)
+        watcher.on_outage(self.targets.store_is_away)
+        return watcher
+
+    # Life.
+
+    def start(self) -> None:
+        """Register and begin to learn."""
+        self._presence.start()
+        background.start(self._start_watching(), 'start')
+
+    async def _start_watching(self) -> None:
+        # Most daemons of a large system never follow the targets; whether
+        # this one does is known by the first list of the others.
+        await self._presence.listed_once()
+        self._watcher.start()
+
+    async def leave(self) -> None:
+        """Remove this daemon's object from the store."""
+        await self._presence.leave()
+
+    def close(self) -> None:
+        """Stop learning."""
+        self._watcher.close()
+
+    def reload(self, settings: state.EntrySettings) -> None:
+        """Take over settings that have changed."""
+        self._settings = settings
+
+    # What the others ask.
+
+    def is_near(self, target_id: str) -> bool:
+        """Whether a target is at this daemon's site."""
+        target = self.targets.get(target_id)
+        return target is not None and target.site == self._settings.site
+
+    def is_near_peer(self, name: str) -> bool:
+        """Whether another daemon is at this one's site."""
+        peer = self.peers.get(name)
+        return peer is not None and peer.site == self._settings.site
+
+    def budget_parts(self) -> int | None:
+        """Return how many daemons share budget and connections."""
+        return len(self._role.coordinators) or None
+
+    def connections_to(self, target: state.LiveTarget) -> int:
+        """Return this daemon's part of the connections a target takes."""
+        table = self.routing.table
+        parts = self.budget_parts()
+        if table is None or parts is None:
+            return 1
+        most = table.connections.get(target.service, 1)
+        return forwarding.connections_of_one(most, parts)
+
+    def version(self) -> int:
+        """Return the version of the routing table in force, 0 for none."""
+        return self.routing.table.version if self.routing.table else 0
+
+    def limits(self) -> state.CallerLimits:
+        """Return what callers may send now."""
+        table = self.routing.table
+        return table.limits if table else state.CallerLimits()
+
+    def can_serve(self) -> bool:
+        """Whether it knows targets, or somebody who does."""
+        if self._role.coordinates:
+            return not self.targets.is_empty()
+        return not self.peers.is_empty()
+
+    def coordinates(self) -> bool:
+        """Whether this daemon asks the targets itself.
+
+        After a time of handing over, what it knows may be old; it has to
+        have followed the store since it took the part on.
+        """
+        return self._role.coordinates and self._watcher.has_followed_since(
+            self._role.since_ms
+        )
+
+    def may_warm(self) -> bool:
+        """Whether this daemon will ask targets itself."""
+        return self._role.coordinates
+
+    def stand_in(self) -> None:
+        """Coordinate for a time."""
+        self._role.stand_in(self._clock.now_ms(), _STAND_IN_MS)
+
+    async def knows(self, least_version: int) -> bool:
+        """Whether this daemon can serve with a table that new."""
+        if not self._role.coordinates:
+            # Another daemon takes this one for a coordinator; lists differ
+            # for some seconds after a change.
+            self.stand_in()
+        if not self.coordinates():
+            return False
+        if self.version() >= least_version:
+            return True
+        key = self._adapter.routing_key
+        reply = await self._store.get(key)
+        if isinstance(reply, result.Success):
+            self._take_routing(reply.unwrap())
+        return self.version() >= least_version
+
+    # Which daemons coordinate.
+
+    def _on_daemons(self, daemons: tuple[forwarding.Daemon, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        targets = collections.Counter(row.site for row in self.targets.all())
+        if self._role.is_candidate and self._is_settled(now_ms):
+            self._presence.set_near(
+                forwarding.is_near(self._settings.site, targets)
+            )
+        up = [row for row in daemons if not self._seems_down(row, now_ms)]
+        if self._role.update(up, now_ms):
+            _log.notice('role', coordinates=self._role.coordinates)
+        others = {
+            row.name: row
+            for row in daemons
+            if row.name in self._role.coordinators
+            and row.name != self._settings.name
+        }
+        for row in others.values():
+            self.peers.put(forwarding.as_target(row))
+        self.peers.keep_only(others)
+
+    def _is_settled(self, now_ms: float) -> bool:
+        """Whether the targets are listed well enough to choose by them.
+
+        When the whole system starts, they register one after the other; a
+        choice by the first few would change with each of them.
+        """
+        targets = len(self.targets.all())
+        if targets != self._settling_targets:
+            self._settling_targets = targets
+            self._settling_since_ms = now_ms
+        quiet_ms = now_ms - self._settling_since_ms
+        if targets and quiet_ms > _SETTLE_MS:
+            self._settled = True
+        return self._settled
+
+    def _watches(self) -> bool:
+        """Whether this daemon follows the store itself."""
+        role = self._role
+        return role.coordinates or (role.is_candidate and not self._settled)
+
+    def _stale_period_ms(self, prefix: str) -> float | None:
+        """Return how often to read what is handed over anyhow.
+
+        Of the routes only timeouts and what may be repeated are of use; of
+        the targets, candidates need to know where most of them are.
+        """
+        if prefix == self._adapter.targets_prefix:
+            return _ROUGH_MS if self._role.is_candidate else None
+        return _ROUGH_MS if self.routing.table else _FIRST_READ_MS
+
+    def _collect_ms(self) -> float:
+        """Return how long changes of targets gather before the next watch."""
+        return self._settings.collect_ms if self._settled else _STARTING_MS
+
+    def _seems_down(self, daemon: forwarding.Daemon, now_ms: float) -> bool:
+        """Whether a coordinator could not be reached for some time."""
+        peer = self.peers.get(daemon.name)
+        if peer is None:
+            return False
+        record = self.peers.record(daemon.name)
+        return record.lost_for_ms(now_ms) > _DOWN_MS
+
+    # What the store shows.
+
+    def _on_routing(self, page: transport.WatchPage) -> None:
+        for stored in page.changed:
+            self._take_routing(stored)
+
+    def _take_routing(self, stored: transport.StoredObject) -> None:
+        read = self._adapter.read_routing(stored.value)
+        if isinstance(read, result.Failure):
+            self._note_unreadable(stored.key, read.failure())
+            return
+        self.routing.offer(read.unwrap())
+
+    def _on_targets(self, page: transport.WatchPage) -> None:
+        listed = set()
+        for stored in page.changed:
+            listed.add(self._adapter.target_id(stored.key))
+            read = self._adapter.read_target(stored.key, stored.value)
+            if isinstance(read, result.Failure):
+                self._note_unreadable(stored.key, read.failure())
+                continue
+            self.targets.put(read.unwrap())
+        for key in page.gone:
+            self.targets.remove(self._adapter.target_id(key))
+        if page.whole:
+            self.targets.keep_only(listed)
+
+    def _note_unreadable(self, key: str, why: str) -> None:
+        self._metrics.add('store_objects_unreadable')
+        _log.error('object cannot be read', key=key, why=why)
--- /dev/null
+++ b/samphiredock/daemon/_entry_service.py
@@ -0,0 +1,261 @@
+"""Requests at an entry daemon: served here, or handed over."""
+
+import dataclasses
+import random
+
+from returns import result
+
+from samphiredock import coordination
+from samphiredock.coordination import background
+from samphiredock.coordination import forwarding
+from samphiredock.daemon import _entry_adapter
+from samphiredock.daemon import _entry_knowledge
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+_PEER_CONNECTIONS = 16
+"""Connections to one coordinator; 60 daemons then hold under 1,000 there,
+of 4,100 descriptors."""
+
+_HOP_MS = 4.0
+"""What the way over another daemon takes of a route's aim: 1.4 ms between
+sites each way, and the work of one more program."""
+
+_NOTICE_LIMIT_MS = 1_000.0
+"""A peer that takes longer is down; its callers go elsewhere as well."""
+
+_WARM_WITHIN_MS = 1_500.0
+"""In this time after they were seen new targets get a connection of every
+coordinator, spread so that their slots are not all held at once."""
+
+_log = logs.logger('entry')
+
+
+class EntryService:
+    """Callers' requests, and those that other daemons hand over.
+
+    Parameters
+    ----------
+    settings
+        The daemon's own.
+    adapter
+        The platform's names and wire.
+    knowledge
+        Routes, targets and the other daemons.
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self,
+        settings: state.EntrySettings,
+        adapter: _entry_adapter.Adapter,
+        knowledge: _entry_knowledge.EntryKnowledge,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._knowledge = knowledge
+        self._clock = clock
+        self._metrics = counters
+        self._rng = random.Random(settings.name)
+        self._links = transport.ChannelPool(clock, knowledge.connections_to)
+        self._peer_links = transport.ChannelPool(
+            clock, lambda target: _PEER_CONNECTIONS
+        )
+        self._crashes = forwarding.CrashGuard(clock, counters, self._tell_loss)
+        self._budget = forwarding.WindowBudget(
+            clock,
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s * 1000.0,
+            knowledge.budget_parts,
+        )
+        self._forwarder = self._make_forwarder()
+        self._handover = self._make_handover()
+        self._open_requests = 0
+        knowledge.targets.on_gone(self._links.forget)
+        knowledge.targets.on_new(self._warm_later)
+        knowledge.peers.on_gone(self._peer_links.forget)
+
+    def open_requests(self) -> int:
+        """Return how many requests have no answer yet."""
+        return self._open_requests
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._links.close()
+        self._peer_links.close()
+
+    def reload(self, settings: state.EntrySettings) -> None:
+        """Take over settings that have changed."""
+        self._budget.set_bounds(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s * 1000.0,
+        )
+
+    def _make_forwarder(self) -> forwarding.Forwarder:
+        settings = self._settings
+        knowledge = self._knowledge
+        tools = coordination.Tools(
+            knowledge.targets,
+            coordination.Replicas(
+                random.Random(settings.name),
+                knowledge.is_near,
+                settings.other_site_factor,
+                self._clock.now_ms,
+            ),
+            coordination.Latencies(),
+            self._budget,
+            forwarding.NoSuspicions(),
+        )
+        return forwarding.Forwarder(
+            forwarding.ForwardSettings(
+                settings.site,
+                settings.caller_way_ms,
+                state.Limits(hedge_quantile=settings.hedge_quantile),
+            ),
+            knowledge.routing,
+            knowledge.targets,
+            tools,
+            self._adapter,
+            self._links,
+            self._clock,
+            self._metrics,
+            self._crashes,
+        )
+
+    def _make_handover(self) -> forwarding.Forwarder:
+        settings = self._settings
+        knowledge = self._knowledge
+        tools = coordination.Tools(
+            knowledge.peers,
+            coordination.Replicas(
+                random.Random(settings.name),
+                knowledge.is_near_peer,
+                settings.other_site_factor,
+                self._clock.now_ms,
+            ),
+            coordination.Latencies(),
+            coordination.ExtraBudget(),
+            forwarding.NoSuspicions(),
+        )
+        return forwarding.Forwarder(
+            forwarding.ForwardSettings(settings.site, 0.0, state.Limits()),
+            forwarding.HandoverRouting(knowledge.routing),
+            knowledge.peers,
+            tools,
+            forwarding.HandoverDialect(knowledge.routing),
+            self._peer_links,
+            self._clock,
+            self._metrics,
+        )
+
+    async def handle(
+        self,
+        method: str,
+        path: str,
+        headers: protocol.Headers,
+        body: bytes,
+    ) -> protocol.HttpReply:
+        """Answer one request; cancelled when its caller leaves."""
+        self._open_requests += 1
+        try:
+            read = self._adapter.read_request(method, path, headers, body)
+            if isinstance(read, result.Failure):
+                self._metrics.add('http_errors', interface='entry', status=400)
+                return protocol.HttpReply(400, body=read.failure().encode())
+            outcome = await self._serve(read.unwrap())
+            return self._adapter.caller_reply(outcome)
+        finally:
+            self._open_requests -= 1
+
+    async def _serve(
+        self, request: protocol.ForwardRequest
+    ) -> protocol.ForwardOutcome:
+        if self._knowledge.coordinates():
+            return await self._forwarder.forward(request)
+        outcome = await self._handover.forward(request)
+        if (
+            isinstance(outcome, protocol.NotRun)
+            and outcome.reason is protocol.NotRunReason.NO_TARGET
+        ):
+            # No coordinator can be reached: this daemon becomes one until
+            # they are back.
+            self._knowledge.stand_in()
+        return outcome
+
+    async def handle_peer(
+        self,
+        method: str,
+        path: str,
+        headers: protocol.Headers,
+        body: bytes,
+    ) -> protocol.HttpReply:
+        """Answer a request that another daemon handed over."""
+        if path == forwarding.LOSS_PATH:
+            loss = forwarding.read_loss(body)
+            if loss is None:
+                return protocol.HttpReply(400, body=b'no loss in the body')
+            self._crashes.note(loss)
+            return protocol.HttpReply(204)
+        handed = forwarding.read_handed_over(headers)
+        if handed is None:
+            return forwarding.refusal(handed, 'headers of the hop missing')
+        read = self._adapter.read_request(method, path, handed.headers, body)
+        if isinstance(read, result.Failure):
+            return forwarding.refusal(handed, read.failure())
+        if not await self._knowledge.knows(handed.least_version):
+            return forwarding.refusal(handed, 'behind, or no coordinator')
+        self._open_requests += 1
+        try:
+            request = dataclasses.replace(
+                read.unwrap(), deadline_ms=handed.left_ms
+            )
+            outcome = await self._forwarder.forward(request, _HOP_MS)
+        finally:
+            self._open_requests -= 1
+        return forwarding.coordinator_reply(
+            self._adapter.caller_reply(outcome),
+            handed,
+            self._knowledge.version(),
+        )
+
+    def _tell_loss(self, loss: forwarding.Loss) -> None:
+        """Tell the other coordinators; the content may come to any next."""
+        request = forwarding.loss_notice(loss)
+        for peer in self._knowledge.peers.all():
+            background.start(self._tell(peer, request), 'tell of a loss')
+
+    async def _tell(
+        self, peer: state.LiveTarget, request: protocol.HttpRequest
+    ) -> None:
+        reply = await self._peer_links.exchange(
+            peer, request, _NOTICE_LIMIT_MS, lambda reply: True
+        )
+        if isinstance(reply, result.Failure):
+            _log.info(
+                'peer not told',
+                peer=peer.target_id,
+                why=reply.failure().detail,
+            )
+
+    def _warm_later(self, target: state.LiveTarget) -> None:
+        """Connect to a new target before the first request needs it.
+
+        The shards of a new index start some seconds before a configuration
+        names them; a search would else open a connection to each at once,
+        and each of these holds a slot for some ms.
+        """
+
+        def warm() -> None:
+            if self._knowledge.may_warm():
+                background.start(self._links.warm(target), 'warm')
+
+        self._clock.after(self._rng.uniform(0.0, _WARM_WITHIN_MS), warm)
--- a/samphiredock/daemon/entry.py
+++ b/samphiredock/daemon/entry.py
@@ -9,11 +9,12 @@
 from returns import result
 
 from samphiredock.coordination import background
+from samphiredock.daemon import _entry_adapter
 from samphiredock.daemon import _entry_node
 from samphiredock import logs
 from samphiredock import state
 
-Adapter = _entry_node.Adapter
+Adapter = _entry_adapter.Adapter
 EntryNode = _entry_node.EntryNode
 
 _LOOK_S = 2.0
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -4,8 +4,9 @@
 from samphiredock.transport._caller_http import IDEMPOTENCY_KEY_HEADER
 from samphiredock.transport._caller_http import Service
 from samphiredock.transport._channel_pool import ChannelPool
-from samphiredock.transport._entry_http import Entry
+from samphiredock.transport._entry_http import Door
 from samphiredock.transport._entry_http import entry_server
+from samphiredock.transport._entry_http import Handle
 from samphiredock.transport._operator_http import Operations
 from samphiredock.transport._operator_http import operator_application
 from samphiredock.transport._peers import Broadcaster
@@ -38,7 +39,8 @@
     'CREATE_ONLY',
     'ChannelPool',
     'CurveKeys',
-    'Entry',
+    'Door',
+    'Handle',
     'Handler',
     'Host',
     'HttpPlatform',
--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers whose requests are passed on."""
 
 import asyncio
+import dataclasses
 import functools
 import typing
 
@@ -18,39 +19,38 @@
 
 _log = logs.logger('entry')
 
-Outcome = protocol.HttpReply
+Handle = typing.Callable[
+    [str, str, protocol.Headers, bytes],
+    typing.Awaitable[protocol.HttpReply],
+]
+"""Answers one request, given its method, raw path, headers and body; it is
+cancelled when the caller leaves."""
 
 
-class Entry(typing.Protocol):
-    """What is behind the server."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Door:
+    """What is behind one server.
 
-    async def handle(
-        self,
-        method: str,
-        path: str,
-        headers: protocol.Headers,
-        body: bytes,
-    ) -> protocol.HttpReply:
-        """Answer one request; cancelled when its caller leaves."""
+    ``is_closing`` says that connections should end after the current
+    answer, ``limits`` what callers may send now.
+    """
 
-    def is_closing(self) -> bool:
-        """Whether connections should end after the current answer."""
+    handle: Handle
+    is_closing: typing.Callable[[], bool]
+    limits: typing.Callable[[], state.CallerLimits]
 
-    def limits(self) -> state.CallerLimits:
-        """What callers may send now."""
 
-
-def entry_server(entry: Entry, counters: metrics.Metrics) -> web.Server:
-    """Return a server that answers every request by ``entry``."""
+def entry_server(door: Door, counters: metrics.Metrics) -> web.Server:
+    """Return a server that answers every request by ``door``."""
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        reply = await _reply_to(request, entry, counters)
+        reply = await _reply_to(request, door, counters)
         response = web.Response(
             status=reply.status,
             headers=multidict.CIMultiDict(reply.headers),
             body=reply.body,
         )
-        if entry.is_closing():
+        if door.is_closing():
             response.force_close()
         return response
 
@@ -59,12 +59,12 @@
         access_log=None,
         handler_cancellation=True,
         keepalive_timeout=KEEP_IDLE_S,
-        request_factory=functools.partial(_make_request, entry),
+        request_factory=functools.partial(_make_request, door),
     )
 
 
 def _make_request(
-    entry: Entry,
+    door: Door,
     message: typing.Any,
     payload: typing.Any,
     server_protocol: typing.Any,
@@ -78,18 +78,18 @@
         writer,
         task,
         asyncio.get_running_loop(),
-        client_max_size=entry.limits().body_bytes,
+        client_max_size=door.limits().body_bytes,
     )
 
 
 async def _reply_to(
-    request: web.BaseRequest, entry: Entry, counters: metrics.Metrics
+    request: web.BaseRequest, door: Door, counters: metrics.Metrics
 ) -> protocol.HttpReply:
     try:
         body = await request.read()
     except web.HTTPRequestEntityTooLarge as error:
         counters.add('http_errors', interface='entry', status=error.status)
-        limit = entry.limits().body_bytes
+        limit = door.limits().body_bytes
         return protocol.HttpReply(
             error.status, body=f'expected at most {limit} bytes'.encode()
         )
@@ -98,7 +98,7 @@
         for name, value in request.raw_headers
     )
     try:
-        return await entry.handle(
+        return await door.handle(
             request.method, request.raw_path, headers, body
         )
     except Exception as error:
