--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -212,10 +212,13 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f'{name} is not ready\n{self.log(name)[-4000:]}')
 
+    def log_path(self, name: str) -> pathlib.Path:
+        """Return the file that a daemon logs to."""
+        return pathlib.Path(self._folder.name) / f'{name}.log'
+
     def log(self, name: str) -> str:
         """Return what a daemon has logged."""
-        path = pathlib.Path(self._folder.name) / f'{name}.log'
-        return path.read_text(encoding='utf-8')
+        return self.log_path(name).read_text(encoding='utf-8')
 
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a daemon a signal."""
--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -17,6 +17,7 @@
 import json5
 
 from standins import cluster
+from standins import prepared_quickstart
 
 _EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples' / 'gebeya'
 _SHARDS = ('shard-1', 'shard-2', 'shard-3', 'shard-4')
@@ -158,6 +159,7 @@
             return
         click.echo('')
         await quick.stop()
+    await prepared_quickstart.show()
     shutil.rmtree(folder)
     click.echo('all stopped')
 
