--- /dev/null
+++ b/tests/unit/test_replicas.py
@@ -0,0 +1,83 @@
+"""Which replica gets an attempt, by what was seen of each."""
+
+import os
+import random
+import unittest
+
+from samphiredock import coordination
+
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+
+
+class ReplicasTest(unittest.TestCase):
+    """Two near targets and a far one, time moved by hand."""
+
+    def setUp(self) -> None:
+        """All targets have been measured at 15 ms."""
+        self.now_ms = 1_000.0
+        self.replicas = coordination.Replicas(
+            random.Random(SEED),
+            lambda target: target != 'far',
+            3.0,
+            lambda: self.now_ms,
+        )
+        for target in ('near', 'other', 'far'):
+            for _ in range(40):
+                self.replicas.sent(target)
+                self.replicas.ended(target, 15.0)
+
+    def _share_of(self, target: str, *candidates: str) -> float:
+        chosen = [self.replicas.choose(candidates) for _ in range(1_000)]
+        return chosen.count(target) / len(chosen)
+
+    def test_the_near_one_is_taken_while_it_is_well(self) -> None:
+        """Parts that cross between sites cost the users more."""
+        self.assertGreater(self._share_of('near', 'near', 'far'), 0.95)
+
+    def test_what_hangs_is_avoided_before_it_ends(self) -> None:
+        """An exchange without an end has no latency yet.
+
+        A target falls silent; until its first exchange times out, every
+        request would be sent after it.
+        """
+        self.replicas.sent('near')
+        self.now_ms += 90.0
+        self.assertLess(self._share_of('near', 'near', 'far'), 0.05)
+
+    def test_a_loser_that_runs_on_still_counts(self) -> None:
+        """It was cancelled here, and hangs at its target all the same."""
+        self.replicas.sent('near')
+        sent_ms = self.now_ms
+        self.now_ms += 60.0
+        self.replicas.ended('near', 60.0)
+        self.replicas.lingers('near', sent_ms)
+        self.now_ms += 60.0
+        self.assertLess(self._share_of('near', 'near', 'far'), 0.05)
+        self.replicas.ended('near', 120.0)
+
+    def test_two_surprises_are_enough(self) -> None:
+        """A target that turned slow needs no five requests to be seen."""
+        for _ in range(2):
+            self.replicas.measured('near', 180.0)
+        self.assertLess(self._share_of('near', 'near', 'far'), 0.05)
+
+    def test_a_slow_one_is_asked_again_after_some_seconds(self) -> None:
+        """Nothing measures a target that gets no work."""
+        for _ in range(3):
+            self.replicas.measured('near', 180.0)
+        self.now_ms += 20_000.0
+        self.replicas.measured('far', 15.0)
+        self.assertGreater(self._share_of('near', 'near', 'far'), 0.9)
+
+    def test_a_near_one_is_always_among_the_two_drawn(self) -> None:
+        """Of three, two at random leave it out a third of the time."""
+        for name in ('far-2', 'far-3'):
+            self.replicas.measured(name, 15.0)
+        replicas = coordination.Replicas(
+            random.Random(SEED), lambda target: target == 'a', 3.0
+        )
+        for target in ('a', 'b', 'c'):
+            for _ in range(40):
+                replicas.measured(target, 15.0)
+        chosen = [replicas.choose(('b', 'c', 'a')) for _ in range(1_000)]
+        self.assertGreater(chosen.count('a') / len(chosen), 0.95)
