--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -78,9 +79,16 @@
 
 
 class PreparedSystem:
-    """Use as an asynchronous context manager."""
+    """Use as an asynchronous context manager.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    shards
+        The services that a search asks.
+    """
+
+    def __init__(self, shards: typing.Sequence[str] = SHARDS) -> None:
+        self._shards = tuple(shards)
         self.store = prepared_store.PreparedStore()
         self.targets: dict[str, PreparedTarget] = {}
         self.runs: list[str] = []
@@ -111,7 +119,7 @@
 
     async def start_targets(self, replicas: int = 2) -> None:
         """Start ``replicas`` targets a service and register them."""
-        for service in (*SHARDS, DESK):
+        for service in (*self._shards, DESK):
             for number in range(replicas):
                 name = f'{service}-{number}'
                 target = PreparedTarget(name, service, self.runs)
@@ -141,7 +149,7 @@
         common = {'Host': HOST, 'TimeoutMs': 3_000, 'MaxAttempts': 2}
         routes = [
             {
-                'Name': 'search', 'PathPrefix': prefix, 'Gather': SHARDS,
+                'Name': 'search', 'PathPrefix': prefix, 'Gather': self._shards,
                 'Kind': 'idempotent', 'TargetLatencyMs': 1_000, 'TopK': 5,
                 'MinVersion': 0.75, **common,
             },
@@ -156,7 +164,7 @@
         ]  # fmt: skip
         services = [
             {'Name': name, 'HealthPath': '/healthz', 'MaxConns': 40}
-            for name in (*SHARDS, DESK)
+            for name in (*self._shards, DESK)
         ]
         configuration = {
             'Version': version,
@@ -196,6 +204,20 @@
         path.write_text(text, encoding='utf-8')
         return path
 
+    def processor_s(self, name: str) -> float:
+        """Return the processor time that a daemon has used (Linux)."""
+        path = pathlib.Path(f'/proc/{self._processes[name].pid}/stat')
+        fields = path.read_text(encoding='ascii').rpartition(')')[2].split()
+        return sum(map(int, fields[11:13])) / os.sysconf('SC_CLK_TCK')
+
+    def memory_mb(self, name: str) -> float:
+        """Return a daemon's peak memory in MB of a million bytes (Linux)."""
+        path = pathlib.Path(f'/proc/{self._processes[name].pid}/status')
+        for line in path.read_text(encoding='ascii').splitlines():
+            if line.startswith('VmHWM:'):
+                return int(line.split()[1]) * 1_024 / 1e6
+        raise ValueError(f'got no VmHWM in {path}, expected one')
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a daemon says that it is ready."""
         assert self._session is not None
