The limits of the configuration in force bound a caller's head

Cause: the HTTP library refuses a header or request line over 8 KB with 400, where the users' limit is 16 KB in all and changes with the configuration. It also unpacks bodies with a Content-Encoding, which targets must get as they came.

Change: the library's bounds are lifted, the limit in force is checked (431), bodies stay as they are.

Test: test_entry_http (raw path and body, head and body limits, a broken handler, a caller that leaves, closing, bytes that are no request); the long header and the encoded body failed before.

--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -17,6 +17,13 @@
 """How long an idle connection is kept.  Longer than callers reuse one, so
 that no request crosses the close of its connection."""
 
+_LINE_LIMIT_BYTES = 1_048_576
+"""Bound on a request line or header while it is read; the limit in force is
+checked when the head is whole, since it changes with the configuration.  The
+library's own bound, 8 KB, would refuse what that limit allows."""
+
+_TOO_LARGE_HEAD_STATUS = 431
+
 _log = logs.logger('entry')
 
 Handle = typing.Callable[
@@ -59,6 +66,9 @@
         access_log=None,
         handler_cancellation=True,
         keepalive_timeout=KEEP_IDLE_S,
+        max_line_size=_LINE_LIMIT_BYTES,
+        max_field_size=_LINE_LIMIT_BYTES,
+        auto_decompress=False,
         request_factory=functools.partial(_make_request, door),
     )
 
@@ -85,6 +95,18 @@
 async def _reply_to(
     request: web.BaseRequest, door: Door, counters: metrics.Metrics
 ) -> protocol.HttpReply:
+    limit = door.limits().header_bytes
+    size = sum(
+        len(name) + len(value) + 4 for name, value in request.raw_headers
+    )
+    if size + len(request.raw_path) > limit:
+        counters.add(
+            'http_errors', interface='entry', status=_TOO_LARGE_HEAD_STATUS
+        )
+        return protocol.HttpReply(
+            _TOO_LARGE_HEAD_STATUS,
+            body=f'expected a head of at most {limit} bytes'.encode(),
+        )
     try:
         body = await request.read()
     except web.HTTPRequestEntityTooLarge as error:
