A fault soak of the daemons that pass requests on

Checks at most once, "not run", own whole answer, targets of a request, routes; each is shown to fail (test_soak_checks).

--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,249 @@
+"""One run: callers, faults from outside, and the history they leave."""
+
+import asyncio
+import collections
+import itertools
+import random
+import signal
+import typing
+
+import aiohttp
+
+from soak import _checks
+from standins import prepared_system
+
+SHARDS = tuple(f'shard-{number}' for number in range(1, 7))
+_CALLERS = 6
+_CALLER_PAUSE_S = 0.02
+_FAULT_EVERY_S = (0.2, 1.0)
+_FAULT_FOR_S = (0.3, 1.5)
+_SETTLE_S = 1.5
+_KINDS = {'search': 6, 'fetch': 2, 'pay': 2}
+_PATHS = {'search': '/search/x', 'fetch': '/fetch/x', 'pay': '/pay/x'}
+_METHODS = {'search': 'GET', 'fetch': 'GET', 'pay': 'POST'}
+
+Fault = typing.Callable[['Soak', float], typing.Awaitable[None]]
+
+
+class Soak:
+    """A running soak.
+
+    Parameters
+    ----------
+    seed
+        What is drawn follows from it; when it falls does not.
+    hosts
+        How many daemons.
+    system
+        The stand-ins, and the daemons as processes.
+    """
+
+    def __init__(
+        self, seed: int, hosts: int, system: prepared_system.PreparedSystem
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.system = system
+        self.names = [f'entry-{number}' for number in range(hosts)]
+        self.asked: list[_checks.Asked] = []
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.version = 1
+        self._numbers = itertools.count()
+        self._down: set[str] = set()
+        self._running = True
+
+    async def run(self, seconds: float) -> _checks.History:
+        """Start everything, let faults fall, and return what was seen."""
+        await self.system.start_targets()
+        self.system.configure(self.version)
+        for name in self.names:
+            await self.system.start_daemon(name, coordinators_per_site=2)
+        callers = [asyncio.create_task(self._call()) for _ in range(_CALLERS)]
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + seconds
+        pending: set[asyncio.Task] = set()
+        while loop.time() < ends_s:
+            pending.add(asyncio.create_task(self._fault()))
+            await asyncio.sleep(self.rng.uniform(*_FAULT_EVERY_S))
+        await asyncio.gather(*pending)
+        self._running = False
+        await asyncio.gather(*callers)
+        await asyncio.sleep(_SETTLE_S)
+        await self._serves_again()
+        return self.history()
+
+    def history(self) -> _checks.History:
+        """Return what was seen so far."""
+        records = {
+            target.service: target.records()
+            for target in self.system.targets.values()
+        }
+        runs = tuple(_checks.Run(*row.split()) for row in self.system.runs)
+        return _checks.History(
+            tuple(self.asked), runs, SHARDS, records, 0.75, 5, 2
+        )
+
+    async def _serves_again(self) -> None:
+        for name in self.names:
+            for _ in range(200):
+                if await self._ask(name, 'search') == 200:
+                    break
+                await asyncio.sleep(0.05)
+            else:
+                raise AssertionError(
+                    f'{name} serves nothing after the faults\n'
+                    f'{self.system.log(name)[-3000:]}'
+                )
+
+    # Callers.
+
+    async def _call(self) -> None:
+        kinds, weights = list(_KINDS), list(_KINDS.values())
+        while self._running:
+            kind = self.rng.choices(kinds, weights)[0]
+            up = [name for name in self.names if name not in self._down]
+            if up:
+                await self._ask(self.rng.choice(up), kind)
+            await asyncio.sleep(_CALLER_PAUSE_S)
+
+    async def _ask(self, daemon: str, kind: str) -> int:
+        request_id = f'{kind}{next(self._numbers)}'
+        try:
+            status, headers, body = await self.system.ask(
+                daemon, _PATHS[kind], request_id, _METHODS[kind], 1_500
+            )
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            self.asked.append(_checks.Asked(kind, request_id, 0))
+            return 0
+        stated = headers.get('Part-Stamps') or headers.get('Answer-Stamp', '')
+        receipts = tuple(row.strip() for row in stated.split(',') if row)
+        missing = int(headers.get('Missing-Parts', 0))
+        self.asked.append(
+            _checks.Asked(kind, request_id, status, receipts, missing, body)
+        )
+        return status
+
+    # Faults.
+
+    async def _fault(self) -> None:
+        name = self.rng.choice(sorted(FAULTS))
+        self.faults[name] += 1
+        await FAULTS[name](self, self.rng.uniform(*_FAULT_FOR_S))
+
+    def _draw_daemon(self) -> str | None:
+        """Return a daemon to disturb; one is always left alone."""
+        up = [name for name in self.names if name not in self._down]
+        return self.rng.choice(up) if len(up) > 1 else None
+
+    async def end_daemon(self, number: signal.Signals) -> None:
+        """End a daemon and start it again."""
+        name = self._draw_daemon()
+        if name is None:
+            return
+        self._down.add(name)
+        await self.system.stop_daemon(name, number)
+        self.system.store.faults.status = 0
+        self.system.store.faults.silent = False
+        await self.system.restart_daemon(name)
+        self._down.discard(name)
+
+    async def freeze(self, for_s: float) -> None:
+        """Let a daemon stand still."""
+        name = self._draw_daemon()
+        if name is None:
+            return
+        self._down.add(name)
+        self.system.send(name, signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        self.system.send(name, signal.SIGCONT)
+        self._down.discard(name)
+
+    def draw_target(self) -> prepared_system.PreparedTarget:
+        """Return a target to disturb."""
+        return self.system.targets[
+            self.rng.choice(sorted(self.system.targets))
+        ]
+
+
+async def _kill(soak: Soak, for_s: float) -> None:
+    await soak.end_daemon(signal.SIGKILL)
+
+
+async def _stop(soak: Soak, for_s: float) -> None:
+    await soak.end_daemon(signal.SIGTERM)
+
+
+async def _freeze(soak: Soak, for_s: float) -> None:
+    await soak.freeze(for_s)
+
+
+async def _lose_answers(soak: Soak, for_s: float) -> None:
+    target = soak.draw_target()
+    target.lose_answers = True
+    await asyncio.sleep(for_s)
+    target.lose_answers = False
+
+
+async def _slow_target(soak: Soak, for_s: float) -> None:
+    target = soak.draw_target()
+    target.delay_s = soak.rng.choice((0.1, 0.4, 3.0))
+    await asyncio.sleep(for_s)
+    target.delay_s = 0.0
+
+
+async def _drain_target(soak: Soak, for_s: float) -> None:
+    target = soak.draw_target()
+    soak.system.register(target.target_id, 'draining')
+    await asyncio.sleep(for_s)
+    soak.system.register(target.target_id)
+
+
+async def _lapse(soak: Soak, for_s: float) -> None:
+    names = sorted(soak.system.targets)
+    lapsed = soak.rng.sample(names, 3)
+    for name in lapsed:
+        soak.system.store.remove('servers', name)
+    await asyncio.sleep(for_s)
+    for name in lapsed:
+        soak.system.register(name)
+
+
+async def _store_away(soak: Soak, for_s: float) -> None:
+    faults = soak.system.store.faults
+    faults.status = soak.rng.choice((503, 429))
+    await asyncio.sleep(for_s)
+    faults.status = 0
+
+
+async def _store_silent(soak: Soak, for_s: float) -> None:
+    soak.system.store.faults.silent = True
+    await asyncio.sleep(for_s)
+    soak.system.store.faults.silent = False
+
+
+async def _cut_watches(soak: Soak, for_s: float) -> None:
+    soak.system.store.cut_watches()
+
+
+async def _forget_history(soak: Soak, for_s: float) -> None:
+    soak.system.store.forget_history()
+
+
+async def _new_version(soak: Soak, for_s: float) -> None:
+    soak.version += soak.rng.randint(1, 3)
+    soak.system.configure(soak.version)
+
+
+FAULTS: typing.Mapping[str, Fault] = {
+    'kill daemon': _kill,
+    'stop daemon': _stop,
+    'freeze daemon': _freeze,
+    'target loses answers': _lose_answers,
+    'target slow': _slow_target,
+    'target drains': _drain_target,
+    'entries lapse': _lapse,
+    'store away': _store_away,
+    'store silent': _store_silent,
+    'watches cut': _cut_watches,
+    'history forgotten': _forget_history,
+    'new version': _new_version,
+}
--- a/standins/prepared_store.py
+++ b/standins/prepared_store.py
@@ -162,7 +162,7 @@
             for wait in waits:
                 wait.cancel()
             if cut.is_set():
-                raise ConnectionResetError
+                return _broken_off(request)
 
     async def _create(
         self, request: web.Request, kind: str
@@ -202,5 +202,12 @@
     ) -> web.StreamResponse:
         if self.faults.lose_writes:
             self.faults.lose_writes -= 1
-            raise ConnectionResetError
+            return _broken_off(request)
         return web.json_response(self._objects[kind, name])
+
+
+def _broken_off(request: web.Request) -> web.Response:
+    """Break the connection off; what is returned reaches nobody."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -185,15 +185,20 @@
             'metrics_address': metrics, 'retry_slack': 56, 'retry_ratio': 0.2,
             'platform_address': self._store_address, 'balancer_lag_ms': 300,
         }  # fmt: skip
-        path = self.write_settings(name, **settings)
-        log = (path.with_suffix('.log')).open('ab')
+        self.write_settings(name, **settings)
+        self.doors[name] = front
+        self._ready[name] = ready
+        await self.restart_daemon(name)
+
+    async def restart_daemon(self, name: str) -> None:
+        """Start a daemon at its place and wait until it is ready."""
+        path = pathlib.Path(self._folder.name) / f'{name}.json5'
+        log = self.log_path(name).open('ab')
         command = [sys.executable, str(_ROOT / 'platform' / 'entry.py')]
         self._processes[name] = subprocess.Popen(
             [*command, '--settings', str(path)], stdout=log, stderr=log
         )
         log.close()
-        self.doors[name] = front
-        self._ready[name] = ready
         await self.wait_ready(name)
 
     def write_settings(self, name: str, **changes: object) -> pathlib.Path:
--- a/test.sh
+++ b/test.sh
@@ -5,6 +5,6 @@
 . ./setup-venv.sh || exit 1
 status=0
 "$VENV/bin/ruff" format --check . || status=1
-"$VENV/bin/flake8" samphiredock platform standins tests benchmarks || status=1
+"$VENV/bin/flake8" samphiredock platform soak standins tests benchmarks || status=1
 "$VENV/bin/python" -m tests.run "$@" || status=1
 exit $status
--- /dev/null
+++ b/tests/process/test_soak.py
@@ -0,0 +1,21 @@
+"""A short seeded run of the soak."""
+
+import os
+import unittest
+
+from soak import __main__ as soak
+
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+SECONDS = 8.0
+
+
+class SoakTest(unittest.IsolatedAsyncioTestCase):
+    """Three daemons, faults in series that overlap."""
+
+    async def test_the_promises_hold_under_faults(self) -> None:
+        """What callers and targets saw, by the checks of the soak.
+
+        Daemons are killed, stopped and frozen, targets lose answers and
+        drain, the store is away, cut and without its history.
+        """
+        self.assertEqual([], await soak.judge(SEED, SECONDS, 3))
--- /dev/null
+++ b/tests/unit/test_soak_checks.py
@@ -0,0 +1,105 @@
+"""The soak's checks fail on histories that are wrong."""
+
+import dataclasses
+import unittest
+
+from soak import _checks
+
+SHARDS = ('s1', 's2', 's3', 's4')
+RECORDS = {
+    name: b''.join(f'{name}{number:014}'.encode() for number in range(3))
+    for name in (*SHARDS, 'desk')
+}
+
+
+def search(*targets: str, missing: int = 0, **changes: object) -> object:
+    """Return a sound search answered by some targets."""
+    services = [target.rpartition('-')[0] for target in targets]
+    every = b''.join(RECORDS[service] for service in services)
+    rows = sorted(
+        (every[at : at + 16] for at in range(0, len(every), 16)),
+        reverse=True,
+    )
+    row = _checks.Asked(
+        'search',
+        'q1',
+        200,
+        tuple(f'q1.{target}' for target in targets),
+        missing,
+        b''.join(rows[:5]),
+    )
+    return dataclasses.replace(row, **changes)
+
+
+def history(
+    *asked: _checks.Asked, runs: tuple[_checks.Run, ...] = ()
+) -> _checks.History:
+    """Return a history of four shards."""
+    return _checks.History(asked, runs, SHARDS, RECORDS, 0.75, 5, 2)
+
+
+class SoakChecksTest(unittest.TestCase):
+    """One history for each check that it must fail on."""
+
+    def _wrong(self, seen: _checks.History) -> set[str]:
+        return {name for name, check in _checks.CHECKS.items() if check(seen)}
+
+    def test_a_sound_history_passes(self) -> None:
+        """Whole and partial answers, a lost payment, a true refusal."""
+        seen = history(
+            search('s1-0', 's2-1', 's3-0', 's4-0'),
+            search('s1-0', 's2-1', 's3-0', missing=1),
+            _checks.Asked('pay', 'p1', 502),
+            _checks.Asked('pay', 'p2', 503),
+            _checks.Asked('fetch', 'f1', 200, ('f1.desk-0',), 0,
+                          RECORDS['desk']),
+            runs=(_checks.Run('p1', 'desk-0'), _checks.Run('f1', 'desk-0')),
+        )  # fmt: skip
+        self.assertEqual(set(), self._wrong(seen))
+
+    def test_a_payment_that_ran_twice(self) -> None:
+        """At two targets, or twice at one."""
+        for second in ('desk-0', 'desk-1'):
+            seen = history(
+                _checks.Asked('pay', 'p1', 200, ('p1.desk-0',), 0,
+                              RECORDS['desk']),
+                runs=(
+                    _checks.Run('p1', 'desk-0'), _checks.Run('p1', second),
+                ),
+            )  # fmt: skip
+            self.assertEqual({'at most once'}, self._wrong(seen))
+
+    def test_a_refusal_that_is_not_true(self) -> None:
+        """The caller would ask again for what was done."""
+        for status in (408, 421, 429, 503):
+            seen = history(
+                _checks.Asked('pay', 'p1', status),
+                runs=(_checks.Run('p1', 'desk-0'),),
+            )
+            self.assertEqual({'not run is true'}, self._wrong(seen))
+
+    def test_answers_that_are_not_its_own_or_not_whole(self) -> None:
+        """Each is one change of a sound answer."""
+        parts = ('s1-0', 's2-1', 's3-0', 's4-0')
+        sound = search(*parts)
+        for changes in (
+            {'receipts': ('q0.s1-0', *sound.receipts[1:])},
+            {'receipts': (sound.receipts[0], *sound.receipts[:3])},
+            {'missing': 1},
+            {'body': sound.body[:-16]},
+            {'body': sound.body[16:] + sound.body[:16]},
+            {'receipts': sound.receipts[:2], 'missing': 2},
+        ):
+            with self.subTest(changes):
+                seen = history(dataclasses.replace(sound, **changes))
+                self.assertEqual({'own whole answer'}, self._wrong(seen))
+        fetch = _checks.Asked('fetch', 'f1', 200, ('f1.desk-0',), 0, b'x')
+        self.assertEqual({'own whole answer'}, self._wrong(history(fetch)))
+
+    def test_too_many_targets_and_unknown_routes(self) -> None:
+        """Three targets of a shard; a 404 for a route that is there."""
+        seen = history(
+            _checks.Asked('fetch', 'f1', 404),
+            runs=tuple(_checks.Run('q1', f's1-{n}') for n in range(3)),
+        )
+        self.assertEqual({'attempts', 'routes'}, self._wrong(seen))
