--- /dev/null
+++ b/tests/process/test_explain_day.py
@@ -0,0 +1,82 @@
+"""Requests that fail in six ways; the logs lead to each cause."""
+
+import asyncio
+import json
+import unittest
+
+from samphiredock.cli import _explain
+from standins import prepared_system
+
+
+class ExplainDayTest(unittest.IsolatedAsyncioTestCase):
+    """One daemon on the stand-in of the users' platform."""
+
+    async def asyncSetUp(self) -> None:
+        """Start everything; the routes wait 500 ms at most."""
+        self.system = await prepared_system.PreparedSystem().__aenter__()
+        self.addAsyncCleanup(self.system.__aexit__, None, None, None)
+        await self.system.start_targets()
+        self.system.configure(1)
+        await self.system.start_daemon('one')
+
+    def _cause(self, request_id: str) -> str:
+        rows = self.system.log('one').splitlines()
+        story = _explain.story_of(_explain.read_lines(rows), request_id)
+        self.assertTrue(story, request_id)
+        self.assertTrue(all(json.dumps(line.row) for line in story))
+        return _explain.cause_of(story)
+
+    async def _ask(self, path: str, request_id: str, **words: object) -> int:
+        status, _, _ = await self.system.ask('one', path, request_id, **words)
+        return status
+
+    def _disturb(self, service: str, **changes: object) -> None:
+        for name, target in self.system.targets.items():
+            if target.service == service:
+                for field, value in changes.items():
+                    setattr(target, field, value)
+
+    async def test_each_of_six_failures_is_explained(self) -> None:
+        """A path without a route, a lost answer, a slow target, a slow
+        shard, a caller that leaves, and a service without targets."""
+        self.assertEqual(404, await self._ask('/none/x', 'no-route'))
+        self.assertIn('no route', self._cause('no-route'))
+
+        self._disturb('desk', lose_answers=True)
+        status = await self._ask('/pay/x', 'lost', method='POST')
+        self.assertEqual(502, status)
+        self.assertIn('may have run', self._cause('lost'))
+        self.assertIn('broke off', self._cause('lost'))
+        self._disturb('desk', lose_answers=False, delay_s=9.0)
+
+        status = await self._ask(
+            '/pay/x', 'slow', method='POST', deadline_ms=300
+        )
+        self.assertEqual(504, status)
+        self.assertIn('no answer from desk', self._cause('slow'))
+
+        self._disturb('shard-2', delay_s=9.0)
+        self.assertEqual(200, await self._ask('/search/x', 'part'))
+        self.assertIn('without 1 of 4', self._cause('part'))
+        self.assertIn('shard-2', self._cause('part'))
+
+        task = asyncio.create_task(self._ask('/fetch/x', 'left'))
+        await asyncio.sleep(0.3)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for _ in range(100):
+            if 'caller left' in self.system.log('one'):
+                break
+            await asyncio.sleep(0.02)
+        self.assertIn('the caller left', self._cause('left'))
+
+        for name, target in self.system.targets.items():
+            if target.service == 'desk':
+                self.system.register(name, 'draining')
+        for number in range(200):
+            request_id = f'none-{number}'
+            status = await self._ask('/fetch/x', request_id, deadline_ms=50)
+            if status == 503:
+                break
+            await asyncio.sleep(0.02)
+        self.assertIn('could be reached', self._cause(request_id))
