--- a/tests/process/test_operators.py
+++ b/tests/process/test_operators.py
@@ -144,4 +144,10 @@
             'all stopped',
         ):
             self.assertIn(expected, text)
-        self.assertEqual(3, text.count('drained, exit 0'))
+        # Three daemons of the one door, and one of the other.
+        self.assertEqual(4, text.count('drained, exit 0'))
+        self.assertEqual(2, text.count('GET /search/radio at entry-'))
+        self.assertEqual(2, text.count(': 200, 0 shards missing'))
+        self.assertIn('POST /pay/household-7 at entry-b: 200', text)
+        self.assertIn('GET /none at entry-b: 404', text)
+        self.assertIn('cause: it was answered whole', text)
