A coordinator that lost the store does not serve other daemons' callers

The store turned some hosts away; a coordinator among them went on with what it knew, for callers of hosts that were in touch.

Ruled out: refusing always when the store is not heard: an outage of the store would be one of everything.

--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/_watcher.py
@@ -66,6 +66,7 @@
         self._on_outage: list[typing.Callable[[], None]] = []
         self._failing: set[str] = set()
         self._followed_ms: dict[str, float] = {}
+        self._heard_ms: dict[str, float] = {}
         self._polled_ms: dict[str, float] = {}
         self._stale_period_ms: typing.Callable[[str], float | None] | None = (
             None
@@ -135,6 +136,14 @@
             for prefix in prefixes
         )
 
+    def heard_within(self, span_ms: float) -> bool:
+        """Whether a watch of every prefix has answered not long ago."""
+        since_ms = self._clock.now_ms() - span_ms
+        prefixes = [*self._handlers, *self._page_handlers]
+        return all(
+            self._heard_ms.get(prefix, -1.0) >= since_ms for prefix in prefixes
+        )
+
     def on_outage(self, callback: typing.Callable[[], None]) -> None:
         """Call back at each call that the store did not answer."""
         self._on_outage.append(callback)
@@ -230,6 +239,7 @@
     def _note_success(self, prefix: str, asked_ms: float | None) -> None:
         if asked_ms is not None:
             self._followed_ms[prefix] = asked_ms
+            self._heard_ms[prefix] = self._clock.now_ms()
         if prefix in self._failing:
             self._failing.discard(prefix)
             _log.notice('store regained', prefix=prefix)
--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -16,6 +16,7 @@
 from samphiredock.coordination.forwarding._handover import read_handed_over
 from samphiredock.coordination.forwarding._handover import read_loss
 from samphiredock.coordination.forwarding._handover import refusal
+from samphiredock.coordination.forwarding._handover import StaleHandoverDialect
 from samphiredock.coordination.forwarding._live_targets import LiveTargets
 from samphiredock.coordination.forwarding._no_suspicions import NoSuspicions
 from samphiredock.coordination.forwarding._presence import Presence
@@ -45,6 +46,7 @@
     'Role',
     'RoutingKnowledge',
     'Splitter',
+    'StaleHandoverDialect',
     'WindowBudget',
     'as_target',
     'connections_of_one',
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -26,6 +26,7 @@
 _ID = 'Samphiredock-Request'
 _VERSION = 'Samphiredock-Version'
 _REFUSED = 'Samphiredock-Refused'
+_STALE_OK = 'Samphiredock-Stale-Ok'
 _PREFIX = 'samphiredock-'
 
 UNKNOWN_ROUTE_MS = 10_000.0
@@ -41,13 +42,15 @@
 
     ``least_version`` is the newest routing table whose effect that daemon
     has seen: one that is older must not be used for it, or its callers
-    would see a change undone.
+    would see a change undone.  ``stale_ok`` says that every coordinator
+    has lost the store, so that old knowledge is the best there is.
     """
 
     headers: protocol.Headers
     request_id: str
     left_ms: float
     least_version: int
+    stale_ok: bool = False
 
 
 def read_handed_over(headers: protocol.Headers) -> HandedOver | None:
@@ -66,6 +69,7 @@
             added[_ID.lower()],
             float(added[_LEFT.lower()]),
             int(added[_VERSION.lower()]),
+            _STALE_OK.lower() in added,
         )
     except (KeyError, ValueError):
         return None
@@ -202,6 +206,26 @@
         )
 
 
+class StaleHandoverDialect:
+    """The same, to coordinators that may have lost the store."""
+
+    def __init__(self, dialect: HandoverDialect) -> None:
+        self._dialect = dialect
+        self.is_reply_to = dialect.is_reply_to
+        self.read_reply = dialect.read_reply
+
+    def target_request(
+        self,
+        request: protocol.ForwardRequest,
+        target: state.LiveTarget,
+        left_ms: float,
+    ) -> protocol.HttpRequest:
+        """Return the request with what the hop adds."""
+        sent = self._dialect.target_request(request, target, left_ms)
+        headers = (*sent.headers, (_STALE_OK, '1'))
+        return dataclasses.replace(sent, headers=headers)
+
+
 def as_target(daemon: _roles.Daemon) -> state.LiveTarget:
     """Return a coordinator as a target of hand-overs."""
     return state.LiveTarget(
--- a/samphiredock/daemon/_entry_knowledge.py
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -32,6 +32,10 @@
 """How long changes gather while the targets register: each would end a
 watch of every daemon, 60 calls for one target."""
 
+_WATCH_SLACK_MS = 1_000.0
+"""How much later than it should a watch may answer, as the store's client
+allows it."""
+
 _DOWN_MS = 3_000.0
 """A coordinator that could not be reached for so long is passed over when
 the coordinators are chosen.  A restart takes about 1 s."""
@@ -188,14 +192,22 @@
         """Coordinate for a time."""
         self._role.stand_in(self._clock.now_ms(), _STAND_IN_MS)
 
-    async def knows(self, least_version: int) -> bool:
-        """Whether this daemon can serve with a table that new."""
+    async def knows(self, least_version: int, stale_ok: bool) -> bool:
+        """Whether this daemon can serve others with a table that new.
+
+        One that lost the store while others did not would refuse a route
+        that was added meanwhile; its own callers know nothing else, but a
+        daemon that hands over can ask another coordinator.
+        """
         if not self._role.coordinates:
             # Another daemon takes this one for a coordinator; lists differ
             # for some seconds after a change.
             self.stand_in()
         if not self.coordinates():
             return False
+        fresh_ms = self._settings.watch_ms + _WATCH_SLACK_MS
+        if not stale_ok and not self._watcher.heard_within(fresh_ms):
+            return False
         if self.version() >= least_version:
             return True
         key = self._adapter.routing_key
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -77,7 +77,11 @@
             knowledge.budget_parts,
         )
         self._forwarder = self._make_forwarder()
-        self._handover = self._make_handover()
+        dialect = forwarding.HandoverDialect(knowledge.routing)
+        self._handover = self._make_handover(dialect)
+        self._stale_handover = self._make_handover(
+            forwarding.StaleHandoverDialect(dialect)
+        )
         self._open_requests = 0
         knowledge.targets.on_gone(self._links.forget)
         knowledge.targets.on_new(self._warm_later)
@@ -131,7 +135,9 @@
             self._crashes,
         )
 
-    def _make_handover(self) -> forwarding.Forwarder:
+    def _make_handover(
+        self, dialect: forwarding.Dialect
+    ) -> forwarding.Forwarder:
         settings = self._settings
         knowledge = self._knowledge
         tools = coordination.Tools(
@@ -151,7 +157,7 @@
             forwarding.HandoverRouting(knowledge.routing),
             knowledge.peers,
             tools,
-            forwarding.HandoverDialect(knowledge.routing),
+            dialect,
             self._peer_links,
             self._clock,
             self._metrics,
@@ -182,6 +188,12 @@
         if self._knowledge.coordinates():
             return await self._forwarder.forward(request)
         outcome = await self._handover.forward(request)
+        if (
+            isinstance(outcome, protocol.NotRun)
+            and outcome.reason is protocol.NotRunReason.OVERLOADED
+        ):
+            # All have refused: each is behind, or has lost the store.
+            outcome = await self._stale_handover.forward(request)
         if (
             isinstance(outcome, protocol.NotRun)
             and outcome.reason is protocol.NotRunReason.NO_TARGET
@@ -211,7 +223,9 @@
         read = self._adapter.read_request(method, path, handed.headers, body)
         if isinstance(read, result.Failure):
             return forwarding.refusal(handed, read.failure())
-        if not await self._knowledge.knows(handed.least_version):
+        if not await self._knowledge.knows(
+            handed.least_version, handed.stale_ok
+        ):
             return forwarding.refusal(handed, 'behind, or no coordinator')
         self._open_requests += 1
         try:
--- a/tests/unit/test_roles.py
+++ b/tests/unit/test_roles.py
@@ -136,6 +136,19 @@
         self.assertEqual((('K', 'v'),), read.reply.headers)
         self.assertEqual(7, self._handed().least_version)
 
+    def test_old_knowledge_is_asked_for_only_at_last(self) -> None:
+        """A coordinator that lost the store would refuse a new route.
+
+        Another coordinator still hears of changes; only when all have lost
+        the store is old knowledge the best there is.
+        """
+        self.assertFalse(self._handed().stale_ok)
+        stale = forwarding.StaleHandoverDialect(self.dialect)
+        sent = stale.target_request(self.request, self.target, 321.5)
+        handed = forwarding.read_handed_over(sent.headers)
+        self.assertTrue(handed.stale_ok)
+        self.assertEqual(4, handed.least_version)
+
     def test_a_coordinators_refusal_is_no_answer(self) -> None:
         """Another one is asked; nothing has run."""
         reply = forwarding.refusal(self._handed(), 'behind')
