coordination/ has a package for each part; nothing else changes

Cause: 57 modules lay in one flat folder, and a newcomer looking for the rule of hedging had to know the prefix it stands under. Ruled out: renaming the modules as well (their prefixes are in every design note; the moves alone stay readable in the history). Change: search, targets, once, quarantine, fleet and config beside forwarding, each with a thin __init__; imports and pages follow. The test of public names now looks at every package of coordination.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -9,8 +9,8 @@
 
 import click
 
-from samphiredock.coordination import _claim_book
 from samphiredock.coordination import _pause
+from samphiredock.coordination.once import _claim_book
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock.state import _claims
--- a/samphiredock/coordination/_accept.py
+++ b/samphiredock/coordination/config/_accept.py
@@ -11,8 +11,8 @@
 import msgspec
 from returns import result
 
-from samphiredock.coordination import _knowledge
 from samphiredock.coordination import _pause
+from samphiredock.coordination.config import _knowledge
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
--- a/samphiredock/coordination/_exchange.py
+++ b/samphiredock/coordination/config/_exchange.py
@@ -9,8 +9,8 @@
 
 import typing
 
-from samphiredock.coordination import _knowledge
-from samphiredock.coordination import _relay
+from samphiredock.coordination.config import _knowledge
+from samphiredock.coordination.fleet import _relay
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
--- a/samphiredock/coordination/_watcher.py
+++ b/samphiredock/coordination/config/_watcher.py
@@ -10,12 +10,12 @@
 
 from returns import result
 
-from samphiredock.coordination import _exchange
-from samphiredock.coordination import _knowledge
-from samphiredock.coordination import _membership
 from samphiredock.coordination import _pause
-from samphiredock.coordination import _relay
 from samphiredock.coordination import background
+from samphiredock.coordination.config import _exchange
+from samphiredock.coordination.config import _knowledge
+from samphiredock.coordination.fleet import _membership
+from samphiredock.coordination.fleet import _relay
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
--- a/samphiredock/coordination/_directory.py
+++ b/samphiredock/coordination/fleet/_directory.py
@@ -12,7 +12,7 @@
 from returns import result
 
 from samphiredock.coordination import _pause
-from samphiredock.coordination import _relay
+from samphiredock.coordination.fleet import _relay
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import state
--- a/samphiredock/coordination/_gossip.py
+++ b/samphiredock/coordination/fleet/_gossip.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-from samphiredock.coordination import _gossip_parts
-from samphiredock.coordination import _member_table
-from samphiredock.coordination import _neighbours
-from samphiredock.coordination import _reports
+from samphiredock.coordination.fleet import _gossip_parts
+from samphiredock.coordination.fleet import _member_table
+from samphiredock.coordination.fleet import _neighbours
+from samphiredock.coordination.fleet import _reports
 from samphiredock import protocol
 
 TICK_MS = 100.0
--- a/samphiredock/coordination/_membership.py
+++ b/samphiredock/coordination/fleet/_membership.py
@@ -11,12 +11,12 @@
 
 import msgspec
 
-from samphiredock.coordination import _directory
-from samphiredock.coordination import _gossip
-from samphiredock.coordination import _gossip_parts
-from samphiredock.coordination import _member_table
-from samphiredock.coordination import _relay
-from samphiredock.coordination import _settling
+from samphiredock.coordination.fleet import _directory
+from samphiredock.coordination.fleet import _gossip
+from samphiredock.coordination.fleet import _gossip_parts
+from samphiredock.coordination.fleet import _member_table
+from samphiredock.coordination.fleet import _relay
+from samphiredock.coordination.fleet import _settling
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
--- a/samphiredock/coordination/_neighbours.py
+++ b/samphiredock/coordination/fleet/_neighbours.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from samphiredock.coordination import _member_table
+from samphiredock.coordination.fleet import _member_table
 
 COUNT = 24
 _EVERYBODY_UP_TO = 32
--- a/samphiredock/coordination/_reports.py
+++ b/samphiredock/coordination/fleet/_reports.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from samphiredock.coordination import _gossip_parts
-from samphiredock.coordination import _member_table
+from samphiredock.coordination.fleet import _gossip_parts
+from samphiredock.coordination.fleet import _member_table
 from samphiredock import protocol
 
 _SMALL = 16
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -12,14 +12,14 @@
 
 from returns import result
 
-from samphiredock.coordination import _scatter
-from samphiredock.coordination import _scatter_types
 from samphiredock.coordination.forwarding import _crash_guard
 from samphiredock.coordination.forwarding import _forward_types
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _route_plans
 from samphiredock.coordination.forwarding import _splitter
+from samphiredock.coordination.search import _scatter
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/forwarding/_live_targets.py
+++ b/samphiredock/coordination/forwarding/_live_targets.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from samphiredock.coordination import _target_record
+from samphiredock.coordination.targets import _target_record
 from samphiredock import logs
 from samphiredock import state
 from samphiredock import timers
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -9,7 +9,7 @@
 import dataclasses
 import math
 
-from samphiredock.coordination import _planner
+from samphiredock.coordination.search import _planner
 from samphiredock import protocol
 from samphiredock import state
 
--- a/samphiredock/coordination/_claim_book.py
+++ b/samphiredock/coordination/once/_claim_book.py
@@ -4,8 +4,8 @@
 import dataclasses
 import random
 
-from samphiredock.coordination import _claim_bucket
-from samphiredock.coordination import _claim_health
+from samphiredock.coordination.once import _claim_bucket
+from samphiredock.coordination.once import _claim_health
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock import timers
--- a/samphiredock/coordination/_claim_bucket.py
+++ b/samphiredock/coordination/once/_claim_bucket.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from samphiredock.coordination import _claim_health
+from samphiredock.coordination.once import _claim_health
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock import timers
--- a/samphiredock/coordination/_claim_holders.py
+++ b/samphiredock/coordination/once/_claim_holders.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from samphiredock.coordination import _claim_bucket
+from samphiredock.coordination.once import _claim_bucket
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
--- a/samphiredock/coordination/_run_admission.py
+++ b/samphiredock/coordination/once/_run_admission.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from samphiredock.coordination import _planner
+from samphiredock.coordination.search import _planner
 from samphiredock import protocol
 from samphiredock import state
 
--- a/samphiredock/coordination/_run_claiming.py
+++ b/samphiredock/coordination/once/_run_claiming.py
@@ -1,10 +1,10 @@
 """Claim a request's key, or learn what became of the claim in the way."""
 
-from samphiredock.coordination import _claim_book
-from samphiredock.coordination import _claim_bucket
-from samphiredock.coordination import _claim_holders
-from samphiredock.coordination import _run_request
-from samphiredock.coordination import _run_states
+from samphiredock.coordination.once import _claim_book
+from samphiredock.coordination.once import _claim_bucket
+from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _run_request
+from samphiredock.coordination.once import _run_states
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_run_once.py
+++ b/samphiredock/coordination/once/_run_once.py
@@ -9,15 +9,15 @@
 import itertools
 import random
 
-from samphiredock.coordination import _claim_book
-from samphiredock.coordination import _claim_bucket
-from samphiredock.coordination import _claim_holders
-from samphiredock.coordination import _run_admission
-from samphiredock.coordination import _run_claiming
-from samphiredock.coordination import _run_orders
-from samphiredock.coordination import _run_request
-from samphiredock.coordination import _run_sending
-from samphiredock.coordination import _run_states
+from samphiredock.coordination.once import _claim_book
+from samphiredock.coordination.once import _claim_bucket
+from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _run_admission
+from samphiredock.coordination.once import _run_claiming
+from samphiredock.coordination.once import _run_orders
+from samphiredock.coordination.once import _run_request
+from samphiredock.coordination.once import _run_sending
+from samphiredock.coordination.once import _run_states
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
--- a/samphiredock/coordination/_run_orders.py
+++ b/samphiredock/coordination/once/_run_orders.py
@@ -5,7 +5,7 @@
 import dataclasses
 import typing
 
-from samphiredock.coordination import _claim_bucket
+from samphiredock.coordination.once import _claim_bucket
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
--- a/samphiredock/coordination/_run_request.py
+++ b/samphiredock/coordination/once/_run_request.py
@@ -8,11 +8,11 @@
 import dataclasses
 import typing
 
-from samphiredock.coordination import _claim_book
-from samphiredock.coordination import _claim_holders
-from samphiredock.coordination import _run_admission
-from samphiredock.coordination import _run_orders
-from samphiredock.coordination import _run_states
+from samphiredock.coordination.once import _claim_book
+from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _run_admission
+from samphiredock.coordination.once import _run_orders
+from samphiredock.coordination.once import _run_states
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_run_sending.py
+++ b/samphiredock/coordination/once/_run_sending.py
@@ -3,10 +3,10 @@
 import random
 import typing
 
-from samphiredock.coordination import _claim_holders
-from samphiredock.coordination import _run_admission
-from samphiredock.coordination import _run_orders
-from samphiredock.coordination import _run_request
+from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _run_admission
+from samphiredock.coordination.once import _run_orders
+from samphiredock.coordination.once import _run_request
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_canary.py
+++ b/samphiredock/coordination/quarantine/_canary.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from samphiredock.coordination import _quarantine
+from samphiredock.coordination.quarantine import _quarantine
 from samphiredock import timers
 
 _CONTENTS = 20_000
--- a/samphiredock/coordination/_quarantine.py
+++ b/samphiredock/coordination/quarantine/_quarantine.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from samphiredock.coordination import _suspects
+from samphiredock.coordination.quarantine import _suspects
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
--- a/samphiredock/coordination/_coordinator.py
+++ b/samphiredock/coordination/search/_coordinator.py
@@ -9,15 +9,15 @@
 
 from returns import result
 
-from samphiredock.coordination import _admission
-from samphiredock.coordination import _budget
-from samphiredock.coordination import _canary
-from samphiredock.coordination import _hedging
-from samphiredock.coordination import _planner
-from samphiredock.coordination import _quarantine
-from samphiredock.coordination import _replicas
-from samphiredock.coordination import _scatter
-from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.quarantine import _canary
+from samphiredock.coordination.quarantine import _quarantine
+from samphiredock.coordination.search import _admission
+from samphiredock.coordination.search import _hedging
+from samphiredock.coordination.search import _planner
+from samphiredock.coordination.search import _scatter
+from samphiredock.coordination.search import _scatter_types
+from samphiredock.coordination.targets import _budget
+from samphiredock.coordination.targets import _replicas
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -6,14 +6,14 @@
 import math
 import typing
 
-from samphiredock.coordination import _planner
-from samphiredock.coordination import _scatter_attempts
-from samphiredock.coordination import _scatter_caution
-from samphiredock.coordination import _scatter_hedges
-from samphiredock.coordination import _scatter_judge
-from samphiredock.coordination import _scatter_restart
-from samphiredock.coordination import _scatter_round
-from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.search import _planner
+from samphiredock.coordination.search import _scatter_attempts
+from samphiredock.coordination.search import _scatter_caution
+from samphiredock.coordination.search import _scatter_hedges
+from samphiredock.coordination.search import _scatter_judge
+from samphiredock.coordination.search import _scatter_restart
+from samphiredock.coordination.search import _scatter_round
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import protocol
 from samphiredock import state
 
--- a/samphiredock/coordination/_scatter_attempts.py
+++ b/samphiredock/coordination/search/_scatter_attempts.py
@@ -3,8 +3,8 @@
 import math
 import typing
 
-from samphiredock.coordination import _scatter_round
-from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.search import _scatter_round
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import protocol
 
 _Drops = dict[str, list[str]]
--- a/samphiredock/coordination/_scatter_caution.py
+++ b/samphiredock/coordination/search/_scatter_caution.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from samphiredock.coordination import _scatter_round
+from samphiredock.coordination.search import _scatter_round
 
 _CANARIES = 2
 
--- a/samphiredock/coordination/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -3,9 +3,9 @@
 import math
 import typing
 
-from samphiredock.coordination import _scatter_attempts
-from samphiredock.coordination import _scatter_round
-from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.search import _scatter_attempts
+from samphiredock.coordination.search import _scatter_round
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import state
 
 FIRST_DELAY_SHARE = 0.25
--- a/samphiredock/coordination/_scatter_judge.py
+++ b/samphiredock/coordination/search/_scatter_judge.py
@@ -3,9 +3,9 @@
 import dataclasses
 import enum
 
-from samphiredock.coordination import _merge
-from samphiredock.coordination import _scatter_round
-from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.search import _merge
+from samphiredock.coordination.search import _scatter_round
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import protocol
 
 _Status = protocol.SubStatus
--- a/samphiredock/coordination/_scatter_round.py
+++ b/samphiredock/coordination/search/_scatter_round.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from samphiredock.coordination import _merge
-from samphiredock.coordination import _planner
+from samphiredock.coordination.search import _merge
+from samphiredock.coordination.search import _planner
 from samphiredock import protocol
 from samphiredock import state
 
--- a/samphiredock/coordination/_scatter_types.py
+++ b/samphiredock/coordination/search/_scatter_types.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing
 
-from samphiredock.coordination import _hedging
-from samphiredock.coordination import _replicas
+from samphiredock.coordination.search import _hedging
+from samphiredock.coordination.targets import _replicas
 from samphiredock import protocol
 from samphiredock import state
 
--- a/samphiredock/coordination/_dispatcher.py
+++ b/samphiredock/coordination/targets/_dispatcher.py
@@ -6,15 +6,15 @@
 
 from returns import result
 
-from samphiredock.coordination import _exchanges
-from samphiredock.coordination import _freshness
-from samphiredock.coordination import _handover
-from samphiredock.coordination import _lane
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _outbox
-from samphiredock.coordination import _ownership
-from samphiredock.coordination import _shares
-from samphiredock.coordination import _target_signs
+from samphiredock.coordination.fleet import _freshness
+from samphiredock.coordination.fleet import _ownership
+from samphiredock.coordination.targets import _exchanges
+from samphiredock.coordination.targets import _handover
+from samphiredock.coordination.targets import _lane
+from samphiredock.coordination.targets import _lane_types
+from samphiredock.coordination.targets import _outbox
+from samphiredock.coordination.targets import _shares
+from samphiredock.coordination.targets import _target_signs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_exchanges.py
+++ b/samphiredock/coordination/targets/_exchanges.py
@@ -5,10 +5,10 @@
 
 from returns import result
 
-from samphiredock.coordination import _lane
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _target_answers
-from samphiredock.coordination import _target_signs
+from samphiredock.coordination.targets import _lane
+from samphiredock.coordination.targets import _lane_types
+from samphiredock.coordination.targets import _target_answers
+from samphiredock.coordination.targets import _target_signs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_handover.py
+++ b/samphiredock/coordination/targets/_handover.py
@@ -9,9 +9,9 @@
 import math
 import typing
 
-from samphiredock.coordination import _lane
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _ownership
+from samphiredock.coordination.fleet import _ownership
+from samphiredock.coordination.targets import _lane
+from samphiredock.coordination.targets import _lane_types
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/samphiredock/coordination/_lane.py
+++ b/samphiredock/coordination/targets/_lane.py
@@ -9,9 +9,9 @@
 import math
 import typing
 
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _shares
-from samphiredock.coordination import _target_record
+from samphiredock.coordination.targets import _lane_types
+from samphiredock.coordination.targets import _shares
+from samphiredock.coordination.targets import _target_record
 from samphiredock import protocol
 from samphiredock import state
 
--- a/samphiredock/coordination/_lane_types.py
+++ b/samphiredock/coordination/targets/_lane_types.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from samphiredock.coordination import _shares
+from samphiredock.coordination.targets import _shares
 from samphiredock import protocol
 
 
--- a/samphiredock/coordination/_outbox.py
+++ b/samphiredock/coordination/targets/_outbox.py
@@ -4,8 +4,8 @@
 import collections
 import dataclasses
 
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _target_answers
+from samphiredock.coordination.targets import _lane_types
+from samphiredock.coordination.targets import _target_answers
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import transport
--- a/samphiredock/coordination/_target_answers.py
+++ b/samphiredock/coordination/targets/_target_answers.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from samphiredock.coordination import _lane_types
+from samphiredock.coordination.targets import _lane_types
 from samphiredock import protocol
 from samphiredock import transport
 
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -5,9 +5,9 @@
 import unittest
 from unittest import mock
 
-from samphiredock.coordination import _claim_bucket
-from samphiredock.coordination import _claim_holders
-from samphiredock.coordination import _run_orders
+from samphiredock.coordination.once import _claim_bucket
+from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _run_orders
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock.state import _claims
--- a/tests/failure/test_leaving_targets.py
+++ b/tests/failure/test_leaving_targets.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
-from samphiredock.coordination import _dispatcher
-from samphiredock.coordination import _ownership
-from samphiredock.coordination import _target_signs
+from samphiredock.coordination.fleet import _ownership
+from samphiredock.coordination.targets import _dispatcher
+from samphiredock.coordination.targets import _target_signs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/tests/failure/test_limits.py
+++ b/tests/failure/test_limits.py
@@ -9,9 +9,9 @@
 
 from aiohttp import web
 
-from samphiredock.coordination import _dispatcher
-from samphiredock.coordination import _lane
-from samphiredock.coordination import _lane_types
+from samphiredock.coordination.targets import _dispatcher
+from samphiredock.coordination.targets import _lane
+from samphiredock.coordination.targets import _lane_types
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/tests/failure/test_shares.py
+++ b/tests/failure/test_shares.py
@@ -3,9 +3,9 @@
 import dataclasses
 import unittest
 
-from samphiredock.coordination import _lane
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _shares
+from samphiredock.coordination.targets import _lane
+from samphiredock.coordination.targets import _lane_types
+from samphiredock.coordination.targets import _shares
 from samphiredock import state
 from tests.unit import dispatching
 
--- a/tests/failure/test_spread.py
+++ b/tests/failure/test_spread.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from samphiredock import coordination
-from samphiredock.coordination import _relay
+from samphiredock.coordination.fleet import _relay
 from samphiredock import protocol
 from standins import memory_daemons
 from tests.failure import test_configuration
--- a/tests/unit/dispatching.py
+++ b/tests/unit/dispatching.py
@@ -4,8 +4,8 @@
 import typing
 
 
-from samphiredock.coordination import _lane_types
-from samphiredock.coordination import _shares
+from samphiredock.coordination.targets import _lane_types
+from samphiredock.coordination.targets import _shares
 from samphiredock import protocol
 from samphiredock import state
 
--- a/tests/unit/test_accept.py
+++ b/tests/unit/test_accept.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from samphiredock.coordination import _accept
+from samphiredock.coordination.config import _accept
 from samphiredock import protocol
 
 
--- a/tests/unit/test_claim_book.py
+++ b/tests/unit/test_claim_book.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from samphiredock.coordination import _claim_book
+from samphiredock.coordination.once import _claim_book
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock.state import _claims
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from samphiredock.coordination import _dispatcher
+from samphiredock.coordination.targets import _dispatcher
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -7,7 +7,7 @@
 import unittest
 
 from samphiredock.cli import _exits
-from samphiredock.coordination import _scatter_types
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import state
 
 ROOT = pathlib.Path(__file__).parents[2]
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -3,7 +3,7 @@
 import unittest
 
 from samphiredock import coordination
-from samphiredock.coordination import _exchange
+from samphiredock.coordination.config import _exchange
 from samphiredock import protocol
 from samphiredock import timers
 from standins import memory_daemons
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from samphiredock.coordination import _gossip
-from samphiredock.coordination import _gossip_parts
-from samphiredock.coordination import _member_table
+from samphiredock.coordination.fleet import _gossip
+from samphiredock.coordination.fleet import _gossip_parts
+from samphiredock.coordination.fleet import _member_table
 from samphiredock import protocol
 from samphiredock import state
 
--- a/tests/unit/test_lane.py
+++ b/tests/unit/test_lane.py
@@ -6,8 +6,8 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from samphiredock.coordination import _lane
-from samphiredock.coordination import _lane_types
+from samphiredock.coordination.targets import _lane
+from samphiredock.coordination.targets import _lane_types
 from samphiredock import state
 from tests.unit import dispatching
 
--- a/tests/unit/test_neighbours.py
+++ b/tests/unit/test_neighbours.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from samphiredock.coordination import _member_table
-from samphiredock.coordination import _neighbours
+from samphiredock.coordination.fleet import _member_table
+from samphiredock.coordination.fleet import _neighbours
 from samphiredock import protocol
 
 
--- a/tests/unit/test_ownership.py
+++ b/tests/unit/test_ownership.py
@@ -4,8 +4,8 @@
 import typing
 import unittest
 
-from samphiredock.coordination import _dispatcher
-from samphiredock.coordination import _ownership
+from samphiredock.coordination.fleet import _ownership
+from samphiredock.coordination.targets import _dispatcher
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
--- a/tests/unit/test_public_names.py
+++ b/tests/unit/test_public_names.py
@@ -62,7 +62,11 @@
         self.assertEqual([], found)
 
     def test_all_lists_what_is_imported(self) -> None:
-        for package in (*_PACKAGES, 'coordination/forwarding'):
+        parts = sorted(
+            path.parent.relative_to(_ROOT)
+            for path in (_ROOT / 'coordination').glob('*/__init__.py')
+        )
+        for package in (*_PACKAGES, *parts):
             path = _ROOT / package / '__init__.py'
             tree = ast.parse(path.read_text(encoding='utf-8'))
             imported = [
@@ -77,6 +81,6 @@
                 if isinstance(node, ast.Assign)
             ]
             private = [name for name in listed if name.startswith('_')]
-            with self.subTest(package):
+            with self.subTest(package=str(package)):
                 self.assertEqual(sorted(imported), listed)
                 self.assertEqual([], private)
--- a/tests/unit/test_run_admission.py
+++ b/tests/unit/test_run_admission.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from samphiredock.coordination import _run_admission
+from samphiredock.coordination.once import _run_admission
 from samphiredock import protocol
 from standins import memory_runners
 
--- a/tests/unit/test_run_orders.py
+++ b/tests/unit/test_run_orders.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from samphiredock.coordination import _run_orders
+from samphiredock.coordination.once import _run_orders
 from samphiredock import metrics
 from samphiredock import protocol
 from standins import memory_hosts
--- a/tests/unit/test_run_states.py
+++ b/tests/unit/test_run_states.py
@@ -4,8 +4,8 @@
 
 import transitions
 
-from samphiredock.coordination import _run_request
-from samphiredock.coordination import _run_states
+from samphiredock.coordination.once import _run_request
+from samphiredock.coordination.once import _run_states
 from samphiredock import protocol
 
 State = _run_states.RunState
--- a/tests/unit/test_settling.py
+++ b/tests/unit/test_settling.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from samphiredock.coordination import _settling
+from samphiredock.coordination.fleet import _settling
 from samphiredock import protocol
 
 NONE = protocol.HeldVersions(0, 0)
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from samphiredock.coordination import _shares
+from samphiredock.coordination.targets import _shares
 from tests.unit import dispatching
 
 _SHARES = _shares.Shares({'a': 0.75, 'b': 0.25}, {}, {'svc': 1.0}, {})
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from samphiredock.coordination import _suspects
+from samphiredock.coordination.quarantine import _suspects
 
 
 class OutageTest(unittest.TestCase):
--- a/tests/unit/test_target_record.py
+++ b/tests/unit/test_target_record.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from samphiredock.coordination import _target_record
+from samphiredock.coordination.targets import _target_record
 
 
 class TargetRecordTest(unittest.TestCase):
--- a/tests/unit/test_target_signs.py
+++ b/tests/unit/test_target_signs.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from samphiredock.coordination import _target_signs
+from samphiredock.coordination.targets import _target_signs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
