A daemon that starts without the store is told who coordinates

The same holds for every restart during an outage of the store. Ruled out: asking seeds (the platform names none to a role that nobody controls, trial); a second directory; holding the callers until the store is back. Change: each daemon tells its neighbour on a ring of all daemons, every second, who coordinates; a daemon that has not read the list itself hands over to those. Notices between daemons, also of lost targets, have a module of their own. Test: test_a_daemon_that_starts_without_the_store_is_told (real programs; there was no way to be told before), test_introduce.

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -17,6 +17,11 @@
 from samphiredock.coordination.forwarding._handover import read_loss
 from samphiredock.coordination.forwarding._handover import refusal
 from samphiredock.coordination.forwarding._handover import StaleHandoverDialect
+from samphiredock.coordination.forwarding._introduce import introduce_every_ms
+from samphiredock.coordination.forwarding._introduce import introduction
+from samphiredock.coordination.forwarding._introduce import INTRODUCTION_PATH
+from samphiredock.coordination.forwarding._introduce import read_introduction
+from samphiredock.coordination.forwarding._introduce import successors
 from samphiredock.coordination.forwarding._live_targets import LiveTargets
 from samphiredock.coordination.forwarding._no_suspicions import NoSuspicions
 from samphiredock.coordination.forwarding._presence import Presence
@@ -37,6 +42,7 @@
     'Forwarder',
     'HandoverDialect',
     'HandoverRouting',
+    'INTRODUCTION_PATH',
     'LOSS_PATH',
     'Links',
     'LiveTargets',
@@ -53,9 +59,13 @@
     'coordinator_reply',
     'coordinators_of',
     'fingerprint_of',
+    'introduce_every_ms',
+    'introduction',
     'is_near',
     'loss_notice',
     'read_handed_over',
+    'read_introduction',
     'read_loss',
     'refusal',
+    'successors',
 ]
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -78,6 +78,7 @@
         self._clock = clock
         self._on_list = on_list
         self._daemons: tuple[_roles.Daemon, ...] = ()
+        self._has_listed = False
         self._task: asyncio.Task | None = None
         self._version = 0
         self._first = asyncio.Event()
@@ -86,6 +87,20 @@
         """Return the daemons of the newest list, empty before the first."""
         return self._daemons
 
+    def introduced(self, daemons: tuple[_roles.Daemon, ...]) -> bool:
+        """Take what another daemon tells; True if it is of use.
+
+        It is only while the list has not been read: what others have seen
+        may be older.
+        """
+        if self._has_listed:
+            return False
+        if not self._daemons:
+            _log.notice('introduced by another daemon', daemons=len(daemons))
+        self._daemons = daemons
+        self._on_list(daemons)
+        return True
+
     def start(self) -> None:
         """Register and list in the background."""
         self._task = background.start(self._run(), 'presence')
@@ -159,6 +174,7 @@
         if isinstance(reply, result.Failure):
             _log.info('daemons not listed', why=reply.failure().detail)
             return
+        self._has_listed = True
         rows = {row.key: row for row in reply.unwrap()}
         if self._key in rows:
             self._version = rows[self._key].version
--- a/samphiredock/daemon/_entry_knowledge.py
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -188,6 +188,22 @@
         """Whether this daemon will ask targets itself."""
         return self._role.coordinates
 
+    def daemons(self) -> tuple[forwarding.Daemon, ...]:
+        """Return the daemons that are known, this one among them."""
+        return self._presence.daemons()
+
+    def coordinators(self) -> tuple[forwarding.Daemon, ...]:
+        """Return the daemons that coordinate, as far as is known."""
+        return tuple(
+            row
+            for row in self._presence.daemons()
+            if row.name in self._role.coordinators
+        )
+
+    def introduced(self, daemons: tuple[forwarding.Daemon, ...]) -> bool:
+        """Take what another daemon tells; True if it is of use."""
+        return self._presence.introduced(daemons)
+
     def stand_in(self) -> None:
         """Coordinate for a time."""
         self._role.stand_in(self._clock.now_ms(), _STAND_IN_MS)
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -111,6 +111,7 @@
         )
         self._clock.every(_LOG_FLUSH_MS, self._log_stream.flush)
         self._knowledge.start()
+        self._service.start()
         settings = self._settings
         await self._listen(
             self._server_for(self._service.handle),
--- /dev/null
+++ b/samphiredock/daemon/_entry_peers.py
@@ -0,0 +1,124 @@
+"""What entry daemons tell each other beside the requests they hand over."""
+
+from returns import result
+
+from samphiredock.coordination import background
+from samphiredock.coordination import forwarding
+from samphiredock.daemon import _entry_knowledge
+from samphiredock import logs
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+_NOTICE_LIMIT_MS = 1_000.0
+"""A peer that takes longer is down; its callers go elsewhere as well."""
+
+_log = logs.logger('entry')
+
+
+class PeerNotices:
+    """Lost targets, and who coordinates.
+
+    Parameters
+    ----------
+    name
+        This daemon.
+    knowledge
+        The other daemons, and what is believed of them.
+    links
+        The connections to them.
+    crashes
+        Takes in the losses that others found.
+    clock
+        The timers of this daemon.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        knowledge: _entry_knowledge.EntryKnowledge,
+        links: transport.ChannelPool,
+        crashes: forwarding.CrashGuard,
+        clock: timers.Timers,
+    ) -> None:
+        self._name = name
+        self._knowledge = knowledge
+        self._links = links
+        self._crashes = crashes
+        self._clock = clock
+        self._readers = {
+            forwarding.LOSS_PATH: self._take_loss,
+            forwarding.INTRODUCTION_PATH: self._take_introduction,
+        }
+
+    def start(self) -> None:
+        """Begin to introduce the coordinators to the neighbour."""
+        self._introduce_later()
+
+    # From others.
+
+    def read(self, path: str, body: bytes) -> protocol.HttpReply | None:
+        """Answer a notice of another daemon, None if it is none."""
+        reader = self._readers.get(path)
+        if reader is None:
+            return None
+        if reader(body):
+            return protocol.HttpReply(204)
+        return protocol.HttpReply(400, body=b'the notice cannot be read')
+
+    def _take_loss(self, body: bytes) -> bool:
+        loss = forwarding.read_loss(body)
+        if loss is not None:
+            self._crashes.note(loss)
+        return loss is not None
+
+    def _take_introduction(self, body: bytes) -> bool:
+        daemons = forwarding.read_introduction(body)
+        if daemons is not None:
+            self._knowledge.introduced(daemons)
+        return daemons is not None
+
+    # To others.
+
+    def tell_loss(self, loss: forwarding.Loss) -> None:
+        """Tell the other coordinators; the content may come to any next."""
+        request = forwarding.loss_notice(loss)
+        for peer in self._knowledge.peers.all():
+            background.start(self._tell(peer, request), 'tell of a loss')
+
+    def _introduce_later(self) -> None:
+        wait_ms = forwarding.introduce_every_ms(len(self._knowledge.daemons()))
+        self._clock.after(
+            wait_ms,
+            lambda: background.start(self._introduce(), 'introduce'),
+        )
+
+    async def _introduce(self) -> None:
+        try:
+            request = forwarding.introduction(self._knowledge.coordinators())
+            for daemon in forwarding.successors(
+                self._knowledge.daemons(), self._name
+            ):
+                peer = forwarding.as_target(daemon)
+                if await self._tell(peer, request):
+                    return
+        finally:
+            self._introduce_later()
+
+    async def _tell(
+        self, peer: state.LiveTarget, request: protocol.HttpRequest
+    ) -> bool:
+        """Send a notice; whether the peer has taken it."""
+        reply = await self._links.exchange(
+            peer, request, _NOTICE_LIMIT_MS, lambda reply: True
+        )
+        if isinstance(reply, result.Failure):
+            _log.info(
+                'peer not told',
+                peer=peer.target_id,
+                path=request.path,
+                why=reply.failure().detail,
+            )
+            return False
+        return reply.unwrap().status < 300
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -10,7 +10,7 @@
 from samphiredock.coordination import forwarding
 from samphiredock.daemon import _entry_adapter
 from samphiredock.daemon import _entry_knowledge
-from samphiredock import logs
+from samphiredock.daemon import _entry_peers
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
@@ -29,15 +29,10 @@
 """Targets were seen to forget connections that were idle for 270 ms and
 more.  A new connection to a target of requests that run once takes 1 ms."""
 
-_NOTICE_LIMIT_MS = 1_000.0
-"""A peer that takes longer is down; its callers go elsewhere as well."""
-
 _WARM_WITHIN_MS = 1_500.0
 """In this time after they were seen new targets get a connection of every
 coordinator, spread so that their slots are not all held at once."""
 
-_log = logs.logger('entry')
-
 
 class EntryService:
     """Callers' requests, and those that other daemons hand over.
@@ -72,7 +67,12 @@
         self._peer_links = transport.ChannelPool(
             clock, lambda target: _PEER_CONNECTIONS
         )
-        self._crashes = forwarding.CrashGuard(clock, counters, self._tell_loss)
+        self._crashes = forwarding.CrashGuard(
+            clock, counters, lambda loss: self._notices.tell_loss(loss)
+        )
+        self._notices = _entry_peers.PeerNotices(
+            settings.name, knowledge, self._peer_links, self._crashes, clock
+        )
         self._budget = forwarding.WindowBudget(
             clock,
             settings.retry_ratio,
@@ -91,6 +91,10 @@
         knowledge.targets.on_new(self._warm_later)
         knowledge.peers.on_gone(self._peer_links.forget)
 
+    def start(self) -> None:
+        """Begin to tell the neighbour who coordinates."""
+        self._notices.start()
+
     def open_requests(self) -> int:
         """Return how many requests have no answer yet."""
         return self._open_requests
@@ -216,12 +220,9 @@
         body: bytes,
     ) -> protocol.HttpReply:
         """Answer a request that another daemon handed over."""
-        if path == forwarding.LOSS_PATH:
-            loss = forwarding.read_loss(body)
-            if loss is None:
-                return protocol.HttpReply(400, body=b'no loss in the body')
-            self._crashes.note(loss)
-            return protocol.HttpReply(204)
+        notice = self._notices.read(path, body)
+        if notice is not None:
+            return notice
         handed = forwarding.read_handed_over(headers)
         if handed is None:
             return forwarding.refusal(handed, 'headers of the hop missing')
@@ -246,25 +247,6 @@
             self._knowledge.version(),
         )
 
-    def _tell_loss(self, loss: forwarding.Loss) -> None:
-        """Tell the other coordinators; the content may come to any next."""
-        request = forwarding.loss_notice(loss)
-        for peer in self._knowledge.peers.all():
-            background.start(self._tell(peer, request), 'tell of a loss')
-
-    async def _tell(
-        self, peer: state.LiveTarget, request: protocol.HttpRequest
-    ) -> None:
-        reply = await self._peer_links.exchange(
-            peer, request, _NOTICE_LIMIT_MS, lambda reply: True
-        )
-        if isinstance(reply, result.Failure):
-            _log.info(
-                'peer not told',
-                peer=peer.target_id,
-                why=reply.failure().detail,
-            )
-
     def _warm_later(self, target: state.LiveTarget) -> None:
         """Connect to a new target before the first request needs it.
 
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -192,6 +192,11 @@
 
     async def restart_daemon(self, name: str) -> None:
         """Start a daemon at its place and wait until it is ready."""
+        self.launch_daemon(name)
+        await self.wait_ready(name)
+
+    def launch_daemon(self, name: str) -> None:
+        """Start a daemon at its place."""
         path = pathlib.Path(self._folder.name) / f'{name}.json5'
         log = self.log_path(name).open('ab')
         command = [sys.executable, str(_ROOT / 'platform' / 'entry.py')]
@@ -199,7 +204,6 @@
             [*command, '--settings', str(path)], stdout=log, stderr=log
         )
         log.close()
-        await self.wait_ready(name)
 
     def write_settings(self, name: str, **changes: object) -> pathlib.Path:
         """Write a daemon's settings file with some fields changed."""
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -5,6 +5,7 @@
 import signal
 import unittest
 
+from standins import cluster
 from standins import prepared_system
 
 
@@ -166,6 +167,26 @@
             if name != lost:
                 await self._until(200, name, '/search/x')
 
+    async def test_a_daemon_that_starts_without_the_store_is_told(
+        self,
+    ) -> None:
+        """Its callers would be refused until the store takes it again.
+
+        Two daemons run; one is killed and starts again, and the store does
+        not answer it.  It knows no route, no target and no other daemon.
+        The other one still has it on its list, tells it who coordinates,
+        and from then on it hands its callers over.
+        """
+        for name in ('one', 'two'):
+            await self.system.start_daemon(name)
+        await self._logged('two', '"now":2')
+        await self.system.stop_daemon('one', signal.SIGKILL)
+        away = f'127.0.0.1:{cluster.free_ports(1)[0]}'
+        self.system.write_settings('one', platform_address=away)
+        self.system.launch_daemon('one')
+        await self._logged('one', 'introduced by another daemon')
+        await self._until(200, 'one', '/search/x')
+
     async def _coordinator(self) -> str:
         """Wait until two daemons hand over; return the third."""
         for _ in range(400):
--- /dev/null
+++ b/tests/unit/test_introduce.py
@@ -0,0 +1,53 @@
+import unittest
+
+from samphiredock.coordination import forwarding
+
+
+def _daemon(site: str, number: int) -> forwarding.Daemon:
+    return forwarding.Daemon(f'{site}-{number}', site, '127.0.0.1:1', 1.0)
+
+
+class IntroductionTest(unittest.TestCase):
+    """Who is told, and what."""
+
+    def setUp(self) -> None:
+        self.daemons = [
+            _daemon(site, number) for number in (1, 2) for site in ('b', 'a')
+        ]
+
+    def test_each_daemon_is_told_by_one_other(self) -> None:
+        """A ring: nobody is left out, whatever the order of the list."""
+        first = [
+            forwarding.successors(self.daemons, row.name)[0].name
+            for row in self.daemons
+        ]
+        self.assertEqual({row.name for row in self.daemons}, set(first))
+
+    def test_most_are_told_within_their_site(self) -> None:
+        self.assertEqual(
+            'a-2', forwarding.successors(self.daemons, 'a-1')[0].name
+        )
+
+    def test_a_daemon_never_tells_itself(self) -> None:
+        for row in self.daemons:
+            tried = forwarding.successors(self.daemons, row.name)
+            self.assertNotIn(row, tried)
+            self.assertEqual(3, len(tried))
+
+    def test_one_that_is_not_listed_tells_nobody(self) -> None:
+        self.assertEqual([], forwarding.successors(self.daemons, 'c-1'))
+
+    def test_what_is_told_is_read(self) -> None:
+        told = forwarding.introduction(self.daemons)
+        self.assertEqual(
+            tuple(self.daemons), forwarding.read_introduction(told.body)
+        )
+
+    def test_bytes_that_are_no_introduction(self) -> None:
+        for body in (b'', b'{}', b'[{"name": 1}]', b'\xff'):
+            self.assertIsNone(forwarding.read_introduction(body))
+
+    def test_the_pace_falls_with_the_size(self) -> None:
+        """The list of coordinators grows; the bytes a second must not."""
+        self.assertEqual(1_000.0, forwarding.introduce_every_ms(8))
+        self.assertGreater(forwarding.introduce_every_ms(490), 10_000.0)
