The soak disturbs links by relays, changes settings, and judges stops

Change: a relay before each target and, for each daemon, before the store (the relay of the process tests, which learned to reset, hold one way and delay, and passes resets on as resets); settings that change with a signal and without; callers use a stopping daemon until it is gone. New checks: a graceful stop cuts nothing that a target has begun; a daemon that served a route never forgets it. Each is shown to fail on a bad history. Clocks: the daemons read the time of day for log lines only, so that no fault of it is drawn.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -12,7 +12,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asked:
-    """One request as its caller saw it; status 0 for no whole answer."""
+    """One request as its caller saw it; status 0 for no whole answer.
+
+    ``start`` counts the starts of its daemon; times are of one clock.
+    ``version`` is the configuration that adds the route of a probe.
+    """
 
     kind: str
     request_id: str
@@ -20,6 +24,21 @@
     receipts: tuple[str, ...] = ()
     missing: int = 0
     body: bytes = b''
+    daemon: str = ''
+    start: int = 0
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """A daemon was asked to stop, and was gone by itself."""
+
+    daemon: str
+    start: int
+    from_s: float
+    to_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +69,7 @@
     least_share: float
     top: int
     attempts: int
+    stops: tuple[Stop, ...] = ()
 
 
 def check_at_most_once(history: History) -> list[str]:
@@ -135,14 +155,60 @@
     return [
         f'{row.request_id}: got 404, its route is in every version'
         for row in history.asked
-        if row.status == 404
+        if row.status == 404 and row.kind != 'probe'
     ]
 
 
+def check_stops(history: History) -> list[str]:
+    """A graceful stop cuts no request that a target has begun."""
+    began = {run.request_id for run in history.runs}
+    cut = [
+        row
+        for row in history.asked
+        if row.status == 0 and row.request_id in began
+    ]
+    return [
+        f'{row.request_id}: got no answer of {stop.daemon}, which was stopping'
+        for stop in history.stops
+        for row in cut
+        if (row.daemon, row.start) == (stop.daemon, stop.start)
+        and stop.from_s <= row.ended_s <= stop.to_s
+    ]
+
+
+def check_versions(history: History) -> list[str]:
+    """A daemon that has served a new route does not forget it.
+
+    Routes are only added, so a later refusal as unknown can only come from
+    an older version.
+    """
+    known: dict[tuple[str, int], list[tuple[float, int]]] = {}
+    wrong = []
+    probes = [row for row in history.asked if row.kind == 'probe']
+    for row in sorted(probes, key=lambda row: row.ended_s):
+        place = (row.daemon, row.start)
+        seen = known.setdefault(place, [])
+        newer = [
+            version
+            for at_s, version in seen
+            if version >= row.version and at_s < row.sent_s
+        ]
+        if row.status == 404 and newer:
+            wrong.append(
+                f'{row.request_id}: got 404 of {row.daemon} for the route of '
+                f'version {row.version}, it had served that of {max(newer)}'
+            )
+        if row.status == 200:
+            seen.append((row.ended_s, row.version))
+    return wrong
+
+
 CHECKS: typing.Mapping[str, typing.Callable[[History], list[str]]] = {
     'at most once': check_at_most_once,
     'not run is true': check_not_run,
     'own whole answer': check_own_answer,
     'attempts': check_attempts,
     'routes': check_routes,
+    'stops cut nothing': check_stops,
+    'versions never go back': check_versions,
 }
--- /dev/null
+++ b/soak/_links.py
@@ -0,0 +1,77 @@
+"""Relays on loopback before the targets and the store, and their faults."""
+
+import asyncio
+import random
+
+from standins import prepared_system
+from standins import relay
+
+_TARGET_FAULTS = (
+    'cut',
+    'reset-old',
+    'silence-old',
+    'silence-all',
+    'hold-requests',
+    'hold-answers',
+    'delay',
+)
+_STORE_FAULTS = _TARGET_FAULTS
+
+
+class Links:
+    """One relay for each target, and one to the store for each daemon.
+
+    Parameters
+    ----------
+    system
+        Whose targets and daemons are linked by the relays.
+    """
+
+    def __init__(self, system: prepared_system.PreparedSystem) -> None:
+        self._system = system
+        self._targets: dict[str, relay.Route] = {}
+        self._stores: dict[str, relay.Route] = {}
+
+    async def place_before_targets(self) -> None:
+        """Let the targets' entries name the relays."""
+        for name, target in self._system.targets.items():
+            port = int(target.address.rpartition(':')[2])
+            self._targets[name] = relay.Route(name, 0, port)
+            target.address = await self._targets[name].start()
+            self._system.register(name)
+
+    async def place_before_store(self, daemon: str) -> str:
+        """Return the address at which a daemon reaches the store."""
+        port = int(self._system.store_address.rpartition(':')[2])
+        self._stores[daemon] = relay.Route(daemon, 0, port)
+        return await self._stores[daemon].start()
+
+    async def disturb_target(self, rng: random.Random, for_s: float) -> None:
+        """Let the link to one target misbehave for a time."""
+        route = self._targets[rng.choice(sorted(self._targets))]
+        await _disturb(route, rng.choice(_TARGET_FAULTS), for_s)
+
+    async def disturb_store(self, rng: random.Random, for_s: float) -> None:
+        """Let one daemon's link to the store misbehave for a time."""
+        route = self._stores[rng.choice(sorted(self._stores))]
+        await _disturb(route, rng.choice(_STORE_FAULTS), for_s)
+
+    def heal_store(self, daemon: str) -> None:
+        """Let a daemon reach the store; one that starts waits for it."""
+        self._stores[daemon].switch('pass')
+
+    def heal(self) -> None:
+        """Let all links pass what comes."""
+        for route in (*self._targets.values(), *self._stores.values()):
+            route.switch('pass')
+
+    def close(self) -> None:
+        """Stop the relays."""
+        for route in (*self._targets.values(), *self._stores.values()):
+            route.stop()
+
+
+async def _disturb(route: relay.Route, mode: str, for_s: float) -> None:
+    route.switch(mode)
+    await asyncio.sleep(for_s)
+    route.switch('pass')
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from soak import _checks
+from soak import _links
 from standins import prepared_system
 
 SHARDS = tuple(f'shard-{number}' for number in range(1, 7))
@@ -22,6 +23,9 @@
 _PATHS = {'search': '/search/x', 'fetch': '/fetch/x', 'pay': '/pay/x'}
 _METHODS = {'search': 'GET', 'fetch': 'GET', 'pay': 'POST'}
 
+_PROBE_SHARE = 0.1
+"""Part of the requests that ask for a route added by some version."""
+
 Fault = typing.Callable[['Soak', float], typing.Awaitable[None]]
 
 
@@ -47,16 +51,24 @@
         self.asked: list[_checks.Asked] = []
         self.faults: collections.Counter[str] = collections.Counter()
         self.version = 1
+        self.links = _links.Links(system)
         self._numbers = itertools.count()
         self._down: set[str] = set()
+        self._stopping: set[str] = set()
+        self._starts: collections.Counter[str] = collections.Counter()
+        self._stops: list[_checks.Stop] = []
         self._running = True
 
     async def run(self, seconds: float) -> _checks.History:
         """Start everything, let faults fall, and return what was seen."""
         await self.system.start_targets()
-        self.system.configure(self.version)
+        await self.links.place_before_targets()
+        self.configure(self.version)
         for name in self.names:
-            await self.system.start_daemon(name, coordinators_per_site=2)
+            store = await self.links.place_before_store(name)
+            await self.system.start_daemon(
+                name, coordinators_per_site=2, platform_address=store
+            )
         callers = [asyncio.create_task(self._call()) for _ in range(_CALLERS)]
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + seconds
@@ -65,12 +77,19 @@
             pending.add(asyncio.create_task(self._fault()))
             await asyncio.sleep(self.rng.uniform(*_FAULT_EVERY_S))
         await asyncio.gather(*pending)
+        self.links.heal()
         self._running = False
         await asyncio.gather(*callers)
         await asyncio.sleep(_SETTLE_S)
         await self._serves_again()
+        self.links.close()
         return self.history()
 
+    def configure(self, version: int) -> None:
+        """Write a version; each adds a route and keeps those before."""
+        self.version = version
+        self.system.configure(version, added=range(1, version + 1))
+
     def history(self) -> _checks.History:
         """Return what was seen so far."""
         records = {
@@ -79,7 +98,14 @@
         }
         runs = tuple(_checks.Run(*row.split()) for row in self.system.runs)
         return _checks.History(
-            tuple(self.asked), runs, SHARDS, records, 0.75, 5, 2
+            tuple(self.asked),
+            runs,
+            SHARDS,
+            records,
+            0.75,
+            5,
+            2,
+            tuple(self._stops),
         )
 
     async def _serves_again(self) -> None:
@@ -101,24 +127,52 @@
         while self._running:
             kind = self.rng.choices(kinds, weights)[0]
             up = [name for name in self.names if name not in self._down]
-            if up:
+            if up and self.rng.random() < _PROBE_SHARE:
+                await self._probe(self.rng.choice(up))
+            elif up:
                 await self._ask(self.rng.choice(up), kind)
             await asyncio.sleep(_CALLER_PAUSE_S)
 
-    async def _ask(self, daemon: str, kind: str) -> int:
+    async def _probe(self, daemon: str) -> None:
+        """Ask for the route that some version has added."""
+        version = self.rng.randint(max(1, self.version - 2), self.version)
+        await self._ask(daemon, 'probe', f'/added-{version}/x', version)
+
+    async def _ask(
+        self, daemon: str, kind: str, path: str = '', version: int = 0
+    ) -> int:
         request_id = f'{kind}{next(self._numbers)}'
+        loop = asyncio.get_running_loop()
+        start, sent_s = self._starts[daemon], loop.time()
+        status, headers, body = 0, {}, b''
         try:
             status, headers, body = await self.system.ask(
-                daemon, _PATHS[kind], request_id, _METHODS[kind], 1_500
+                daemon,
+                path or _PATHS[kind],
+                request_id,
+                _METHODS.get(kind, 'GET'),
+                1_500,
             )
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
-            self.asked.append(_checks.Asked(kind, request_id, 0))
-            return 0
+            # The caller saw no whole answer; the checks ask whether it may.
+            pass
         stated = headers.get('Part-Stamps') or headers.get('Answer-Stamp', '')
         receipts = tuple(row.strip() for row in stated.split(',') if row)
         missing = int(headers.get('Missing-Parts', 0))
         self.asked.append(
-            _checks.Asked(kind, request_id, status, receipts, missing, body)
+            _checks.Asked(
+                kind,
+                request_id,
+                status,
+                receipts,
+                missing,
+                body,
+                daemon,
+                start,
+                sent_s,
+                loop.time(),
+                version,
+            )
         )
         return status
 
@@ -129,18 +183,45 @@
         self.faults[name] += 1
         await FAULTS[name](self, self.rng.uniform(*_FAULT_FOR_S))
 
-    def _draw_daemon(self) -> str | None:
+    def draw_running(self) -> str | None:
         """Return a daemon to disturb; one is always left alone."""
-        up = [name for name in self.names if name not in self._down]
+        up = [
+            name
+            for name in self.names
+            if name not in self._down | self._stopping
+        ]
         return self.rng.choice(up) if len(up) > 1 else None
 
-    async def end_daemon(self, number: signal.Signals) -> None:
-        """End a daemon and start it again."""
-        name = self._draw_daemon()
+    async def kill_daemon(self) -> None:
+        """Kill a daemon and start it again."""
+        name = self.draw_running()
+        if name is not None:
+            self._down.add(name)
+            await self.system.stop_daemon(name, signal.SIGKILL)
+            await self._start_again(name)
+
+    async def stop_daemon(self) -> None:
+        """Ask a daemon to stop, and start it again when it is gone.
+
+        Callers go on using it, on open connections and new ones.
+        """
+        name = self.draw_running()
         if name is None:
             return
+        self._stopping.add(name)
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        status = await self.system.stop_daemon(name)
         self._down.add(name)
-        await self.system.stop_daemon(name, number)
+        self._stopping.discard(name)
+        if status == 0:
+            stop = _checks.Stop(name, self._starts[name], from_s, loop.time())
+            self._stops.append(stop)
+        await self._start_again(name)
+
+    async def _start_again(self, name: str) -> None:
+        self._starts[name] += 1
+        self.links.heal_store(name)
         self.system.store.faults.status = 0
         self.system.store.faults.silent = False
         await self.system.restart_daemon(name)
@@ -148,7 +229,7 @@
 
     async def freeze(self, for_s: float) -> None:
         """Let a daemon stand still."""
-        name = self._draw_daemon()
+        name = self.draw_running()
         if name is None:
             return
         self._down.add(name)
@@ -165,11 +246,11 @@
 
 
 async def _kill(soak: Soak, for_s: float) -> None:
-    await soak.end_daemon(signal.SIGKILL)
+    await soak.kill_daemon()
 
 
 async def _stop(soak: Soak, for_s: float) -> None:
-    await soak.end_daemon(signal.SIGTERM)
+    await soak.stop_daemon()
 
 
 async def _freeze(soak: Soak, for_s: float) -> None:
@@ -229,8 +310,25 @@
 
 
 async def _new_version(soak: Soak, for_s: float) -> None:
-    soak.version += soak.rng.randint(1, 3)
-    soak.system.configure(soak.version)
+    soak.configure(soak.version + soak.rng.randint(1, 3))
+
+
+async def _link_to_target(soak: Soak, for_s: float) -> None:
+    await soak.links.disturb_target(soak.rng, for_s)
+
+
+async def _link_to_store(soak: Soak, for_s: float) -> None:
+    await soak.links.disturb_store(soak.rng, for_s)
+
+
+async def _read_settings(soak: Soak, for_s: float) -> None:
+    """Change a settings file, and tell the daemon or let it find it."""
+    name = soak.draw_running()
+    if name is None:
+        return
+    soak.system.write_settings(name, collect_ms=soak.rng.choice((100, 400)))
+    if soak.rng.random() < 0.5:
+        soak.system.send(name, signal.SIGHUP)
 
 
 FAULTS: typing.Mapping[str, Fault] = {
@@ -246,4 +344,7 @@
     'watches cut': _cut_watches,
     'history forgotten': _forget_history,
     'new version': _new_version,
+    'link to a target': _link_to_target,
+    'link to the store': _link_to_store,
+    'settings change': _read_settings,
 }
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -93,7 +93,7 @@
         self.targets: dict[str, PreparedTarget] = {}
         self.runs: list[str] = []
         self.doors: dict[str, str] = {}
-        self._store_address = ''
+        self.store_address = ''
         self._settings: dict[str, dict[str, object]] = {}
         self._processes: dict[str, subprocess.Popen] = {}
         self._ready: dict[str, str] = {}
@@ -101,7 +101,7 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> 'PreparedSystem':
-        self._store_address = await self.store.start()
+        self.store_address = await self.store.start()
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
         )
@@ -143,9 +143,13 @@
         self.store.put('servers', name, entry)
 
     def configure(
-        self, version: int, prefix: str = '/search/', **changes: typing.Any
+        self,
+        version: int,
+        prefix: str = '/search/',
+        added: typing.Iterable[int] = (),
+        **changes: typing.Any,
     ) -> None:
-        """Write a configuration with three routes."""
+        """Write a configuration with three routes, and those ``added``."""
         common = {'Host': HOST, 'TimeoutMs': 3_000, 'MaxAttempts': 2}
         routes = [
             {
@@ -162,6 +166,14 @@
                 'Kind': 'non_idempotent', 'TargetLatencyMs': 1_000, **common,
             },
         ]  # fmt: skip
+        routes += [
+            {
+                'Name': f'added-{number}', 'PathPrefix': f'/added-{number}/',
+                'Service': DESK, 'Kind': 'idempotent',
+                'TargetLatencyMs': 1_000, **common,
+            }
+            for number in added
+        ]  # fmt: skip
         services = [
             {'Name': name, 'HealthPath': '/healthz', 'MaxConns': 40}
             for name in (*self._shards, DESK)
@@ -183,7 +195,7 @@
             'name': name, 'site': 'bole-a', 'caller_address': front,
             'ready_address': ready, 'peer_address': peer,
             'metrics_address': metrics, 'retry_slack': 56, 'retry_ratio': 0.2,
-            'platform_address': self._store_address, 'balancer_lag_ms': 300,
+            'platform_address': self.store_address, 'balancer_lag_ms': 300,
         }  # fmt: skip
         self.write_settings(name, **settings)
         self.doors[name] = front
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""A small TCP relay with fault switches, for the process tests.
+"""A small TCP relay with fault switches, for the process tests and the soak.
 
 Run as ``python -m standins.relay --control-port 7900 --route NAME:IN:OUT``;
 each route listens on port IN and passes bytes to port OUT on loopback.
@@ -14,9 +14,18 @@
 ``silence-all``
     swallow the bytes of every connection until ``pass``; those that were
     open then stay silent
+``reset-old``
+    reset every connection open now, and pass new ones
+``hold-requests``, ``hold-answers``
+    hold the bytes of one direction until another mode is set, and pass them
+    then: a network that is cut one way, and repeats what was lost
+``delay``
+    pass every piece ``DELAY_S`` later
 """
 
 import asyncio
+import socket
+import struct
 
 from aiohttp import web
 import click
@@ -24,6 +33,12 @@
 
 _CHUNK_BYTES = 65_536
 
+DELAY_S = 0.15
+"""Longer than a caller's aim leaves for one target, shorter than its
+deadline."""
+
+_REQUESTS, _ANSWERS = 'requests', 'answers'
+
 
 class Mode(msgspec.Struct, frozen=True):
     """Body of the control call."""
@@ -32,10 +47,12 @@
 
 
 class Route:
-    """One listening port and the port behind it."""
+    """One listening port, 0 for a free one, and the port behind it."""
 
     def __init__(self, name: str, listen_port: int, port: int) -> None:
         self.name = name
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
         self._listen_port = listen_port
         self._port = port
         self._mode = 'pass'
@@ -43,21 +60,41 @@
         self._open: dict[int, list[asyncio.StreamWriter]] = {}
         self._numbers = 0
 
-    async def start(self) -> None:
-        """Listen."""
-        await asyncio.start_server(
+    async def start(self) -> str:
+        """Listen; return ``IP:port``."""
+        self._server = await asyncio.start_server(
             self._accept, '127.0.0.1', self._listen_port
         )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    def stop(self) -> None:
+        """Stop listening, and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.switch('reset-old')
 
     def switch(self, mode: str) -> None:
         """Change the mode; see the module's text."""
         if mode in ('silence-old', 'silence-all'):
             self._silent |= set(self._open)
-        if mode == 'cut':
+        if mode in ('cut', 'reset-old'):
             for writers in self._open.values():
                 for writer in writers:
-                    writer.close()
-        self._mode = 'pass' if mode == 'silence-old' else mode
+                    if mode == 'cut':
+                        writer.close()
+                    else:
+                        _reset(writer)
+        self._mode = 'pass' if mode.endswith('-old') else mode
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _wait(self, direction: str) -> None:
+        """Wait as the mode asks before a piece is passed on."""
+        if self._mode == 'delay':
+            await asyncio.sleep(DELAY_S)
+        while self._mode == f'hold-{direction}':
+            await self._changed.wait()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -78,8 +115,8 @@
             return
         self._open[number] = [writer, back_writer]
         await asyncio.gather(
-            self._pump(number, reader, back_writer),
-            self._pump(number, back_reader, writer),
+            self._pump(number, _REQUESTS, reader, back_writer),
+            self._pump(number, _ANSWERS, back_reader, writer),
         )
         self._open.pop(number, None)
         self._silent.discard(number)
@@ -87,6 +124,7 @@
     async def _pump(
         self,
         number: int,
+        direction: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -95,16 +133,30 @@
                 chunk = await reader.read(_CHUNK_BYTES)
                 if not chunk:
                     break
+                await self._wait(direction)
                 if number not in self._silent:
                     writer.write(chunk)
                     await writer.drain()
         except OSError:
-            pass
+            # A body without a length would else look whole.
+            if number not in self._silent:
+                _reset(writer)
+            return
         # A device that lost a connection passes its end on to nobody.
         if number not in self._silent:
             writer.close()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its peer sees a reset, not an end."""
+    connection = writer.get_extra_info('socket')
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
+
+
 async def _serve(control_port: int, rows: tuple[str, ...]) -> None:
     routes = {}
     for row in rows:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -103,3 +103,43 @@
             runs=tuple(_checks.Run('q1', f's1-{n}') for n in range(3)),
         )
         self.assertEqual({'attempts', 'routes'}, self._wrong(seen))
+
+    def test_a_stop_that_cuts_a_request(self) -> None:
+        """A target had begun it, and its caller got nothing."""
+        cut = _checks.Asked(
+            'fetch', 'f1', 0, daemon='one', start=2, ended_s=5.0
+        )
+        stops = (_checks.Stop('one', 2, 4.0, 6.0),)
+        seen = history(cut, runs=(_checks.Run('f1', 'desk-0'),))
+        wrong = dataclasses.replace(seen, stops=stops)
+        self.assertEqual({'stops cut nothing'}, self._wrong(wrong))
+        self.assertEqual(set(), self._wrong(seen))
+        later = dataclasses.replace(cut, start=3)
+        self.assertEqual(
+            set(), self._wrong(dataclasses.replace(wrong, asked=(later,)))
+        )
+
+    def test_a_version_that_goes_back(self) -> None:
+        """A daemon served the route of version 5 and then knows only 3.
+
+        After a restart it may know less for a moment; what was under way
+        at the same time says nothing.
+        """
+        served = _checks.Asked(
+            'probe', 'r1', 200, ('r1.desk-0',), 0, RECORDS['desk'], 'one', 1,
+            1.0, 1.1, 5,
+        )  # fmt: skip
+        lost = _checks.Asked(
+            'probe', 'r2', 404, daemon='one', start=1, sent_s=2.0,
+            ended_s=2.1, version=4,
+        )  # fmt: skip
+        runs = (_checks.Run('r1', 'desk-0'),)
+        self.assertEqual(
+            {'versions never go back'},
+            self._wrong(history(served, lost, runs=runs)),
+        )
+        for change in ({'start': 2}, {'sent_s': 1.05}, {'version': 6}):
+            with self.subTest(change):
+                other = dataclasses.replace(lost, **change)
+                seen = history(served, other, runs=runs)
+                self.assertEqual(set(), self._wrong(seen))
