A caller that leaves is forgotten at the targets it had asked

The scatter was dropped without ending its attempts, also before; more callers give up on a daemon that starts. Change: Scatter.abandon ends what is under way. Test: test_a_caller_that_leaves_is_forgotten, failed before.

--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -233,6 +233,7 @@
             finish: _scatter_types.Finish = await done
         except asyncio.CancelledError:
             # The caller has left: nobody wants what targets still work on.
+            scatter.abandon()
             for exchange in flight.exchanges.values():
                 if exchange.task is not None:
                     exchange.task.cancel()
--- a/samphiredock/coordination/search/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -127,6 +127,15 @@
                 self._retry(attempt.shard, False, now_ms)
         return self._done(now_ms)
 
+    def abandon(self) -> None:
+        """The caller has left: nothing that is under way is awaited.
+
+        Each attempt counts as in flight at its target until it has ended;
+        those that never did would keep the target from getting work.
+        """
+        self._attempts.discard_unsent()
+        self._attempts.drop_all()
+
     def next_due_ms(self) -> float:
         """Return when :meth:`on_tick` has something to do."""
         due_ms = min(
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -150,13 +150,14 @@
         for service, count in [*((name, 2) for name in self.shards), ('p', 3)]:
             for number in range(count):
                 self.put(f'{service}-{number}', service)
+        self.replicas = coordination.Replicas(
+            random.Random(SEED),
+            lambda target: True,
+            now_ms=self.clock.now_ms,
+        )
         tools = coordination.Tools(
             self.targets,
-            coordination.Replicas(
-                random.Random(SEED),
-                lambda target: True,
-                now_ms=self.clock.now_ms,
-            ),
+            self.replicas,
             self.latencies,
             self.budget,
             forwarding.NoSuspicions(),
--- a/tests/failure/test_passed_on.py
+++ b/tests/failure/test_passed_on.py
@@ -113,6 +113,21 @@
         await memory_links.settle()
         self.assertTrue(all(row.cancelled for row in self.desk.links.sent))
 
+    async def test_a_caller_that_leaves_is_forgotten(self) -> None:
+        """What it had under way must not count as in flight for ever.
+
+        Callers connect to a daemon that starts and give up before it has
+        answered.  Their attempts never ended here, so that the targets they
+        had gone to looked slower every second, and the work went to another
+        site for as long as the daemon lived.
+        """
+        asked = [row.target for row in self.desk.links.open]
+        self.task.cancel()
+        await memory_links.settle()
+        loads = self.desk.replicas._loads
+        for target in asked:
+            self.assertEqual([], list(loads[target].started_ms), target)
+
     async def test_a_loser_gets_a_moment_then_it_is_cut(self) -> None:
         """Its connection is kept if it ends by itself in that time."""
         sent = list(self.desk.links.open)
