The forwarder in three modules; callers that ask before they send a body

Ruled out: the HTTP library's own handling, which belongs to its router. Change: _flights (a request and its outcome) and _end_notes (log and metrics of its end) beside the forwarder, moved as they were; the server tells the caller to go on, or refuses a body that is too large before it is sent. Tests: test_a_caller_that_asks_first_is_told_to_go_on and test_a_body_that_is_too_large_is_not_asked_for, both failed before.

--- /dev/null
+++ b/samphiredock/coordination/forwarding/_end_notes.py
@@ -0,0 +1,88 @@
+"""What log and metrics tell of the end of a request that is passed on."""
+
+from samphiredock.coordination.forwarding import _flights
+from samphiredock.coordination.forwarding import _request_log
+from samphiredock.coordination.search import _scatter_types
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import timers
+
+_NAMED = 8
+"""Shards that a log line names at most; the count says how many more."""
+
+
+class EndNotes:
+    """Notes of ends.
+
+    Parameters
+    ----------
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self, clock: timers.Timers, counters: metrics.Metrics
+    ) -> None:
+        self._clock = clock
+        self._metrics = counters
+        self._log = _request_log.RequestLog(clock, counters)
+
+    def close(self) -> None:
+        """Write the lines that wait."""
+        self._log.write()
+
+    def refused(
+        self,
+        request: protocol.ForwardRequest,
+        refusal: protocol.NotRun,
+        started_ms: float,
+    ) -> protocol.NotRun:
+        """Tell of a request that was refused before anything was sent."""
+        self._metrics.add('requests_refused', reason=refusal.reason.value)
+        self._log.end(
+            request.request_id,
+            _request_log.Trail(started_ms),
+            False,
+            outcome='refused',
+            reason=refusal.reason.value,
+            why=refusal.detail,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        return refusal
+
+    def ended(
+        self, flight: _flights.Flight, outcome: protocol.ForwardOutcome | None
+    ) -> None:
+        """Tell of the end of a flight; None if its caller has left."""
+        plan = flight.plan
+        name = type(outcome).__name__.lower() if outcome else 'caller left'
+        took_ms = self._clock.now_ms() - flight.trail.started_ms
+        labels = {'service': plan.route.name, 'request_class': name}
+        self._metrics.observe('request_latency_ms', took_ms, **labels)
+        tally = flight.scatter.tally
+        for counter in _scatter_types.COUNTED:
+            amount = getattr(tally, counter)
+            if amount:
+                self._metrics.add_bulk(counter, amount, route=plan.route.name)
+        missing = getattr(outcome, 'missing', 0)
+        status = getattr(getattr(outcome, 'reply', None), 'status', 200)
+        served = isinstance(outcome, protocol.Gathered | protocol.Passed)
+        in_time = took_ms <= plan.route.aim_ms
+        self._log.end(
+            plan.request.request_id,
+            flight.trail,
+            served and in_time and not missing and status < 300,
+            outcome=name,
+            status=status if served else None,
+            route=plan.route.name,
+            version=plan.scatter.snapshot.snapshot_id,
+            aim_ms=plan.route.aim_ms,
+            shards=len(plan.services),
+            missing=missing,
+            unanswered=flight.unanswered()[:_NAMED],
+            hedges=tally.hedges_sent,
+            hedges_denied=tally.hedges_denied,
+            retries=tally.retries,
+            retries_denied=tally.retries_denied,
+            why=getattr(outcome, 'detail', ''),
+        )
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
-import dataclasses
 import itertools
 import math
 
 from returns import result
 
 from samphiredock.coordination.forwarding import _crash_guard
+from samphiredock.coordination.forwarding import _end_notes
+from samphiredock.coordination.forwarding import _flights
 from samphiredock.coordination.forwarding import _forward_types
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _request_log
@@ -35,9 +36,6 @@
 A target that pauses for 120 ms answers within it, and its connection stays
 open; a new one would hold a slot of the target for 6 ms."""
 
-_NAMED = 8
-"""Shards that a log line names at most; the count says how many more."""
-
 NO_TARGET_RETRY_MS = 300
 """When to come back if too few shards have a target that can be reached.
 A target that was given up is tried again after 200 ms."""
@@ -53,35 +51,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    """One exchange with a target; ``lingers`` after nobody needs it."""
-
-    target: str
-    sent_ms: float
-    task: asyncio.Task | None = None
-    lingers: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Flight:
-    """One request that has no outcome yet."""
-
-    plan: _route_plans.ForwardPlan
-    scatter: _scatter.Scatter
-    done: asyncio.Future
-    trail: _request_log.Trail
-    timer: timers.Subscription | None = None
-    armed_ms: float = math.inf
-    replies: dict[str, protocol.TargetReply] = dataclasses.field(
-        default_factory=dict
-    )
-    failure: protocol.TargetReply | None = None
-    asked: set[str] = dataclasses.field(default_factory=set)
-    answered: set[str] = dataclasses.field(default_factory=set)
-    exchanges: dict[str, _Exchange] = dataclasses.field(default_factory=dict)
-
-
 class Forwarder:
     """Pass requests on to targets and merge what comes back.
 
@@ -123,13 +92,13 @@
         self._clock = clock
         self._metrics = counters
         self._splitter = _splitter.Splitter()
-        self._request_log = _request_log.RequestLog(clock, counters)
+        self._notes = _end_notes.EndNotes(clock, counters)
         self._numbers = itertools.count(1)
         self._in_flight = 0
 
     def close(self) -> None:
         """Write the lines that wait."""
-        self._request_log.write()
+        self._notes.close()
 
     def in_flight(self) -> int:
         """Return how many requests have no outcome yet."""
@@ -152,7 +121,7 @@
         started_ms = self._clock.now_ms()
         planned = self._plan(request, started_ms, hop_ms)
         if isinstance(planned, result.Failure):
-            return self._refuse(request, planned.failure(), started_ms)
+            return self._notes.refused(request, planned.failure(), started_ms)
         self._in_flight += 1
         try:
             return await self._run(planned.unwrap(), started_ms)
@@ -227,7 +196,9 @@
             plan.scatter, self._tools, self._settings.limits
         )
         done = asyncio.get_running_loop().create_future()
-        flight = _Flight(plan, scatter, done, _request_log.Trail(started_ms))
+        flight = _flights.Flight(
+            plan, scatter, done, _request_log.Trail(started_ms)
+        )
         try:
             self._carry_out(flight, scatter.start(started_ms))
             finish: _scatter_types.Finish = await done
@@ -238,17 +209,17 @@
                 if exchange.task is not None:
                     exchange.task.cancel()
             self._metrics.add('requests_left', route=plan.route.name)
-            self._note_end(flight, None)
+            self._notes.ended(flight, None)
             raise
         finally:
             if flight.timer is not None:
                 flight.timer.cancel()
-        outcome = self._outcome(flight, finish)
-        self._note_end(flight, outcome)
+        outcome = _flights.outcome_of(flight, finish, self._clock.now_ms())
+        self._notes.ended(flight, outcome)
         return outcome
 
     def _carry_out(
-        self, flight: _Flight, effects: list[_scatter_types.Effect]
+        self, flight: _flights.Flight, effects: list[_scatter_types.Effect]
     ) -> None:
         for effect in effects:
             if isinstance(effect, _scatter_types.SendAttempts):
@@ -262,7 +233,7 @@
         if not flight.done.done():
             self._arm(flight)
 
-    def _arm(self, flight: _Flight) -> None:
+    def _arm(self, flight: _flights.Flight) -> None:
         """Keep one timer a request, at the next thing that falls due."""
         due_ms = flight.scatter.next_due_ms()
         if due_ms >= flight.armed_ms:
@@ -274,14 +245,14 @@
             due_ms - self._clock.now_ms(), lambda: self._on_due(flight)
         )
 
-    def _on_due(self, flight: _Flight) -> None:
+    def _on_due(self, flight: _flights.Flight) -> None:
         flight.timer = None
         flight.armed_ms = math.inf
         if not flight.done.done():
             now_ms = self._clock.now_ms()
             self._carry_out(flight, flight.scatter.on_tick(now_ms))
 
-    def _send(self, flight: _Flight, item: protocol.SubQuery) -> None:
+    def _send(self, flight: _flights.Flight, item: protocol.SubQuery) -> None:
         why = 'first'
         if item.shard_id in flight.asked:
             why = 'hedge' if item.hedge else 'retry'
@@ -295,21 +266,21 @@
             target=item.target,
             why=why,
         )
-        exchange = _Exchange(item.target, now_ms)
+        exchange = _flights.Exchange(item.target, now_ms)
         exchange.task = asyncio.create_task(self._exchange(flight, item))
         flight.exchanges[item.attempt_id] = exchange
         exchange.task.add_done_callback(
             lambda task: self._exchange_over(flight, item.attempt_id)
         )
 
-    def _exchange_over(self, flight: _Flight, attempt_id: str) -> None:
+    def _exchange_over(self, flight: _flights.Flight, attempt_id: str) -> None:
         """Also after a cut: its time is all that a silent target shows."""
         exchange = flight.exchanges.pop(attempt_id)
         if exchange.lingers:
             took_ms = self._clock.now_ms() - exchange.sent_ms
             self._tools.replicas.ended(exchange.target, took_ms)
 
-    def _drop(self, flight: _Flight, attempt_id: str) -> None:
+    def _drop(self, flight: _flights.Flight, attempt_id: str) -> None:
         if not flight.done.done():
             flight.trail.note(
                 self._clock.now_ms(), 'not needed', attempt=attempt_id
@@ -322,7 +293,7 @@
         self._clock.after(LOSER_GRACE_MS, exchange.task.cancel)
 
     async def _exchange(
-        self, flight: _Flight, item: protocol.SubQuery
+        self, flight: _flights.Flight, item: protocol.SubQuery
     ) -> None:
         sent_ms = self._clock.now_ms()
         target = self._targets.get(item.target)
@@ -399,7 +370,7 @@
 
     def _ended(
         self,
-        flight: _Flight,
+        flight: _flights.Flight,
         item: protocol.SubQuery,
         status: protocol.SubStatus,
         detail: str,
@@ -425,93 +396,6 @@
         now_ms = self._clock.now_ms()
         self._carry_out(flight, flight.scatter.on_answers([answer], now_ms))
 
-    # The end.
-
-    def _outcome(
-        self, flight: _Flight, finish: _scatter_types.Finish
-    ) -> protocol.ForwardOutcome:
-        plan = flight.plan
-        outcome = finish.outcome
-        if isinstance(outcome, protocol.Answered | protocol.Partial):
-            parts = [flight.replies[row.attempt_id] for row in finish.accepted]
-            if not plan.is_gather:
-                return protocol.Passed(parts[0].reply)
-            return protocol.Gathered(
-                tuple(part.receipt or '' for part in parts),
-                len(plan.services) - len(parts),
-                _route_plans.merge_parts(
-                    [part.reply.body for part in parts], plan.route.top
-                ),
-            )
-        if isinstance(outcome, protocol.NotRun):
-            return outcome
-        if flight.failure is not None and not plan.is_gather:
-            return protocol.Passed(flight.failure.reply)
-        if self._clock.now_ms() >= plan.scatter.deadline_at_ms:
-            return protocol.TimedOut(outcome.detail)
-        return outcome
-
-    def _refuse(
-        self,
-        request: protocol.ForwardRequest,
-        refusal: protocol.NotRun,
-        started_ms: float,
-    ) -> protocol.NotRun:
-        self._metrics.add('requests_refused', reason=refusal.reason.value)
-        self._request_log.end(
-            request.request_id,
-            _request_log.Trail(started_ms),
-            False,
-            outcome='refused',
-            reason=refusal.reason.value,
-            why=refusal.detail,
-            retry_after_ms=refusal.retry_after_ms,
-        )
-        return refusal
-
-    def _unanswered(self, flight: _Flight) -> list[str]:
-        return [
-            name
-            for name in flight.plan.services
-            if name not in flight.answered
-        ]
-
-    def _note_end(
-        self, flight: _Flight, outcome: protocol.ForwardOutcome | None
-    ) -> None:
-        plan = flight.plan
-        name = type(outcome).__name__.lower() if outcome else 'caller left'
-        took_ms = self._clock.now_ms() - flight.trail.started_ms
-        labels = {'service': plan.route.name, 'request_class': name}
-        self._metrics.observe('request_latency_ms', took_ms, **labels)
-        tally = flight.scatter.tally
-        for counter in _scatter_types.COUNTED:
-            amount = getattr(tally, counter)
-            if amount:
-                self._metrics.add_bulk(counter, amount, route=plan.route.name)
-        missing = getattr(outcome, 'missing', 0)
-        status = getattr(getattr(outcome, 'reply', None), 'status', 200)
-        served = isinstance(outcome, protocol.Gathered | protocol.Passed)
-        in_time = took_ms <= plan.route.aim_ms
-        self._request_log.end(
-            plan.request.request_id,
-            flight.trail,
-            served and in_time and not missing and status < 300,
-            outcome=name,
-            status=status if served else None,
-            route=plan.route.name,
-            version=plan.scatter.snapshot.snapshot_id,
-            aim_ms=plan.route.aim_ms,
-            shards=len(plan.services),
-            missing=missing,
-            unanswered=self._unanswered(flight)[:_NAMED],
-            hedges=tally.hedges_sent,
-            hedges_denied=tally.hedges_denied,
-            retries=tally.retries,
-            retries_denied=tally.retries_denied,
-            why=getattr(outcome, 'detail', ''),
-        )
-
 
 def _refused(
     reason: protocol.NotRunReason, detail: str, retry_after_ms: int
--- a/samphiredock/coordination/search/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -78,7 +78,11 @@
             sub_queries_needed=len(self._round.shards)
         )
         self._hedges = _scatter_hedges.Hedges(
-            tools, self._index, limits, self.tally, _first_hedge_ms(plan)
+            tools,
+            self._index,
+            limits,
+            self.tally,
+            _scatter_hedges.first_delay_ms(plan),
         )
 
     # Inputs.
@@ -446,9 +450,3 @@
             ),
             self._round.accepted(),
         )
-
-
-def _first_hedge_ms(plan: _planner.Plan) -> float:
-    if plan.first_hedge_ms is not None:
-        return plan.first_hedge_ms
-    return plan.search.deadline_ms * _scatter_hedges.FIRST_DELAY_SHARE
--- a/samphiredock/coordination/search/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from samphiredock.coordination.search import _planner
 from samphiredock.coordination.search import _scatter_attempts
 from samphiredock.coordination.search import _scatter_round
 from samphiredock.coordination.search import _scatter_types
@@ -123,3 +124,10 @@
             return True
         self._tally.hedges_denied += 1
         return False
+
+
+def first_delay_ms(plan: _planner.Plan) -> float:
+    """Return when to hedge while no latencies are known."""
+    if plan.first_hedge_ms is not None:
+        return plan.first_hedge_ms
+    return plan.search.deadline_ms * FIRST_DELAY_SHARE
--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -24,6 +24,11 @@
 
 _TOO_LARGE_HEAD_STATUS = 431
 
+_TOO_LARGE_BODY_STATUS = 413
+
+_ASKS_FIRST = '100-continue'
+_GO_ON = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 _log = logs.logger('entry')
 
 Handle = typing.Callable[
@@ -107,14 +112,16 @@
             _TOO_LARGE_HEAD_STATUS,
             body=f'expected a head of at most {limit} bytes'.encode(),
         )
+    if request.headers.get('Expect', '').lower() == _ASKS_FIRST:
+        if (request.content_length or 0) > door.limits().body_bytes:
+            return _too_large(door, counters)
+        if request.transport is not None:
+            # The caller holds its body back until it is told to go on.
+            request.transport.write(_GO_ON)
     try:
         body = await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        counters.add('http_errors', interface='entry', status=error.status)
-        limit = door.limits().body_bytes
-        return protocol.HttpReply(
-            error.status, body=f'expected at most {limit} bytes'.encode()
-        )
+    except web.HTTPRequestEntityTooLarge:
+        return _too_large(door, counters)
     headers = tuple(
         (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in request.raw_headers
@@ -129,3 +136,13 @@
         counters.add('http_handler_failures', interface='entry')
         _log.error('handler failed', path=request.path, why=repr(error))
         return protocol.HttpReply(500, body=b'internal error, see the log')
+
+
+def _too_large(door: Door, counters: metrics.Metrics) -> protocol.HttpReply:
+    counters.add(
+        'http_errors', interface='entry', status=_TOO_LARGE_BODY_STATUS
+    )
+    limit = door.limits().body_bytes
+    return protocol.HttpReply(
+        _TOO_LARGE_BODY_STATUS, body=f'expected at most {limit} bytes'.encode()
+    )
--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -54,6 +54,36 @@
         async with self.session.get(self.url + path, **words) as got:
             return got.status, await got.read()
 
+    async def test_a_caller_that_asks_first_is_told_to_go_on(self) -> None:
+        """It holds its body back until then, and both would wait."""
+        host, port = self.runner.addresses[0][:2]
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+        async with asyncio.timeout(10.0):
+            told = await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'xyz')
+            head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        self.assertEqual(b'HTTP/1.1 100 Continue\r\n\r\n', told)
+        self.assertIn(b' 207 ', head)
+        self.assertEqual(b'xyz', self.seen[0][3])
+
+    async def test_a_body_that_is_too_large_is_not_asked_for(self) -> None:
+        """The caller learns it before it has sent the body."""
+        host, port = self.runner.addresses[0][:2]
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+        async with asyncio.timeout(10.0):
+            head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        self.assertIn(b' 413 ', head)
+
     async def test_path_and_body_come_raw(self) -> None:
         """The target must see what the caller sent, byte by byte."""
         raw = b'POST /a%2Fb/../c?q=%20&r HTTP/1.1\r\nHost: h\r\n'
