--- a/tests/process/test_scenarios.py
+++ b/tests/process/test_scenarios.py
@@ -171,7 +171,8 @@
             await system.store_faults()
             calls = [await system.pay(name, keys[name]) for name in names]
             executions = system.executions()
-        self.assertEqual({'answered'}, {row['type'] for row in found})
+            kept = _kept_of(system, found)
+        self.assertEqual({'answered'}, {row['type'] for row in found}, kept)
         for call in refused:
             self.assertEqual('platform-unavailable', call.outcome['reason'])
         self.assertEqual([], early)
@@ -252,6 +253,22 @@
     return answers
 
 
+def _kept_of(system: systems.System, found: list[dict]) -> str:
+    """Return what a trace needs if a search was not answered whole."""
+    short = {
+        number: {key: row[key] for key in row if key != 'records'}
+        for number, row in enumerate(found)
+        if row['type'] != 'answered'
+    }
+    if not short:
+        return ''
+    logs = [
+        f'{name}: {(system.folder / name).with_suffix(".log").read_text()}'
+        for name in sorted(system.daemons)
+    ]
+    return '\n'.join([f'by number of the search: {short}', *logs])
+
+
 async def _pay_until_completed(
     system: systems.System, daemon: str
 ) -> list[history.Call]:
