--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -167,6 +167,33 @@
             if name != lost:
                 await self._until(200, name, '/search/x')
 
+    async def test_a_caller_that_comes_during_the_start_is_served(
+        self,
+    ) -> None:
+        """It connects before the daemon has imported its libraries.
+
+        Its connection waits in the socket's queue until routes and targets
+        are known; it is neither reset nor told to come back.
+        """
+        await self.system.start_daemon('one')
+        await self.system.stop_daemon('one', signal.SIGKILL)
+        self.system.launch_daemon('one')
+        host, port = self.system.doors['one'].split(':')
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(host, port)
+                break
+            except OSError:
+                await asyncio.sleep(0.01)
+        writer.write(
+            f'GET /search/x HTTP/1.1\r\nHost: {prepared_system.HOST}\r\n'
+            f'Request-Id: early\r\nDeadline-Ms: 3000\r\n\r\n'.encode()
+        )
+        async with asyncio.timeout(20.0):
+            line = await reader.readline()
+        writer.close()
+        self.assertIn(b' 200 ', line)
+
     async def test_a_daemon_that_starts_without_the_store_is_told(
         self,
     ) -> None:
