The soak's faults are a module of their own

Cause: _run.py had 350 lines of callers, life of daemons and faults. Change: _faults names what may go wrong; moved as it was. One list of link faults, which stood twice.

--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,115 @@
+"""What may go wrong in a run, by name; each for a time in seconds."""
+
+import asyncio
+import signal
+import typing
+
+if typing.TYPE_CHECKING:
+    from soak import _run
+
+Fault = typing.Callable[['_run.Soak', float], typing.Awaitable[None]]
+
+
+async def _kill(soak: '_run.Soak', for_s: float) -> None:
+    await soak.kill_daemon()
+
+
+async def _stop(soak: '_run.Soak', for_s: float) -> None:
+    await soak.stop_daemon()
+
+
+async def _freeze(soak: '_run.Soak', for_s: float) -> None:
+    await soak.freeze(for_s)
+
+
+async def _lose_answers(soak: '_run.Soak', for_s: float) -> None:
+    target = soak.draw_target()
+    target.lose_answers = True
+    await asyncio.sleep(for_s)
+    target.lose_answers = False
+
+
+async def _slow_target(soak: '_run.Soak', for_s: float) -> None:
+    target = soak.draw_target()
+    target.delay_s = soak.rng.choice((0.1, 0.4, 3.0))
+    await asyncio.sleep(for_s)
+    target.delay_s = 0.0
+
+
+async def _drain_target(soak: '_run.Soak', for_s: float) -> None:
+    target = soak.draw_target()
+    soak.system.register(target.target_id, 'draining')
+    await asyncio.sleep(for_s)
+    soak.system.register(target.target_id)
+
+
+async def _lapse(soak: '_run.Soak', for_s: float) -> None:
+    names = sorted(soak.system.targets)
+    lapsed = soak.rng.sample(names, 3)
+    for name in lapsed:
+        soak.system.store.remove('servers', name)
+    await asyncio.sleep(for_s)
+    for name in lapsed:
+        soak.system.register(name)
+
+
+async def _store_away(soak: '_run.Soak', for_s: float) -> None:
+    faults = soak.system.store.faults
+    faults.status = soak.rng.choice((503, 429))
+    await asyncio.sleep(for_s)
+    faults.status = 0
+
+
+async def _store_silent(soak: '_run.Soak', for_s: float) -> None:
+    soak.system.store.faults.silent = True
+    await asyncio.sleep(for_s)
+    soak.system.store.faults.silent = False
+
+
+async def _cut_watches(soak: '_run.Soak', for_s: float) -> None:
+    soak.system.store.cut_watches()
+
+
+async def _forget_history(soak: '_run.Soak', for_s: float) -> None:
+    soak.system.store.forget_history()
+
+
+async def _new_version(soak: '_run.Soak', for_s: float) -> None:
+    soak.configure(soak.version + soak.rng.randint(1, 3))
+
+
+async def _link_to_target(soak: '_run.Soak', for_s: float) -> None:
+    await soak.links.disturb_target(soak.rng, for_s)
+
+
+async def _link_to_store(soak: '_run.Soak', for_s: float) -> None:
+    await soak.links.disturb_store(soak.rng, for_s)
+
+
+async def _read_settings(soak: '_run.Soak', for_s: float) -> None:
+    """Change a settings file, and tell the daemon or let it find it."""
+    name = soak.draw_running()
+    if name is None:
+        return
+    soak.system.write_settings(name, collect_ms=soak.rng.choice((100, 400)))
+    if soak.rng.random() < 0.5:
+        soak.system.send(name, signal.SIGHUP)
+
+
+FAULTS: typing.Mapping[str, Fault] = {
+    'kill daemon': _kill,
+    'stop daemon': _stop,
+    'freeze daemon': _freeze,
+    'target loses answers': _lose_answers,
+    'target slow': _slow_target,
+    'target drains': _drain_target,
+    'entries lapse': _lapse,
+    'store away': _store_away,
+    'store silent': _store_silent,
+    'watches cut': _cut_watches,
+    'history forgotten': _forget_history,
+    'new version': _new_version,
+    'link to a target': _link_to_target,
+    'link to the store': _link_to_store,
+    'settings change': _read_settings,
+}
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -6,7 +6,7 @@
 from standins import prepared_system
 from standins import relay
 
-_TARGET_FAULTS = (
+_FAULTS = (
     'cut',
     'reset-old',
     'silence-old',
@@ -15,7 +15,6 @@
     'hold-answers',
     'delay',
 )
-_STORE_FAULTS = _TARGET_FAULTS
 
 
 class Links:
@@ -49,12 +48,12 @@
     async def disturb_target(self, rng: random.Random, for_s: float) -> None:
         """Let the link to one target misbehave for a time."""
         route = self._targets[rng.choice(sorted(self._targets))]
-        await _disturb(route, rng.choice(_TARGET_FAULTS), for_s)
+        await _disturb(route, rng.choice(_FAULTS), for_s)
 
     async def disturb_store(self, rng: random.Random, for_s: float) -> None:
         """Let one daemon's link to the store misbehave for a time."""
         route = self._stores[rng.choice(sorted(self._stores))]
-        await _disturb(route, rng.choice(_STORE_FAULTS), for_s)
+        await _disturb(route, rng.choice(_FAULTS), for_s)
 
     def heal_store(self, daemon: str) -> None:
         """Let a daemon reach the store; one that starts waits for it."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -5,11 +5,11 @@
 import itertools
 import random
 import signal
-import typing
 
 import aiohttp
 
 from soak import _checks
+from soak import _faults
 from soak import _links
 from standins import prepared_system
 
@@ -26,8 +26,6 @@
 _PROBE_SHARE = 0.1
 """Part of the requests that ask for a route added by some version."""
 
-Fault = typing.Callable[['Soak', float], typing.Awaitable[None]]
-
 
 class Soak:
     """A running soak.
@@ -179,9 +177,10 @@
     # Faults.
 
     async def _fault(self) -> None:
-        name = self.rng.choice(sorted(FAULTS))
+        name = self.rng.choice(sorted(_faults.FAULTS))
         self.faults[name] += 1
-        await FAULTS[name](self, self.rng.uniform(*_FAULT_FOR_S))
+        for_s = self.rng.uniform(*_FAULT_FOR_S)
+        await _faults.FAULTS[name](self, for_s)
 
     def draw_running(self) -> str | None:
         """Return a daemon to disturb; one is always left alone."""
@@ -243,108 +242,3 @@
         return self.system.targets[
             self.rng.choice(sorted(self.system.targets))
         ]
-
-
-async def _kill(soak: Soak, for_s: float) -> None:
-    await soak.kill_daemon()
-
-
-async def _stop(soak: Soak, for_s: float) -> None:
-    await soak.stop_daemon()
-
-
-async def _freeze(soak: Soak, for_s: float) -> None:
-    await soak.freeze(for_s)
-
-
-async def _lose_answers(soak: Soak, for_s: float) -> None:
-    target = soak.draw_target()
-    target.lose_answers = True
-    await asyncio.sleep(for_s)
-    target.lose_answers = False
-
-
-async def _slow_target(soak: Soak, for_s: float) -> None:
-    target = soak.draw_target()
-    target.delay_s = soak.rng.choice((0.1, 0.4, 3.0))
-    await asyncio.sleep(for_s)
-    target.delay_s = 0.0
-
-
-async def _drain_target(soak: Soak, for_s: float) -> None:
-    target = soak.draw_target()
-    soak.system.register(target.target_id, 'draining')
-    await asyncio.sleep(for_s)
-    soak.system.register(target.target_id)
-
-
-async def _lapse(soak: Soak, for_s: float) -> None:
-    names = sorted(soak.system.targets)
-    lapsed = soak.rng.sample(names, 3)
-    for name in lapsed:
-        soak.system.store.remove('servers', name)
-    await asyncio.sleep(for_s)
-    for name in lapsed:
-        soak.system.register(name)
-
-
-async def _store_away(soak: Soak, for_s: float) -> None:
-    faults = soak.system.store.faults
-    faults.status = soak.rng.choice((503, 429))
-    await asyncio.sleep(for_s)
-    faults.status = 0
-
-
-async def _store_silent(soak: Soak, for_s: float) -> None:
-    soak.system.store.faults.silent = True
-    await asyncio.sleep(for_s)
-    soak.system.store.faults.silent = False
-
-
-async def _cut_watches(soak: Soak, for_s: float) -> None:
-    soak.system.store.cut_watches()
-
-
-async def _forget_history(soak: Soak, for_s: float) -> None:
-    soak.system.store.forget_history()
-
-
-async def _new_version(soak: Soak, for_s: float) -> None:
-    soak.configure(soak.version + soak.rng.randint(1, 3))
-
-
-async def _link_to_target(soak: Soak, for_s: float) -> None:
-    await soak.links.disturb_target(soak.rng, for_s)
-
-
-async def _link_to_store(soak: Soak, for_s: float) -> None:
-    await soak.links.disturb_store(soak.rng, for_s)
-
-
-async def _read_settings(soak: Soak, for_s: float) -> None:
-    """Change a settings file, and tell the daemon or let it find it."""
-    name = soak.draw_running()
-    if name is None:
-        return
-    soak.system.write_settings(name, collect_ms=soak.rng.choice((100, 400)))
-    if soak.rng.random() < 0.5:
-        soak.system.send(name, signal.SIGHUP)
-
-
-FAULTS: typing.Mapping[str, Fault] = {
-    'kill daemon': _kill,
-    'stop daemon': _stop,
-    'freeze daemon': _freeze,
-    'target loses answers': _lose_answers,
-    'target slow': _slow_target,
-    'target drains': _drain_target,
-    'entries lapse': _lapse,
-    'store away': _store_away,
-    'store silent': _store_silent,
-    'watches cut': _cut_watches,
-    'history forgotten': _forget_history,
-    'new version': _new_version,
-    'link to a target': _link_to_target,
-    'link to the store': _link_to_store,
-    'settings change': _read_settings,
-}
