--- a/samphiredock/cli/_explain.py
+++ b/samphiredock/cli/_explain.py
@@ -204,6 +204,9 @@
         'object cannot be read',
         'task failed',
         'settings are not valid',
+        'daemons listed',
+        'introduced by another daemon',
+        'role',
     }
 )
 
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -132,3 +132,14 @@
         self.assertIn('readiness', cause)
         self.assertNotIn('started', self.output)
         self.assertIn('store lost', self.output)
+
+    def test_a_daemon_that_was_only_told_of_the_others_says_so(self) -> None:
+        """It hands over and is not ready, since the store is away."""
+        rows = [
+            _row(1, 'started'),
+            _row(2, 'store lost', kind='unavailable'),
+            _row(3, 'introduced by another daemon', daemons=6),
+        ]
+        cause = self._explain(rows, '--why-not-ready')
+        self.assertIn('introduced by another daemon', cause)
+        self.assertIn('store lost', self.output)
