Targets that start again under their id; entries of other writers

A target may come back under its id, holds nothing of before and says so by the time of its start; what was known of it was kept. An entry of another writer with an unknown state was taken for a ready target, one that could not be read left the older one in use and was logged at each read, and one row that was no object hid the whole list.

--- a/samphiredock/coordination/forwarding/_live_targets.py
+++ b/samphiredock/coordination/forwarding/_live_targets.py
@@ -105,6 +105,7 @@
             self._missing.pop(target.target_id, None)
         if not changed:
             return
+        self._forget_reborn(changed)
         new = [row for row in changed if row.target_id not in self._targets]
         turned = [row for row in changed if self._turned(row)]
         for target in changed:
@@ -118,6 +119,17 @@
             for callback in self._on_new:
                 callback(target)
 
+    def _forget_reborn(self, changed: list[state.LiveTarget]) -> None:
+        """Drop what was known of targets that have started again.
+
+        One that starts again under its id holds nothing of before: its old
+        connections are silent, and its record tells of another process.
+        """
+        for target in changed:
+            before = self._targets.get(target.target_id)
+            if before is not None and before.born_ms != target.born_ms:
+                self._drop(target.target_id, 'started again')
+
     def _turned(self, target: state.LiveTarget) -> bool:
         """Whether a known target begins to leave, or has come back."""
         before = self._targets.get(target.target_id)
@@ -135,6 +147,11 @@
         self._missing[target_id] = until_ms
         self._clock.after(until_ms - now_ms, self._drop_missing)
 
+    def unusable(self, target_id: str) -> None:
+        """A target's entry cannot be read: it names no target to use."""
+        if target_id in self._targets:
+            self._drop(target_id, 'entry cannot be read')
+
     def keep_only(self, target_ids: typing.Container[str]) -> None:
         """The store has been read whole: what it lacks is gone."""
         for target_id in list(self._targets):
@@ -160,13 +177,15 @@
         for target_id in list(self._missing):
             self._drop(target_id)
 
-    def _drop(self, target_id: str) -> None:
+    def _drop(self, target_id: str, why: str = 'not registered') -> None:
         self._missing.pop(target_id, None)
         self._misdirected.discard(target_id)
         target = self._targets.pop(target_id)
         del self._records[target_id]
         self._index()
-        _log.info('target gone', target=target_id, service=target.service)
+        _log.info(
+            'target gone', target=target_id, service=target.service, why=why
+        )
         for callback in self._on_gone:
             callback(target)
 
--- a/samphiredock/daemon/_entry_knowledge.py
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -40,6 +40,9 @@
 """A coordinator that could not be reached for so long is passed over when
 the coordinators are chosen.  A restart takes about 1 s."""
 
+_UNREADABLE_LIMIT = 1_000
+"""Keys of objects of which it is remembered that they were logged."""
+
 _log = logs.logger('entry')
 
 
@@ -71,6 +74,7 @@
         self._store = store
         self._clock = clock
         self._metrics = counters
+        self._unreadable: set[str] = set()
         self._settled = False
         self._settling_targets = 0
         self._settling_since_ms = 0.0
@@ -317,15 +321,24 @@
             listed.add(self._adapter.target_id(stored.key))
             read = self._adapter.read_target(stored.key, stored.value)
             if isinstance(read, result.Failure):
+                self.targets.unusable(self._adapter.target_id(stored.key))
                 self._note_unreadable(stored.key, read.failure())
                 continue
+            self._unreadable.discard(stored.key)
             found.append(read.unwrap())
         self.targets.put_all(found)
         for key in page.gone:
+            self._unreadable.discard(key)
             self.targets.remove(self._adapter.target_id(key))
         if page.whole:
             self.targets.keep_only(listed)
 
     def _note_unreadable(self, key: str, why: str) -> None:
+        """Log an object once, not each time that it is read."""
         self._metrics.add('store_objects_unreadable')
+        if key in self._unreadable:
+            return
+        if len(self._unreadable) >= _UNREADABLE_LIMIT:
+            self._unreadable.clear()
+        self._unreadable.add(key)
         _log.error('object cannot be read', key=key, why=why)
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -121,14 +121,18 @@
     def _make_forwarder(self) -> forwarding.Forwarder:
         settings = self._settings
         knowledge = self._knowledge
+        replicas = coordination.Replicas(
+            random.Random(settings.name),
+            knowledge.is_near,
+            settings.other_site_factor,
+            self._clock.now_ms,
+        )
+        knowledge.targets.on_gone(
+            lambda target: replicas.forget(target.target_id)
+        )
         tools = coordination.Tools(
             knowledge.targets,
-            coordination.Replicas(
-                random.Random(settings.name),
-                knowledge.is_near,
-                settings.other_site_factor,
-                self._clock.now_ms,
-            ),
+            replicas,
             coordination.Latencies(),
             self._budget,
             forwarding.NoSuspicions(),
--- a/samphiredock/state/_routes.py
+++ b/samphiredock/state/_routes.py
@@ -81,9 +81,11 @@
 class LiveTarget:
     """One running target, as it has registered itself.
 
-    A restart has a new ``target_id``; ``address`` is ``IP:port`` and may
-    have belonged to another target before.  ``leaving`` asks for no new
-    work, ``warming_ms`` is how much longer it is slow after its start.
+    ``address`` is ``IP:port`` and may have belonged to another target
+    before.  ``leaving`` asks for no new work, ``warming_ms`` is how much
+    longer it is slow after its start.  ``born_ms`` is when it started, in ms
+    since the epoch and by its own clock, 0 if it does not say: with another
+    one under the same id, it holds and knows nothing of before.
     """
 
     target_id: str
@@ -93,3 +95,4 @@
     slots: int
     leaving: bool = False
     warming_ms: float = 0.0
+    born_ms: int = 0
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -34,9 +34,12 @@
 class PreparedTarget:
     """One target: answers with its receipt, and logs what it ran."""
 
-    def __init__(self, target_id: str, service: str, log: list[str]) -> None:
+    def __init__(
+        self, target_id: str, service: str, log: list[str], born: int = 1
+    ) -> None:
         self.target_id = target_id
         self.service = service
+        self.born = born
         self.delay_s = 0.0
         self.lose_answers = False
         self._log = log
@@ -52,9 +55,11 @@
         await self._server.stop()
 
     def records(self) -> bytes:
-        """Return the records of this target's shard."""
+        """Return the records of this target's shard, others each life."""
+        first = self.born * 10
         return b''.join(
-            f'{self.service:>8}{number:08}'.encode() for number in range(9)
+            f'{self.service:>8}{number:08}'.encode()
+            for number in range(first, first + 9)
         )
 
     async def _answer(
@@ -128,6 +133,18 @@
                 self.targets[name] = target
                 self.register(name)
 
+    async def restart_target(self, name: str, born: int) -> None:
+        """End a target and start it under its id, holding other content.
+
+        It has another address; ``born`` is what it says of its start.
+        """
+        before = self.targets[name]
+        await before.stop()
+        target = PreparedTarget(name, before.service, self.runs, born)
+        await target.start()
+        self.targets[name] = target
+        self.register(name)
+
     def register(self, name: str, state: str = 'ready') -> None:
         """Write a target's entry."""
         target = self.targets[name]
@@ -140,6 +157,7 @@
             'State': state,
             'WarmupLeftMs': 0,
             'Seq': 1,
+            'born': target.born,
         }
         self.store.put('servers', name, entry)
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -85,6 +85,44 @@
         else:
             self.fail('desk-0 still gets work')
 
+    async def test_a_target_that_starts_again_under_its_id(self) -> None:
+        """Nobody gets an answer of the life before.
+
+        All targets of two shards end and start again under their ids while
+        requests run; they hold other records.  Their connections break and
+        their addresses change; entries of another writer come meanwhile.
+        """
+        await self.system.start_daemon('one')
+        old = self.system.targets['shard-1-0'].records()
+        for name in ('shard-1-0', 'shard-1-1', 'shard-2-0', 'shard-2-1'):
+            await self.system.restart_target(name, born=2)
+            self.system.store.put('servers', 'other', {'State': 7})
+            await self.system.ask('one', '/search/x', f'meanwhile-{name}')
+        new = self.system.targets['shard-1-0'].records()
+        await self._until_missing_is('0', 'one')
+        for number in range(20):
+            _, headers, body = await self.system.ask(
+                'one', '/search/x', f'after-{number}'
+            )
+            rows = {body[at : at + 16] for at in range(0, len(body), 16)}
+            before = {old[at : at + 16] for at in range(0, len(old), 16)}
+            self.assertEqual('0', headers['Missing-Parts'])
+            self.assertEqual(set(), rows & (before - {new[:16]}))
+        log = self.system.log('one')
+        self.assertEqual(1, log.count('object cannot be read'))
+        self.assertIn('started again', log)
+
+    async def _until_missing_is(self, number: str, daemon: str) -> None:
+        """Ask until so many parts are missing; fails by a limit of tries."""
+        for step in range(400):
+            status, headers, _ = await self.system.ask(
+                daemon, '/search/x', f'missing-{step}'
+            )
+            if status == 200 and headers['Missing-Parts'] == number:
+                return
+            await asyncio.sleep(0.02)
+        self.fail(self.system.log(daemon)[-2000:])
+
     async def test_changes_come_after_a_cut_and_a_lost_history(self) -> None:
         """A route is added while the store cuts and forgets watches.
 
--- a/tests/unit/test_live_targets.py
+++ b/tests/unit/test_live_targets.py
@@ -102,6 +102,31 @@
         self.clock.advance(300.0)
         self.assertTrue(self.live.is_usable('a'))
 
+    def test_a_target_that_starts_again_under_its_id_is_another(self) -> None:
+        """Its old record would keep work from it, or send it too much.
+
+        It crashed and was lost, comes back under the same id and says that
+        it was born later: what was known of it is dropped, and those who
+        keep connections to it are told.
+        """
+        self.live.put(target('b', born_ms=5))
+        self.live.record('b').on_failure(True, self.clock.now_ms())
+        self.live.misdirected('b')
+        self.live.put(target('b', born_ms=6))
+        self.assertEqual(['b'], self.gone)
+        self.assertTrue(self.live.is_usable('b'))
+        self.assertEqual(['a', 'b'], self.live.of_service('s'))
+        self.live.put(target('b', born_ms=6, leaving=True))
+        self.assertEqual(['b'], self.gone)
+
+    def test_an_entry_that_cannot_be_read_names_no_target(self) -> None:
+        """Another writer's bytes stand where a target's entry was."""
+        self.live.put(target('b'))
+        self.live.unusable('a')
+        self.live.unusable('never seen')
+        self.assertEqual(['a'], self.gone)
+        self.assertEqual(['b'], self.live.of_service('s'))
+
 
 class SplitterTest(unittest.TestCase):
     """Requests of a route that several services share."""
--- a/tests/unit/test_prepared_hosts.py
+++ b/tests/unit/test_prepared_hosts.py
@@ -5,6 +5,8 @@
 import sys
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 from returns import result
 
 from samphiredock import protocol
@@ -110,6 +112,75 @@
             state.LiveTarget('i-1', 's1', '10.0.0.9:80', 'z', 2, True, 300.0),
             target,
         )
+        value = json.dumps(entry | {'born': 1764700000123}).encode()
+        again = self.adapter.read_target('servers/i-1', value).unwrap()
+        self.assertEqual(1764700000123, again.born_ms)
+
+    def test_an_entry_of_another_writer_names_no_target(self) -> None:
+        """Work would go to what is no target, or to none.
+
+        Fields are missing or of another type, the state is one that nobody
+        has heard of, or the address is none.
+        """
+        entry = {
+            'Service': 's1', 'Addr': '10.0.0.9:80', 'Zone': 'z',
+            'Version': 'v1', 'Slots': 2, 'State': 'ready',
+            'WarmupLeftMs': 0, 'Seq': 4, 'born': 1764700000123,
+        }  # fmt: skip
+        key = 'servers/i-1'
+        good = json.dumps(entry).encode()
+        self.assertIsInstance(
+            self.adapter.read_target(key, good), result.Success
+        )
+        others = [
+            {name: value for name, value in entry.items() if name != left_out}
+            for left_out in entry
+            if left_out not in ('Version', 'born')
+        ]
+        others += [
+            entry | changed
+            for changed in (
+                {'State': 'parked'}, {'State': 1}, {'State': None},
+                {'Slots': '2'}, {'Slots': 0}, {'Slots': 2.5}, {'Seq': 'x'},
+                {'Service': ''}, {'Service': ['s1']}, {'Zone': 7},
+                {'Addr': 'host:80'}, {'Addr': '10.0.0.9'}, {'Addr': ':80'},
+                {'Addr': '10.0.0.9:0'}, {'Addr': '10.0.0.9:99999'},
+                {'born': 1.5}, {'born': '1764700000123'}, {'born': None},
+                {'WarmupLeftMs': 'soon'},
+            )
+        ]  # fmt: skip
+        values = [json.dumps(row).encode() for row in others]
+        values += [b'"text"', b'\xff\xfe', good[:-1], good + b'}']
+        values += [good.replace(b'10.0.0.9', b'10.0.\xff.9')]
+        for value in values:
+            with self.subTest(value):
+                read = self.adapter.read_target(key, value)
+                self.assertIsInstance(read, result.Failure)
+
+    @hypothesis.settings(
+        derandomize=True,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(
+                ('Service', 'Addr', 'Zone', 'Slots', 'State', 'Seq', 'born')
+            ),
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers(-(2**70), 2**70)
+            | strategies.floats()
+            | strategies.text('ready:1.0', max_size=12)
+            | strategies.lists(strategies.integers(), max_size=2),
+        )
+    )
+    def test_no_entry_raises(self, changed: dict[str, object]) -> None:
+        """A raised error would end the task that follows the store."""
+        value = json.dumps({'WarmupLeftMs': 0} | changed).encode()
+        read = self.adapter.read_target('servers/i', value)
+        if isinstance(read, result.Success):
+            self.assertIn(changed['State'], ('ready', 'draining'))
 
     def test_what_cannot_be_read_is_a_value(self) -> None:
         """A raised error would end the task that follows the store."""
