Shards that are late together are hedged a few at a time

Ruled out: no hedge while over half of the shards are late (a silent site would never be hedged); a longer first delay (a silent target would cost the first searches a part).

Change: a fifth of the shards at a time, the next ones a quarter of the delay later; a silent site is hedged whole within 1.75 delays.

--- a/samphiredock/coordination/search/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -19,6 +19,17 @@
 REFUSAL_PAUSE_MS = 8.0
 """A slot is soon free again where service times are tens of ms."""
 
+AT_ONCE_SHARE = 0.2
+LEAST_AT_ONCE = 2
+STEP_SHARE = 0.25
+"""When many shards of a search are late together, few of them are hedged at
+a time: this share of all shards, and the next ones a part of the delay later.
+What makes them late together is mostly this daemon, or a load that every
+target has: after a loss of all daemons their connections are cold, each first
+search hedged all of its 20 shards, and the answers took 200 ms in place of
+60.  The others come meanwhile by themselves.  Where a whole site is silent,
+all of its shards are hedged within 1.75 delays."""
+
 OpenTo = typing.Callable[[_scatter_round.ShardState], list[str]]
 
 
@@ -105,6 +116,10 @@
         if delay_ms is None:
             return []
         late, self.due_ms = attempts.overdue(delay_ms, now_ms)
+        at_once = self._at_once()
+        if len(late) > at_once:
+            late = late[:at_once]
+            self.due_ms = now_ms + delay_ms * STEP_SHARE
         chosen = []
         for attempt in late:
             candidates = open_to(attempt.shard)
@@ -117,6 +132,11 @@
                 chosen.append((attempt.shard, elsewhere or candidates))
         return chosen
 
+    def _at_once(self) -> int:
+        """Return how many shards may be hedged at one time."""
+        shards = self._tally.sub_queries_needed
+        return max(LEAST_AT_ONCE, math.ceil(shards * AT_ONCE_SHARE))
+
     def _may_hedge(self, shard: _scatter_round.ShardState) -> bool:
         shard.hedged = True
         if self._tools.budget.spend_hedge(shard.shard.shard_id):
