--- a/samphiredock/coordination/search/_hedging.py
+++ b/samphiredock/coordination/search/_hedging.py
@@ -15,9 +15,8 @@
 _WAITED_FACTOR = 2.0
 _WAITED_LEAST_MS = 10.0
 
-# A refusal by a target is no sign here: whether its shard is overloaded is
-# told by the records of all its replicas.
 _SIGN_WEIGHT = {
+    protocol.SubStatus.SHED: 1.0,
     protocol.SubStatus.EXPIRED: 1.0,
     # Hedges are a few per cent of the attempts, so each counts for more.
     protocol.SubStatus.NO_IDLE_SLOT: 4.0,
--- a/samphiredock/coordination/search/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -123,11 +123,7 @@
         chosen = []
         for attempt in late:
             candidates = open_to(attempt.shard)
-            if (
-                candidates
-                and not self._is_overloaded(attempt.shard)
-                and self._may_hedge(attempt.shard)
-            ):
+            if candidates and self._may_hedge(attempt.shard):
                 elsewhere = [
                     name
                     for name in candidates
@@ -141,18 +137,6 @@
         shards = self._tally.sub_queries_needed
         return max(LEAST_AT_ONCE, math.ceil(shards * AT_ONCE_SHARE))
 
-    def _is_overloaded(self, shard: _scatter_round.ShardState) -> bool:
-        """Whether each replica of a shard refuses a part of its work.
-
-        A hedge would take room from first attempts.  One replica that
-        refuses while another does not is ill, and no sign of load: with the
-        whole index judged by its refusals, no search was hedged while 20 of
-        40 targets refused 6 of 10 requests, and each second one lost a part
-        to a pause.
-        """
-        is_refusing = self._tools.replicas.is_failing
-        return all(map(is_refusing, shard.shard.replicas))
-
     def _may_hedge(self, shard: _scatter_round.ShardState) -> bool:
         shard.hedged = True
         if self._tools.budget.spend_hedge(shard.shard.shard_id):
--- a/samphiredock/coordination/targets/_replicas.py
+++ b/samphiredock/coordination/targets/_replicas.py
@@ -20,10 +20,6 @@
 that is soon used up.  With 6, one failure alone does not outweigh another
 site's factor of 3, a share of 40 % does."""
 
-FAILING_SHARE = 0.1
-"""Share of its work that a target must fail to count as failing.  A single
-failure weighs 0.2 and is outweighed by four good answers."""
-
 OTHER_SITE_FACTOR = 1.05
 _EXPLORE_SHARE = 0.01
 
@@ -196,13 +192,6 @@
         """Take in that a target refused, broke or spoilt an attempt."""
         self._load(target).judge(True, self._now_ms())
 
-    def is_failing(self, target: str) -> bool:
-        """Whether a target failed a part of its work lately."""
-        load = self._loads.get(target)
-        if load is None:
-            return False
-        return load.failing_share(self._now_ms()) > FAILING_SHARE
-
     def forget(self, target: str) -> None:
         """Drop the record of a target that is gone."""
         load = self._loads.get(target)
