Nothing unwanted is sent; a hedge takes only a connection that is free

An attempt whose search had ended went on waiting for a connection, was sent when it got one, and was cut 150 ms after the end with its connection; the next one had to open another.

Change: an exchange that is not wanted any more is not sent and gives its connection on; a hedge that would wait for a connection is refused like one without an idle slot, and goes again after 8 ms. A turn for a connection that is cancelled goes to the next waiter.

--- a/samphiredock/coordination/forwarding/_forward_types.py
+++ b/samphiredock/coordination/forwarding/_forward_types.py
@@ -62,13 +62,18 @@
         timeout_ms: float,
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
+        is_wanted: typing.Callable[[], bool] = lambda: True,
     ) -> result.Result[protocol.HttpReply, transport.LinkError]:
         """Send a request once and return its answer.
 
         Answers for which ``is_reply`` is false belong to other requests;
         a connection that was idle for more than ``kept_ms`` is not used.
+        Nothing is sent once ``is_wanted`` is false.
         """
 
+    def has_room(self, target: state.LiveTarget) -> bool:
+        """Whether an exchange would get a connection without waiting."""
+
     async def is_listening(self, target: state.LiveTarget) -> bool:
         """Whether a target takes connections."""
 
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -300,6 +300,12 @@
         if target is None:
             self._ended(flight, item, _Status.UNREACHABLE, 'gone')
             return
+        if item.hedge and not self._links.has_room(target):
+            # It would wait behind what makes the first attempt late as
+            # well, and take the place of another request's first one.
+            self._ended(flight, item, _Status.NO_IDLE_SLOT, 'no connection')
+            return
+        exchange = flight.exchanges[item.attempt_id]
         request = flight.plan.request
         left_ms = flight.plan.scatter.deadline_at_ms - sent_ms
         reply = await self._links.exchange(
@@ -310,6 +316,7 @@
             math.inf
             if flight.plan.route.repeatable
             else self._settings.once_kept_ms,
+            lambda: not exchange.lingers,
         )
         if isinstance(reply, result.Failure):
             error = reply.failure()
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -46,11 +46,22 @@
 _Kind = _link_errors.LinkErrorKind
 
 
+_UNWANTED = _link_errors.LinkError(_Kind.NO_CONNECTION, 'not wanted any more')
+
+
 @dataclasses.dataclass(slots=True)
 class _Idle:
+    """A connection that nothing runs on.
+
+    It was used, or made, at ``since_ms``, and the target may close it from
+    ``until_ms`` on.  ``was_kept`` says that it has been idle between two
+    exchanges.
+    """
+
     channel: _http_channel.HttpChannel
     since_ms: float
     until_ms: float
+    was_kept: bool = False
 
 
 class _Pool:
@@ -113,6 +124,7 @@
         timeout_ms: float,
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
+        is_wanted: typing.Callable[[], bool] = lambda: True,
     ) -> result.Result[protocol.HttpReply, _link_errors.LinkError]:
         """Send a request once and return its answer.
 
@@ -128,14 +140,23 @@
             How long a kept connection may have been idle; one that was
             idle longer may be forgotten at the target, and the request
             would be lost on it.
+        is_wanted
+            Whether the answer is still of use.  What waited for a
+            connection until nobody wanted it is not sent: after a loss of
+            all daemons such requests filled the slots of the targets, and
+            the first second's answers took 200 ms in place of 60.
         """
         ends_ms = self._clock.now_ms() + timeout_ms
         pool = self._pools[target.target_id]
-        taken = await self._acquire(pool, target, ends_ms, kept_ms)
+        taken = await self._acquire(pool, target, ends_ms, kept_ms, is_wanted)
         if isinstance(taken, _link_errors.LinkError):
             return result.Failure(taken)
-        channel, idle_ms = taken
+        if not is_wanted():
+            self._put_back(pool, target, taken)
+            return result.Failure(_UNWANTED)
+        channel = taken.channel
         sent_ms = self._clock.now_ms()
+        idle_ms = sent_ms - taken.since_ms if taken.was_kept else 0.0
         keep_ms: float | None = None
         try:
             outcome = await channel.exchange(
@@ -192,13 +213,13 @@
         target: state.LiveTarget,
         ends_ms: float,
         kept_ms: float,
-    ) -> tuple[_http_channel.HttpChannel, float] | _link_errors.LinkError:
-        """Return a connection and how long it was idle, 0 for a new one."""
+        is_wanted: typing.Callable[[], bool],
+    ) -> _Idle | _link_errors.LinkError:
+        """Return a kept connection or a new one."""
         while True:
             self._drop_stale(pool)
             if pool.idle and self._idle_ms(pool.idle[-1]) <= kept_ms:
-                kept = pool.idle.pop()
-                return kept.channel, self._idle_ms(kept)
+                return pool.idle.pop()
             limit = max(1, self._limit(target))
             if pool.idle and pool.open >= limit:
                 # Room for a new one: the longest idle is of least use.
@@ -208,16 +229,53 @@
                 made = await self._connect(pool, target, ends_ms)
                 if isinstance(made, _link_errors.LinkError):
                     return made
-                return made, 0.0
-            waiter = asyncio.get_running_loop().create_future()
-            pool.waiters.append(waiter)
-            try:
-                async with asyncio.timeout(self._left_s(ends_ms)):
-                    await waiter
-            except TimeoutError:
+                return self._idle_from_now(made, None)
+            if not await self._wait(pool, ends_ms):
                 return _link_errors.LinkError(
                     _Kind.NO_CONNECTION, 'no free connection'
                 )
+            if not is_wanted():
+                pool.wake()
+                return _UNWANTED
+
+    async def _wait(self, pool: _Pool, ends_ms: float) -> bool:
+        """Wait for a turn to look again; False if none came in time."""
+        waiter = asyncio.get_running_loop().create_future()
+        pool.waiters.append(waiter)
+        try:
+            async with asyncio.timeout(self._left_s(ends_ms)):
+                await waiter
+        except TimeoutError:
+            return False
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                # Its turn had come: the next one would wait for nothing.
+                pool.wake()
+            raise
+        return True
+
+    def has_room(self, target: state.LiveTarget) -> bool:
+        """Whether an exchange would get a connection without waiting."""
+        pool = self._pools[target.target_id]
+        return bool(pool.idle) or pool.open < max(1, self._limit(target))
+
+    def _idle_from_now(
+        self, channel: _http_channel.HttpChannel, keep_ms: float | None
+    ) -> _Idle:
+        now_ms = self._clock.now_ms()
+        limit_ms = _IDLE_LIMIT_MS if keep_ms is None else keep_ms
+        return _Idle(channel, now_ms, now_ms + limit_ms - _IDLE_MARGIN_MS)
+
+    def _put_back(
+        self, pool: _Pool, target: state.LiveTarget, row: _Idle
+    ) -> None:
+        """Return a connection that was taken and not used."""
+        if self._pools.get(target.target_id) is pool and row.channel.is_open:
+            pool.idle.append(row)
+        else:
+            row.channel.close()
+            pool.open -= 1
+        pool.wake()
 
     def _idle_ms(self, row: _Idle) -> float:
         return self._clock.now_ms() - row.since_ms
@@ -274,10 +332,9 @@
             # More daemons share the target's connections than before.
             channel.close()
         if channel.is_open:
-            limit_ms = _IDLE_LIMIT_MS if keep_ms is None else keep_ms
-            now_ms = self._clock.now_ms()
-            until_ms = now_ms + limit_ms - _IDLE_MARGIN_MS
-            pool.idle.append(_Idle(channel, now_ms, until_ms))
+            row = self._idle_from_now(channel, keep_ms)
+            row.was_kept = True
+            pool.idle.append(row)
         else:
             pool.open -= 1
         pool.wake()
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -62,6 +62,7 @@
     def __init__(self) -> None:
         self.sent: list[Sent] = []
         self.dead: set[str] = set()
+        self.full: set[str] = set()
 
     @property
     def open(self) -> list[Sent]:
@@ -75,6 +76,7 @@
         timeout_ms: float,
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
+        is_wanted: typing.Callable[[], bool] = lambda: True,
     ) -> Reply:
         """Wait for the test."""
         future = asyncio.get_running_loop().create_future()
@@ -86,6 +88,10 @@
             sent.cancelled = True
             raise
 
+    def has_room(self, target: state.LiveTarget) -> bool:
+        """Whether the test has not put the target among the full."""
+        return target.target_id not in self.full
+
     async def is_listening(self, target: state.LiveTarget) -> bool:
         """Whether the test has not put the target among the dead."""
         return target.target_id not in self.dead
--- a/tests/failure/test_passed_on.py
+++ b/tests/failure/test_passed_on.py
@@ -59,6 +59,42 @@
         outcome = await self.task
         self.assertEqual(2, outcome.missing)
 
+    async def test_a_hedge_waits_for_no_connection(self) -> None:
+        """It would stand in line behind what makes its shard late.
+
+        After a start all connections are cold and in use.  A hedge that
+        waits for one takes the turn of another search's first attempt, and
+        all of them are late.  It goes once there is room.
+        """
+        slow = self.desk.links.open[0]
+        other = slow.target[:3] + str(1 - int(slow.target[3:]))
+        self.desk.links.full.add(other)
+        for sent in self.desk.links.open[1:]:
+            sent.answer(RECORD)
+        await self.desk.advance(40.0)
+        self.assertEqual([slow], self.desk.links.open)
+        self.desk.links.full.clear()
+        await self.desk.advance(9.0)
+        self.assertEqual(
+            {slow.target, other}, {row.target for row in self.desk.links.open}
+        )
+
+    async def test_shards_that_are_late_together_are_hedged_in_turn(
+        self,
+    ) -> None:
+        """What makes all of them late is mostly this daemon itself.
+
+        Hedged at once, they would double its work in the second after a
+        start.  Most answer by themselves meanwhile; a whole site that is
+        silent has all of its shards hedged in time.
+        """
+        await self.desk.advance(36.0)
+        counts = [len(self.desk.links.open)]
+        for _ in range(5):
+            await self.desk.advance(9.0)
+            counts.append(len(self.desk.links.open))
+        self.assertEqual([12, 14, 16, 18, 20, 20], counts)
+
     async def test_a_loser_that_answers_late_is_not_in_twice(self) -> None:
         """Both answers of one shard would double its records."""
         slow = self.desk.links.open[0]
--- a/tests/unit/test_http_channel.py
+++ b/tests/unit/test_http_channel.py
@@ -67,6 +67,58 @@
             self.assertEqual(f'r{number}'.encode(), reply.body)
         self.assertEqual(1, self.target.connections)
 
+    async def test_what_nobody_wants_any_more_is_not_sent(self) -> None:
+        """It would take a slot of the target, for an answer to nobody.
+
+        Its search ends while it waits for a connection; the connection goes
+        to the next one that waits.
+        """
+        self.pool = transport.ChannelPool(self.clock, lambda target: 1)
+        go_on = asyncio.Event()
+
+        async def slowly(
+            seen: scripted_target.Seen, writer: asyncio.StreamWriter
+        ) -> None:
+            await go_on.wait()
+            await self._plain(seen, writer)
+
+        self.target.script = slowly
+        first = asyncio.create_task(self._ask('a'))
+        await asyncio.sleep(0.02)
+        self.assertFalse(self.pool.has_room(self.entry))
+        wanted = True
+        second = asyncio.create_task(
+            self.pool.exchange(
+                self.entry,
+                protocol.HttpRequest('GET', '/', (('Request-Id', 'b'),)),
+                2_000.0,
+                lambda reply: True,
+                is_wanted=lambda: wanted,
+            )
+        )
+        third = asyncio.create_task(self._ask('c'))
+        await asyncio.sleep(0.02)
+        wanted = False
+        go_on.set()
+        self.assertEqual(b'a', (await first).unwrap().body)
+        self.assertIs(Kind.NO_CONNECTION, (await second).failure().kind)
+        self.assertEqual(b'c', (await third).unwrap().body)
+        seen = [row.headers['request-id'] for row in self.target.seen]
+        self.assertEqual(['a', 'c'], seen)
+        self.assertEqual(1, self.target.connections)
+        self.assertTrue(self.pool.has_room(self.entry))
+
+    async def test_a_turn_that_is_cancelled_goes_to_the_next(self) -> None:
+        """Else a free connection would lie idle while requests wait."""
+        self.pool = transport.ChannelPool(self.clock, lambda target: 1)
+        first = asyncio.create_task(self._ask('a'))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(self._ask('b'))
+        third = asyncio.create_task(self._ask('c'))
+        await asyncio.sleep(0)
+        first.add_done_callback(lambda task: second.cancel())
+        self.assertEqual(b'c', (await third).unwrap().body)
+
     async def test_a_target_is_warmed_once(self) -> None:
         """The first request finds a connection that is open."""
         await self.pool.warm(self.entry)
