--- /dev/null
+++ b/standins/cold_links.py
@@ -0,0 +1,168 @@
+"""Targets with slots, and connections to them that are cold at first.
+
+A model of what a daemon meets in the second after a start: no connection is
+open, each new one holds a slot of its target for some ms, and a daemon may
+have few of them.  Time is moved by hand.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import math
+import random
+import typing
+
+from returns import result
+
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+from standins import memory_links
+
+_RECORD = b'0123456789abcdef'
+_UNWANTED = transport.LinkError(
+    transport.LinkErrorKind.NO_CONNECTION, 'not wanted any more'
+)
+
+
+class SlotTargets:
+    """Targets that work on ``slots`` things at once, in order of arrival.
+
+    Parameters
+    ----------
+    clock
+        Time, moved by the test.
+    rng
+        Seeded; how long each request takes.
+    slots, handshake_ms, work_ms
+        Of each target: what it does at once, how long a new connection
+        holds a slot, and the mean time of a request.
+    """
+
+    def __init__(
+        self,
+        clock: timers.ManualTimers,
+        rng: random.Random,
+        slots: int = 2,
+        handshake_ms: float = 6.0,
+        work_ms: float = 11.0,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._slots = slots
+        self._handshake_ms = handshake_ms
+        self._work_ms = work_ms
+        self._busy: collections.Counter[str] = collections.Counter()
+        self._queues: dict[str, collections.deque[asyncio.Future]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self.handshakes = 0
+        self.requests = 0
+
+    async def shake_hands(self, target: str) -> None:
+        """Take a new connection."""
+        self.handshakes += 1
+        await self._hold(target, self._handshake_ms)
+
+    async def work(self, target: str) -> None:
+        """Work on a request, also for a caller that has left."""
+        self.requests += 1
+        took_ms = self._work_ms * self._rng.uniform(0.6, 1.4)
+        await asyncio.shield(self._hold(target, took_ms))
+
+    async def _hold(self, target: str, span_ms: float) -> None:
+        if self._busy[target] >= self._slots:
+            turn = asyncio.get_running_loop().create_future()
+            self._queues[target].append(turn)
+            await turn
+        self._busy[target] += 1
+        over = asyncio.get_running_loop().create_future()
+        self._clock.after(span_ms, lambda: over.set_result(None))
+        await over
+        self._busy[target] -= 1
+        while self._queues[target]:
+            turn = self._queues[target].popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+
+@dataclasses.dataclass
+class _Pool:
+    idle: int = 0
+    open: int = 0
+    waiting: collections.deque[asyncio.Future] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def wake(self) -> None:
+        """Let the next one look again."""
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+
+class ColdLinks(memory_links.HandLinks):
+    """One daemon's connections, at most ``limit`` to each target."""
+
+    def __init__(self, targets: SlotTargets, limit: int = 2) -> None:
+        super().__init__()
+        self._targets = targets
+        self._limit = limit
+        self._pools: dict[str, _Pool] = collections.defaultdict(_Pool)
+
+    def has_room(self, target: state.LiveTarget) -> bool:
+        """Whether an exchange would get a connection without waiting."""
+        pool = self._pools[target.target_id]
+        return bool(pool.idle) or pool.open < self._limit
+
+    async def exchange(
+        self,
+        target: state.LiveTarget,
+        request: protocol.HttpRequest,
+        timeout_ms: float,
+        is_reply: typing.Callable[[protocol.HttpReply], bool],
+        kept_ms: float = math.inf,
+        is_wanted: typing.Callable[[], bool] = lambda: True,
+    ) -> memory_links.Reply:
+        """Get a connection, send and wait; a cancelled one is closed."""
+        name = target.target_id
+        pool = self._pools[name]
+        await self._connect(pool, name)
+        if not is_wanted():
+            self._release(pool, True)
+            return result.Failure(_UNWANTED)
+        whole = False
+        try:
+            await self._targets.work(name)
+            whole = True
+        finally:
+            self._release(pool, whole)
+        headers = (('Receipt', f'receipt-{name}'),)
+        return result.Success(protocol.HttpReply(200, headers, _RECORD))
+
+    async def _connect(self, pool: _Pool, name: str) -> None:
+        while not pool.idle and pool.open >= self._limit:
+            turn = asyncio.get_running_loop().create_future()
+            pool.waiting.append(turn)
+            await turn
+        if pool.idle:
+            pool.idle -= 1
+            return
+        pool.open += 1
+        try:
+            await self._targets.shake_hands(name)
+        except asyncio.CancelledError:
+            pool.open -= 1
+            pool.wake()
+            raise
+
+    def _release(self, pool: _Pool, whole: bool) -> None:
+        if whole:
+            pool.idle += 1
+        else:
+            pool.open -= 1
+        pool.wake()
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -141,9 +141,15 @@
     may not be repeated.
     """
 
-    def __init__(self, shards: int = 10, daemons: int | None = 1) -> None:
-        self.clock = timers.ManualTimers()
-        self.links = HandLinks()
+    def __init__(
+        self,
+        shards: int = 10,
+        daemons: int | None = 1,
+        clock: timers.ManualTimers | None = None,
+        links: HandLinks | None = None,
+    ) -> None:
+        self.clock = clock or timers.ManualTimers()
+        self.links = links or HandLinks()
         self.targets = forwarding.LiveTargets(self.clock)
         self.routing = forwarding.RoutingKnowledge()
         self.counters = metrics.Metrics('test')
--- /dev/null
+++ b/tests/failure/test_start_rush.py
@@ -0,0 +1,83 @@
+"""The second after all daemons have started at once."""
+
+import asyncio
+import random
+import statistics
+import unittest
+
+from samphiredock import protocol
+from samphiredock import timers
+from standins import cold_links
+from standins import memory_links
+
+_DAEMONS = 7
+_SHARDS = 20
+_WAITING = 21
+_SEARCHES = 81
+_EVERY_MS = 16.0
+_IN_AIM_MS = 106.0
+_WORK_MS = 16.5
+
+
+class StartRushTest(unittest.IsolatedAsyncioTestCase):
+    """Seven daemons with no open connection, 62 searches a second.
+
+    Three callers a daemon have waited until it listened.  Each search asks
+    20 shards of two targets with two slots; a daemon may have two
+    connections to a target, and a new one holds a slot for 6 ms.
+    """
+
+    async def _play(self) -> tuple[list[float], int, int]:
+        """Return the time of each answer, requests and handshakes."""
+        clock = timers.ManualTimers()
+        rng = random.Random(memory_links.SEED)
+        targets = cold_links.SlotTargets(clock, rng, work_ms=_WORK_MS)
+        desks = [
+            memory_links.ForwardDesk(
+                _SHARDS, _DAEMONS, clock, cold_links.ColdLinks(targets)
+            )
+            for _ in range(_DAEMONS)
+        ]
+        took_ms: list[float] = []
+        tasks = []
+        for number in range(_SEARCHES):
+            began_ms = clock.now_ms()
+            task = desks[number % _DAEMONS].ask('/all/x', f'r{number}')
+
+            def note(done: asyncio.Task, began_ms: float = began_ms) -> None:
+                self.assertIsInstance(done.result(), protocol.Gathered)
+                took_ms.append(clock.now_ms() - began_ms)
+
+            task.add_done_callback(note)
+            tasks.append(task)
+            if number < _WAITING:
+                continue
+            for _ in range(int(_EVERY_MS / 2.0)):
+                await memory_links.settle()
+                clock.advance(2.0)
+        for _ in range(300):
+            await memory_links.settle()
+            clock.advance(2.0)
+        await asyncio.gather(*tasks)
+        return took_ms, targets.requests, targets.handshakes
+
+    async def test_answers_are_in_time_again_at_once(self) -> None:
+        """Callers come back to daemons whose connections are all cold.
+
+        Each first search finds all of its shards late.  Hedged together
+        they double the work, answers miss their aim, and what is cut then
+        costs new connections: the rush feeds itself for a second.  Hedged
+        a few at a time, and with nothing sent that nobody waits for, it is
+        over when the connections are open.
+        """
+        took_ms, requests, handshakes = await self._play()
+        in_aim = sum(took <= _IN_AIM_MS for took in took_ms)
+        median_ms = statistics.median(took_ms)
+        print(
+            f'start rush: {in_aim} of {_SEARCHES} in aim, median '
+            f'{median_ms:.0f} ms, {requests / _SEARCHES:.1f} requests a '
+            f'search, {handshakes} connections'
+        )
+        self.assertEqual(_SEARCHES, len(took_ms))
+        self.assertLess(median_ms, 60.0)
+        self.assertLess(requests, 1.1 * _SEARCHES * _SHARDS)
