soak: faults and runs import each other no more; entries of another writer

The two modules imported each other for a type; a fault now states what it needs of a run as a Protocol.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,49 +1,86 @@
 """What may go wrong in a run, by name; each for a time in seconds."""
 
 import asyncio
+import random
 import signal
 import typing
 
-if typing.TYPE_CHECKING:
-    from soak import _run
+from soak import _links
+from standins import prepared_system
 
-Fault = typing.Callable[['_run.Soak', float], typing.Awaitable[None]]
 
+class Run(typing.Protocol):
+    """What a fault may draw from a running soak, and do to it."""
 
-async def _kill(soak: '_run.Soak', for_s: float) -> None:
+    rng: random.Random
+    system: prepared_system.PreparedSystem
+    links: _links.Links
+    version: int
+
+    def configure(self, version: int) -> None:
+        """Write a version."""
+
+    def draw_running(self) -> str | None:
+        """Return a daemon that runs, None if none does."""
+
+    def draw_target(self) -> prepared_system.PreparedTarget:
+        """Return a target."""
+
+    async def kill_daemon(self) -> None:
+        """Kill a daemon and start it again."""
+
+    async def stop_daemon(self) -> None:
+        """Stop a daemon gracefully and start it again."""
+
+    async def freeze(self, for_s: float) -> None:
+        """Pause a daemon."""
+
+
+Fault = typing.Callable[[Run, float], typing.Awaitable[None]]
+
+_FOREIGN_ENTRIES: tuple[object, ...] = (
+    {'State': 'parked'},
+    {'Service': 'shard-1', 'Addr': 'nowhere', 'State': 'ready'},
+    ['no', 'entry'],
+    'text',
+)
+"""What another writer may leave among the targets' entries."""
+
+
+async def _kill(soak: Run, for_s: float) -> None:
     await soak.kill_daemon()
 
 
-async def _stop(soak: '_run.Soak', for_s: float) -> None:
+async def _stop(soak: Run, for_s: float) -> None:
     await soak.stop_daemon()
 
 
-async def _freeze(soak: '_run.Soak', for_s: float) -> None:
+async def _freeze(soak: Run, for_s: float) -> None:
     await soak.freeze(for_s)
 
 
-async def _lose_answers(soak: '_run.Soak', for_s: float) -> None:
+async def _lose_answers(soak: Run, for_s: float) -> None:
     target = soak.draw_target()
     target.lose_answers = True
     await asyncio.sleep(for_s)
     target.lose_answers = False
 
 
-async def _slow_target(soak: '_run.Soak', for_s: float) -> None:
+async def _slow_target(soak: Run, for_s: float) -> None:
     target = soak.draw_target()
     target.delay_s = soak.rng.choice((0.1, 0.4, 3.0))
     await asyncio.sleep(for_s)
     target.delay_s = 0.0
 
 
-async def _drain_target(soak: '_run.Soak', for_s: float) -> None:
+async def _drain_target(soak: Run, for_s: float) -> None:
     target = soak.draw_target()
     soak.system.register(target.target_id, 'draining')
     await asyncio.sleep(for_s)
     soak.system.register(target.target_id)
 
 
-async def _lapse(soak: '_run.Soak', for_s: float) -> None:
+async def _lapse(soak: Run, for_s: float) -> None:
     names = sorted(soak.system.targets)
     lapsed = soak.rng.sample(names, 3)
     for name in lapsed:
@@ -53,40 +90,47 @@
         soak.system.register(name)
 
 
-async def _store_away(soak: '_run.Soak', for_s: float) -> None:
+async def _foreign_entry(soak: Run, for_s: float) -> None:
+    entry = soak.rng.choice(_FOREIGN_ENTRIES)
+    soak.system.store.put('servers', 'foreign', entry)
+    await asyncio.sleep(for_s)
+    soak.system.store.remove('servers', 'foreign')
+
+
+async def _store_away(soak: Run, for_s: float) -> None:
     faults = soak.system.store.faults
     faults.status = soak.rng.choice((503, 429))
     await asyncio.sleep(for_s)
     faults.status = 0
 
 
-async def _store_silent(soak: '_run.Soak', for_s: float) -> None:
+async def _store_silent(soak: Run, for_s: float) -> None:
     soak.system.store.faults.silent = True
     await asyncio.sleep(for_s)
     soak.system.store.faults.silent = False
 
 
-async def _cut_watches(soak: '_run.Soak', for_s: float) -> None:
+async def _cut_watches(soak: Run, for_s: float) -> None:
     soak.system.store.cut_watches()
 
 
-async def _forget_history(soak: '_run.Soak', for_s: float) -> None:
+async def _forget_history(soak: Run, for_s: float) -> None:
     soak.system.store.forget_history()
 
 
-async def _new_version(soak: '_run.Soak', for_s: float) -> None:
+async def _new_version(soak: Run, for_s: float) -> None:
     soak.configure(soak.version + soak.rng.randint(1, 3))
 
 
-async def _link_to_target(soak: '_run.Soak', for_s: float) -> None:
+async def _link_to_target(soak: Run, for_s: float) -> None:
     await soak.links.disturb_target(soak.rng, for_s)
 
 
-async def _link_to_store(soak: '_run.Soak', for_s: float) -> None:
+async def _link_to_store(soak: Run, for_s: float) -> None:
     await soak.links.disturb_store(soak.rng, for_s)
 
 
-async def _read_settings(soak: '_run.Soak', for_s: float) -> None:
+async def _read_settings(soak: Run, for_s: float) -> None:
     """Change a settings file, and tell the daemon or let it find it."""
     name = soak.draw_running()
     if name is None:
@@ -104,6 +148,7 @@
     'target slow': _slow_target,
     'target drains': _drain_target,
     'entries lapse': _lapse,
+    'entry of another writer': _foreign_entry,
     'store away': _store_away,
     'store silent': _store_silent,
     'watches cut': _cut_watches,
--- a/standins/prepared_store.py
+++ b/standins/prepared_store.py
@@ -64,7 +64,7 @@
 
     # The operator and the targets.
 
-    def put(self, kind: str, name: str, spec: _Json) -> None:
+    def put(self, kind: str, name: str, spec: typing.Any) -> None:
         """Write an object whatever it was."""
         self._revision += 1
         meta = {'Name': name, 'Revision': self._revision}
