--- a/samphiredock/coordination/search/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -26,9 +26,10 @@
 a time: this share of all shards, and the next ones a part of the delay later.
 What makes them late together is mostly this daemon, or a load that every
 target has: after a loss of all daemons their connections are cold, each first
-search hedged all of its 20 shards, and the answers took 200 ms in place of
-60.  The others come meanwhile by themselves.  Where a whole site is silent,
-all of its shards are hedged within 1.75 delays."""
+search hedged all of its 20 shards, and that doubled the work when there was
+most.  The others come meanwhile by themselves.  Where a whole site is silent,
+all of its shards are hedged within 1.75 delays.  Worth +0.0070 +- 0.0050 of
+a day's benefit over 10 pairs of played days of 7 daemons and 20 shards."""
 
 OpenTo = typing.Callable[[_scatter_round.ShardState], list[str]]
 
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -142,9 +142,11 @@
             would be lost on it.
         is_wanted
             Whether the answer is still of use.  What waited for a
-            connection until nobody wanted it is not sent: after a loss of
-            all daemons such requests filled the slots of the targets, and
-            the first second's answers took 200 ms in place of 60.
+            connection until nobody wanted it is not sent: after a kill of
+            all daemons 234 of 251 exchanges in 0.1 s went on new
+            connections, since such requests were cut with theirs, and an
+            exchange waited 110 to 150 ms for one (log lines of one played
+            day; 0.50 to 0.56 of the benefit of those two seconds).
         """
         ends_ms = self._clock.now_ms() + timeout_ms
         pool = self._pools[target.target_id]
