--- a/samphiredock/lazy.py
+++ b/samphiredock/lazy.py
@@ -1,10 +1,12 @@
 """Public names of a package, each loaded with its first use.
 
 Two doors share the packages of this project, and a daemon uses the modules
-of one door only.  Loading those of the other as well would cost a daemon a
-quarter of its start, in which its callers wait, and 6 MB.  So a package's
-``__init__`` lists its public names by the module that has them, and a module
-is imported when one of its names is first asked for.
+of one door only.  Loading those of the other as well would cost a daemon 60
+to 80 ms of its start beside the 170 to 270 ms of its own door, in which its
+callers wait, and 4 MB; the library that they need costs 160 to 250 ms and 14
+MB more (processor time and resident memory, four starts on a busy machine).
+So a package's ``__init__`` lists its public names by the module that has
+them, and a module is imported when one of its names is first asked for.
 """
 
 from collections import abc
--- a/samphiredock/transport/_channel_calls.py
+++ b/samphiredock/transport/_channel_calls.py
@@ -2,7 +2,7 @@
 
 The client of the daemons that pass requests on: it shares the connections'
 code with the targets, so that such a daemon need not load the HTTP library,
-a third of its start and of its memory (see ``docs/design/start.md``).
+160 to 250 ms of its start and 14 MB (see ``docs/design/start.md``).
 """
 
 import math
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -2,8 +2,8 @@
 
 Forwarding is this project's own work, so the connection is kept here, around
 a library that only parses: what a caller sent must reach a target byte by
-byte, and the general HTTP server costs a third of a daemon's start and of
-its memory (see ``docs/design/start.md``).
+byte, and the general HTTP library would cost a daemon 160 to 250 ms of its
+start and 14 MB (see ``docs/design/start.md``).
 """
 
 import asyncio
