--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -15,6 +15,7 @@
             'ForwardSettings',
             'Links',
         ),
+        '_asking': ('TargetAsker',),
         '_forwarder': ('Forwarder',),
         '_handover': (
             'HandoverDialect',
@@ -37,6 +38,11 @@
         ),
         '_live_targets': ('LiveTargets',),
         '_no_suspicions': ('NoSuspicions',),
+        '_merger': ('Merger',),
+        '_orders': (
+            'ORDER_PATH',
+            'Orders',
+        ),
         '_presence': ('Presence',),
         '_roles': (
             'Daemon',
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_asking.py
@@ -0,0 +1,160 @@
+"""One exchange with a target, and what it shows of the target."""
+
+import dataclasses
+import math
+import typing
+
+from returns import result
+
+from samphiredock.coordination.forwarding import _crash_guard
+from samphiredock.coordination.forwarding import _forward_types
+from samphiredock.coordination.forwarding import _live_targets
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+_Status = protocol.SubStatus
+
+_LINK_STATUS = {
+    transport.LinkErrorKind.UNREACHABLE: _Status.UNREACHABLE,
+    transport.LinkErrorKind.NO_CONNECTION: _Status.CANCELLED,
+    transport.LinkErrorKind.BROKEN: _Status.BROKEN,
+    transport.LinkErrorKind.SILENT: _Status.SILENT,
+    transport.LinkErrorKind.BAD_ANSWER: _Status.BAD_ANSWER,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """How an exchange ended; ``reply`` is None if there was no answer."""
+
+    status: _Status
+    detail: str = ''
+    reply: protocol.TargetReply | None = None
+
+
+class TargetAsker:
+    """Asks targets, and keeps their records.
+
+    Parameters
+    ----------
+    targets
+        The targets that are known, and what was observed of each.
+    dialect, links
+        Their protocol, and the connections to them.
+    clock
+        The timers of this daemon.
+    once_kept_ms
+        How long a connection may have been idle on which a request goes
+        that must run once.
+    crashes
+        Which contents crash targets; None if nothing is to be refused.
+    """
+
+    def __init__(
+        self,
+        targets: _live_targets.LiveTargets,
+        dialect: _forward_types.Dialect,
+        links: _forward_types.Links,
+        clock: timers.Timers,
+        once_kept_ms: float = math.inf,
+        crashes: _crash_guard.CrashGuard | None = None,
+    ) -> None:
+        self._targets = targets
+        self._dialect = dialect
+        self._links = links
+        self._clock = clock
+        self._once_kept_ms = once_kept_ms
+        self._crashes = crashes
+
+    async def ask(
+        self,
+        request: protocol.ForwardRequest,
+        target_id: str,
+        left_ms: float,
+        repeatable: bool = True,
+        hedge: bool = False,
+        is_wanted: typing.Callable[[], bool] = lambda: True,
+    ) -> Asked:
+        """Send a request to a target once.
+
+        Parameters
+        ----------
+        request, target_id
+            What is sent where.
+        left_ms
+            What is left of the caller's time.
+        repeatable
+            Whether the request may be sent again if it is lost.
+        hedge
+            It goes only if a connection is free: it would wait behind what
+            makes the first attempt late as well, and take the place of
+            another request's first one.
+        is_wanted
+            Whether the answer is still of use.
+        """
+        target = self._targets.get(target_id)
+        if target is None:
+            return Asked(_Status.UNREACHABLE, 'gone')
+        if hedge and not self._links.has_room(target):
+            return Asked(_Status.NO_IDLE_SLOT, 'no connection')
+        sent_ms = self._clock.now_ms()
+        reply = await self._links.exchange(
+            target,
+            self._dialect.target_request(request, target, left_ms),
+            left_ms,
+            lambda got: self._dialect.is_reply_to(request, got),
+            math.inf if repeatable else self._once_kept_ms,
+            is_wanted,
+        )
+        took_ms = self._clock.now_ms() - sent_ms
+        if isinstance(reply, result.Failure):
+            error = reply.failure()
+            status = _LINK_STATUS[error.kind]
+            self.observe(target_id, status, took_ms)
+            return Asked(status, error.detail)
+        read = self._dialect.read_reply(request, reply.unwrap())
+        self.observe(target_id, read.status, took_ms)
+        return Asked(read.status, read.detail, read)
+
+    def observe(self, target_id: str, status: _Status, took_ms: float) -> None:
+        """Take the end of an exchange into the record of its target."""
+        if self._targets.get(target_id) is None:
+            return
+        now_ms = self._clock.now_ms()
+        record = self._targets.record(target_id)
+        if status is _Status.ANSWERED:
+            record.on_answer(1, took_ms, now_ms)
+        elif status is _Status.UNREACHABLE:
+            record.on_failure(True, now_ms)
+        elif status in (_Status.BROKEN, _Status.BAD_ANSWER):
+            record.on_failure(False, now_ms)
+        elif status is _Status.NOT_OWNER:
+            self._targets.misdirected(target_id)
+
+    async def look_for_crash(
+        self, request: protocol.ForwardRequest, target_id: str, asked: Asked
+    ) -> None:
+        """Tell a target that died from one that only lost an answer.
+
+        A live target takes a connection at once.
+        """
+        lost = asked.status is _Status.BROKEN and asked.reply is None
+        target = self._targets.get(target_id)
+        if self._crashes is None or not lost or target is None:
+            return
+        if await self._links.is_listening(target):
+            return
+        self.observe(target_id, _Status.UNREACHABLE, 0.0)
+        self._crashes.found(
+            _crash_guard.Loss(
+                _crash_guard.fingerprint_of(request),
+                request.request_id,
+                target_id,
+            )
+        )
+
+    def target(self, target_id: str) -> state.LiveTarget | None:
+        """Return a target that is registered."""
+        return self._targets.get(target_id)
--- a/samphiredock/coordination/forwarding/_end_notes.py
+++ b/samphiredock/coordination/forwarding/_end_notes.py
@@ -76,6 +76,7 @@
             status=status if served else None,
             route=plan.route.name,
             version=plan.scatter.snapshot.snapshot_id,
+            deadline_ms=plan.request.deadline_ms,
             aim_ms=plan.route.aim_ms,
             shards=len(plan.services),
             missing=missing,
--- a/samphiredock/coordination/forwarding/_forward_types.py
+++ b/samphiredock/coordination/forwarding/_forward_types.py
@@ -63,12 +63,14 @@
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
+        on_chunk: typing.Callable[[bytes], None] | None = None,
     ) -> result.Result[protocol.HttpReply, transport.LinkError]:
         """Send a request once and return its answer.
 
         Answers for which ``is_reply`` is false belong to other requests;
         a connection that was idle for more than ``kept_ms`` is not used.
-        Nothing is sent once ``is_wanted`` is false.
+        Nothing is sent once ``is_wanted`` is false.  ``on_chunk`` takes
+        the chunks of the answer, which are not in its body then.
         """
 
     def has_room(self, target: state.LiveTarget) -> bool:
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_merge_gathering.py
@@ -0,0 +1,83 @@
+"""When the parts of an order are reported, and which of them as one.
+
+A pure object: ends of attempts and the time go in, reports come out.
+Failures are reported at once, since the search asks another target then.
+Parts wait until all are in or the time to gather is over, and are merged;
+what comes later is reported one by one.  So a shard is in at most one merged
+part of a search, as only first attempts are gathered: a part of it that
+another target gave can always give way, though a merged part cannot be taken
+apart.
+"""
+
+import dataclasses
+
+from samphiredock.coordination.forwarding import _route_plans
+from samphiredock import protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """What a target gave to one attempt."""
+
+    number: int
+    receipt: str
+    took_ms: float
+    body: bytes
+
+
+class Gathering:
+    """The attempts of one order that have not been reported.
+
+    Parameters
+    ----------
+    order
+        What is asked, and for how long its parts are gathered.
+    """
+
+    def __init__(self, order: protocol.MergeOrder) -> None:
+        self._top = order.top
+        self._open = {item.number for item in order.items}
+        self._held: list[Part] = []
+        self._gathers = order.gather_ms > 0.0
+
+    def is_over(self) -> bool:
+        """Whether every attempt has been reported."""
+        return not self._open and not self._held
+
+    def on_part(self, part: Part) -> protocol.MergeReport | None:
+        """Take a part in; return what to report now, if anything."""
+        self._open.discard(part.number)
+        self._held.append(part)
+        if self._gathers and self._open:
+            return None
+        return self._report((), is_late=False)
+
+    def on_failure(self, ended: protocol.EndedItem) -> protocol.MergeReport:
+        """Return the report of an attempt that gave no part."""
+        self._open.discard(ended.number)
+        if self._gathers and self._open:
+            return protocol.MergeReport(ended=(ended,))
+        return self._report((ended,), is_late=False)
+
+    def on_gathered(self) -> protocol.MergeReport | None:
+        """The time to gather is over; None if all has been reported."""
+        if not self._gathers or self.is_over():
+            return None
+        self._gathers = False
+        return self._report((), is_late=True)
+
+    def _report(
+        self, ended: tuple[protocol.EndedItem, ...], is_late: bool
+    ) -> protocol.MergeReport:
+        held, self._held = self._held, []
+        return protocol.MergeReport(
+            tuple(
+                protocol.MergedItem(
+                    part.number, part.receipt, round(part.took_ms * 1000.0)
+                )
+                for part in held
+            ),
+            ended,
+            _route_plans.merge_parts([part.body for part in held], self._top),
+            is_late,
+        )
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_merger.py
@@ -0,0 +1,123 @@
+"""Carry out orders of other daemons: ask targets of this site, and merge."""
+
+import asyncio
+import functools
+import typing
+
+from samphiredock.coordination.forwarding import _asking
+from samphiredock.coordination.forwarding import _merge_gathering
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import timers
+
+_log = logs.logger('orders')
+
+_End = _merge_gathering.Part | protocol.EndedItem
+
+
+class Merger:
+    """Asks the targets that orders name.
+
+    Which targets, how many and when is decided by the daemon that has the
+    search: this one sends to those that are named and to no other, so that
+    the bound on targets that run a request holds whatever becomes of it.
+
+    Parameters
+    ----------
+    asker
+        Sends to one target.
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self,
+        asker: _asking.TargetAsker,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._asker = asker
+        self._clock = clock
+        self._metrics = counters
+
+    async def reports(
+        self, order: protocol.MergeOrder
+    ) -> typing.AsyncGenerator[protocol.MergeReport, None]:
+        """Yield what comes of an order; closing this ends its exchanges."""
+        gathering = _merge_gathering.Gathering(order)
+        ends: asyncio.Queue[_End | None] = asyncio.Queue()
+        request = order.request()
+        tasks = [
+            asyncio.create_task(self._ask(request, item, order.left_ms, ends))
+            for item in order.items
+        ]
+        self._metrics.add('orders_taken')
+        self._metrics.add('order_items', len(tasks))
+        timer = self._clock.after(
+            order.gather_ms, functools.partial(ends.put_nowait, None)
+        )
+        try:
+            while not gathering.is_over():
+                report = _take(gathering, await ends.get())
+                if report is not None:
+                    yield report
+        finally:
+            timer.cancel()
+            for task in tasks:
+                task.cancel()
+
+    async def _ask(
+        self,
+        request: protocol.ForwardRequest,
+        item: protocol.OrderedItem,
+        left_ms: float,
+        ends: asyncio.Queue[_End | None],
+    ) -> None:
+        sent_ms = self._clock.now_ms()
+        target = self._asker.target(item.target)
+        if target is None or target.service != item.service or target.leaving:
+            why = 'not a target of the service here, or it is leaving'
+            _log.info(
+                'ordered target refused',
+                request=request.request_id,
+                target=item.target,
+                service=item.service,
+                why=why,
+            )
+            ends.put_nowait(
+                protocol.EndedItem(
+                    item.number, protocol.SubStatus.NOT_ORDERED, 0, why
+                )
+            )
+            return
+        asked = await self._asker.ask(request, item.target, left_ms)
+        took_ms = self._clock.now_ms() - sent_ms
+        if asked.status is protocol.SubStatus.ANSWERED:
+            assert asked.reply is not None
+            receipt = asked.reply.receipt or ''
+            body = asked.reply.reply.body
+            ends.put_nowait(
+                _merge_gathering.Part(item.number, receipt, took_ms, body)
+            )
+            return
+        ends.put_nowait(
+            protocol.EndedItem(
+                item.number,
+                asked.status,
+                round(took_ms * 1000.0),
+                asked.detail,
+            )
+        )
+        await self._asker.look_for_crash(request, item.target, asked)
+
+
+def _take(
+    gathering: _merge_gathering.Gathering, end: _End | None
+) -> protocol.MergeReport | None:
+    """Give an end, or None for the end of the time to gather."""
+    if end is None:
+        return gathering.on_gathered()
+    if isinstance(end, protocol.EndedItem):
+        return gathering.on_failure(end)
+    return gathering.on_part(end)
--- /dev/null
+++ b/samphiredock/coordination/forwarding/_orders.py
@@ -0,0 +1,164 @@
+"""Send orders to daemons of other sites, and read what they report."""
+
+import math
+import typing
+
+from returns import result
+
+from samphiredock.coordination.forwarding import _forward_types
+from samphiredock.coordination.forwarding import _live_targets
+from samphiredock.coordination.forwarding import _merge_ways
+from samphiredock.coordination.targets import _replicas
+from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+ORDER_PATH = '/samphiredock/orders/1'
+"""With the version of the orders: a daemon that does not know it refuses,
+and its targets are asked directly."""
+
+_Status = protocol.SubStatus
+_Kind = transport.LinkErrorKind
+
+_log = logs.logger('orders')
+
+
+class Orders:
+    """Sends orders.
+
+    Parameters
+    ----------
+    site
+        This daemon's own.
+    targets
+        The targets of searches.
+    peers, links
+        The daemons that coordinate, and the connections to them.
+    loads
+        What was observed of these daemons.
+    clock, counters
+        The timers and metrics of this daemon.
+    """
+
+    def __init__(
+        self,
+        site: str,
+        targets: _live_targets.LiveTargets,
+        peers: _live_targets.LiveTargets,
+        links: _forward_types.Links,
+        loads: _replicas.Replicas,
+        clock: timers.Timers,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._site = site
+        self._targets = targets
+        self._peers = peers
+        self._links = links
+        self._loads = loads
+        self._clock = clock
+        self._metrics = counters
+
+    def ways(
+        self, shards: typing.Sequence[state.Shard]
+    ) -> _merge_ways.MergeWays:
+        """Return through whom the targets of one search are asked."""
+        sites = _merge_ways.sites_to_order(
+            self._site, [row.replicas for row in shards], self._targets
+        )
+        mergers = _merge_ways.choose_mergers(sites, self._peers, self._loads)
+        return _merge_ways.MergeWays(self._targets, mergers)
+
+    async def send(
+        self,
+        merger: str,
+        order: protocol.MergeOrder,
+        on_report: typing.Callable[[protocol.MergeReport], None],
+    ) -> _Status:
+        """Send an order; return the status of what no report has named.
+
+        ``on_report`` is called with each report when it comes.
+        """
+        peer = self._peers.get(merger)
+        if peer is None:
+            return _Status.NOT_ORDERED
+        self._metrics.add('orders_sent')
+        began_ms = self._clock.now_ms()
+        first_ms = math.inf
+        broken = False
+
+        def take(chunk: bytes) -> None:
+            nonlocal first_ms, broken
+            first_ms = min(first_ms, self._clock.now_ms())
+            read = protocol.read_report(chunk)
+            if isinstance(read, result.Failure):
+                broken = True
+                _log.error('report', daemon=merger, why=read.failure())
+                return
+            on_report(read.unwrap())
+
+        self._loads.sent(merger)
+        took_ms: float | None = None
+        try:
+            reply = await self._links.exchange(
+                peer,
+                _request_of(order),
+                order.left_ms,
+                lambda got: True,
+                on_chunk=take,
+            )
+            if first_ms < math.inf:
+                took_ms = first_ms - began_ms
+        finally:
+            self._loads.ended(merger, took_ms)
+        return self._status_of(merger, reply, broken)
+
+    def _status_of(
+        self,
+        merger: str,
+        reply: result.Result[protocol.HttpReply, transport.LinkError],
+        broken: bool,
+    ) -> _Status:
+        """Return what became of the targets that were not reported."""
+        if isinstance(reply, result.Success):
+            if reply.unwrap().status == 200:
+                self._succeeded(merger)
+                return _Status.ORDER_LOST
+            self._failed(merger, f'refused with {reply.unwrap().status}')
+            return _Status.NOT_ORDERED
+        error = reply.failure()
+        self._failed(merger, error.detail)
+        if error.kind is _Kind.UNREACHABLE and self._peers.get(merger):
+            record = self._peers.record(merger)
+            record.on_failure(True, self._clock.now_ms())
+        never_sent = error.kind in (_Kind.UNREACHABLE, _Kind.NO_CONNECTION)
+        if never_sent and not broken:
+            return _Status.NOT_ORDERED
+        return _Status.ORDER_LOST
+
+    def _succeeded(self, merger: str) -> None:
+        """One that was lost gets hand-overs and orders again."""
+        if self._peers.get(merger):
+            record = self._peers.record(merger)
+            record.on_answer(1, 0.0, self._clock.now_ms())
+
+    def is_late(self, merger: str) -> None:
+        """A daemon has reported nothing in time: others come first."""
+        self._metrics.add('orders_late')
+        self._loads.failed(merger)
+
+    def _failed(self, merger: str, why: str) -> None:
+        self._metrics.add('orders_failed')
+        self._loads.failed(merger)
+        _log.info('order failed', daemon=merger, why=why)
+
+
+def _request_of(order: protocol.MergeOrder) -> protocol.HttpRequest:
+    return protocol.HttpRequest(
+        'POST',
+        ORDER_PATH,
+        (('Host', 'samphiredock'),),
+        protocol.encode_merging(order),
+    )
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -121,6 +121,7 @@
         route.repeatable,
         may_restart=False,
         first_hedge_ms=first_hedge_ms,
+        orders=bool(route.shards),
     )
     key_ranges = {shard.shard_id: shard.key_range for shard in shards}
     return ForwardPlan(request, route, services, plan, key_ranges)
--- a/samphiredock/coordination/search/_hedging.py
+++ b/samphiredock/coordination/search/_hedging.py
@@ -15,6 +15,17 @@
 _WAITED_FACTOR = 2.0
 _WAITED_LEAST_MS = 10.0
 
+GATHER_FACTOR = 1.3
+"""How much longer than an attempt is waited for before its hedge a daemon
+gathers the parts of an order.  Hedged at the 85th percentile, some 95 % of
+the parts of a search are in by then, and travel as one; the others, mostly
+those of targets that pause, each travel alone."""
+
+ORDER_SLACK_MS = 8.0
+"""How much later than due the report of an order may come before all of its
+targets are taken for late: twice 1.4 ms between sites, and two busy loops.
+A daemon that died with an order costs its search this wait and a hedge."""
+
 _SIGN_WEIGHT = {
     protocol.SubStatus.SHED: 1.0,
     protocol.SubStatus.EXPIRED: 1.0,
@@ -23,6 +34,16 @@
 }
 
 
+def gather_ms(hedge_delay_ms: float) -> float:
+    """Return for how long the parts of an order are gathered."""
+    return hedge_delay_ms * GATHER_FACTOR
+
+
+def ordered_delay_ms(hedge_delay_ms: float) -> float:
+    """Return after how long an attempt by order is late."""
+    return gather_ms(hedge_delay_ms) + ORDER_SLACK_MS
+
+
 class _IndexRecord:
     """Latencies and signs of overload of one index."""
 
--- a/samphiredock/coordination/search/_planner.py
+++ b/samphiredock/coordination/search/_planner.py
@@ -20,6 +20,8 @@
     second target may be asked though a first may have begun.
     ``may_restart`` allows to begin anew at a newer snapshot, and
     ``first_hedge_ms`` is when to hedge while no latencies are known.
+    ``orders`` says that a dispatcher other than the target itself is a
+    daemon that asks it for this search and merges what comes.
     """
 
     query_id: str
@@ -36,6 +38,7 @@
     repeatable: bool = True
     may_restart: bool = True
     first_hedge_ms: float | None = None
+    orders: bool = False
 
     @property
     def shards(self) -> list[state.Shard]:
--- a/samphiredock/coordination/search/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -119,6 +119,18 @@
             self._answer_due_ms = math.inf
         return self._done(now_ms)
 
+    def on_late(
+        self, attempt_ids: typing.Iterable[str], now_ms: float
+    ) -> list[_scatter_types.Effect]:
+        """Hedge what another daemon has asked and says is late."""
+        for attempt_id in attempt_ids:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is not None:
+                attempt.is_ordered = False
+        if not self._finish_effect and self._hedges.due_ms < math.inf:
+            self._send_hedges(now_ms)
+        return self._done(now_ms)
+
     def on_member_lost(
         self, member: str, now_ms: float
     ) -> list[_scatter_types.Effect]:
@@ -153,6 +165,10 @@
             due_ms = min(due_ms, self._trial_at_ms)
         return due_ms
 
+    def gather_ms(self) -> float:
+        """Return for how long the parts of an order are to be gathered."""
+        return self._hedges.gather_ms()
+
     # Attempts.
 
     def _begin_round(self, now_ms: float) -> None:
@@ -202,6 +218,7 @@
             now_ms,
             self._caution.is_alone(shard),
             hedge,
+            self._plan.orders and dispatcher != target,
         )
 
     def _take(
@@ -217,10 +234,9 @@
             self._tools.latencies.note(
                 self._index, status, answer.waited_ms, answer.service_ms
             )
+        took_ms = answer.took_ms or now_ms - attempt.sent_ms
         if status is _Status.ANSWERED:
-            self._tools.latencies.observe(
-                self._index, now_ms - attempt.sent_ms
-            )
+            self._tools.latencies.observe(self._index, took_ms)
         else:
             self._seen[status] = max(
                 self._seen.get(status, 0), answer.retry_after_ms
@@ -230,9 +246,7 @@
         )
         # A quick empty answer is no sign of a quick replica.
         useful = verdict is _Verdict.WHOLE
-        self._attempts.end(
-            attempt, now_ms - attempt.sent_ms if useful else None
-        )
+        self._attempts.end(attempt, took_ms if useful else None)
         if verdict in _scatter_judge.TARGET_FAULTS:
             self._tools.replicas.failed(attempt.item.target)
         began = status not in protocol.NEVER_STARTED
--- a/samphiredock/coordination/search/_scatter_attempts.py
+++ b/samphiredock/coordination/search/_scatter_attempts.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from samphiredock.coordination.search import _hedging
 from samphiredock.coordination.search import _scatter_round
 from samphiredock.coordination.search import _scatter_types
 from samphiredock import protocol
@@ -44,8 +45,11 @@
         for attempt in self._out.values():
             if attempt.shard.hedged or attempt.shard.outstanding != 1:
                 continue
+            wait_ms = delay_ms
+            if attempt.is_ordered:
+                wait_ms = _hedging.ordered_delay_ms(delay_ms)
             late_from_ms = max(
-                attempt.sent_ms + delay_ms, attempt.shard.hedge_from_ms
+                attempt.sent_ms + wait_ms, attempt.shard.hedge_from_ms
             )
             if late_from_ms <= now_ms:
                 late.append(attempt)
@@ -66,6 +70,7 @@
         now_ms: float,
         alone: bool,
         hedge: bool,
+        is_ordered: bool = False,
     ) -> None:
         """Add one attempt, to go out with the next :meth:`collect`."""
         self.sent += 1
@@ -80,7 +85,7 @@
             hedge,
         )
         self._out[item.attempt_id] = _scatter_round.Attempt(
-            shard, item, dispatcher, now_ms, alone
+            shard, item, dispatcher, now_ms, alone, is_ordered
         )
         shard.tried.add(target)
         shard.ran.add(target)
--- a/samphiredock/coordination/search/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from samphiredock.coordination.search import _hedging
 from samphiredock.coordination.search import _planner
 from samphiredock.coordination.search import _scatter_attempts
 from samphiredock.coordination.search import _scatter_round
@@ -76,6 +77,10 @@
         overloaded = latencies.is_overloaded(self._index)
         return None if overloaded else self._fixed_ms
 
+    def gather_ms(self) -> float:
+        """Return for how long the parts of an order are to be gathered."""
+        return _hedging.gather_ms(self._delay_ms() or self._first_ms)
+
     def arm(self, now_ms: float) -> None:
         """Attempts are sent now; an earlier timer covers them too."""
         if self.due_ms < math.inf:
--- a/samphiredock/coordination/search/_scatter_judge.py
+++ b/samphiredock/coordination/search/_scatter_judge.py
@@ -26,6 +26,7 @@
     PASSING = 'passing'
     REFUSED = 'refused'
     QUARANTINED = 'quarantined'
+    UNKNOWN = 'unknown'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +60,8 @@
     Verdict.BUSY: RetryRule(costly=False, unasked=True),
     Verdict.PASSING: RetryRule(costly=False, again=True),
     Verdict.REFUSED: RetryRule(costly=False),
+    # Says nothing of the target, which may have run it.
+    Verdict.UNKNOWN: RetryRule(),
 }
 
 TARGET_FAULTS = frozenset({Verdict.FAILED, Verdict.BAD, Verdict.PASSING})
@@ -78,6 +81,8 @@
     _Status.BROKEN: Verdict.FAILED,
     _Status.SILENT: Verdict.FAILED,
     _Status.BAD_ANSWER: Verdict.BAD,
+    _Status.NOT_ORDERED: Verdict.BUSY,
+    _Status.ORDER_LOST: Verdict.UNKNOWN,
 }
 
 
--- a/samphiredock/coordination/search/_scatter_round.py
+++ b/samphiredock/coordination/search/_scatter_round.py
@@ -24,13 +24,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One sub-query that has not ended."""
+    """One sub-query that has not ended.
+
+    ``is_ordered`` says that another daemon makes it and has not told yet
+    that it is late.
+    """
 
     shard: 'ShardState'
     item: protocol.SubQuery
     dispatcher: str | None
     sent_ms: float
     alone: bool
+    is_ordered: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/samphiredock/daemon/_entry_knowledge.py
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -188,9 +188,16 @@
             self._role.since_ms
         )
 
-    def may_warm(self) -> bool:
-        """Whether this daemon will ask targets itself."""
-        return self._role.coordinates
+    def asks_directly(self, target: state.LiveTarget) -> bool:
+        """Whether this daemon will itself ask a target as a rule.
+
+        Those of other sites are mostly asked by daemons there.
+        """
+        if not self._role.coordinates:
+            return False
+        return target.site == self._settings.site or not any(
+            peer.site == target.site for peer in self.peers.all()
+        )
 
     def daemons(self) -> tuple[forwarding.Daemon, ...]:
         """Return the daemons that are known, this one among them."""
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -1,7 +1,9 @@
 """Requests at an entry daemon: served here, or handed over."""
 
+import contextlib
 import dataclasses
 import random
+import typing
 
 from returns import result
 
@@ -11,6 +13,7 @@
 from samphiredock.daemon import _entry_adapter
 from samphiredock.daemon import _entry_knowledge
 from samphiredock.daemon import _entry_peers
+from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
@@ -34,6 +37,9 @@
 coordinator, spread so that their slots are not all held at once."""
 
 
+_log = logs.logger('entry')
+
+
 class EntryService:
     """Callers' requests, and those that other daemons hand over.
 
@@ -81,6 +87,9 @@
             knowledge.budget_parts,
         )
         self._forwarder = self._make_forwarder()
+        self._merger = forwarding.Merger(
+            self._forwarder.asker, clock, counters
+        )
         dialect = forwarding.HandoverDialect(knowledge.routing)
         self._handover = self._make_handover(dialect)
         self._stale_handover = self._make_handover(
@@ -152,6 +161,23 @@
             self._clock,
             self._metrics,
             self._crashes,
+            self._make_orders(),
+        )
+
+    def _make_orders(self) -> forwarding.Orders:
+        settings = self._settings
+        return forwarding.Orders(
+            settings.site,
+            self._knowledge.targets,
+            self._knowledge.peers,
+            self._peer_links,
+            coordination.Replicas(
+                random.Random(settings.name),
+                lambda peer: True,
+                now_ms=self._clock.now_ms,
+            ),
+            self._clock,
+            self._metrics,
         )
 
     def _make_handover(
@@ -228,8 +254,10 @@
         path: str,
         headers: protocol.Headers,
         body: bytes,
-    ) -> protocol.HttpReply:
-        """Answer a request that another daemon handed over."""
+    ) -> protocol.HttpReply | protocol.StreamedReply:
+        """Answer what another daemon hands over, orders or tells."""
+        if path == forwarding.ORDER_PATH:
+            return self._take_order(body)
         notice = self._notices.read(path, body)
         if notice is not None:
             return notice
@@ -257,6 +285,30 @@
             self._knowledge.version(),
         )
 
+    def _take_order(
+        self, body: bytes
+    ) -> protocol.HttpReply | protocol.StreamedReply:
+        """Begin to carry out an order, or refuse what cannot be read."""
+        read = protocol.read_order(body)
+        if isinstance(read, result.Failure):
+            self._metrics.add('orders_unreadable')
+            _log.error('order refused', why=read.failure())
+            return protocol.HttpReply(400, body=read.failure().encode())
+        return protocol.StreamedReply(200, (), self._reports(read.unwrap()))
+
+    async def _reports(
+        self, order: protocol.MergeOrder
+    ) -> typing.AsyncGenerator[bytes, None]:
+        self._open_requests += 1
+        try:
+            async with contextlib.aclosing(
+                self._merger.reports(order)
+            ) as reports:
+                async for report in reports:
+                    yield protocol.encode_merging(report)
+        finally:
+            self._open_requests -= 1
+
     def _warm_later(self, target: state.LiveTarget) -> None:
         """Connect to a new target before the first request needs it.
 
@@ -266,7 +318,7 @@
         """
 
         def warm() -> None:
-            if self._knowledge.may_warm():
+            if self._knowledge.asks_directly(target):
                 background.start(self._links.warm(target), 'warm')
 
         self._clock.after(self._rng.uniform(0.0, _WARM_WITHIN_MS), warm)
--- a/samphiredock/protocol/_forwarding.py
+++ b/samphiredock/protocol/_forwarding.py
@@ -1,6 +1,7 @@
 """Requests that are passed on as they are, and what comes back."""
 
 import dataclasses
+import typing
 
 from samphiredock.protocol import _outcomes
 from samphiredock.protocol import _queries
@@ -39,6 +40,19 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamedReply:
+    """An answer whose body goes out in pieces while it is made.
+
+    One chunk a piece.  An answer that is cut short has no last chunk, so
+    that it does not look whole.
+    """
+
+    status: int
+    headers: Headers
+    pieces: typing.AsyncGenerator[bytes, None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardRequest:
     """A caller's request that targets get unchanged.
--- a/samphiredock/protocol/_queries.py
+++ b/samphiredock/protocol/_queries.py
@@ -84,7 +84,12 @@
 
 
 class SubStatus(enum.Enum):
-    """How one attempt ended."""
+    """How one attempt ended.
+
+    ``NOT_ORDERED`` and ``ORDER_LOST`` are ends of attempts that another
+    daemon was to make: it has not asked the target, or was lost with the
+    order and may have.
+    """
 
     ANSWERED = 'answered'
     SNAPSHOT_GONE = 'snapshot-gone'
@@ -100,6 +105,8 @@
     BROKEN = 'broken'
     SILENT = 'silent'
     BAD_ANSWER = 'bad-answer'
+    NOT_ORDERED = 'not-ordered'
+    ORDER_LOST = 'order-lost'
 
 
 NEVER_STARTED = frozenset(
@@ -114,6 +121,7 @@
         SubStatus.NOT_OWNER,
         SubStatus.NO_IDLE_SLOT,
         SubStatus.QUARANTINED,
+        SubStatus.NOT_ORDERED,
     }
 )
 """The endings that prove that no target began the attempt."""
@@ -127,6 +135,8 @@
     is the time in the dispatcher's queue.  ``ran_alone`` says that no other
     request was in the same exchange, and ``target_lost`` that the target
     could not be reached afterwards: together they make a crash suspect.
+    ``took_ms`` is what the target took as seen where it was asked, 0 if
+    that is where this is read.
     """
 
     attempt_id: str
@@ -142,6 +152,7 @@
     ran_alone: bool = False
     target_lost: bool = False
     detail: str = ''
+    took_ms: float = 0.0
 
 
 class SubAnswerBatch(msgspec.Struct, frozen=True):
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -125,6 +125,7 @@
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
+        on_chunk: _http_channel.OnChunk | None = None,
     ) -> result.Result[protocol.HttpReply, _link_errors.LinkError]:
         """Send a request once and return its answer.
 
@@ -147,6 +148,9 @@
             connections, since such requests were cut with theirs, and an
             exchange waited 110 to 150 ms for one (log lines of one played
             day; 0.50 to 0.56 of the benefit of those two seconds).
+        on_chunk
+            Takes each chunk of the answer as it comes; they are not in the
+            body then.
         """
         ends_ms = self._clock.now_ms() + timeout_ms
         pool = self._pools[target.target_id]
@@ -162,7 +166,7 @@
         keep_ms: float | None = None
         try:
             outcome = await channel.exchange(
-                request, is_reply, ends_ms - sent_ms
+                request, is_reply, ends_ms - sent_ms, on_chunk
             )
             if isinstance(outcome, _link_errors.LinkError):
                 now_ms = self._clock.now_ms()
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import http
 import typing
@@ -44,11 +45,13 @@
 
 Handle = typing.Callable[
     [str, str, protocol.Headers, bytes],
-    typing.Awaitable[protocol.HttpReply],
+    typing.Awaitable[protocol.HttpReply | protocol.StreamedReply],
 ]
 """Answers one request, given its method, raw path, headers and body; it is
 cancelled when the caller leaves."""
 
+_LAST_CHUNK = b'0\r\n\r\n'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Door:
@@ -320,13 +323,20 @@
 
     async def _answer(self, request: _Request) -> None:
         reply = await self._reply_to(request)
+        if isinstance(reply, protocol.StreamedReply):
+            whole = await self._write_pieces(request, reply)
+            if not whole:
+                self._task = None
+                self.cut()
+                return
         self._task = None
         if self._open_transport().is_closing():
             return
         ends = not request.keeps or self._door.is_closing()
         # After a change of protocol nothing more is read.
         ends = ends or (self._ending and not self._waiting)
-        self._write(_encode(request, reply, ends))
+        if isinstance(reply, protocol.HttpReply):
+            self._write(_encode(request, reply, ends))
         if ends:
             self._finish()
             return
@@ -334,7 +344,26 @@
         self._idle_limit_ms = self._door.limits().idle_ms
         self._next()
 
-    async def _reply_to(self, request: _Request) -> protocol.HttpReply:
+    async def _write_pieces(
+        self, request: _Request, reply: protocol.StreamedReply
+    ) -> bool:
+        """Write an answer while it is made; False if it broke off."""
+        self._write(_encode_stream_head(reply))
+        try:
+            async with contextlib.aclosing(reply.pieces) as pieces:
+                async for piece in pieces:
+                    self._write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        except Exception as error:
+            self._metrics.add('http_handler_failures', interface='entry')
+            path = request.path.decode('latin-1')
+            _log.error('handler failed', path=path, why=repr(error))
+            return False
+        self._write(_LAST_CHUNK)
+        return True
+
+    async def _reply_to(
+        self, request: _Request
+    ) -> protocol.HttpReply | protocol.StreamedReply:
         if request.refusal:
             return protocol.HttpReply(
                 request.refusal, body=request.why.encode()
@@ -369,9 +398,20 @@
         self._clock.after(LINGER_MS, transport.close)
 
 
-def _encode(request: _Request, reply: protocol.HttpReply, ends: bool) -> bytes:
+def _head_lines(
+    reply: protocol.HttpReply | protocol.StreamedReply,
+) -> list[str]:
     lines = [f'HTTP/1.1 {reply.status} {_phrase(reply.status)}']
-    lines += [f'{name}: {value}' for name, value in reply.headers]
+    return lines + [f'{name}: {value}' for name, value in reply.headers]
+
+
+def _encode_stream_head(reply: protocol.StreamedReply) -> bytes:
+    lines = [*_head_lines(reply), 'Transfer-Encoding: chunked']
+    return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
+
+
+def _encode(request: _Request, reply: protocol.HttpReply, ends: bool) -> bytes:
+    lines = _head_lines(reply)
     body = reply.body
     if request.method == 'HEAD' or reply.status in _BODILESS:
         body = b''
--- a/samphiredock/transport/_http_channel.py
+++ b/samphiredock/transport/_http_channel.py
@@ -44,6 +44,10 @@
     keep_ms: float | None
 
 
+OnChunk = typing.Callable[[bytes], None]
+"""Takes each chunk of an answer that is sent in chunks, when it has come."""
+
+
 class _ReplyReader:
     """Callbacks of the parser: the answers on one connection, in order."""
 
@@ -51,9 +55,11 @@
         self,
         method: str,
         is_reply: typing.Callable[[protocol.HttpReply], bool],
+        on_chunk: OnChunk | None,
     ) -> None:
         self._method = method
         self._is_reply = is_reply
+        self._on_chunk = on_chunk
         self._parser = httptools.HttpResponseParser(self)
         self._size = 0
         self._begin()
@@ -106,6 +112,18 @@
         """Part of the parser's interface."""
         self._body.append(body)
 
+    def on_chunk_complete(self) -> None:
+        """Part of the parser's interface."""
+        if self._on_chunk is None or self.found is not None or not self._body:
+            return
+        chunk = b''.join(self._body)
+        self._body = []
+        head = protocol.HttpReply(
+            self._parser.get_status_code(), tuple(self._headers)
+        )
+        if self._is_reply(head):
+            self._on_chunk(chunk)
+
     def on_message_complete(self) -> None:
         """Part of the parser's interface."""
         self._complete()
@@ -186,12 +204,17 @@
         request: protocol.HttpRequest,
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         timeout_ms: float,
+        on_chunk: OnChunk | None = None,
     ) -> Exchanged | _link_errors.LinkError:
-        """Send a request and wait for its answer; cancelling closes."""
+        """Send a request and wait for its answer; cancelling closes.
+
+        With ``on_chunk`` the chunks of the answer are given to it, and are
+        not in the body of what is returned.
+        """
         transport = self._transport
         if transport is None or self._closed:
             return _link_errors.LinkError(_Kind.UNREACHABLE, 'closed before')
-        self._reader = _ReplyReader(request.method, is_reply)
+        self._reader = _ReplyReader(request.method, is_reply, on_chunk)
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
         transport.write(_encode(request))
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -77,6 +77,7 @@
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
+        on_chunk: typing.Callable[[bytes], None] | None = None,
     ) -> Reply:
         """Wait for the test."""
         future = asyncio.get_running_loop().create_future()
@@ -162,11 +163,7 @@
         for service, count in [*((name, 2) for name in self.shards), ('p', 3)]:
             for number in range(count):
                 self.put(f'{service}-{number}', service)
-        self.replicas = coordination.Replicas(
-            random.Random(SEED),
-            lambda target: True,
-            now_ms=self.clock.now_ms,
-        )
+        self.replicas = self.make_replicas()
         tools = coordination.Tools(
             self.targets,
             self.replicas,
@@ -185,8 +182,21 @@
             self.links,
             self.clock,
             self.counters,
+            orders=self.make_orders(),
+        )
+
+    def make_replicas(self) -> coordination.Replicas:
+        """Return the records of targets; here all are near."""
+        return coordination.Replicas(
+            random.Random(SEED),
+            lambda target: True,
+            now_ms=self.clock.now_ms,
         )
 
+    def make_orders(self) -> forwarding.Orders | None:
+        """Return what has other daemons ask targets; here nothing does."""
+        return None
+
     def offer(self, version: int, **changes: typing.Any) -> None:
         """Put a routing table in force."""
         common = {'host': 'h', 'timeout_ms': 600.0, 'aim_ms': 118.0}
--- /dev/null
+++ b/tests/failure/test_merged_crossing.py
@@ -0,0 +1,344 @@
+"""Searches that cross to a site once, and what fails on the way."""
+
+import collections
+import random
+import unittest
+
+from returns import result
+
+from samphiredock import protocol
+from samphiredock import transport
+from standins import memory_links
+from standins import memory_orders
+
+RECORD_BYTES = 16
+
+
+def record_of(target: str) -> bytes:
+    """Return the one record that a shard's targets hold.
+
+    The targets of a shard hold the same, so that a shard which is in twice
+    shows.
+    """
+    shard = target.rpartition('-')[0]
+    return f'{shard:>{RECORD_BYTES}}'.encode()
+
+
+class _Case(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        """Ask 36 shards from a site that has a target of 24."""
+        self.desk = memory_orders.OrderDesk()
+        self.desk.offer(2, least_share=0.5)
+        self.task = self.desk.ask('/all/x')
+        await memory_links.settle()
+
+    def answer_all(self, leave_out: set[str] = frozenset()) -> None:
+        """Answer what is open, but for some targets."""
+        for sent in self.desk.links.open:
+            if sent.target not in leave_out:
+                sent.answer(record_of(sent.target))
+
+    async def outcome(self, steps: int = 40) -> protocol.ForwardOutcome:
+        """Let time pass until the search has an outcome."""
+        for _ in range(steps):
+            if self.task.done():
+                break
+            await self.desk.advance(5.0)
+        return await self.task
+
+    async def asyncTearDown(self) -> None:
+        """Let end what lingers."""
+        for sent in self.desk.links.open:
+            sent.refuse()
+        await self.desk.advance(300.0)
+
+    def check_whole(self, outcome: protocol.ForwardOutcome) -> None:
+        """Each shard is in once or missing, and the top records are true."""
+        self.assertIsInstance(outcome, protocol.Gathered)
+        shards = [row.split('-')[1] for row in outcome.receipts]
+        self.assertEqual(len(set(shards)), len(shards))
+        self.assertEqual(36, len(shards) + outcome.missing)
+        records = sorted((record_of(f'{row}-0') for row in shards))[::-1]
+        self.assertEqual(b''.join(records[:5]), outcome.body)
+
+    def check_bound(self) -> None:
+        """No shard is run by more targets than the route allows."""
+        for shard, targets in self.desk.runs().items():
+            self.assertLessEqual(len(set(targets)), 2, shard)
+            self.assertEqual(len(set(targets)), len(targets), shard)
+
+
+class MergedCrossingTest(_Case):
+    """A search at a site that holds a target of two shards in three."""
+
+    async def test_one_order_a_site_brings_all_parts(self) -> None:
+        """24 shards are asked here, the others by one order a site."""
+        self.assertEqual(36, len(self.desk.links.open))
+        orders = self.desk.order_links.seen
+        self.assertEqual(['b', 'c'], sorted(row.merger[0] for row in orders))
+        ordered = {item.service for row in orders for item in row.order.items}
+        here = {
+            row.service
+            for row in self.desk.targets.all()
+            if row.site == 'here'
+        }
+        self.assertLessEqual(set(self.desk.shards) - here, ordered)
+        self.assertEqual(12, len(set(self.desk.shards) - here))
+        self.answer_all()
+        outcome = await self.outcome()
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+
+    async def test_a_straggler_does_not_hold_the_others(self) -> None:
+        """One of the targets at another site pauses.
+
+        The others come as one part when the time to gather is over,
+        the straggler is hedged then, and its own part is not in twice.
+        """
+        ordered = self.desk.order_links.seen[0].order.items
+        slow = ordered[0].target
+        self.answer_all({slow})
+        await self.desk.advance(44.0)
+        self.assertEqual([slow], [row.target for row in self.desk.links.open])
+        await self.desk.advance(4.0)
+        hedged = [row.target for row in self.desk.links.open]
+        self.assertEqual(2, len(hedged))
+        self.answer_all()
+        outcome = await self.outcome()
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+        self.check_bound()
+
+    async def test_a_hedge_gives_way_to_the_merged_part(self) -> None:
+        """A frozen daemon wakes after its shards were answered elsewhere.
+
+        Its merged part has records of shards that hedges have brought as
+        well, and cannot be taken apart: the hedges' parts are left out.
+        """
+        near = {
+            sent.target
+            for sent in self.desk.links.open
+            if self.desk.targets.get(sent.target).site == 'here'
+        }
+        held = [
+            sent for sent in self.desk.links.open if sent.target not in near
+        ]
+        for sent in self.desk.links.open:
+            if sent.target in near and sent.target != 's0-0':
+                sent.answer(record_of(sent.target))
+        await self.desk.advance(60.0)
+        hedges = [
+            sent
+            for sent in self.desk.links.open
+            if sent not in held and sent.target != 's0-0'
+        ]
+        self.assertGreater(len(hedges), 0)
+        for sent in hedges[:2]:
+            sent.answer(record_of(sent.target))
+        await memory_links.settle()
+        for sent in held:
+            sent.answer(record_of(sent.target))
+        await memory_links.settle()
+        self.answer_all()
+        self.check_whole(await self.outcome())
+        self.check_bound()
+
+    async def test_a_caller_that_leaves_stops_ordered_targets(self) -> None:
+        """Nobody wants what targets of other sites still work on."""
+        self.task.cancel()
+        await memory_links.settle()
+        self.assertTrue(all(row.cancelled for row in self.desk.links.sent))
+
+    async def test_a_part_of_an_unknown_attempt_is_not_merged(self) -> None:
+        """A report that names what was not ordered: its records are foreign.
+
+        They would stand in an answer whose receipts do not tell of them.
+        """
+        sender = self.desk.forwarder._sender
+        taken = []
+        original = sender._take_report
+
+        def spoil(flight, out, report, gathers):
+            if report.merged and not taken:
+                taken.append(report)
+                foreign = protocol.MergedItem(999, 'receipt-x', 1)
+                report = protocol.MergeReport(
+                    (*report.merged, foreign), (), b'z' * 16
+                )
+            original(flight, out, report, gathers)
+
+        sender._take_report = spoil
+        self.answer_all()
+        for _ in range(12):
+            await self.desk.advance(5.0)
+            self.answer_all()
+        outcome = await self.outcome()
+        self.assertEqual(1, len(taken))
+        self.check_whole(outcome)
+
+
+class LostMergerTest(_Case):
+    """The daemon that has an order fails."""
+
+    async def asyncSetUp(self) -> None:
+        """Prepare the search; each test breaks a daemon, then asks."""
+        self.desk = memory_orders.OrderDesk()
+        self.desk.offer(2, least_share=0.5)
+        self.links = self.desk.order_links
+
+    async def _ask(self) -> None:
+        self.task = self.desk.ask('/all/x')
+        await memory_links.settle()
+
+    async def test_one_that_takes_no_connection_costs_nothing(self) -> None:
+        """Its targets are asked directly, at once; none was asked twice."""
+        self.links.dead = set(self.desk.mergers)
+        await self._ask()
+        self.assertEqual(36, len(self.desk.links.open))
+        self.answer_all()
+        outcome = await self.outcome()
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+        self.check_bound()
+
+    async def test_one_that_does_not_know_orders(self) -> None:
+        """A daemon of an older version refuses: asked as before."""
+        self.links.old = set(self.desk.mergers)
+        await self._ask()
+        self.answer_all()
+        outcome = await self.outcome()
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+
+    async def test_one_that_is_frozen_costs_a_hedge(self) -> None:
+        """The whole answer comes in the aim, though an order hangs.
+
+        The order's report is due 55 ms after it was sent; its shards are
+        hedged at another site then, and the caller has them all before the
+        105 ms at which an answer in part would leave.
+        """
+        self.links.frozen = set(self.desk.mergers)
+        await self._ask()
+        self.answer_all()
+        for _ in range(16):
+            await self.desk.advance(5.0)
+            self.answer_all()
+        self.assertTrue(self.task.done())
+        outcome = await self.outcome()
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+        self.check_bound()
+
+    async def test_one_that_dies_with_an_order_costs_a_retry(self) -> None:
+        """Nobody knows which of its targets it had asked.
+
+        Their other replicas are asked at once; none of those that may have
+        run the search is asked a second time.
+        """
+        await self._ask()
+        merger = self.links.seen[0].merger
+        near = [
+            sent
+            for sent in self.desk.links.open
+            if self.desk.targets.get(sent.target).site == 'here'
+        ]
+        for sent in near:
+            sent.answer(record_of(sent.target))
+        await memory_links.settle()
+        self.links.lose(merger)
+        await memory_links.settle()
+        self.answer_all()
+        outcome = await self.outcome(4)
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+        self.check_bound()
+
+    async def test_a_target_that_is_leaving_there_is_not_asked(self) -> None:
+        """The daemon of its site knows sooner that a target drains.
+
+        It refuses this one alone; the search asks the other replica.
+        """
+        await self._ask()
+        order = self.links.seen[0]
+        self.assertGreater(len(order.order.items), 1)
+        self.answer_all()
+        await self.outcome()
+        gone = order.order.items[0]
+        asker = self.desk.mergers[order.merger]._asker
+        found = [
+            report
+            async for report in self.desk.mergers[order.merger].reports(
+                protocol.MergeOrder(
+                    'id2', 'GET', 'h', '/all/x', (), b'', 100.0, 10.0, 5,
+                    (protocol.OrderedItem(1, 'another', gone.target),),
+                )
+            )
+        ]  # fmt: skip
+        self.assertEqual(
+            [protocol.SubStatus.NOT_ORDERED],
+            [row.status for report in found for row in report.ended],
+        )
+        self.assertIsNotNone(asker.target(gone.target))
+
+
+class RandomFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Targets and daemons fail at random; the promises hold."""
+
+    async def test_every_answer_is_true(self) -> None:
+        """Many searches, each with other faults.
+
+        Whatever fails when: no shard is in twice or run by more targets than
+        allowed, and the records are those of the shards that are named.
+        """
+        for number in range(60):
+            seed = memory_links.SEED + number
+            with self.subTest(seed=seed):
+                await self._search(random.Random(seed))
+
+    async def _search(self, rng: random.Random) -> None:
+        desk = memory_orders.OrderDesk(far_only=rng.random() < 0.5)
+        desk.offer(2, least_share=rng.choice([0.2, 0.8]))
+        names = sorted(desk.mergers)
+        desk.order_links.dead = set(rng.sample(names, rng.randrange(2)))
+        desk.order_links.frozen = set(rng.sample(names, rng.randrange(3)))
+        task = desk.ask('/all/x')
+        for _ in range(140):
+            await memory_links.settle()
+            if task.done():
+                break
+            for sent in desk.links.open:
+                _end_some(sent, rng)
+            if rng.random() < 0.05:
+                desk.order_links.lose(rng.choice(names))
+            await desk.advance(5.0)
+        outcome = await task
+        # What lingers ends before the loop does.
+        await desk.advance(300.0)
+        for shard, targets in desk.runs().items():
+            self.assertLessEqual(len(set(targets)), 2, shard)
+        if not isinstance(outcome, protocol.Gathered):
+            return
+        shards = [row.split('-')[1] for row in outcome.receipts]
+        self.assertEqual(1, max(collections.Counter(shards).values()))
+        self.assertEqual(36, len(shards) + outcome.missing)
+        records = sorted((record_of(f'{row}-0') for row in shards))[::-1]
+        self.assertEqual(b''.join(records[:5]), outcome.body)
+
+
+def _end_some(sent: memory_links.Sent, rng: random.Random) -> None:
+    """Let an exchange end in some way, or go on."""
+    draw = rng.random()
+    if draw < 0.25:
+        sent.answer(record_of(sent.target))
+    elif draw < 0.27:
+        sent.refuse()
+    elif draw < 0.29:
+        sent.lose(transport.LinkErrorKind.BROKEN)
+    elif draw < 0.30:
+        sent.end(
+            result.Failure(
+                transport.LinkError(
+                    transport.LinkErrorKind.UNREACHABLE, 'by the test'
+                )
+            )
+        )
--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import typing
 import unittest
 
 import aiohttp
@@ -38,7 +39,7 @@
 
     async def _handle(
         self, method: str, path: str, headers: protocol.Headers, body: bytes
-    ) -> protocol.HttpReply:
+    ) -> protocol.HttpReply | protocol.StreamedReply:
         self.seen.append((method, path, headers, body))
         if path == '/broken':
             raise RuntimeError('by the test')
@@ -48,8 +49,74 @@
             except asyncio.CancelledError:
                 self.cancelled.set()
                 raise
+        if path.startswith('/pieces'):
+            return protocol.StreamedReply(200, (), self._pieces(path))
         return protocol.HttpReply(207, (('X-A', 'b'),), b'body')
 
+    async def _pieces(self, path: str) -> typing.AsyncGenerator[bytes, None]:
+        try:
+            yield b'one'
+            if path == '/pieces/broken':
+                raise RuntimeError('by the test')
+            if path == '/pieces/slow':
+                await asyncio.sleep(60.0)
+            yield b'two'
+        finally:
+            self.cancelled.set()
+
+    async def test_an_answer_in_pieces(self) -> None:
+        """Each is a chunk; the connection carries the next request."""
+        self.assertEqual((200, b'onetwo'), await self._get('/pieces'))
+        self.assertEqual((207, b'body'), await self._get('/x'))
+
+    async def test_an_answer_that_breaks_off_does_not_look_whole(
+        self,
+    ) -> None:
+        """The last chunk is missing: the reader knows that there is more."""
+        with self.assertRaises(aiohttp.ClientError):
+            await self._get('/pieces/broken')
+
+    async def test_a_caller_that_leaves_ends_what_makes_the_pieces(
+        self,
+    ) -> None:
+        """Else its targets would go on working for nobody."""
+        async with self.session.get(self.url + '/pieces/slow') as got:
+            self.assertEqual(b'one', await got.content.readany())
+            got.close()
+        await asyncio.wait_for(self.cancelled.wait(), 10.0)
+
+    async def test_pieces_come_one_by_one_over_a_channel(self) -> None:
+        """Each is taken when it comes, not with the last one."""
+        clock = timers.LoopTimers()
+        pool = transport.ChannelPool(clock, lambda target: 4)
+        entry = state.LiveTarget('t', 's', self.server.address(), 'here', 2)
+        taken: list[bytes] = []
+        first = asyncio.Event()
+
+        def take(chunk: bytes) -> None:
+            taken.append(chunk)
+            first.set()
+
+        for path in ('/pieces', '/pieces/slow'):
+            first.clear()
+            asking = asyncio.create_task(
+                pool.exchange(
+                    entry,
+                    protocol.HttpRequest('GET', path, (('Host', 'h'),)),
+                    5_000.0,
+                    lambda reply: True,
+                    on_chunk=take,
+                )
+            )
+            await asyncio.wait_for(first.wait(), 10.0)
+            if path == '/pieces':
+                self.assertEqual(b'', (await asking).unwrap().body)
+                self.assertEqual([b'one', b'two'], taken)
+            asking.cancel()
+        self.assertEqual([b'one', b'two', b'one'], taken)
+        pool.close()
+        clock.close()
+
     async def _get(self, path: str, **words: object) -> tuple[int, bytes]:
         async with self.session.get(self.url + path, **words) as got:
             return got.status, await got.read()
--- /dev/null
+++ b/tests/unit/test_merge_orders.py
@@ -0,0 +1,83 @@
+"""How orders between daemons travel, and what is refused."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+from returns import result
+
+from samphiredock import protocol
+
+
+def _order(**changes: object) -> protocol.MergeOrder:
+    order = protocol.MergeOrder(
+        'id', 'GET', 'h', '/p', (('A', 'b'),), b'body', 100.0, 10.0, 5,
+        (protocol.OrderedItem(1, 's', 't'),),
+    )  # fmt: skip
+    return msgspec.structs.replace(order, **changes)
+
+
+class MergeOrdersTest(unittest.TestCase):
+    """Orders and reports, written and read."""
+
+    def test_an_order_is_read_as_it_was_written(self) -> None:
+        """The caller's request comes out of it unchanged."""
+        order = _order()
+        read = protocol.read_order(protocol.encode_merging(order)).unwrap()
+        self.assertEqual(order, read)
+        request = read.request()
+        self.assertEqual(('id', 'GET', 'h', '/p'), (
+            request.request_id, request.method, request.host, request.path,
+        ))  # fmt: skip
+        self.assertEqual((('A', 'b'),), request.headers)
+        self.assertEqual(100.0, request.deadline_ms)
+
+    def test_a_report_is_read_as_it_was_written(self) -> None:
+        """With its receipts and ends."""
+        report = protocol.MergeReport(
+            (protocol.MergedItem(1, 'r', 12_000),),
+            (protocol.EndedItem(2, protocol.SubStatus.SHED, 5, 'why'),),
+            b'x' * 16,
+            True,
+        )
+        read = protocol.read_report(protocol.encode_merging(report))
+        self.assertEqual(report, read.unwrap())
+
+    def test_orders_that_make_no_sense_are_refused(self) -> None:
+        """The error says what was got and expected."""
+        item = protocol.OrderedItem(1, 's', 't')
+        many = tuple(
+            protocol.OrderedItem(number, 's', 't') for number in range(4_097)
+        )
+        cases = {
+            'expected 1 to 4096': _order(items=()),
+            'got an order of 4097 items': _order(items=many),
+            'two items of one number': _order(items=(item, item)),
+            'got left_ms 0.0': _order(left_ms=0.0),
+            'got left_ms nan': _order(left_ms=float('nan')),
+            'top -1': _order(top=-1),
+        }
+        for words, order in cases.items():
+            with self.subTest(words=words):
+                read = protocol.read_order(protocol.encode_merging(order))
+                self.assertIn(words, read.failure())
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    def test_any_bytes_are_read_or_refused(self, body: bytes) -> None:
+        """Broken frames are values, not errors that end a task."""
+        for read in (protocol.read_order, protocol.read_report):
+            self.assertIsInstance(read(body), result.Result)
+
+    @hypothesis.given(strategies.integers(0, 200), strategies.binary())
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    def test_a_frame_that_was_cut_is_refused(
+        self, length: int, tail: bytes
+    ) -> None:
+        """A cut order does not become another one."""
+        whole = protocol.encode_merging(_order())
+        cut = whole[: min(length, len(whole) - 1)]
+        read = protocol.read_order(cut)
+        self.assertIsInstance(read, result.Failure)
+        self.assertIsInstance(protocol.read_order(cut + tail), result.Result)
--- /dev/null
+++ b/tests/unit/test_merge_ways.py
@@ -0,0 +1,85 @@
+"""Through whom the targets of other sites are asked."""
+
+import random
+import unittest
+
+from samphiredock import coordination
+from samphiredock.coordination import forwarding
+from samphiredock.coordination.forwarding import _merge_ways
+from samphiredock import state
+from samphiredock import timers
+
+
+class MergeWaysTest(unittest.TestCase):
+    """Targets at four sites, daemons at three of them."""
+
+    def setUp(self) -> None:
+        """Two daemons at ``b`` and ``c``, none at ``d``."""
+        self.clock = timers.ManualTimers()
+        self.targets = forwarding.LiveTargets(self.clock)
+        self.peers = forwarding.LiveTargets(self.clock)
+        for name in ('b-0', 'b-1', 'c-0', 'c-1'):
+            self.peers.put(
+                state.LiveTarget(name, 'coordinators', 'x:1', name[0], 1)
+            )
+        self.loads = coordination.Replicas(
+            random.Random(7), lambda name: True, now_ms=self.clock.now_ms
+        )
+
+    def _shards(self, *places: str) -> list[list[str]]:
+        """Register targets; each place names the sites of one shard."""
+        shards = []
+        for number, sites in enumerate(places):
+            names = [f's{number}-{site}' for site in sites]
+            for name in names:
+                self.targets.put(
+                    state.LiveTarget(name, f's{number}', 'x:1', name[-1], 2)
+                )
+            shards.append(names)
+        return shards
+
+    def test_sites_of_many_parts_are_asked_by_order(self) -> None:
+        """What this site has itself crosses nowhere and counts nothing."""
+        shards = self._shards(*['b'] * 4, *['ab'] * 9, *['c'] * 3)
+        self.assertEqual(
+            ['b'], _merge_ways.sites_to_order('a', shards, self.targets)
+        )
+
+    def test_a_shard_of_two_sites_counts_half_at_each(self) -> None:
+        """It is asked at one of them."""
+        shards = self._shards(*['bc'] * 8)
+        sites = _merge_ways.sites_to_order('a', shards, self.targets)
+        self.assertEqual(['b', 'c'], sorted(sites))
+        shards = self._shards(*['bc'] * 7)
+        self.assertEqual(
+            [], _merge_ways.sites_to_order('a', shards, self.targets)
+        )
+
+    def test_a_site_without_a_daemon_is_asked_directly(self) -> None:
+        """So is one whose daemons cannot be reached."""
+        self._shards('d', 'b')
+        for name in ('c-0', 'c-1'):
+            self.peers.record(name).on_failure(True, self.clock.now_ms())
+        found = _merge_ways.choose_mergers('bcd', self.peers, self.loads)
+        self.assertEqual(['b'], list(found))
+        ways = _merge_ways.MergeWays(self.targets, found)
+        self.assertEqual('s0-d', ways.owner('s0-d'))
+        self.assertEqual(found['b'], ways.owner('s1-b'))
+        self.assertIsNone(ways.owner('unknown'))
+
+    def test_a_daemon_that_is_given_up_is_not_used_again(self) -> None:
+        """The rest of the search asks its targets directly."""
+        self._shards('b')
+        ways = _merge_ways.MergeWays(self.targets, {'b': 'b-0'})
+        ways.give_up('b-0')
+        self.assertEqual('s0-b', ways.owner('s0-b'))
+
+    def test_a_daemon_that_hangs_gets_few_orders(self) -> None:
+        """A frozen one answers nothing, so only its age tells."""
+        self.loads.sent('b-0')
+        self.clock.advance(500.0)
+        chosen = [
+            _merge_ways.choose_mergers('b', self.peers, self.loads)['b']
+            for _ in range(200)
+        ]
+        self.assertLess(chosen.count('b-0'), 10)
