Hand-overs stay in their site; answers count the time callers have spent

Cause: 76 of 173 hand-overs went to another site, 9.3 ms in place of 2.7: a coordinator that was never asked looks quick.

Seen in a log: callers state 607 ms left on a kept connection, 600 on a new one, less behind another daemon. So what one states below the most that was stated lately on its route has been spent.

Change: hand-overs go to another site only if none of this one is left; the time to answer by counts what was spent, and 7 ms for the way itself.

--- a/samphiredock/coordination/forwarding/_forward_types.py
+++ b/samphiredock/coordination/forwarding/_forward_types.py
@@ -84,8 +84,8 @@
 class ForwardSettings:
     """Bounds of the forwarder.
 
-    ``caller_way_ms`` is what connecting and the way from the caller and
-    back take of a route's aim.  ``once_kept_ms`` is how long a connection
+    ``caller_way_ms`` is what the way from the caller and back takes of a
+    route's aim, without connecting.  ``once_kept_ms`` is how long a connection
     may have been idle on which a request goes that must run once: if the
     target has forgotten the connection, the request is lost and may not be
     sent again.
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from samphiredock.coordination.forwarding import _asking
+from samphiredock.coordination.forwarding import _caller_time
 from samphiredock.coordination.forwarding import _crash_guard
 from samphiredock.coordination.forwarding import _end_notes
 from samphiredock.coordination.forwarding import _flight_sender
@@ -87,6 +88,7 @@
         self._metrics = counters
         self._splitter = _splitter.Splitter()
         self._notes = _end_notes.EndNotes(clock, counters)
+        self._times = _caller_time.CallerTimes()
         self._numbers = itertools.count(1)
         self._in_flight = 0
 
@@ -166,6 +168,9 @@
                 f'that can be reached, expected at least {least}',
                 NO_TARGET_RETRY_MS,
             )
+        spent_ms = self._times.spent_ms(
+            route.name, request.deadline_ms, route.aim_ms
+        )
         return result.Success(
             _route_plans.make_forward_plan(
                 request,
@@ -176,7 +181,7 @@
                 str(next(self._numbers)),
                 self._settings.site,
                 now_ms,
-                self._settings.caller_way_ms + hop_ms,
+                self._settings.caller_way_ms + spent_ms + hop_ms,
                 route.aim_ms * FIRST_HEDGE_SHARE,
             )
         )
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -79,7 +79,8 @@
     services, targets
         The services to ask, and the targets of each.
     caller_way_ms
-        What the way from the caller and back takes of the route's aim.
+        What the caller has spent of the route's aim, and the way back
+        to it will take.
     first_hedge_ms
         When to hedge while no latencies are known.
     """
@@ -127,10 +128,11 @@
     return ForwardPlan(request, route, services, plan, key_ranges)
 
 
-def merge_parts(bodies: list[bytes], top: int) -> bytes:
+def merge_parts(bodies: list[bytes], top: int, floor: bytes = b'') -> bytes:
     """Return the greatest ``top`` records of all parts, greatest first.
 
     A remainder shorter than a record is none.  Equal records all count.
+    Those that are not greater than ``floor`` are left out.
     """
     size = state.RECORD_BYTES
     records = [
@@ -138,5 +140,7 @@
         for body in bodies
         for at in range(0, len(body) - size + 1, size)
     ]
+    if floor:
+        records = [record for record in records if record > floor]
     records.sort(reverse=True)
     return b''.join(records[:top])
--- a/samphiredock/coordination/targets/_replicas.py
+++ b/samphiredock/coordination/targets/_replicas.py
@@ -89,6 +89,12 @@
     other_site_factor
         How much longer a target at another site may look before it is
         passed over: 1.05 decides between equals only.
+    near_only
+        Take one of another site only if none of this one is a candidate.
+        For daemons that requests are handed to: one that was never asked
+        looks quick, so that without it 76 of 173 hand-overs crossed sites
+        and took 9.3 ms in place of 2.7 ms (median, log of one played day
+        of 195 daemons).
     """
 
     def __init__(
@@ -97,7 +103,9 @@
         is_near: typing.Callable[[str], bool],
         other_site_factor: float = OTHER_SITE_FACTOR,
         now_ms: typing.Callable[[], float] = lambda: 0.0,
+        near_only: bool = False,
     ) -> None:
+        self._near_only = near_only
         self._now_ms = now_ms
         self._rng = rng
         self._other_site_factor = other_site_factor
@@ -114,6 +122,9 @@
 
     def choose(self, candidates: typing.Sequence[str]) -> str:
         """Return one of ``candidates``, which may not be empty."""
+        if self._near_only:
+            near = [name for name in candidates if self._is_near(name)]
+            candidates = near or candidates
         count = len(candidates)
         if count == 1:
             return candidates[0]
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -190,8 +190,8 @@
             coordination.Replicas(
                 random.Random(settings.name),
                 knowledge.is_near_peer,
-                settings.other_site_factor,
-                self._clock.now_ms,
+                now_ms=self._clock.now_ms,
+                near_only=True,
             ),
             coordination.Latencies(),
             coordination.ExtraBudget(),
--- a/samphiredock/state/_entry_settings.py
+++ b/samphiredock/state/_entry_settings.py
@@ -32,8 +32,9 @@
     so how long a store that fell silent goes unnoticed at most;
     ``collect_ms`` how long changes may gather after one before the next
     watch.
-    ``caller_way_ms`` is what connecting and the way from the caller and
-    back take of a route's aim.  ``hedge_quantile`` is the quantile of the
+    ``caller_way_ms`` is what the way from the caller and back takes of a
+    route's aim; connecting is read off the time that callers state.
+    ``hedge_quantile`` is the quantile of the
     latency of a route's sub-queries after which one is hedged;
     ``other_site_factor`` how much longer the wait at a target of the same
     site may look before another site's is taken.
@@ -57,7 +58,7 @@
     balancer_lag_ms: int = 2_500
     watch_ms: int = 2_500
     collect_ms: int = 400
-    caller_way_ms: float = 9.0
+    caller_way_ms: float = 7.0
     hedge_quantile: float = 0.85
     other_site_factor: float = 3.0
 
