Late parts of a search carry only records that can be in its answer

Change: parts that have come are kept in CollectedParts, which knows the least record of those that stay; later orders name it, and a merger cuts its late parts by its own merged one. Parts that may give way to a merged part do not count.

The window budget's tests are bounded: with a budget that never refuses they did not end.

--- a/samphiredock/coordination/forwarding/_flight_sender.py
+++ b/samphiredock/coordination/forwarding/_flight_sender.py
@@ -23,6 +23,11 @@
 """What the first report of an order takes to its search, when an answer is
 due: 1.4 ms between sites and two busy loops."""
 
+GIVE_UP_MS = 12.0
+"""How much later than due a first report may come before its daemon is given
+up for the search: a little before the shards of the order are hedged, so that
+the hedges take another way."""
+
 _LEAST_GATHER_MS = 1.0
 
 _Status = protocol.SubStatus
@@ -200,8 +205,8 @@
         reply = asked.reply
         if reply is not None and asked.status is _Status.ANSWERED:
             flight.replies[item.attempt_id] = reply
-            flight.parts[item.attempt_id] = _flights.OwnPart(
-                reply.receipt or '', reply.reply.body
+            flight.parts.add(
+                item.shard_id, reply.receipt or '', reply.reply.body
             )
         elif reply is not None and reply.may_be_passed:
             flight.failure = reply
@@ -218,14 +223,16 @@
         gathers: bool,
     ) -> None:
         waiting = {_number_of(item.attempt_id): item for item in items}
-        out = _flights.OrderOut(merger, waiting)
+        out = _flights.OrderOut(merger, waiting, gathers)
+        if gathers:
+            flight.parts.expect_merged(item.shard_id for item in items)
         for item in items:
             flight.orders[item.attempt_id] = out
         order = self._order(flight, items, gathers)
         out.task = asyncio.create_task(self._run_order(flight, out, order))
         if gathers:
             self._clock.after(
-                order.gather_ms + REPORT_WAY_MS,
+                order.gather_ms + GIVE_UP_MS,
                 lambda: self._check_order(flight, out),
             )
 
@@ -267,6 +274,7 @@
             max(1.0, plan.scatter.deadline_at_ms - now_ms),
             gather_ms,
             plan.route.top,
+            flight.parts.floor(),
             tuple(
                 protocol.OrderedItem(
                     _number_of(item.attempt_id), item.shard_id, item.target
@@ -285,76 +293,121 @@
         status = await self._orders.send(
             out.merger,
             order,
-            lambda report: self._take_report(
-                flight, out, report, order.gather_ms > 0.0
-            ),
+            lambda report: self._take_report(flight, out, report),
         )
-        if not out.waiting:
-            return
+        if out.waiting:
+            self._lose(flight, out, status)
+
+    def _lose(
+        self,
+        flight: _flights.Flight,
+        out: _flights.OrderOut,
+        status: protocol.SubStatus,
+    ) -> None:
+        """Expect nothing more of an order."""
+        assert flight.ways is not None
         flight.ways.give_up(out.merger)
-        ends = [
-            _answer_to(item, status, detail=f'order to {out.merger}')
-            for item in out.waiting.values()
-        ]
+        items = list(out.waiting.values())
         out.waiting.clear()
-        self._take(flight, ends)
+        flight.parts.expect_no_merged(item.shard_id for item in items)
+        why = f'order to {out.merger}'
+        self._take(
+            flight, [_answer_to(item, status, detail=why) for item in items]
+        )
 
     def _take_report(
         self,
         flight: _flights.Flight,
         out: _flights.OrderOut,
         report: protocol.MergeReport,
-        gathers: bool,
     ) -> None:
+        if out.is_broken or flight.done.done():
+            return
         out.has_reported = True
-        answers = self._merged_answers(flight, out, report, gathers)
-        for row in report.ended:
-            item = out.waiting.pop(row.number, None)
-            if item is not None:
-                took_ms = row.took_us / 1000.0
-                self._asker.observe(item.target, row.status, took_ms)
-                answers.append(
-                    _answer_to(item, row.status, took_ms, row.detail)
-                )
+        numbers = [row.number for row in (*report.merged, *report.ended)]
+        unknown = set(numbers) - set(out.waiting)
+        if unknown or len(set(numbers)) < len(numbers):
+            # Records of an attempt that was not ordered, or was reported
+            # before, cannot be taken out of the merged part, and later
+            # reports build on it.
+            out.is_broken = True
+            _log.error('report', daemon=out.merger, unknown=sorted(unknown))
+            self._lose(flight, out, _Status.ORDER_LOST)
+            return
+        answers = [
+            *self._take_merged(flight, out, report),
+            *self._take_ended(flight, out, report),
+        ]
         self._take(flight, answers)
-        if report.is_late and not flight.done.done():
-            late = [item.attempt_id for item in out.waiting.values()]
-            now_ms = self._clock.now_ms()
-            self.carry_out(flight, flight.scatter.on_late(late, now_ms))
+        if report.is_late:
+            self._take_late(flight, out)
 
-    def _merged_answers(
+    def _take_merged(
         self,
         flight: _flights.Flight,
         out: _flights.OrderOut,
         report: protocol.MergeReport,
-        gathers: bool,
     ) -> list[protocol.SubAnswer]:
         """Keep what a report brings; return the ends of its attempts."""
-        numbers = [row.number for row in report.merged]
-        unknown = set(numbers) - set(out.waiting)
-        if unknown or len(set(numbers)) < len(numbers):
-            # Records of an attempt that was not ordered, or was reported
-            # before, cannot be taken out of the merged part.
-            _log.error('report', daemon=out.merger, unknown=sorted(unknown))
-            return []
-        items = [out.waiting.pop(number) for number in numbers]
+        items = [out.waiting.pop(row.number) for row in report.merged]
         receipts = {
             item.shard_id: row.receipt
             for item, row in zip(items, report.merged)
         }
-        if gathers and len(items) > 1:
-            flight.merged.append(_flights.MergedPart(receipts, report.records))
+        if items and out.gathers:
+            out.gathers = False
+            flight.parts.add_merged(receipts, report.records)
+            flight.parts.expect_no_merged(
+                item.shard_id for item in out.waiting.values()
+            )
         else:
-            for item in items:
-                flight.parts[item.attempt_id] = _flights.OwnPart(
-                    receipts[item.shard_id], report.records
-                )
-        answers = []
-        for item, row in zip(items, report.merged):
-            took_ms = row.took_us / 1000.0
-            self._asker.observe(item.target, _Status.ANSWERED, took_ms)
-            answers.append(_answer_to(item, _Status.ANSWERED, took_ms))
-        return answers
+            for shard, receipt in receipts.items():
+                flight.parts.add(shard, receipt, report.records)
+        return [
+            self._observed(item, _Status.ANSWERED, row.took_us)
+            for item, row in zip(items, report.merged)
+        ]
+
+    def _take_ended(
+        self,
+        flight: _flights.Flight,
+        out: _flights.OrderOut,
+        report: protocol.MergeReport,
+    ) -> list[protocol.SubAnswer]:
+        assert flight.ways is not None
+        items = [out.waiting.pop(row.number) for row in report.ended]
+        for item, row in zip(items, report.ended):
+            if row.status is _Status.NOT_ORDERED:
+                flight.ways.ask_directly(item.target)
+        flight.parts.expect_no_merged(item.shard_id for item in items)
+        return [
+            self._observed(item, row.status, row.took_us, row.detail)
+            for item, row in zip(items, report.ended)
+        ]
+
+    def _take_late(
+        self, flight: _flights.Flight, out: _flights.OrderOut
+    ) -> None:
+        """No merged part will come any more; hedge what is late."""
+        out.gathers = False
+        items = list(out.waiting.values())
+        flight.parts.expect_no_merged(item.shard_id for item in items)
+        if not flight.done.done():
+            late = [item.attempt_id for item in items]
+            now_ms = self._clock.now_ms()
+            self.carry_out(flight, flight.scatter.on_late(late, now_ms))
+
+    def _observed(
+        self,
+        item: protocol.SubQuery,
+        status: protocol.SubStatus,
+        took_us: int,
+        detail: str = '',
+    ) -> protocol.SubAnswer:
+        """Take what another daemon saw of a target into its record."""
+        took_ms = took_us / 1000.0
+        self._asker.observe(item.target, status, took_ms)
+        return _answer_to(item, status, took_ms, detail)
 
     # Back to the scatter.
 
--- a/samphiredock/coordination/forwarding/_flights.py
+++ b/samphiredock/coordination/forwarding/_flights.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 import math
-import typing
 
+from samphiredock.coordination.forwarding import _collected_parts
 from samphiredock.coordination.forwarding import _merge_ways
 from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _route_plans
@@ -29,39 +29,26 @@
     """An order that has not ended.
 
     ``waiting`` are the attempts that no report has named, ``unwanted``
-    those whose end is of no use any more.
+    those whose end is of no use any more.  It ``gathers`` until its merged
+    part has come, and ``is_broken`` once a report made no sense.
     """
 
     merger: str
     waiting: dict[int, protocol.SubQuery]
+    gathers: bool
     unwanted: set[int] = dataclasses.field(default_factory=set)
     has_reported: bool = False
+    is_broken: bool = False
     task: asyncio.Task | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MergedPart:
-    """Several shards' parts as one; ``receipts`` by shard."""
-
-    receipts: typing.Mapping[str, str]
-    records: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnPart:
-    """The part of one shard."""
-
-    receipt: str
-    body: bytes
-
-
 @dataclasses.dataclass(slots=True)
 class Flight:
     """One request that has no outcome yet.
 
     ``ways`` says through whom its targets are asked, None if each is asked
-    directly.  ``parts`` are what came of attempts alone, by attempt, and
-    ``replies`` whole answers that may be passed on.
+    directly.  ``parts`` is what has come of a search, ``replies`` whole
+    answers by attempt, one of which may be passed on.
     """
 
     plan: _route_plans.ForwardPlan
@@ -71,8 +58,7 @@
     timer: timers.Subscription | None = None
     ways: _merge_ways.MergeWays | None = None
     armed_ms: float = math.inf
-    parts: dict[str, OwnPart] = dataclasses.field(default_factory=dict)
-    merged: list[MergedPart] = dataclasses.field(default_factory=list)
+    parts: _collected_parts.CollectedParts = dataclasses.field(init=False)
     shard_of: dict[str, str] = dataclasses.field(default_factory=dict)
     orders: dict[str, OrderOut] = dataclasses.field(default_factory=dict)
     replies: dict[str, protocol.TargetReply] = dataclasses.field(
@@ -83,6 +69,9 @@
     answered: set[str] = dataclasses.field(default_factory=set)
     exchanges: dict[str, Exchange] = dataclasses.field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.parts = _collected_parts.CollectedParts(self.plan.route.top)
+
     def unanswered(self) -> list[str]:
         """Return the services that gave no answer."""
         return [
@@ -105,10 +94,15 @@
     plan = flight.plan
     outcome = finish.outcome
     if isinstance(outcome, protocol.Answered | protocol.Partial):
-        accepted = [row.attempt_id for row in finish.accepted]
         if not plan.is_gather:
-            return protocol.Passed(flight.replies[accepted[0]].reply)
-        return _gathered(flight, accepted)
+            accepted = finish.accepted[0].attempt_id
+            return protocol.Passed(flight.replies[accepted].reply)
+        receipts = flight.parts.receipts()
+        return protocol.Gathered(
+            receipts,
+            len(plan.services) - len(receipts),
+            flight.parts.body(),
+        )
     if isinstance(outcome, protocol.NotRun):
         return outcome
     if flight.failure is not None and not plan.is_gather:
@@ -116,28 +110,3 @@
     if now_ms >= plan.scatter.deadline_at_ms:
         return protocol.TimedOut(outcome.detail)
     return outcome
-
-
-def _gathered(flight: Flight, accepted: list[str]) -> protocol.Gathered:
-    """Merge the parts; a shard that is in a merged part is taken from it.
-
-    Its records cannot be taken out there, and a hedge that was answered as
-    well would bring them a second time.
-    """
-    plan = flight.plan
-    receipts: dict[str, str] = {}
-    bodies = []
-    for merged in flight.merged:
-        receipts.update(merged.receipts)
-        bodies.append(merged.records)
-    for attempt_id in accepted:
-        shard = flight.shard_of[attempt_id]
-        if shard not in receipts:
-            part = flight.parts[attempt_id]
-            receipts[shard] = part.receipt
-            bodies.append(part.body)
-    return protocol.Gathered(
-        tuple(receipts.values()),
-        len(plan.services) - len(receipts),
-        _route_plans.merge_parts(bodies, plan.route.top),
-    )
--- a/samphiredock/coordination/forwarding/_merge_gathering.py
+++ b/samphiredock/coordination/forwarding/_merge_gathering.py
@@ -6,13 +6,15 @@
 what comes later is reported one by one.  So a shard is in at most one merged
 part of a search, as only first attempts are gathered: a part of it that
 another target gave can always give way, though a merged part cannot be taken
-apart.
+apart.  And since the search keeps each merged part, later ones are cut to the
+records that are greater than the least of it.
 """
 
 import dataclasses
 
 from samphiredock.coordination.forwarding import _route_plans
 from samphiredock import protocol
+from samphiredock import state
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +38,7 @@
 
     def __init__(self, order: protocol.MergeOrder) -> None:
         self._top = order.top
+        self._floor = order.floor
         self._open = {item.number for item in order.items}
         self._held: list[Part] = []
         self._gathers = order.gather_ms > 0.0
@@ -70,6 +73,12 @@
         self, ended: tuple[protocol.EndedItem, ...], is_late: bool
     ) -> protocol.MergeReport:
         held, self._held = self._held, []
+        records = _route_plans.merge_parts(
+            [part.body for part in held], self._top, self._floor
+        )
+        if len(records) == self._top * state.RECORD_BYTES:
+            # What a later part has below these cannot be in the answer.
+            self._floor = records[-state.RECORD_BYTES :]
         return protocol.MergeReport(
             tuple(
                 protocol.MergedItem(
@@ -78,6 +87,6 @@
                 for part in held
             ),
             ended,
-            _route_plans.merge_parts([part.body for part in held], self._top),
+            records,
             is_late,
         )
--- a/samphiredock/coordination/forwarding/_merge_ways.py
+++ b/samphiredock/coordination/forwarding/_merge_ways.py
@@ -38,6 +38,7 @@
     ) -> None:
         self._targets = targets
         self._mergers = dict(mergers)
+        self._direct: set[str] = set()
         self.is_usable = targets.is_usable
 
     @property
@@ -50,8 +51,14 @@
         found = self._targets.get(target)
         if found is None:
             return None
+        if target in self._direct:
+            return target
         return self._mergers.get(found.site, target)
 
+    def ask_directly(self, target: str) -> None:
+        """A daemon that was to ask a target does not know it, or not yet."""
+        self._direct.add(target)
+
     def give_up(self, merger: str) -> None:
         """Ask directly what a daemon was to ask that does not."""
         self._mergers = {
--- a/samphiredock/coordination/forwarding/_merger.py
+++ b/samphiredock/coordination/forwarding/_merger.py
@@ -6,13 +6,10 @@
 
 from samphiredock.coordination.forwarding import _asking
 from samphiredock.coordination.forwarding import _merge_gathering
-from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
 
-_log = logs.logger('orders')
-
 _End = _merge_gathering.Part | protocol.EndedItem
 
 
@@ -77,17 +74,13 @@
         sent_ms = self._clock.now_ms()
         target = self._asker.target(item.target)
         if target is None or target.service != item.service or target.leaving:
-            why = 'not a target of the service here, or it is leaving'
-            _log.info(
-                'ordered target refused',
-                request=request.request_id,
-                target=item.target,
-                service=item.service,
-                why=why,
-            )
+            self._metrics.add('order_items_refused')
             ends.put_nowait(
                 protocol.EndedItem(
-                    item.number, protocol.SubStatus.NOT_ORDERED, 0, why
+                    item.number,
+                    protocol.SubStatus.NOT_ORDERED,
+                    0,
+                    'not a target of the service here, or it is leaving',
                 )
             )
             return
--- a/samphiredock/protocol/_merge_orders.py
+++ b/samphiredock/protocol/_merge_orders.py
@@ -35,6 +35,7 @@
     ``left_ms`` is what was left of the deadline when this was sent.  Parts
     that come within ``gather_ms`` are merged to their greatest ``top``
     records; later ones, and all if it is 0, are reported one by one.
+    Records that are not greater than ``floor`` cannot be in the answer.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     left_ms: float
     gather_ms: float
     top: int
+    floor: bytes
     items: tuple[OrderedItem, ...]
 
     def request(self) -> _forwarding.ForwardRequest:
--- a/standins/memory_orders.py
+++ b/standins/memory_orders.py
@@ -174,6 +174,18 @@
             asker, self.clock, self.counters
         )
 
+    def make_merger_ignorant(self, name: str) -> None:
+        """Have a daemon that knows no targets yet."""
+        asker = forwarding.TargetAsker(
+            forwarding.LiveTargets(self.clock),
+            memory_links.PlainDialect(),
+            self.links,
+            self.clock,
+        )
+        self.mergers[name] = forwarding.Merger(
+            asker, self.clock, self.counters
+        )
+
     def runs(self) -> dict[str, list[str]]:
         """Return the targets that were asked, by shard."""
         found: dict[str, list[str]] = {}
--- a/tests/failure/test_merged_crossing.py
+++ b/tests/failure/test_merged_crossing.py
@@ -14,14 +14,27 @@
 RECORD_BYTES = 16
 
 
-def record_of(target: str) -> bytes:
-    """Return the one record that a shard's targets hold.
+def records_of(target: str) -> bytes:
+    """Return the records that a shard's targets hold, in no order.
 
     The targets of a shard hold the same, so that a shard which is in twice
-    shows.
+    shows.  The records of the shards lie between each other.
     """
     shard = target.rpartition('-')[0]
-    return f'{shard:>{RECORD_BYTES}}'.encode()
+    number = int(shard[1:])
+    ranks = [(number * 7 + place * 11) % 100 for place in range(4)]
+    width = RECORD_BYTES - 2
+    return b''.join(f'{rank:02}{shard:>{width}}'.encode() for rank in ranks)
+
+
+def top_of(shards: list[str]) -> bytes:
+    """Return the five greatest records of some shards."""
+    records = sorted(
+        body[at : at + RECORD_BYTES]
+        for body in (records_of(f'{shard}-0') for shard in shards)
+        for at in range(0, len(body), RECORD_BYTES)
+    )
+    return b''.join(records[:-6:-1])
 
 
 class _Case(unittest.IsolatedAsyncioTestCase):
@@ -36,7 +49,7 @@
         """Answer what is open, but for some targets."""
         for sent in self.desk.links.open:
             if sent.target not in leave_out:
-                sent.answer(record_of(sent.target))
+                sent.answer(records_of(sent.target))
 
     async def outcome(self, steps: int = 40) -> protocol.ForwardOutcome:
         """Let time pass until the search has an outcome."""
@@ -58,8 +71,7 @@
         shards = [row.split('-')[1] for row in outcome.receipts]
         self.assertEqual(len(set(shards)), len(shards))
         self.assertEqual(36, len(shards) + outcome.missing)
-        records = sorted((record_of(f'{row}-0') for row in shards))[::-1]
-        self.assertEqual(b''.join(records[:5]), outcome.body)
+        self.assertEqual(top_of(shards), outcome.body)
 
     def check_bound(self) -> None:
         """No shard is run by more targets than the route allows."""
@@ -125,7 +137,7 @@
         ]
         for sent in self.desk.links.open:
             if sent.target in near and sent.target != 's0-0':
-                sent.answer(record_of(sent.target))
+                sent.answer(records_of(sent.target))
         await self.desk.advance(60.0)
         hedges = [
             sent
@@ -134,10 +146,10 @@
         ]
         self.assertGreater(len(hedges), 0)
         for sent in hedges[:2]:
-            sent.answer(record_of(sent.target))
+            sent.answer(records_of(sent.target))
         await memory_links.settle()
         for sent in held:
-            sent.answer(record_of(sent.target))
+            sent.answer(records_of(sent.target))
         await memory_links.settle()
         self.answer_all()
         self.check_whole(await self.outcome())
@@ -158,14 +170,14 @@
         taken = []
         original = sender._take_report
 
-        def spoil(flight, out, report, gathers):
+        def spoil(flight, out, report):
             if report.merged and not taken:
                 taken.append(report)
                 foreign = protocol.MergedItem(999, 'receipt-x', 1)
                 report = protocol.MergeReport(
                     (*report.merged, foreign), (), b'z' * 16
                 )
-            original(flight, out, report, gathers)
+            original(flight, out, report)
 
         sender._take_report = spoil
         self.answer_all()
@@ -210,6 +222,28 @@
         self.check_whole(outcome)
         self.assertEqual(0, outcome.missing)
 
+    async def test_one_that_lags_behind_on_targets(self) -> None:
+        """It does not know the servers of a new index yet.
+
+        It refuses them; ordered from it again and again, each search would
+        send thousands of orders and have no answer.  They are asked
+        directly, each once.
+        """
+        for name in self.desk.mergers:
+            self.desk.make_merger_ignorant(name)
+        await self._ask()
+        for _ in range(4):
+            await self.desk.advance(5.0)
+        ordered = [
+            item.target for row in self.links.seen for item in row.order.items
+        ]
+        self.assertEqual(len(set(ordered)), len(ordered))
+        self.answer_all()
+        outcome = await self.outcome()
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+        self.check_bound()
+
     async def test_one_that_is_frozen_costs_a_hedge(self) -> None:
         """The whole answer comes in the aim, though an order hangs.
 
@@ -243,7 +277,7 @@
             if self.desk.targets.get(sent.target).site == 'here'
         ]
         for sent in near:
-            sent.answer(record_of(sent.target))
+            sent.answer(records_of(sent.target))
         await memory_links.settle()
         self.links.lose(merger)
         await memory_links.settle()
@@ -269,7 +303,7 @@
             report
             async for report in self.desk.mergers[order.merger].reports(
                 protocol.MergeOrder(
-                    'id2', 'GET', 'h', '/all/x', (), b'', 100.0, 10.0, 5,
+                    'id2', 'GET', 'h', '/all/x', (), b'', 100.0, 10.0, 5, b'',
                     (protocol.OrderedItem(1, 'another', gone.target),),
                 )
             )
@@ -321,15 +355,14 @@
         shards = [row.split('-')[1] for row in outcome.receipts]
         self.assertEqual(1, max(collections.Counter(shards).values()))
         self.assertEqual(36, len(shards) + outcome.missing)
-        records = sorted((record_of(f'{row}-0') for row in shards))[::-1]
-        self.assertEqual(b''.join(records[:5]), outcome.body)
+        self.assertEqual(top_of(shards), outcome.body)
 
 
 def _end_some(sent: memory_links.Sent, rng: random.Random) -> None:
     """Let an exchange end in some way, or go on."""
     draw = rng.random()
     if draw < 0.25:
-        sent.answer(record_of(sent.target))
+        sent.answer(records_of(sent.target))
     elif draw < 0.27:
         sent.refuse()
     elif draw < 0.29:
--- a/tests/unit/test_merge_gathering.py
+++ b/tests/unit/test_merge_gathering.py
@@ -12,7 +12,7 @@
         for number in range(count)
     )
     return protocol.MergeOrder(
-        'id', 'GET', 'h', '/', (), b'', 100.0, gather_ms, 2, items
+        'id', 'GET', 'h', '/', (), b'', 100.0, gather_ms, 2, b'', items
     )
 
 
@@ -52,6 +52,15 @@
             self.assertEqual([number], [row.number for row in report.merged])
         self.assertTrue(gathering.is_over())
 
+    def test_late_records_below_the_merged_ones_are_left_out(self) -> None:
+        """They cannot be in the answer, and each crosses sites alone."""
+        gathering = _merge_gathering.Gathering(_order(5))
+        for number in (1, 3):
+            gathering.on_part(_part(number))
+        self.assertEqual(2 * 16, len(gathering.on_gathered().records))
+        self.assertEqual(b'', gathering.on_part(_part(0)).records)
+        self.assertEqual(_part(2).body, gathering.on_part(_part(2)).records)
+
     def test_a_failure_is_told_at_once(self) -> None:
         """The search asks another target meanwhile."""
         gathering = _merge_gathering.Gathering(_order(3))
--- a/tests/unit/test_merge_orders.py
+++ b/tests/unit/test_merge_orders.py
@@ -12,7 +12,7 @@
 
 def _order(**changes: object) -> protocol.MergeOrder:
     order = protocol.MergeOrder(
-        'id', 'GET', 'h', '/p', (('A', 'b'),), b'body', 100.0, 10.0, 5,
+        'id', 'GET', 'h', '/p', (('A', 'b'),), b'body', 100.0, 10.0, 5, b'',
         (protocol.OrderedItem(1, 's', 't'),),
     )  # fmt: skip
     return msgspec.structs.replace(order, **changes)
--- a/tests/unit/test_window_budget.py
+++ b/tests/unit/test_window_budget.py
@@ -10,6 +10,9 @@
 SLACK = 56.0
 WINDOW_MS = 10_000.0
 
+SPENT_LIMIT = 10_000
+"""More than any budget here allows: 20 times the largest."""
+
 
 class WindowBudgetTest(unittest.TestCase):
     """One shard, several daemons."""
@@ -24,11 +27,18 @@
             self.clock, RATIO, SLACK, WINDOW_MS, lambda: self.daemons
         )
 
-    def _spend_all(self, budget: forwarding.WindowBudget) -> int:
-        spent = 0
-        while budget.spend_retry('s'):
-            spent += 1
-        return spent
+    def _spend_all(
+        self, budget: forwarding.WindowBudget, hedges: bool = False
+    ) -> int:
+        """Spend until the budget refuses; return how often it did not.
+
+        One that never refuses fails the test, and does not hang it.
+        """
+        spend = budget.spend_hedge if hedges else budget.spend_retry
+        for spent in range(SPENT_LIMIT):
+            if not spend('s'):
+                return spent
+        self.fail(f'got {SPENT_LIMIT} spent, expected a refusal before')
 
     def test_all_daemons_together_keep_the_budget(self) -> None:
         """Each spends all that it may, at the same moment."""
@@ -54,8 +64,8 @@
         times = []
         for _ in range(300):
             self.clock.advance(100.0)
-            while budget.spend_hedge('s'):
-                times.append(self.clock.now_ms())
+            spent = self._spend_all(budget, hedges=True)
+            times += [self.clock.now_ms()] * spent
         for begin in times:
             count = sum(begin <= at < begin + WINDOW_MS for at in times)
             self.assertLessEqual(count, SLACK / 8)
@@ -70,8 +80,7 @@
         """Hedges stop first: a missing shard is worse than a late one."""
         budget = self._budget()
         budget.note_needed(['s'] * 100, 0.0)
-        while budget.spend_hedge('s'):
-            pass
+        self._spend_all(budget, hedges=True)
         self.assertTrue(budget.spend_retry('s'))
 
     def test_a_hedge_that_reached_nobody_is_given_back(self) -> None:
