Orders leave a line, explain names silent daemons; a process test

Cause: on-call engineers had no line of a merger's on a request, and nothing said why shards of a site were late together.

Change: one 'order ended' line with the request's id, bounded as the lines of requests are; explain names daemons that reported nothing in time; a daemon that gets an order follows the targets from then on, as with hand-overs. Real daemons at two sites: one order, a frozen and a killed merger, whole answers with true records, no target twice.

Tried and taken out: a weak host shares its own site's targets among the coordinators there.

--- a/samphiredock/cli/_explain.py
+++ b/samphiredock/cli/_explain.py
@@ -29,6 +29,9 @@
     'not-owner': 'has the address of another target',
     'draining': 'was leaving',
     'expired': 'had no time left for it',
+    'not-ordered': 'was to be asked by a daemon of its site that did not',
+    'order-lost': 'was to be asked by a daemon of its site that was lost, '
+    'so it may have run it',
 }
 
 
@@ -87,7 +90,17 @@
     bad = [row for row in [*own, *ends] if _went_badly(row)]
     end = bad[0] if bad else ends[-1]
     failed = [line.row for line in story if line.event == 'failed']
-    return _CAUSES[end['outcome']](end, failed)
+    return _CAUSES[end['outcome']](end, failed) + _late_orders(story)
+
+
+def _late_orders(story: list[Line]) -> str:
+    """Name the daemons that asked targets of their site and said nothing."""
+    late = {
+        str(line.row.get('by')) for line in story if line.event == 'order late'
+    }
+    if not late:
+        return ''
+    return f'; nothing came in time from {", ".join(sorted(late))}'
 
 
 def _went_badly(row: _Row) -> bool:
--- a/samphiredock/coordination/forwarding/_merger.py
+++ b/samphiredock/coordination/forwarding/_merger.py
@@ -1,11 +1,13 @@
 """Carry out orders of other daemons: ask targets of this site, and merge."""
 
 import asyncio
+import dataclasses
 import functools
 import typing
 
 from samphiredock.coordination.forwarding import _asking
 from samphiredock.coordination.forwarding import _merge_gathering
+from samphiredock.coordination.forwarding import _request_log
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
@@ -37,6 +39,11 @@
         self._asker = asker
         self._clock = clock
         self._metrics = counters
+        self._log = _request_log.RequestLog(clock, counters)
+
+    def close(self) -> None:
+        """Write the lines that wait."""
+        self._log.write()
 
     async def reports(
         self, order: protocol.MergeOrder
@@ -54,15 +61,33 @@
         timer = self._clock.after(
             order.gather_ms, functools.partial(ends.put_nowait, None)
         )
+        told = _Told(self._clock.now_ms())
         try:
             while not gathering.is_over():
                 report = _take(gathering, await ends.get())
                 if report is not None:
+                    told.add(report)
                     yield report
         finally:
             timer.cancel()
             for task in tasks:
                 task.cancel()
+            self._note_end(order, told)
+
+    def _note_end(self, order: protocol.MergeOrder, told: '_Told') -> None:
+        silent = len(order.items) - told.parts - told.failed
+        self._log.end(
+            order.request_id,
+            _request_log.Trail(told.began_ms),
+            not silent and not told.failed,
+            event='order ended',
+            targets=len(order.items),
+            parts=told.parts,
+            failed=told.failed,
+            silent=silent,
+            late=told.late,
+            gather_ms=round(order.gather_ms, 1),
+        )
 
     async def _ask(
         self,
@@ -105,6 +130,21 @@
         await self._asker.look_for_crash(request, item.target, asked)
 
 
+@dataclasses.dataclass(slots=True)
+class _Told:
+    """What was reported of an order."""
+
+    began_ms: float
+    parts: int = 0
+    failed: int = 0
+    late: bool = False
+
+    def add(self, report: protocol.MergeReport) -> None:
+        self.parts += len(report.merged)
+        self.failed += len(report.ended)
+        self.late = self.late or report.is_late
+
+
 def _take(
     gathering: _merge_gathering.Gathering, end: _End | None
 ) -> protocol.MergeReport | None:
--- a/samphiredock/coordination/forwarding/_request_log.py
+++ b/samphiredock/coordination/forwarding/_request_log.py
@@ -107,9 +107,13 @@
         request_id: str,
         trail: Trail,
         good: bool,
+        event: str = 'request ended',
         **facts: object,
     ) -> None:
-        """Write a request's end, and its decisions if it went badly."""
+        """Write a request's end, and its decisions if it went badly.
+
+        ``event`` is what has ended: the request, or an order for it.
+        """
         lines = [] if good else trail.decisions
         bucket = self._good if good else self._bad
         if not bucket.take(1 + len(lines), self._clock.now_ms()):
@@ -127,7 +131,7 @@
         ]
         took_ms = round(now_ms - trail.started_ms, 1)
         said = {'request': request_id, 'took_ms': took_ms, **facts}
-        self._waiting.append(_Line(wall_ms, 'request ended', said))
+        self._waiting.append(_Line(wall_ms, event, said))
         self._write_later()
 
     def _write_later(self) -> None:
--- a/samphiredock/daemon/_entry_knowledge.py
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -206,6 +206,10 @@
             self._role.since_ms
         )
 
+    def follows_targets(self) -> bool:
+        """Whether this daemon is one of those that follow the targets."""
+        return self._role.coordinates
+
     def asks_directly(self, target: state.LiveTarget) -> bool:
         """Whether this daemon will itself ask a target as a rule.
 
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -116,6 +116,7 @@
             self._stale_handover,
         ):
             forwarder.close()
+        self._merger.close()
         self._links.close()
         self._peer_links.close()
 
@@ -294,6 +295,10 @@
             self._metrics.add('orders_unreadable')
             _log.error('order refused', why=read.failure())
             return protocol.HttpReply(400, body=read.failure().encode())
+        if not self._knowledge.follows_targets():
+            # Lists of daemons differ for some seconds after a change: one
+            # that is taken for a coordinator becomes one.
+            self._knowledge.stand_in()
         return protocol.StreamedReply(200, (), self._reports(read.unwrap()))
 
     async def _reports(
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -29,6 +29,7 @@
 SHARDS = ('shard-1', 'shard-2', 'shard-3', 'shard-4')
 DESK = 'desk'
 HOST = 'claims.example'
+SITE = 'bole-a'
 
 
 class PreparedTarget:
@@ -91,10 +92,17 @@
     ----------
     shards
         The services that a search asks.
+    sites
+        By service: where its targets are, if not at the first site.
     """
 
-    def __init__(self, shards: typing.Sequence[str] = SHARDS) -> None:
+    def __init__(
+        self,
+        shards: typing.Sequence[str] = SHARDS,
+        sites: typing.Mapping[str, str] = {},
+    ) -> None:
         self._shards = tuple(shards)
+        self._sites = sites
         self.store = prepared_store.PreparedStore()
         self.targets: dict[str, PreparedTarget] = {}
         self.runs: list[str] = []
@@ -151,7 +159,7 @@
         entry = {
             'Service': target.service,
             'Addr': target.address,
-            'Zone': 'bole-a',
+            'Zone': self._sites.get(target.service, SITE),
             'Version': 'v1',
             'Slots': 2,
             'State': state,
@@ -211,7 +219,7 @@
             f'127.0.0.1:{port}' for port in cluster.free_ports(4)
         )
         self._settings[name] = {
-            'name': name, 'site': 'bole-a', 'caller_address': front,
+            'name': name, 'site': SITE, 'caller_address': front,
             'ready_address': ready, 'peer_address': peer,
             'metrics_address': metrics, 'retry_slack': 56, 'retry_ratio': 0.2,
             'platform_address': self.store_address, 'balancer_lag_ms': 300,
@@ -246,6 +254,18 @@
         path.write_text(text, encoding='utf-8')
         return path
 
+    async def counter(self, name: str, counter: str) -> float:
+        """Return the sum of a counter on a daemon's metrics page."""
+        assert self._session is not None
+        address = self._settings[name]['metrics_address']
+        async with self._session.get(f'http://{address}/metrics') as got:
+            page = await got.text()
+        return sum(
+            float(row.rpartition(' ')[2])
+            for row in page.splitlines()
+            if row.startswith(f'{counter}_total')
+        )
+
     def processor_s(self, name: str) -> float:
         """Return the processor time that a daemon has used (Linux)."""
         path = pathlib.Path(f'/proc/{self._processes[name].pid}/stat')
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -40,6 +40,16 @@
         self.exit_code = run.exit_code
         return run.output.strip().splitlines()[-1]
 
+    def test_a_daemon_that_said_nothing_is_named(self) -> None:
+        """It was to ask targets of its site for the search."""
+        late = _row(1, 'order late', request='r1', by='edge-b-1', at_ms=60.0)
+        end = _end(
+            2, 'gathered', request='r1', missing=1, unanswered=['s4']
+        )  # fmt: skip
+        self.assertIn(
+            'nothing came in time from edge-b-1', self._explain([late, end])
+        )
+
     def test_six_ways_to_fail_each_with_its_cause(self) -> None:
         """The last line names what decided it."""
         failed = _row(
