--- a/samphiredock/coordination/forwarding/_flights.py
+++ b/samphiredock/coordination/forwarding/_flights.py
@@ -14,6 +14,12 @@
 from samphiredock import timers
 
 
+LOSER_GRACE_MS = 150.0
+"""How long an exchange that is not needed any more may still end by itself.
+A target that pauses for 120 ms answers within it, and its connection stays
+open; a new one would hold a slot of the target for 6 ms."""
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """One exchange with a target; ``lingers`` after nobody needs it."""
@@ -110,3 +116,20 @@
     if now_ms >= plan.scatter.deadline_at_ms:
         return protocol.TimedOut(outcome.detail)
     return outcome
+
+
+def answer_to(
+    item: protocol.SubQuery,
+    status: protocol.SubStatus,
+    took_ms: float = 0.0,
+    detail: str = '',
+) -> protocol.SubAnswer:
+    """Return the end of an attempt, without what it brought."""
+    return protocol.SubAnswer(
+        item.attempt_id,
+        item.target,
+        status,
+        item.snapshot_id,
+        detail=detail,
+        took_ms=took_ms,
+    )
--- a/standins/cold_links.py
+++ b/standins/cold_links.py
@@ -127,6 +127,7 @@
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
+        on_chunk: typing.Callable[[bytes], None] | None = None,
     ) -> memory_links.Reply:
         """Get a connection, send and wait; a cancelled one is closed."""
         name = target.target_id
--- a/tests/failure/test_merged_crossing.py
+++ b/tests/failure/test_merged_crossing.py
@@ -166,7 +166,7 @@
 
         They would stand in an answer whose receipts do not tell of them.
         """
-        sender = self.desk.forwarder._sender
+        sender = self.desk.forwarder._sender._order_flights
         taken = []
         original = sender._take_report
 
