A daemon that was stopped and starts registers again

Found by reading: a start takes its object in a list that may be stale for its own; a daemon that removed it when it was stopped, a moment before, would never write it, and a coordinator would be known to nobody.

Change: any list without the object has it written. A test with such a list, failing before.

--- a/samphiredock/coordination/forwarding/_order_flights.py
+++ b/samphiredock/coordination/forwarding/_order_flights.py
@@ -24,7 +24,6 @@
 
 _LEAST_GATHER_MS = 1.0
 
-
 SETTLED_MS = 1.0
 """Between giving a silent daemon up and hedging its shards: others that are
 silent as well are given up by then, and the hedges go through none of them."""
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -81,6 +81,7 @@
         self._on_list = on_list
         self._daemons: tuple[_roles.Daemon, ...] = ()
         self._has_listed = False
+        self._is_listed = False
         self._is_new = True
         self._task: asyncio.Task | None = None
         self._version = 0
@@ -158,7 +159,9 @@
         return LIST_EVERY_MS * max(1.0, len(self._daemons) / _SIZE_OF_LIST)
 
     async def _register(self) -> bool:
-        expected = self._version or transport.CREATE_ONLY
+        expected = transport.CREATE_ONLY
+        if self._is_listed:
+            expected = self._version
         reply = await self._store.put(self._key, self._value(), expected)
         if isinstance(reply, result.Success):
             self._version = reply.unwrap()
@@ -195,8 +198,13 @@
             return False
         self._has_listed = True
         rows = {row.key: row for row in reply.unwrap()}
-        if self._key in rows:
+        self._is_listed = self._key in rows
+        if self._is_listed:
             self._take_own(rows[self._key])
+        else:
+            # Removed when this daemon stopped before, and shown by an older
+            # list since; or not in this one yet, which costs a refused write.
+            self._is_new = True
         found = {self._me.name: self._me}
         for row in rows.values():
             daemon = _read(row)
--- a/tests/unit/test_presence.py
+++ b/tests/unit/test_presence.py
@@ -106,6 +106,31 @@
         self.assertEqual(1, self.listed[-1])
         await presence.leave()
 
+    async def test_one_that_was_stopped_registers_again(self) -> None:
+        """Its own object is in a stale list, though it has removed it.
+
+        Taken for registered, it would be known to nobody: a coordinator that
+        is stopped and started would get no work any more.
+        """
+        presence, store = self._start(3)
+        await self._advance(2)
+        listed_before = dict(store.objects)
+        await presence.leave()
+        now, store.objects = store.objects, listed_before
+        again = forwarding.Presence(
+            forwarding.Daemon('me', 'a', 'y:1', 1.0),
+            store,
+            self.clock,
+            lambda rows: None,
+        )
+        again.start()
+        await memory_links.settle()
+        store.objects = now
+        self.assertNotIn('samphiredock-daemons/me', store.objects)
+        await self._advance(3)
+        self.assertIn('samphiredock-daemons/me', store.objects)
+        await again.leave()
+
     async def test_a_start_costs_few_calls(self) -> None:
         """428 starts in a day of 195 daemons were half of all calls.
 
