Orders and stated times are bounded; a broken report ends its order

A report that cannot be read was passed over, and later parts of its order, cut by that merged part, were taken: an answer could lack records (test, failing before). Times that a timer cannot take are refused in orders. A daemon without peers asks nobody who hears the store.

--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -168,9 +168,11 @@
                 f'that can be reached, expected at least {least}',
                 NO_TARGET_RETRY_MS,
             )
-        spent_ms = self._times.spent_ms(
-            route.name, request.deadline_ms, route.aim_ms
-        )
+        spent_ms = 0.0
+        if route.shards:
+            spent_ms = self._times.spent_ms(
+                route.name, request.deadline_ms, route.aim_ms
+            )
         return result.Success(
             _route_plans.make_forward_plan(
                 request,
--- a/samphiredock/coordination/forwarding/_orders.py
+++ b/samphiredock/coordination/forwarding/_orders.py
@@ -91,6 +91,9 @@
 
         def take(chunk: bytes) -> None:
             nonlocal first_ms, broken
+            if broken:
+                # Later parts may be cut by what could not be read.
+                return
             first_ms = min(first_ms, self._clock.now_ms())
             read = protocol.read_report(chunk)
             if isinstance(read, result.Failure):
--- a/samphiredock/daemon/_entry_peers.py
+++ b/samphiredock/daemon/_entry_peers.py
@@ -106,6 +106,8 @@
     async def _ask_others(self) -> None:
         asked_ms = self._clock.now_ms()
         peers = self._knowledge.peers.all()
+        if not peers:
+            return
         asked = self._rng.sample(peers, min(forwarding.ASKED, len(peers)))
         replies = await asyncio.gather(*map(self._ask, asked))
         answers = [row for row in replies if row is not None]
--- a/samphiredock/protocol/_merge_orders.py
+++ b/samphiredock/protocol/_merge_orders.py
@@ -17,6 +17,10 @@
 shards; a broken length must not make a daemon send thousands of requests."""
 
 
+TIME_LIMIT_MS = 3_600_000.0
+"""Longest time that an order may state; a timer takes no other number."""
+
+
 class OrderedItem(msgspec.Struct, frozen=True, array_like=True):
     """One target to ask; ``number`` tells the attempts of a search apart.
 
@@ -118,10 +122,15 @@
         )
     if len(numbers) < len(order.items):
         return result.Failure('got two items of one number in an order')
-    if not order.left_ms > 0.0 or order.top < 0:
+    if not 0.0 < order.left_ms <= TIME_LIMIT_MS or order.top < 0:
         return result.Failure(
             f'got left_ms {order.left_ms} and top {order.top}, '
-            f'expected more than 0, and 0 or more'
+            f'expected more than 0 up to {TIME_LIMIT_MS:.0f}, and 0 or more'
+        )
+    if not 0.0 <= order.gather_ms <= TIME_LIMIT_MS:
+        return result.Failure(
+            f'got gather_ms {order.gather_ms}, '
+            f'expected 0 to {TIME_LIMIT_MS:.0f}'
         )
     return result.Success(order)
 
--- a/standins/memory_orders.py
+++ b/standins/memory_orders.py
@@ -34,7 +34,8 @@
     """Carries orders to mergers in memory.
 
     ``dead`` take no connection, ``frozen`` never report, ``old`` do not
-    know orders.  :meth:`lose` cuts the orders that one has.
+    know orders, ``garbled`` spoil their first report.  :meth:`lose` cuts the
+    orders that one has.
     """
 
     def __init__(self, mergers: dict[str, forwarding.Merger]) -> None:
@@ -43,6 +44,7 @@
         self.dead: set[str] = set()
         self.frozen: set[str] = set()
         self.old: set[str] = set()
+        self.garbled: set[str] = set()
 
     def lose(self, merger: str) -> None:
         """End all orders of one daemon, as its death would."""
@@ -91,9 +93,12 @@
         on_chunk: typing.Callable[[bytes], None],
     ) -> None:
         reports = self._mergers[name].reports(order)
+        spoils = name in self.garbled
         async with contextlib.aclosing(reports) as rows:
             async for report in rows:
-                on_chunk(protocol.encode_merging(report))
+                chunk = protocol.encode_merging(report)
+                on_chunk(b'\xc1' if spoils else chunk)
+                spoils = False
 
     def has_room(self, target: state.LiveTarget) -> bool:
         """Daemons take many connections."""
--- a/tests/failure/test_merged_crossing.py
+++ b/tests/failure/test_merged_crossing.py
@@ -57,6 +57,7 @@
             if self.task.done():
                 break
             await self.desk.advance(5.0)
+        self.assertTrue(self.task.done(), f'no outcome in {steps * 5} ms')
         return await self.task
 
     async def asyncTearDown(self) -> None:
@@ -310,6 +311,31 @@
         self.assertEqual(0, outcome.missing)
         self.check_bound()
 
+    async def test_one_whose_merged_part_cannot_be_read(self) -> None:
+        """Its late parts are cut by the merged one, which did not come.
+
+        Taken all the same, they would lack records that belong into the
+        answer.  Nothing more is taken from that order.
+        """
+        desk = memory_orders.OrderDesk(far_only=True)
+        desk.offer(2, least_share=0.02)
+        desk.order_links.garbled = set(desk.mergers)
+        self.desk = desk
+        self.task = desk.ask('/all/x')
+        await memory_links.settle()
+        orders = [row.order for row in desk.order_links.seen]
+        slow = {order.items[0].target for order in orders}
+        self.answer_all(slow)
+        await desk.advance(47.0)
+        for sent in desk.links.open:
+            if sent.target in slow:
+                sent.answer(records_of(sent.target))
+        # No hedge is answered, so that nothing covers what was cut.
+        outcome = await self.outcome(200)
+        if isinstance(outcome, protocol.Gathered):
+            self.check_whole(outcome)
+        self.check_bound()
+
     async def test_one_that_dies_with_an_order_costs_a_retry(self) -> None:
         """Nobody knows which of its targets it had asked.
 
@@ -382,6 +408,7 @@
         names = sorted(desk.mergers)
         desk.order_links.dead = set(rng.sample(names, rng.randrange(2)))
         desk.order_links.frozen = set(rng.sample(names, rng.randrange(3)))
+        desk.order_links.garbled = set(rng.sample(names, rng.randrange(2)))
         task = desk.ask('/all/x')
         for _ in range(140):
             await memory_links.settle()
--- a/tests/unit/test_caller_time.py
+++ b/tests/unit/test_caller_time.py
@@ -36,3 +36,11 @@
         for _ in range(_caller_time.REMEMBERED):
             self._spent(600.0)
         self.assertEqual(0.0, self._spent(600.0))
+
+    def test_routes_that_are_gone_are_forgotten(self) -> None:
+        """Each change of the configuration may bring new names."""
+        for number in range(2_000):
+            self._spent(600.0, f'r-{number}')
+        self.assertEqual(
+            _caller_time.ROUTES_REMEMBERED, len(self.times._stated)
+        )
--- a/tests/unit/test_merge_orders.py
+++ b/tests/unit/test_merge_orders.py
@@ -57,6 +57,9 @@
             'got left_ms 0.0': _order(left_ms=0.0),
             'got left_ms nan': _order(left_ms=float('nan')),
             'top -1': _order(top=-1),
+            'got left_ms inf': _order(left_ms=float('inf')),
+            'got gather_ms nan': _order(gather_ms=float('nan')),
+            'got gather_ms -1.0': _order(gather_ms=-1.0),
         }
         for words, order in cases.items():
             with self.subTest(words=words):
