What looks for a crash outlives the order that found the loss

Found by reading the diff: a merger ends its tasks with the order, and with them the question whether a target that broke off still listens. When the order's last target was the lost one, the loss was told to nobody, and a content that crashes targets could go on to the next. A test, failing before.

--- a/samphiredock/coordination/forwarding/_merger.py
+++ b/samphiredock/coordination/forwarding/_merger.py
@@ -5,6 +5,7 @@
 import functools
 import typing
 
+from samphiredock.coordination import background
 from samphiredock.coordination.forwarding import _asking
 from samphiredock.coordination.forwarding import _merge_gathering
 from samphiredock.coordination.forwarding import _request_log
@@ -127,7 +128,11 @@
                 asked.detail,
             )
         )
-        await self._asker.look_for_crash(request, item.target, asked)
+        # Not in this task, which ends with the order.
+        background.start(
+            self._asker.look_for_crash(request, item.target, asked),
+            'look for a crash',
+        )
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -63,6 +63,7 @@
         self.sent: list[Sent] = []
         self.dead: set[str] = set()
         self.full: set[str] = set()
+        self.listening_takes_turns = 0
 
     @property
     def open(self) -> list[Sent]:
@@ -95,6 +96,8 @@
 
     async def is_listening(self, target: state.LiveTarget) -> bool:
         """Whether the test has not put the target among the dead."""
+        for _ in range(self.listening_takes_turns):
+            await asyncio.sleep(0)
         return target.target_id not in self.dead
 
 
--- a/tests/failure/test_merged_crossing.py
+++ b/tests/failure/test_merged_crossing.py
@@ -1,11 +1,14 @@
 """Searches that cross to a site once, and what fails on the way."""
 
+import asyncio
 import collections
 import random
 import unittest
+from unittest import mock
 
 from returns import result
 
+from samphiredock.coordination import forwarding
 from samphiredock import protocol
 from samphiredock import transport
 from standins import memory_links
@@ -449,3 +452,41 @@
                 )
             )
         )
+
+
+class CrashingContentTest(unittest.IsolatedAsyncioTestCase):
+    """A content crashes the targets that run it at another site."""
+
+    async def test_the_daemon_that_asked_finds_the_loss(self) -> None:
+        """The order ends with its last target's loss.
+
+        What looks whether the target still listens must not end with it:
+        the content would crash one target after the other.
+        """
+        desk = memory_orders.OrderDesk()
+        found: list[forwarding.Loss] = []
+        crashes = mock.Mock(found=found.append)
+        asker = forwarding.TargetAsker(
+            desk.targets,
+            memory_links.PlainDialect(),
+            desk.links,
+            desk.clock,
+            crashes=crashes,
+        )
+        merger = forwarding.Merger(asker, desk.clock, desk.counters)
+        order = protocol.MergeOrder(
+            'id', 'GET', 'h', '/all/x', (), b'', 100.0, 10.0, 5, b'',
+            (protocol.OrderedItem(1, 's1', 's1-0'),),
+        )  # fmt: skip
+        desk.links.dead.add('s1-0')
+        desk.links.listening_takes_turns = 3
+
+        async def carry_out() -> list[protocol.MergeReport]:
+            return [report async for report in merger.reports(order)]
+
+        carrying = asyncio.create_task(carry_out())
+        await memory_links.settle()
+        desk.links.open[0].lose(transport.LinkErrorKind.BROKEN)
+        self.assertEqual(1, len((await carrying)[0].ended))
+        await memory_links.settle()
+        self.assertEqual(['s1-0'], [loss.target for loss in found])
