A stop answers what was read while it began to close

Cause: doors were closed one after the other, each with 0.1 s for what is under way, the callers' last. Orders keep the peers' door busy for longer than hand-overs did, so that callers' requests were read meanwhile, and cut 105 and 110 ms later while targets ran them.

Change: the callers' door first, and what is under way may take what is left of the stop's time.

--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -201,8 +201,13 @@
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
         await self._stopped.wait()
-        for server in self._servers:
-            await server.close()
+        # The callers' door first: while that of the peers waited for orders
+        # to end, requests were still taken, and cut 0.1 s later (two of 47
+        # played days, each one request).  Those that are under way are
+        # answered now.
+        for server in reversed(self._servers):
+            left_ms = self._shutdown.left_ms(self._clock.now_ms())
+            await server.close(max(transport.CLOSE_MS, left_ms))
         self._knowledge.close()
         self._service.close()
         self._store_calls.close()
--- a/samphiredock/daemon/_shutdown.py
+++ b/samphiredock/daemon/_shutdown.py
@@ -102,5 +102,9 @@
             # Only DRAINING ends on idleness: in LEAVING more may come.
             self.idle()
 
+    def left_ms(self, now_ms: float) -> float:
+        """Return what is left of the whole shutdown's time."""
+        return max(0.0, self._ends_ms - now_ms)
+
     def _entered(self) -> None:
         self._on_phase(self.state)
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -16,7 +16,10 @@
             'Door',
             'Handle',
         ),
-        '_entry_http': ('EntryServer',),
+        '_entry_http': (
+            'CLOSE_MS',
+            'EntryServer',
+        ),
         '_link_errors': (
             'LinkError',
             'LinkErrorKind',
--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -10,8 +10,9 @@
 _CHECK_MS = 500.0
 """How often connections are looked at; the limits are seconds."""
 
-_CLOSE_MS = 100.0
-"""How long requests that are under way may still take when it closes."""
+CLOSE_MS = 100.0
+"""How long requests that are under way may still take when it closes, unless
+the closer knows better."""
 
 _LOOK_MS = 5.0
 
@@ -70,13 +71,16 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
-    async def close(self) -> None:
-        """Listen no more; end the connections, idle ones first."""
+    async def close(self, limit_ms: float = CLOSE_MS) -> None:
+        """Listen no more; end the connections, idle ones first.
+
+        ``limit_ms`` is how long requests that are under way may still take.
+        """
         if self._server is not None:
             self._server.close()
         if self._checking is not None:
             self._checking.cancel()
-        ends_ms = self._clock.now_ms() + _CLOSE_MS
+        ends_ms = self._clock.now_ms() + limit_ms
         while self._connections and self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
                 connection.close_if_idle()
--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -310,9 +310,40 @@
                 if not isinstance(made, BaseException):
                     made[1].close()
 
+    async def test_a_request_that_is_read_as_it_closes_is_answered(
+        self,
+    ) -> None:
+        """A caller would see its connection closed, its request half run.
+
+        The daemon found nothing open, and began to close; the request came
+        in the same turn and takes longer than idle connections get.
+        """
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        clock = timers.LoopTimers()
+        self.addCleanup(clock.close)
+        limits = state.CallerLimits()
+        door = transport.Door(self._handle, lambda: True, lambda: limits)
+        server = transport.EntryServer(door, counters, clock)
+        await server.start('127.0.0.1:0', 16)
+        host, _, port = server.address().partition(':')
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')
+        await self.begun.wait()
+        await server.close(30_000.0)
+        self.assertIn(b' 200 ', await reader.readline())
+        writer.close()
+
+    async def asyncSetUp(self) -> None:
+        """Have nothing begun."""
+        self.begun = asyncio.Event()
+
     async def _handle(
         self, method: str, path: str, headers: protocol.Headers, body: bytes
     ) -> protocol.HttpReply:
+        self.begun.set()
+        if path == '/slow':
+            await asyncio.sleep(0.3)
         return protocol.HttpReply(200)
 
 
