Tests that fail: requests open when a stop ends get no answer

Symptom: callers whose request is at a silent target lose their connection, without answer or refusal, when a stopping daemon reaches its limit; also a second after a second signal, and at once after a third.

The system's stand-in takes the routes' timeout as an argument, so that a request may outlast the stop.

--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -174,10 +174,11 @@
         version: int,
         prefix: str = '/search/',
         added: typing.Iterable[int] = (),
+        timeout_ms: int = 3_000,
         **changes: typing.Any,
     ) -> None:
         """Write a configuration with three routes, and those ``added``."""
-        common = {'Host': HOST, 'TimeoutMs': 3_000, 'MaxAttempts': 2}
+        common = {'Host': HOST, 'TimeoutMs': timeout_ms, 'MaxAttempts': 2}
         routes = [
             {
                 'Name': 'search', 'PathPrefix': prefix, 'Gather': self._shards,
--- /dev/null
+++ b/tests/process/test_stop_end.py
@@ -0,0 +1,95 @@
+"""Requests that are still under way when a stop has to end."""
+
+import asyncio
+import signal
+import unittest
+
+from standins import prepared_system
+
+_STOP_LIMIT_S = 2.0
+"""When a daemon of these tests would be killed; far less than the targets
+take and the callers wait."""
+
+_NEVER_S = 60.0
+_DEADLINE_MS = 30_000
+
+
+class StopEndTest(unittest.IsolatedAsyncioTestCase):
+    """Targets that take a request and stay silent; a daemon is stopped.
+
+    A caller sees its connection closed, with no answer and no refusal.  A
+    target has the request and does not answer it, and the route allows no
+    second target, so that it is open until its deadline, seconds later.
+    The daemon is stopped meanwhile; before it would be killed it ends, and
+    closes what is open.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start store, targets that never answer, and one daemon."""
+        self.system = await prepared_system.PreparedSystem().__aenter__()
+        self.addAsyncCleanup(self.system.__aexit__, None, None, None)
+        await self.system.start_targets()
+        for target in self.system.targets.values():
+            target.delay_s = _NEVER_S
+        self.system.configure(3, timeout_ms=_DEADLINE_MS)
+        await self.system.start_daemon('one', stop_limit_s=_STOP_LIMIT_S)
+
+    def _ask(
+        self, path: str, request_id: str, method: str = 'GET'
+    ) -> asyncio.Task[tuple[int, dict[str, str], bytes]]:
+        return asyncio.create_task(
+            self.system.ask('one', path, request_id, method, _DEADLINE_MS)
+        )
+
+    async def _until_sent(self, request_id: str) -> None:
+        while not self.system.runs_of(request_id):
+            await asyncio.sleep(0.01)
+
+    async def _assert_answered_unknown(self, *signals: int) -> None:
+        """Stop the daemon with requests under way; each is answered.
+
+        The targets have begun them, so that the answer promises nothing.
+        """
+        under_way = [
+            self._ask('/fetch/x', 'f1'),
+            self._ask('/pay/x', 'p1', 'POST'),
+            self._ask('/search/x', 's1'),
+        ]
+        for request_id in ('f1', 'p1', 's1'):
+            await self._until_sent(request_id)
+        for number in signals[:-1]:
+            self.system.send('one', signal.Signals(number))
+        exit_status = await self.system.stop_daemon(
+            'one', signal.Signals(signals[-1])
+        )
+        ends = await asyncio.gather(*under_way, return_exceptions=True)
+        self.assertEqual([502, 502, 502], [_status(end) for end in ends])
+        self.assertEqual(0, exit_status)
+        self.assertEqual(1, len(self.system.runs_of('p1')))
+
+    async def test_what_is_open_at_the_end_is_answered(self) -> None:
+        """The answer comes before the daemon ends."""
+        await self._assert_answered_unknown(signal.SIGTERM)
+
+    async def test_what_is_open_after_a_second_signal_is_answered(
+        self,
+    ) -> None:
+        """It hurries the stop and cuts nothing."""
+        await self._assert_answered_unknown(signal.SIGTERM, signal.SIGTERM)
+
+    async def test_what_is_open_after_a_third_signal_is_answered(
+        self,
+    ) -> None:
+        """The doors close at once, and still nothing is cut."""
+        await self._assert_answered_unknown(
+            signal.SIGTERM, signal.SIGTERM, signal.SIGTERM
+        )
+
+
+def _status(
+    end: tuple[int, dict[str, str], bytes] | BaseException,
+) -> int | str:
+    """Return an answer's status, or how its connection ended."""
+    if isinstance(end, BaseException):
+        return repr(end)
+    return end[0]
