A stop's log lines name the requests that it waits for

Seen: a stop that used up its time said how many requests it cut, not which, since when, nor what they waited for.

Change: each phase of a stop names up to eight requests, the oldest first, with their age and the targets or daemons that are waited for. The forwarder keeps the flights that have no outcome; its counter of them, which nobody read, goes.

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -16,6 +16,7 @@
             'Links',
         ),
         '_asking': ('TargetAsker',),
+        '_flights': ('UnderWay',),
         '_forwarder': ('Forwarder',),
         '_handover': (
             'HandoverDialect',
--- a/samphiredock/coordination/forwarding/_flights.py
+++ b/samphiredock/coordination/forwarding/_flights.py
@@ -85,6 +85,32 @@
         ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnderWay:
+    """A request that has no outcome yet, for the log.
+
+    ``at`` are the targets, and the daemons with orders for it, that are
+    waited for.
+    """
+
+    request_id: str
+    for_ms: float
+    at: tuple[str, ...]
+
+
+def under_way(flight: Flight, now_ms: float) -> UnderWay:
+    """Return what a flight waits for."""
+    at = {
+        exchange.target
+        for exchange in flight.exchanges.values()
+        if not exchange.lingers
+    }
+    at.update(out.merger for out in flight.orders.values() if out.waiting)
+    for_ms = round(now_ms - flight.trail.started_ms, 1)
+    request_id = flight.plan.request.request_id
+    return UnderWay(request_id, for_ms, tuple(sorted(at)))
+
+
 def outcome_of(
     flight: Flight, finish: _scatter_types.Finish, now_ms: float
 ) -> protocol.ForwardOutcome:
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -90,15 +90,19 @@
         self._notes = _end_notes.EndNotes(clock, counters)
         self._times = _caller_time.CallerTimes()
         self._numbers = itertools.count(1)
-        self._in_flight = 0
+        self._under_way: dict[str, _flights.Flight] = {}
 
     def close(self) -> None:
         """Write the lines that wait."""
         self._notes.close()
 
-    def in_flight(self) -> int:
-        """Return how many requests have no outcome yet."""
-        return self._in_flight
+    def under_way(self) -> list[_flights.UnderWay]:
+        """Return the requests that have no outcome yet."""
+        now_ms = self._clock.now_ms()
+        return [
+            _flights.under_way(flight, now_ms)
+            for flight in self._under_way.values()
+        ]
 
     async def forward(
         self,
@@ -118,11 +122,7 @@
         planned = self._plan(request, started_ms, hop_ms)
         if isinstance(planned, result.Failure):
             return self._notes.refused(request, planned.failure(), started_ms)
-        self._in_flight += 1
-        try:
-            return await self._run(planned.unwrap(), started_ms)
-        finally:
-            self._in_flight -= 1
+        return await self._run(planned.unwrap(), started_ms)
 
     # Before anything is sent.
 
@@ -202,6 +202,8 @@
         flight = _flights.Flight(
             plan, scatter, done, _request_log.Trail(started_ms), ways=ways
         )
+        query_id = plan.scatter.query_id
+        self._under_way[query_id] = flight
         try:
             self._sender.carry_out(flight, scatter.start(started_ms))
             finish: _scatter_types.Finish = await done
@@ -212,6 +214,7 @@
             self._notes.ended(flight, None)
             raise
         finally:
+            del self._under_way[query_id]
             if flight.timer is not None:
                 flight.timer.cancel()
         outcome = _flights.outcome_of(flight, finish, self._clock.now_ms())
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -41,6 +41,9 @@
 
 _LOOK_MS = 5.0
 
+_NAMED = 8
+"""Requests under way that the line of a stop's phase names at most."""
+
 _log = logs.logger('entry')
 
 
@@ -220,9 +223,17 @@
             'shutdown phase',
             phase=phase.value,
             open=self._service.open_requests(),
+            oldest=self._oldest(),
         )
         _PHASE_ACTIONS[phase](self)
 
+    def _oldest(self) -> list[dict[str, object]]:
+        """Return the requests that a stop has waited for longest."""
+        rows = sorted(
+            self._service.under_way(), key=lambda row: row.for_ms, reverse=True
+        )
+        return [dataclasses.asdict(row) for row in rows[:_NAMED]]
+
     def _begin_leaving(self) -> None:
         self._leave_task = asyncio.create_task(self._knowledge.leave())
         self._clock.every(
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -95,6 +95,11 @@
         self._stale_handover = self._make_handover(
             forwarding.StaleHandoverDialect(dialect)
         )
+        self._forwarders = (
+            self._forwarder,
+            self._handover,
+            self._stale_handover,
+        )
         self._open_requests = 0
         knowledge.targets.on_gone(self._links.forget)
         knowledge.targets.on_new(self._warm_later)
@@ -108,13 +113,17 @@
         """Return how many requests have no answer yet."""
         return self._open_requests
 
+    def under_way(self) -> list[forwarding.UnderWay]:
+        """Return the requests that wait for targets or other daemons."""
+        return [
+            row
+            for forwarder in self._forwarders
+            for row in forwarder.under_way()
+        ]
+
     def close(self) -> None:
         """Close the idle connections, and write the lines that wait."""
-        for forwarder in (
-            self._forwarder,
-            self._handover,
-            self._stale_handover,
-        ):
+        for forwarder in self._forwarders:
             forwarder.close()
         self._merger.close()
         self._links.close()
--- a/tests/process/test_stop_end.py
+++ b/tests/process/test_stop_end.py
@@ -1,6 +1,7 @@
 """Requests that are still under way when a stop has to end."""
 
 import asyncio
+import json
 import signal
 import unittest
 
@@ -85,6 +86,23 @@
             signal.SIGTERM, signal.SIGTERM, signal.SIGTERM
         )
 
+    async def test_the_log_names_what_a_stop_waits_for(self) -> None:
+        """Which request holds a stop up, since when, and at which target.
+
+        Else a stop that used up its time could not be told from the log:
+        it would say how many requests it cut, not which nor why.
+        """
+        asking = self._ask('/pay/x', 'p1', 'POST')
+        await self._until_sent('p1')
+        await self.system.stop_daemon('one')
+        await asyncio.gather(asking, return_exceptions=True)
+        lines = map(json.loads, self.system.log('one').splitlines())
+        phases = [row for row in lines if row['event'] == 'shutdown phase']
+        draining = next(row for row in phases if row['phase'] == 'draining')
+        (oldest,) = draining['oldest']
+        self.assertEqual('p1', oldest['request_id'])
+        self.assertEqual(self.system.runs_of('p1'), oldest['at'])
+
 
 def _status(
     end: tuple[int, dict[str, str], bytes] | BaseException,
