What is open when a stop's time is over is answered before it is cut

Seen: under planned restarts alone callers lost their connection with neither answer nor refusal, 4.916 and 4.918 s after the daemon's signal, one request 0.65 s after it, one 0.83 s before.

Cause: a target took the request and stayed silent, and the route allows no second one, so that the request was open until its deadline of 6 s. The stop's limit came before (6.0 s less 1.2 s); the doors then waited 100 ms each and aborted what was open. Nothing had the duty to answer such a request.

Change: closing the doors is a step of its own, _doors.close_all. All doors close at a time, where each waited for its turn; when the stop's time is over every request gets the outcome that is true at that moment (the parts that are enough, not run, or unknown), in one turn, and its answer is written before any connection is cut. Later requests are refused as not run, to other daemons so that they ask another coordinator. The reserve before the kill is 0.5 s, as docs/CONFIGURATION.md says, not 1.2 s, which was taken from targets that still worked.

Conclusion: the class is closed for the daemons that pass requests on; the other interface and single connections follow.

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -25,6 +25,7 @@
             'StaleHandoverDialect',
             'as_target',
             'coordinator_reply',
+            'goes_elsewhere',
             'loss_notice',
             'read_handed_over',
             'read_loss',
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -91,6 +91,7 @@
         self._times = _caller_time.CallerTimes()
         self._numbers = itertools.count(1)
         self._under_way: dict[str, _flights.Flight] = {}
+        self._has_given_up = False
 
     def close(self) -> None:
         """Write the lines that wait."""
@@ -104,6 +105,22 @@
             for flight in self._under_way.values()
         ]
 
+    def give_up(self) -> None:
+        """End every request now, and refuse those that still come.
+
+        A daemon that stops has no more time: a request that is open when
+        the process ends loses its connection, and its caller learns neither
+        that it may have run nor that it has not.  So each gets the outcome
+        that is true now, in the same turn.
+        """
+        self._has_given_up = True
+        now_ms = self._clock.now_ms()
+        for flight in list(self._under_way.values()):
+            if not flight.done.done():
+                flight.trail.note(now_ms, 'given up', why='stopping')
+                effects = flight.scatter.give_up(now_ms)
+                self._sender.carry_out(flight, effects)
+
     async def forward(
         self,
         request: protocol.ForwardRequest,
@@ -132,6 +149,12 @@
         now_ms: float,
         hop_ms: float,
     ) -> result.Result[_route_plans.ForwardPlan, protocol.NotRun]:
+        if self._has_given_up:
+            return _refused(
+                protocol.NotRunReason.SHUTTING_DOWN,
+                'this daemon is stopping; ask another one',
+                NO_TARGET_RETRY_MS,
+            )
         table = self._routing.table
         if table is None:
             return _refused(
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -90,6 +90,18 @@
     return protocol.HttpReply(503, headers, why.encode())
 
 
+def goes_elsewhere(outcome: protocol.ForwardOutcome) -> bool:
+    """Whether another coordinator can still run what was handed over.
+
+    This one stops, and has sent nothing: passed on as the caller's answer,
+    its refusal would cost the caller one of few tries.
+    """
+    return (
+        isinstance(outcome, protocol.NotRun)
+        and outcome.reason is protocol.NotRunReason.SHUTTING_DOWN
+    )
+
+
 LOSS_PATH = '/samphiredock/losses'
 """Where daemons tell each other of targets lost under a content."""
 
--- a/samphiredock/coordination/search/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -160,6 +160,15 @@
                 self._retry(attempt.shard, False, now_ms)
         return self._done(now_ms)
 
+    def give_up(self, now_ms: float) -> list[_scatter_types.Effect]:
+        """Nothing that is under way can be awaited any longer.
+
+        The caller is told what is known now: what came, that nothing was
+        sent, or that it may have run.
+        """
+        self._finish()
+        return self._done(now_ms)
+
     def abandon(self) -> None:
         """The caller has left: nothing that is under way is awaited.
 
--- /dev/null
+++ b/samphiredock/daemon/_doors.py
@@ -0,0 +1,60 @@
+"""The end of a stop: all doors close, and what was read is answered."""
+
+import asyncio
+from collections import abc
+import math
+import typing
+
+from samphiredock.coordination import background
+from samphiredock import transport
+
+_LOOK_MS = 20.0
+"""How often it is seen whether the stop's time is over."""
+
+
+async def close_all(
+    servers: abc.Sequence[transport.EntryServer],
+    left_ms: typing.Callable[[], float],
+    give_up: typing.Callable[[], None],
+) -> int:
+    """Close servers without cutting a request that can be answered.
+
+    All at a time: a door that waited for its turn would still take requests,
+    with less time for each.  A connection that is closed before its request
+    is answered tells the caller nothing, so that at the end of the time
+    every request gets the outcome that is true then, and its answer is out
+    before anything is cut.
+
+    Parameters
+    ----------
+    servers
+        The doors; none is usable afterwards.
+    left_ms
+        What is left for requests that are under way; a later signal may
+        shorten it.
+    give_up
+        Has every request that is under way answered in its next turn.
+
+    Returns
+    -------
+    int
+        How many connections were cut: not even a final answer ended them.
+    """
+    closing = [
+        background.start(server.close(math.inf), 'close a door')
+        for server in servers
+    ]
+    while left_ms() > 0.0:
+        if not await _wait(closing, _LOOK_MS):
+            return 0
+    give_up()
+    await _wait(closing, transport.CLOSE_MS)
+    cut = sum(server.cut() for server in servers)
+    await asyncio.wait(closing)
+    return cut
+
+
+async def _wait(closing: list[asyncio.Task[None]], limit_ms: float) -> bool:
+    """Wait until all doors are closed; whether some are left."""
+    _, left = await asyncio.wait(closing, timeout=limit_ms / 1000.0)
+    return bool(left)
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -5,6 +5,7 @@
 import socket
 
 from samphiredock.coordination import background
+from samphiredock.daemon import _doors
 from samphiredock.daemon import _entry_adapter
 from samphiredock.daemon import _entry_knowledge
 from samphiredock.daemon import _entry_service
@@ -27,9 +28,10 @@
 
 _LOG_FLUSH_MS = 200.0
 
-_EXIT_MS = 1_200.0
-"""What is kept of the time before the kill for closing down: the four doors
-wait up to 0.1 s each, and a slow host needs the rest."""
+_EXIT_MS = 500.0
+"""What is kept of the time before the kill for the answers to what is still
+open, and for the exit.  Answers are written in one turn of the loop; whatever
+is kept here is taken from targets that would have answered in time."""
 
 _RELOADED = ('retry_ratio', 'retry_slack', 'retry_window_s', 'collect_ms')
 """Settings that take effect without a restart."""
@@ -204,13 +206,12 @@
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
         await self._stopped.wait()
-        # The callers' door first: while that of the peers waited for orders
-        # to end, requests were still taken, and cut 0.1 s later (two of 47
-        # played days, each one request).  Those that are under way are
-        # answered now.
-        for server in reversed(self._servers):
-            left_ms = self._shutdown.left_ms(self._clock.now_ms())
-            await server.close(max(transport.CLOSE_MS, left_ms))
+        cut = await _doors.close_all(
+            self._servers, self._left_ms, self._give_up
+        )
+        if cut:
+            _log.error('requests cut', connections=cut)
+            self._metrics.add('requests_cut', cut)
         self._knowledge.close()
         self._service.close()
         self._store_calls.close()
@@ -218,6 +219,16 @@
         _log.notice('stopped', name=self._settings.name)
         self._metrics.close()
 
+    def _left_ms(self) -> float:
+        return self._shutdown.left_ms(self._clock.now_ms())
+
+    def _give_up(self) -> None:
+        left = self._service.open_requests()
+        if left:
+            _log.warning('requests given up', left=left, oldest=self._oldest())
+            self._metrics.add('requests_given_up', left)
+        self._service.give_up()
+
     def _on_phase(self, phase: _shutdown.Phase) -> None:
         _log.notice(
             'shutdown phase',
@@ -249,10 +260,6 @@
         self._metrics.add('shutdowns_draining')
 
     def _end(self) -> None:
-        left = self._service.open_requests()
-        if left:
-            _log.warning('stopped with requests in flight', left=left)
-            self._metrics.add('requests_cut', left)
         self._stopped.set()
 
 
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -121,6 +121,11 @@
             for row in forwarder.under_way()
         ]
 
+    def give_up(self) -> None:
+        """Answer every request now, with what is true of it now."""
+        for forwarder in self._forwarders:
+            forwarder.give_up()
+
     def close(self) -> None:
         """Close the idle connections, and write the lines that wait."""
         for forwarder in self._forwarders:
@@ -289,6 +294,8 @@
             outcome = await self._forwarder.forward(request, _HOP_MS)
         finally:
             self._open_requests -= 1
+        if forwarding.goes_elsewhere(outcome):
+            return forwarding.refusal(handed, outcome.detail)
         return forwarding.coordinator_reply(
             self._adapter.caller_reply(outcome),
             handed,
--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -74,7 +74,8 @@
     async def close(self, limit_ms: float = CLOSE_MS) -> None:
         """Listen no more; end the connections, idle ones first.
 
-        ``limit_ms`` is how long requests that are under way may still take.
+        ``limit_ms`` is how long requests that are under way may still take;
+        :meth:`cut` ends the wait before.
         """
         if self._server is not None:
             self._server.close()
@@ -85,8 +86,17 @@
             for connection in list(self._connections):
                 connection.close_if_idle()
             await asyncio.sleep(_LOOK_MS / 1000.0)
-        for connection in list(self._connections):
+        self.cut()
+
+    def cut(self) -> int:
+        """Close the connections that are left; return how many there were.
+
+        What runs on them ends, and what is not sent yet is lost.
+        """
+        left = list(self._connections)
+        for connection in left:
             connection.cut()
+        return len(left)
 
     def _connect(self) -> _entry_connection.EntryConnection:
         return _entry_connection.EntryConnection(
--- a/tests/process/test_stop_end.py
+++ b/tests/process/test_stop_end.py
@@ -21,8 +21,10 @@
     A caller sees its connection closed, with no answer and no refusal.  A
     target has the request and does not answer it, and the route allows no
     second target, so that it is open until its deadline, seconds later.
-    The daemon is stopped meanwhile; before it would be killed it ends, and
-    closes what is open.
+    The daemon is stopped meanwhile; at its limit it closed all doors and
+    with them what was open.  Two such connections ended 4.916 and 4.918 s
+    after the signal, whenever their request had come: the limit of 4.8 s, a
+    tick of 20 ms, and 100 ms that a door waits.
     """
 
     async def asyncSetUp(self) -> None:
--- /dev/null
+++ b/tests/unit/test_doors.py
@@ -0,0 +1,123 @@
+"""Doors that close while requests are under way."""
+
+import asyncio
+import unittest
+
+from samphiredock.daemon import _doors
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import timers
+from samphiredock import transport
+
+_REQUEST = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
+_HANG_GUARD_S = 20.0
+
+
+class DoorsTest(unittest.IsolatedAsyncioTestCase):
+    """Two servers whose requests wait for the test."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen at both, with one request under way at the first."""
+        self.counters = metrics.Metrics('test')
+        self.addCleanup(self.counters.close)
+        self.clock = timers.LoopTimers()
+        self.addCleanup(self.clock.close)
+        self.replies: asyncio.Queue[protocol.HttpReply] = asyncio.Queue()
+        self.seen = 0
+        self.left_ms = 1_000.0
+        self.gave_up = 0
+        self.servers = [await self._listen(), await self._listen()]
+        self.addresses = [row.address() for row in self.servers]
+        self.reader, self.writer = await self._connect(0)
+        self.writer.write(_REQUEST)
+        while not self.seen:
+            await asyncio.sleep(0.001)
+
+    async def _listen(self) -> transport.EntryServer:
+        door = transport.Door(self._handle, lambda: True, state.CallerLimits)
+        server = transport.EntryServer(door, self.counters, self.clock)
+        await server.start('127.0.0.1:0', 16)
+        return server
+
+    async def _connect(
+        self, server: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.addresses[server].partition(':')
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def _handle(
+        self, method: str, path: str, headers: protocol.Headers, body: bytes
+    ) -> protocol.HttpReply:
+        self.seen += 1
+        return await self.replies.get()
+
+    def _give_up(self) -> None:
+        self.gave_up += 1
+        self.replies.put_nowait(protocol.HttpReply(502))
+
+    def _close(self) -> asyncio.Task[int]:
+        return asyncio.create_task(
+            _doors.close_all(self.servers, lambda: self.left_ms, self._give_up)
+        )
+
+    async def _answer(self) -> bytes:
+        return await asyncio.wait_for(self.reader.read(), _HANG_GUARD_S)
+
+    async def test_what_is_under_way_has_the_time_that_is_left(self) -> None:
+        """The caller gets its answer, not a closed connection.
+
+        A request is read as the doors begin to close, and takes longer than
+        the moment in which connections are closed.  The stop has time left.
+        """
+        closing = self._close()
+        await asyncio.sleep(2.0 * transport.CLOSE_MS / 1000.0)
+        self.replies.put_nowait(protocol.HttpReply(207))
+        self.assertIn(b' 207 ', await self._answer())
+        await closing
+        self.assertEqual(0, self.gave_up)
+
+    async def test_what_is_open_when_the_time_is_over_is_answered(
+        self,
+    ) -> None:
+        """The caller learns what is known of its request.
+
+        Its target stays silent until the stop has no time left, as after a
+        second signal, which shortens it.
+        """
+        closing = self._close()
+        await asyncio.sleep(0.0)
+        self.left_ms = 0.0
+        self.assertIn(b' 502 ', await self._answer())
+        self.assertEqual(0, await closing)
+        self.assertEqual(1, self.gave_up)
+
+    async def test_a_stop_without_time_answers_before_it_cuts(self) -> None:
+        """Its time may be used up before the doors begin to close."""
+        self.left_ms = 0.0
+        await self._close()
+        self.assertIn(b' 502 ', await self._answer())
+
+    async def test_what_cannot_be_answered_does_not_hold_the_end(
+        self,
+    ) -> None:
+        """The process would be killed, and nothing in it closed in order."""
+        self.left_ms = 0.0
+        cut = await _doors.close_all(
+            self.servers, lambda: self.left_ms, lambda: None
+        )
+        self.assertEqual(1, cut)
+        self.assertEqual(b'', await self._answer())
+
+    async def test_no_door_takes_callers_while_another_waits(self) -> None:
+        """They would have less time than where they can still go."""
+        closing = self._close()
+        await asyncio.sleep(0.0)
+        await asyncio.sleep(0.0)
+        for server in (0, 1):
+            with self.assertRaises(OSError):
+                await self._connect(server)
+        self.replies.put_nowait(protocol.HttpReply(207))
+        await closing
