A test of the stop from the node's own doors

Change: a test that stops a real node while a request is under way that the stop does not count. Measured: passes; with no time left for the doors in _entry_node.py it fails.

--- /dev/null
+++ b/tests/unit/test_entry_node.py
@@ -0,0 +1,103 @@
+"""The stop of a daemon that passes requests on, from its doors."""
+
+import asyncio
+import os
+import pathlib
+import sys
+import unittest
+from unittest import mock
+
+from samphiredock.daemon import _entry_node
+from samphiredock import logs
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import transport
+from standins import cluster
+
+_FOLDER = pathlib.Path(__file__).parents[2] / 'platform'
+sys.path.append(str(_FOLDER))
+
+import prepared_hosts  # noqa: E402
+
+_HANG_GUARD_S = 20.0
+
+
+class _Service:
+    """Requests that the test answers, and that no stop waits for."""
+
+    def __init__(self) -> None:
+        self.seen = asyncio.Event()
+        self.replies: asyncio.Queue[protocol.HttpReply] = asyncio.Queue()
+
+    def open_requests(self) -> int:
+        """Count none: the request is read as the stop finds itself idle."""
+        return 0
+
+    async def handle(self, *request: object) -> protocol.HttpReply:
+        """Wait for the test."""
+        self.seen.set()
+        return await self.replies.get()
+
+
+class EntryNodeTest(unittest.IsolatedAsyncioTestCase):
+    """One node; the platform's store is not there."""
+
+    async def asyncSetUp(self) -> None:
+        """Start it behind a service whose requests wait for the test."""
+        door, ready, peer, store = (
+            f'127.0.0.1:{port}' for port in cluster.free_ports(4)
+        )
+        self.address = door
+        self.service = _Service()
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, descriptor)
+        self.node = _entry_node.EntryNode(
+            state.EntrySettings(
+                'one', 'here', door, ready, store, peer,
+                stop_limit_s=60.0, balancer_lag_ms=0,
+            ),
+            prepared_hosts.PreparedHosts(),
+            logs.BoundedStream(descriptor),
+        )  # fmt: skip
+        service = self.node._service
+        self.enterContext(
+            mock.patch.multiple(
+                service,
+                open_requests=self.service.open_requests,
+                handle=self.service.handle,
+            )
+        )
+        await self.node.start()
+
+    async def test_a_request_read_as_the_doors_close_has_the_stops_time(
+        self,
+    ) -> None:
+        """The caller gets its answer though the stop counts no request.
+
+        Its request is read in the turn in which the stop finds that nothing
+        is open.  The doors close at once; its connection must not be closed
+        a moment later, since the stop has nearly all of its time left.
+        """
+        host, _, port = self.address.partition(':')
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        writer.write(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+        async with asyncio.timeout(_HANG_GUARD_S):
+            await self.service.seen.wait()
+            self.node.on_signal()
+            stopping = asyncio.create_task(self.node.wait_stopped())
+            await self._until_refused(host, int(port))
+            await asyncio.sleep(2.0 * transport.CLOSE_MS / 1000.0)
+            self.service.replies.put_nowait(protocol.HttpReply(207))
+            answer = await reader.read()
+            await stopping
+        self.assertIn(b' 207 ', answer)
+
+    async def _until_refused(self, host: str, port: int) -> None:
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, port)
+            except OSError:
+                return
+            writer.close()
+            await asyncio.sleep(0.005)
