--- a/tests/process/test_stop_end.py
+++ b/tests/process/test_stop_end.py
@@ -35,13 +35,22 @@
         for target in self.system.targets.values():
             target.delay_s = _NEVER_S
         self.system.configure(3, timeout_ms=_DEADLINE_MS)
-        await self.system.start_daemon('one', stop_limit_s=_STOP_LIMIT_S)
+        await self._start('one')
+
+    async def _start(self, name: str) -> None:
+        await self.system.start_daemon(
+            name, stop_limit_s=_STOP_LIMIT_S, coordinators_per_site=1
+        )
 
     def _ask(
-        self, path: str, request_id: str, method: str = 'GET'
+        self,
+        path: str,
+        request_id: str,
+        method: str = 'GET',
+        daemon: str = 'one',
     ) -> asyncio.Task[tuple[int, dict[str, str], bytes]]:
         return asyncio.create_task(
-            self.system.ask('one', path, request_id, method, _DEADLINE_MS)
+            self.system.ask(daemon, path, request_id, method, _DEADLINE_MS)
         )
 
     async def _until_sent(self, request_id: str) -> None:
@@ -88,6 +97,30 @@
             signal.SIGTERM, signal.SIGTERM, signal.SIGTERM
         )
 
+    async def test_a_daemon_and_the_one_it_handed_to_stop_together(
+        self,
+    ) -> None:
+        """One of the two coordinates; each has a caller of its own.
+
+        The one that handed its request over waits for a daemon that gives
+        up at the same moment: both callers are answered all the same.
+        """
+        await self._start('two')
+        names = {'one', 'two'}
+        while not any(
+            '"coordinates":false' in self.system.log(n) for n in names
+        ):
+            await asyncio.sleep(0.05)
+        under_way = [
+            self._ask('/pay/x', f'p-{name}', 'POST', name) for name in names
+        ]
+        for name in names:
+            await self._until_sent(f'p-{name}')
+        stopped = await asyncio.gather(*map(self.system.stop_daemon, names))
+        ends = await asyncio.gather(*under_way, return_exceptions=True)
+        self.assertEqual([502, 502], [_status(end) for end in ends])
+        self.assertEqual([0, 0], stopped)
+
     async def test_the_log_names_what_a_stop_waits_for(self) -> None:
         """Which request holds a stop up, since when, and at which target.
 
