Tests that fail: requests waiting on a connection as its door closes

Callers that send several requests on one connection without waiting for the answers (pipelining) get the first one only, once the daemon has been told to stop: the others were read whole, and have neither answer nor refusal. An error behind a request (400) is lost in the same way.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -14,6 +14,14 @@
 from samphiredock import transport
 
 
+_LARGE = bytes(8_000_000)
+"""More than the buffers of a connection hold."""
+
+
+def _request(path: str) -> bytes:
+    return f'GET {path} HTTP/1.1\r\nHost: h\r\n\r\n'.encode()
+
+
 class EntryHttpTest(unittest.IsolatedAsyncioTestCase):
     """One server; the test is behind its door."""
 
@@ -410,3 +418,92 @@
         self.assertIn(b' 200 ', await self._answer())
         await self._pass(4_000.0)
         self.assertEqual(b'', await asyncio.wait_for(self.reader.read(), 10.0))
+
+
+class EntryEndTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that end, and what has come on them until then.
+
+    A caller sees its connection closed or reset: a request that the daemon
+    had read whole has no answer, or an answer that was made is cut off.
+    The test releases the first request once all is as it should be.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Listen at a door that the test closes, and connect one caller."""
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        self.clock = timers.ManualTimers()
+        self.closing = False
+        self.paths: list[str] = []
+        self.begun = asyncio.Event()
+        self.gate = asyncio.Event()
+        limits = state.CallerLimits(header_bytes=16_384, body_bytes=100)
+        door = transport.Door(
+            self._handle, lambda: self.closing, lambda: limits
+        )
+        self.server = transport.EntryServer(door, counters, self.clock)
+        await self.server.start('127.0.0.1:0', 16)
+        self.addAsyncCleanup(self._close)
+        host, _, port = self.server.address().partition(':')
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+
+    async def _close(self) -> None:
+        self.writer.close()
+        closing = asyncio.create_task(self.server.close())
+        while not closing.done():
+            self.clock.advance(500.0)
+            await asyncio.sleep(0.001)
+
+    async def _handle(
+        self, method: str, path: str, headers: protocol.Headers, body: bytes
+    ) -> protocol.HttpReply:
+        self.paths.append(path)
+        self.begun.set()
+        if path == '/first':
+            await self.gate.wait()
+        if path == '/crossed':
+            # What the caller sends now lies unread as the answer leaves.
+            self.writer.write(_request('/late'))
+        if path in ('/large', '/crossed'):
+            return protocol.HttpReply(200, body=_LARGE)
+        return protocol.HttpReply(200, body=path.encode())
+
+    async def _turns(self) -> None:
+        """Let what was sent arrive."""
+        for _ in range(20):
+            await asyncio.sleep(0.001)
+
+    async def _begin(self, raw: bytes) -> None:
+        """Have the first request under way and some bytes behind it."""
+        self.writer.write(_request('/first') + raw)
+        await self.begun.wait()
+
+    async def _rest(self) -> bytes:
+        """Return all that comes until the end."""
+        return await asyncio.wait_for(self.reader.read(), 10.0)
+
+    def _check_answers(self, answers: bytes, paths: list[str]) -> None:
+        """Each is answered, and only the last says that it is the last."""
+        self.assertEqual(paths, self.paths)
+        self.assertEqual(len(paths), answers.count(b' 200 '))
+        heads, _, last = answers.rpartition(b' 200 ')
+        self.assertNotIn(b'Connection: close', heads)
+        self.assertIn(b'Connection: close', last)
+        self.assertTrue(last.endswith(paths[-1].encode()))
+
+    async def test_requests_that_wait_are_answered_as_it_closes(self) -> None:
+        """They were read before the caller could learn of the end."""
+        await self._begin(_request('/b') + _request('/c'))
+        self.closing = True
+        self.gate.set()
+        self._check_answers(await self._rest(), ['/first', '/b', '/c'])
+
+    async def test_an_error_behind_a_request_is_told_as_it_closes(
+        self,
+    ) -> None:
+        """The caller would wait for an answer to what it has sent."""
+        await self._begin(b'nothing\r\n\r\n')
+        self.closing = True
+        self.gate.set()
+        answers = await self._rest()
+        self.assertIn(b' 400 ', answers.rpartition(b' 200 ')[2])
