A door that closes answers what waits on its connections

Callers saw: of several requests sent together, one answer and the end of the connection, when the daemon was told to stop in between; an error behind a request was lost as well. Cause: as a door closes, each answer ended its connection, and the end drops what waits. Ruled out: a refusal of what waits. It was read whole while the daemon still serves, and an answer takes no longer than the requests under way. Change: the answer after which nothing waits is the last one, and only it says `Connection: close`. Conclusion: a request read whole is answered; one that comes after the last answer was made still crosses the close, and nothing of it was passed on.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -332,9 +332,7 @@
         self._task = None
         if self._open_transport().is_closing():
             return
-        ends = not request.keeps or self._door.is_closing()
-        # After a change of protocol nothing more is read.
-        ends = ends or (self._ending and not self._waiting)
+        ends = self._ends_with(request)
         if isinstance(reply, protocol.HttpReply):
             self._write(_encode(request, reply, ends))
         if ends:
@@ -344,6 +342,17 @@
         self._idle_limit_ms = self._door.limits().idle_ms
         self._next()
 
+    def _ends_with(self, request: _Request) -> bool:
+        """Whether this answer is the last one of its connection.
+
+        What waits was read before the caller could learn of the end, and
+        would be left without an answer.
+        """
+        if not request.keeps:
+            return True
+        # After a change of protocol nothing more is read.
+        return not self._waiting and (self._ending or self._door.is_closing())
+
     async def _write_pieces(
         self, request: _Request, reply: protocol.StreamedReply
     ) -> bool:
