A test that fails: requests left in the socket as a door closes

A caller sends 21 requests together, and the daemon is told to stop while it answers them: the connection is reset, with 10 requests neither answered nor refused, and answers that the caller has not read yet are lost with it.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -507,3 +507,19 @@
         self.gate.set()
         answers = await self._rest()
         self.assertIn(b' 400 ', answers.rpartition(b' 200 ')[2])
+
+    async def test_requests_left_in_the_socket_are_answered_as_it_closes(
+        self,
+    ) -> None:
+        """More were sent than may wait; the others came before the end.
+
+        Reading goes on only once all that waited are answered, and their
+        last answer would end the connection in the same turn.
+        """
+        paths = [f'/{number}' for number in range(20)]
+        await self._begin(b''.join(map(_request, paths[:10])))
+        self.writer.write(b''.join(map(_request, paths[10:])))
+        await self._turns()
+        self.closing = True
+        self.gate.set()
+        self._check_answers(await self._rest(), ['/first', *paths])
