A connection reads on while requests still wait on it

Callers saw: the connection reset, with requests that had come neither answered nor refused, when they had sent more than may wait (8) and the daemon was told to stop. Cause: reading went on only after the last that waited was taken; with a handler that answers at once, the turn that could have read was the one that ended the connection. Ruled out: reading without a bound, which would let one caller fill the memory. Change: reading goes on when 4 still wait, so that the loop has turns to read what is in the socket. Conclusion: what had come is read before the last answer is made.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -28,6 +28,10 @@
 _WAITING_LIMIT = 8
 """Requests that may wait on one connection; more are left in the socket."""
 
+_RESUME_WAITING = 4
+"""How many wait when reading goes on: read only after the last of them, what
+is in the socket would come too late for a connection that ends with it."""
+
 _HEAD_SLACK_BYTES = 65_536
 """What a head may exceed its limit by while it is read: it comes in pieces,
 which may also hold the end of the request before it."""
@@ -316,7 +320,7 @@
         if self._task is not None or self._write_paused or not self._waiting:
             return
         request = self._waiting.popleft()
-        if self._read_paused and not self._waiting:
+        if self._read_paused and len(self._waiting) <= _RESUME_WAITING:
             self._read_paused = False
             self._open_transport().resume_reading()
         self._task = asyncio.create_task(self._answer(request))
