A test that fails: a head that begins behind a request under way

A caller that sends a request and half the head of the next one holds its connection for as long as it likes: the limit for heads (408) is not enforced once the first request is answered.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -437,7 +437,7 @@
         self.paths: list[str] = []
         self.begun = asyncio.Event()
         self.gate = asyncio.Event()
-        limits = state.CallerLimits(header_bytes=16_384, body_bytes=100)
+        limits = state.CallerLimits(header_ms=2_000.0, idle_ms=60_000.0)
         door = transport.Door(
             self._handle, lambda: self.closing, lambda: limits
         )
@@ -523,3 +523,21 @@
         self.closing = True
         self.gate.set()
         self._check_answers(await self._rest(), ['/first', *paths])
+
+    async def test_a_head_behind_an_answer_comes_in_time_or_is_refused(
+        self,
+    ) -> None:
+        """It begins while the request before it is under way.
+
+        It would hold its connection, and a stop, for as long as it likes.
+        """
+        await self._begin(b'GET /b HTTP/1.1\r\nX: ')
+        await self._turns()
+        self.gate.set()
+        await self._turns()
+        for _ in range(10):
+            self.clock.advance(500.0)
+        await self._turns()
+        self.clock.advance(1_000.0)
+        answers = await self._rest()
+        self.assertIn(b' 408 ', answers.rpartition(b' 200 ')[2])
