A head behind a request under way has its limit

Callers saw no refusal, and held a connection for as long as they liked, by sending a request and half the head of the next one. A stop waited for such a connection until its limit. Cause: each answer noted the connection as idle, and what is idle is judged by the idle limit alone; a connection with a begun head is never closed as idle, so that neither limit held. Ruled out: checking both limits at once; the head's time alone is due. Change: an answer notes the connection as idle only if nothing is read and nothing waits. Before / after: tests.unit.test_entry_http, 28 run, 1 known red / 28 passed. Conclusion: such a head is refused (408) like any other.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -342,8 +342,10 @@
         if ends:
             self._finish()
             return
-        self._idle_since_ms = self._clock.now_ms()
-        self._idle_limit_ms = self._door.limits().idle_ms
+        if self._is_idle():
+            # Else a head that has begun would be under the idle limit.
+            self._idle_since_ms = self._clock.now_ms()
+            self._idle_limit_ms = self._door.limits().idle_ms
         self._next()
 
     def _ends_with(self, request: _Request) -> bool:
