A test that fails: a body held back behind a request under way

A caller sends a request and, behind it, the head of one whose body it holds back until it is told to go on (`Expect: 100-continue`). It is never told; caller and daemon wait for each other.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -541,3 +541,21 @@
         self.clock.advance(1_000.0)
         answers = await self._rest()
         self.assertIn(b' 408 ', answers.rpartition(b' 200 ')[2])
+
+    async def test_a_caller_that_asks_first_behind_another_is_told_to_go_on(
+        self,
+    ) -> None:
+        """It holds its body back, and both would wait for the other."""
+        await self._begin(
+            b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+        await self._turns()
+        self.gate.set()
+        async with asyncio.timeout(10.0):
+            before = await self.reader.readuntil(b' 100 Continue\r\n\r\n')
+        self.assertIn(b' 200 ', before)
+        self.assertEqual(['/first'], self.paths)
+        self.closing = True
+        self.writer.write(b'xyz')
+        self.assertIn(b' 200 ', await self._rest())
