A caller that holds its body back is told to go on after an answer

Callers saw: no answer to a request with `Expect: 100-continue` that came behind another on the same connection; a stop waited for it to its limit. Cause: the caller was told to go on only if nothing was under way at the moment its head was read. Ruled out: telling it at once, which would put the word between the answers of others. Change: it is told once what came before is answered, and once only. Conclusion: the body comes, and the request is answered.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -230,10 +230,20 @@
             self._refuse_head()
         elif request.body_bytes > limits.body_bytes:
             self._refuse_body()
-        elif request.asks_first and self._task is None and not self._waiting:
-            # The caller holds its body back until it is told to go on.
-            self._write(_GO_ON)
         request.body_bytes = 0
+        self._let_go_on()
+
+    def _let_go_on(self) -> None:
+        """Have a caller that holds its body back send it.
+
+        Not before what came first is answered: the answers go in order.
+        """
+        request = self._reading
+        if request is None or self._in_head or not request.asks_first:
+            return
+        if self._task is None and not self._waiting:
+            request.asks_first = False
+            self._write(_GO_ON)
 
     def on_body(self, part: bytes) -> None:
         """A part of the body."""
@@ -347,6 +357,7 @@
             self._idle_since_ms = self._clock.now_ms()
             self._idle_limit_ms = self._door.limits().idle_ms
         self._next()
+        self._let_go_on()
 
     def _ends_with(self, request: _Request) -> bool:
         """Whether this answer is the last one of its connection.
