Tests that fail: a request half read as its door closes

A caller sends a request and, while that is under way, the first part of the next; the daemon is told to stop. The connection ends with the first answer, and the second request, whose sending had begun before, has none. It was not read whole; yet on a connection without a request before it, the same half is waited for.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -559,3 +559,25 @@
         self.closing = True
         self.writer.write(b'xyz')
         self.assertIn(b' 200 ', await self._rest())
+
+    async def test_a_head_that_still_comes_as_it_closes_is_answered(
+        self,
+    ) -> None:
+        """The answer before it leaves in between."""
+        await self._check_half_read(b'GET /b HTTP/1.1\r\nHo', b'st: h\r\n\r\n')
+
+    async def test_a_body_that_still_comes_as_it_closes_is_answered(
+        self,
+    ) -> None:
+        """The answer before it leaves in between."""
+        head = b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\n'
+        await self._check_half_read(head + b'abc', b'def')
+
+    async def _check_half_read(self, half: bytes, other: bytes) -> None:
+        await self._begin(half)
+        await self._turns()
+        self.closing = True
+        self.gate.set()
+        await self._turns()
+        self.writer.write(other)
+        self._check_answers(await self._rest(), ['/first', '/b'])
