A request that is half read is waited for as its door closes

Callers saw: no answer to a request whose first part had come while the one before it was under way, when the daemon was told to stop. Cause: the end of a connection looked at what waits only, not at what is being read. Ruled out: waiting for a head without limit (its limit holds, see the tests of times). A body that does not come is waited for until the stop's limit, as it is on a connection that carries nothing else. Change: an answer is the last one only if no request is half read. Conclusion: what has begun to come is answered; a stop may wait for it.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -362,13 +362,15 @@
     def _ends_with(self, request: _Request) -> bool:
         """Whether this answer is the last one of its connection.
 
-        What waits was read before the caller could learn of the end, and
-        would be left without an answer.
+        What waits or is half read came before the caller could learn of the
+        end, and would be left without an answer.
         """
         if not request.keeps:
             return True
+        if self._waiting or self._reading is not None:
+            return False
         # After a change of protocol nothing more is read.
-        return not self._waiting and (self._ending or self._door.is_closing())
+        return self._ending or self._door.is_closing()
 
     async def _write_pieces(
         self, request: _Request, reply: protocol.StreamedReply
