Tests that fail: an answer that bytes cross as its connection ends

A caller reads a long answer, the last one of its connection since the daemon was told to stop, and sends more meanwhile. The connection is reset, and what of the answer the caller has not read yet is lost.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -581,3 +581,35 @@
         await self._turns()
         self.writer.write(other)
         self._check_answers(await self._rest(), ['/first', '/b'])
+
+    async def _check_whole(self) -> None:
+        """The large answer comes whole, and the connection is not reset."""
+        answer = await self._rest()
+        self.assertIn(b' 200 ', answer[:100])
+        self.assertEqual(_LARGE, answer.partition(b'\r\n\r\n')[2])
+
+    async def test_an_answer_is_whole_though_bytes_cross_it(self) -> None:
+        """What lies unread in the socket as the connection is closed.
+
+        It would be reset, and what the caller has not read yet lost.
+        """
+        self.closing = True
+        self.writer.write(_request('/crossed'))
+        await self.begun.wait()
+        await self._turns()
+        await self._check_whole()
+
+    async def test_a_slow_reader_has_its_answer_though_bytes_cross_it(
+        self,
+    ) -> None:
+        """It takes longer than bytes are taken after an answer."""
+        self.closing = True
+        self.writer.write(_request('/large'))
+        await self.begun.wait()
+        await self._turns()
+        for _ in range(4):
+            self.clock.advance(500.0)
+        await self._turns()
+        self.writer.write(_request('/late'))
+        await self._turns()
+        await self._check_whole()
