The last answer of a connection is not lost to bytes that cross it

Callers saw: the connection reset in the middle of a long answer, when they had sent more before they read its end (`Connection: close`, or the daemon had been told to stop). Cause: the connection was closed as soon as the answer had left the daemon; closed with unread bytes, the system resets it and drops what the caller has not read. Only refusals took bytes for a while, and counted that while from when the answer was made, not from when it had left. Ruled out: closing once the socket is empty; bytes may come at any moment before the caller has read to the end. Change: after any last answer the daemon's side is ended and what comes is dropped, for 500 ms after the answer has left or until the caller closes. Conclusion: an answer that was made reaches a caller that reads it.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -22,8 +22,9 @@
 from samphiredock import timers
 
 LINGER_MS = 500.0
-"""How long bytes are still taken after a refusal that ends a connection.
-Closed with unread bytes it would be reset, and the refusal lost with it."""
+"""How long bytes are still taken after the last answer of a connection has
+left this process.  Closed with unread bytes the connection would be reset, and
+what the caller has not read yet lost with it."""
 
 _WAITING_LIMIT = 8
 """Requests that may wait on one connection; more are left in the socket."""
@@ -417,13 +418,23 @@
     def _finish(self) -> None:
         """Close once the answer is out, and what still comes is dropped."""
         self._waiting.clear()
+        self._ending = True
+        transport = self._open_transport()
+        if self._read_paused:
+            self._read_paused = False
+            transport.resume_reading()
+        with contextlib.suppress(OSError):
+            # The caller may have reset the connection a moment ago.
+            transport.write_eof()
+        self._clock.after(LINGER_MS, self._end_lingering)
+
+    def _end_lingering(self) -> None:
+        """Close, unless the caller still reads what was written."""
         transport = self._open_transport()
-        if not self._ending:
-            self._ending = True
-            transport.close()
+        if transport.get_write_buffer_size():
+            self._clock.after(LINGER_MS, self._end_lingering)
             return
-        transport.write_eof()
-        self._clock.after(LINGER_MS, transport.close)
+        transport.close()
 
 
 def _head_lines(
