Tests that fail: what idle connections still carry as a server closes

A caller that is refused while it still sends its body (413), or that still reads a long answer, loses both when the daemon ends just then: its connection counts as idle, is closed, and is reset by the next bytes.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -437,7 +437,7 @@
         self.paths: list[str] = []
         self.begun = asyncio.Event()
         self.gate = asyncio.Event()
-        limits = state.CallerLimits(header_ms=2_000.0, idle_ms=60_000.0)
+        limits = state.CallerLimits(header_ms=2_000.0, body_bytes=100)
         door = transport.Door(
             self._handle, lambda: self.closing, lambda: limits
         )
@@ -613,3 +613,32 @@
         self.writer.write(_request('/late'))
         await self._turns()
         await self._check_whole()
+
+    async def test_a_refusal_is_not_lost_as_the_server_closes(self) -> None:
+        """The caller still sends its body; it reads only then."""
+        self.writer.write(
+            b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n'
+        )
+        await self._turns()
+        closing = asyncio.create_task(self.server.close(60_000.0))
+        for _ in range(20):
+            self.writer.write(bytes(1_000))
+            await self._turns()
+        self.assertIn(b' 413 ', await self._rest())
+        self.writer.close()
+        await asyncio.wait_for(closing, 10.0)
+
+    async def test_a_slow_reader_has_its_answer_as_the_server_closes(
+        self,
+    ) -> None:
+        """It was not told of the end, and sends its next request."""
+        self.writer.write(_request('/large'))
+        await self.begun.wait()
+        await self._turns()
+        closing = asyncio.create_task(self.server.close(60_000.0))
+        await self._turns()
+        self.writer.write(_request('/late'))
+        await self._turns()
+        await self._check_whole()
+        self.writer.close()
+        await asyncio.wait_for(closing, 10.0)
