A closing server lets answers leave that were made

Callers saw: a refusal (413) or the rest of a long answer lost, their connection reset, as the daemon ended. Cause: a connection on which nothing runs counted as idle and was closed, also while its refusal lingered or its answer had not left the daemon. Ruled out: lingering on every idle connection; callers that look at theirs only with the next request would hold each stop for half a second. Change: a connection that lingers closes by itself, and one whose answer has not left lingers; the limit of the close ends both. Conclusion: closing takes nothing that was answered, within its limit.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -128,6 +128,7 @@
         self._write_paused = False
         self._read_paused = False
         self._ending = False
+        self._lingers = False
         self._idle_since_ms: float | None = clock.now_ms()
         self._idle_limit_ms = door.limits().idle_ms
         self._head_since_ms: float | None = None
@@ -312,8 +313,15 @@
                 self._next()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is under way."""
-        if self._is_idle():
+        """Close the connection unless a request is under way.
+
+        One whose last answer is on its way closes by itself.
+        """
+        if self._lingers or not self._is_idle():
+            return
+        if self._open_transport().get_write_buffer_size():
+            self._finish()
+        else:
             self._open_transport().close()
 
     def cut(self) -> None:
@@ -419,6 +427,7 @@
         """Close once the answer is out, and what still comes is dropped."""
         self._waiting.clear()
         self._ending = True
+        self._lingers = True
         transport = self._open_transport()
         if self._read_paused:
             self._read_paused = False
