A test that fails: an answer ahead of one that breaks off

A caller sends two requests together and more later. The first is answered whole; the second, answered in pieces, breaks off. The connection is reset, and what of the first answer the caller has not read yet is lost.

--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -17,6 +17,9 @@
 _LARGE = bytes(8_000_000)
 """More than the buffers of a connection hold."""
 
+_LONG = bytes(1_000_000)
+"""More than a caller takes in that does not read; the system holds it."""
+
 
 def _request(path: str) -> bytes:
     return f'GET {path} HTTP/1.1\r\nHost: h\r\n\r\n'.encode()
@@ -456,7 +459,7 @@
 
     async def _handle(
         self, method: str, path: str, headers: protocol.Headers, body: bytes
-    ) -> protocol.HttpReply:
+    ) -> protocol.HttpReply | protocol.StreamedReply:
         self.paths.append(path)
         self.begun.set()
         if path == '/first':
@@ -466,8 +469,17 @@
             self.writer.write(_request('/late'))
         if path in ('/large', '/crossed'):
             return protocol.HttpReply(200, body=_LARGE)
+        if path == '/long':
+            return protocol.HttpReply(200, body=_LONG)
+        if path == '/broken':
+            return protocol.StreamedReply(200, (), self._broken())
         return protocol.HttpReply(200, body=path.encode())
 
+    async def _broken(self) -> typing.AsyncGenerator[bytes, None]:
+        yield b'piece'
+        self.writer.write(_request('/late'))
+        raise RuntimeError('by the test')
+
     async def _turns(self) -> None:
         """Let what was sent arrive."""
         for _ in range(20):
@@ -642,3 +654,15 @@
         await self._check_whole()
         self.writer.close()
         await asyncio.wait_for(closing, 10.0)
+
+    async def test_an_answer_is_whole_though_the_next_breaks_off(
+        self,
+    ) -> None:
+        """The caller has not read it yet, and sends more meanwhile."""
+        self.writer.write(_request('/long') + _request('/broken'))
+        while '/broken' not in self.paths:
+            await asyncio.sleep(0.001)
+        await self._turns()
+        answers = await self._rest()
+        self.assertIn(_LONG, answers)
+        self.assertTrue(answers.endswith(b'\r\n5\r\npiece\r\n'))
