An answer that breaks off takes none of those before it

Callers saw: the connection reset, and an answer that was made whole cut, when the next answer on the same connection, one in pieces, broke off. Cause: to show that the pieces are not whole the connection was aborted, which drops what has not left and, with unread bytes, what the caller has not read. Ruled out: going on with the connection; the caller cannot tell where the next answer would begin. Change: the connection ends like after a last answer. The last chunk is missing, by which the caller knows that there is more. Before / after: tests.unit.test_entry_http, 36 run, 1 known red / 36 passed, three times each. Conclusion: only the answer that broke off is lost.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -350,7 +350,9 @@
             whole = await self._write_pieces(request, reply)
             if not whole:
                 self._task = None
-                self.cut()
+                # The last chunk is missing, so that it does not look whole;
+                # a reset would take the answers before it as well.
+                self._finish()
                 return
         self._task = None
         if self._open_transport().is_closing():
