An order for a target that may not be asked is judged without waiting

Developers saw: with the check taken out by which a daemon refuses ordered targets of another service, or leaving ones, the test of it ran without end. Cause: the target was asked then and stayed silent, and the test awaited the order's end without moving the time. It also judged the other service only, though its name says leaving. Ruled out: a limit in seconds; the verdict would depend on the machine. Change: two tests, one for each reason. A refusal has some turns of the loop to come; nothing may be sent to the target, the order must be over, and the one report must say that the target was not ordered. Conclusion: as strict as before for the service, stricter for leaving.

--- a/tests/failure/test_merged_crossing.py
+++ b/tests/failure/test_merged_crossing.py
@@ -363,6 +363,17 @@
         self.assertEqual(0, outcome.missing)
         self.check_bound()
 
+    async def test_a_target_of_another_service_is_not_asked(self) -> None:
+        """An order names a target that has changed its service since.
+
+        The daemon of its site refuses this one alone, and at once.
+        """
+        await self._ask()
+        self.answer_all()
+        await self.outcome()
+        gone = self.links.seen[0].order.items[0]
+        await self._check_not_asked('another', gone.target)
+
     async def test_a_target_that_is_leaving_there_is_not_asked(self) -> None:
         """The daemon of its site knows sooner that a target drains.
 
@@ -374,21 +385,37 @@
         self.answer_all()
         await self.outcome()
         gone = order.order.items[0]
-        asker = self.desk.mergers[order.merger]._asker
-        found = [
-            report
-            async for report in self.desk.mergers[order.merger].reports(
-                protocol.MergeOrder(
-                    'id2', 'GET', 'h', '/all/x', (), b'', 100.0, 10.0, 5, b'',
-                    (protocol.OrderedItem(1, 'another', gone.target),),
-                )
-            )
-        ]  # fmt: skip
+        self.desk.put(gone.target, gone.service, leaving=True)
+        await self._check_not_asked(gone.service, gone.target)
+
+    async def _check_not_asked(self, service: str, target: str) -> None:
+        """Order one target; it is refused, known as it may be.
+
+        A target that is asked all the same stays silent: the order would
+        not end, so that it is given as many turns as a refusal needs.
+        """
+        merger = self.desk.mergers[self.links.seen[0].merger]
+        self.assertIsNotNone(merger._asker.target(target))
+        sent_before = len(self.desk.links.sent)
+        order = protocol.MergeOrder(
+            'id2', 'GET', 'h', '/all/x', (), b'', 100.0, 10.0, 5, b'',
+            (protocol.OrderedItem(1, service, target),),
+        )  # fmt: skip
+
+        async def carry_out() -> list[protocol.MergeReport]:
+            return [report async for report in merger.reports(order)]
+
+        carrying = asyncio.create_task(carry_out())
+        self.addCleanup(carrying.cancel)
+        await memory_links.settle()
+        self.assertEqual(
+            [], [row.target for row in self.desk.links.sent[sent_before:]]
+        )
+        self.assertTrue(carrying.done(), 'the order does not end')
         self.assertEqual(
             [protocol.SubStatus.NOT_ORDERED],
-            [row.status for report in found for row in report.ended],
+            [row.status for report in await carrying for row in report.ended],
         )
-        self.assertIsNotNone(asker.target(gone.target))
 
 
 class RandomFaultsTest(unittest.IsolatedAsyncioTestCase):
