A test that fails: callers that keep coming use up a stop's time

Symptom: beside load test_a_stop_cuts_no_request had answers of 502 among its 200s: eight callers come again as soon as they are answered, the stop never finds a moment without an open request, and at its limit it gives up what is open.

--- a/tests/unit/test_entry_node.py
+++ b/tests/unit/test_entry_node.py
@@ -29,9 +29,14 @@
         self.seen = asyncio.Event()
         self.replies: asyncio.Queue[protocol.HttpReply] = asyncio.Queue()
 
+        self.open = 0
+
     def open_requests(self) -> int:
-        """Count none: the request is read as the stop finds itself idle."""
-        return 0
+        """Return what the test says.
+
+        None, if a request is read as the stop finds itself idle.
+        """
+        return self.open
 
     async def handle(self, *request: object) -> protocol.HttpReply:
         """Wait for the test."""
@@ -93,6 +98,23 @@
             await stopping
         self.assertIn(b' 207 ', answer)
 
+    async def test_callers_that_keep_coming_do_not_use_up_the_stop(
+        self,
+    ) -> None:
+        """One of them has its connection closed at the end of the time.
+
+        The balancer is told and sends nobody; some callers come all the
+        same, at any moment one of them has a request open, so that the stop
+        never finds itself idle.  Once the balancer knows, none is taken.
+        """
+        self.service.open = 1
+        host, _, port = self.address.partition(':')
+        async with asyncio.timeout(_HANG_GUARD_S):
+            self.node.on_signal()
+            stopping = asyncio.create_task(self.node.wait_stopped())
+            await self._until_refused(host, int(port))
+            await stopping
+
     async def _until_refused(self, host: str, port: int) -> None:
         while True:
             try:
