A stop closes its doors once the balancer knows, idle or not

Seen: callers that come again at once keep a stopping daemon busy until its limit, where what is open is given up (502, before that cut), though each request takes 50 ms.

Cause: the doors closed at the first moment without an open request, and under callers that keep coming there may be none.

Ruled out: requests that take long (50 ms here); the limit (any limit is used up).

Change: doors close at DRAINING. What was read then has the rest of the stop's time. A door counts a connection as cut only if something was lost on it: one that lingers after its last answer has nothing to lose.

--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -94,7 +94,7 @@
             settings.stop_limit_s * 1000.0 - _EXIT_MS,
             self._on_phase,
         )
-        self._stopped = asyncio.Event()
+        self._drains = asyncio.Event()
         self._servers: list[transport.EntryServer] = []
         self._said_ready = False
 
@@ -205,7 +205,7 @@
 
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
-        await self._stopped.wait()
+        await self._drains.wait()
         cut = await _doors.close_all(
             self._servers, self._left_ms, self._give_up
         )
@@ -255,12 +255,15 @@
         )
 
     def _begin_draining(self) -> None:
-        # Requests are still served: their connections close after them, so
-        # that none comes any more, and the daemon ends when all have left.
+        # The balancer knows: whoever still comes is better served elsewhere.
+        # A stop that waited for a moment without any request would not find
+        # one under callers that keep coming, and give up at its limit what
+        # was open then.
         self._metrics.add('shutdowns_draining')
+        self._drains.set()
 
     def _end(self) -> None:
-        self._stopped.set()
+        self._drains.set()
 
 
 _PHASE_ACTIONS = {
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -324,9 +324,16 @@
         else:
             self._open_transport().close()
 
-    def cut(self) -> None:
-        """Close the connection, and with it what runs on it."""
-        self._open_transport().abort()
+    def cut(self) -> bool:
+        """Close the connection, and with it what runs on it.
+
+        Returns whether anything is lost: a request without an answer, or an
+        answer that is not out yet.
+        """
+        transport = self._open_transport()
+        loses = not self._is_idle() or transport.get_write_buffer_size() > 0
+        transport.abort()
+        return loses
 
     # Answers.
 
--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -89,14 +89,12 @@
         self.cut()
 
     def cut(self) -> int:
-        """Close the connections that are left; return how many there were.
+        """Close the connections that are left.
 
-        What runs on them ends, and what is not sent yet is lost.
+        Returns how many had a request without an answer, or an answer that
+        was not out yet.
         """
-        left = list(self._connections)
-        for connection in left:
-            connection.cut()
-        return len(left)
+        return sum([connection.cut() for connection in self._connections])
 
     def _connect(self) -> _entry_connection.EntryConnection:
         return _entry_connection.EntryConnection(
