A stop's last call comes a second before its limit, not at draining

Change: the doors close at the first idle moment again, or, whoever still comes, at a last call of a second before the limit, once the balancer knows.

--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -33,6 +33,10 @@
 open, and for the exit.  Answers are written in one turn of the loop; whatever
 is kept here is taken from targets that would have answered in time."""
 
+_LAST_CALL_MS = 1_000.0
+"""How long before the limit of a stop the doors close, whoever still comes:
+what was read by then takes some tens of ms, a slow one some hundred."""
+
 _RELOADED = ('retry_ratio', 'retry_slack', 'retry_window_s', 'collect_ms')
 """Settings that take effect without a restart."""
 
@@ -93,8 +97,9 @@
             settings.balancer_lag_ms,
             settings.stop_limit_s * 1000.0 - _EXIT_MS,
             self._on_phase,
+            _LAST_CALL_MS,
         )
-        self._drains = asyncio.Event()
+        self._stopped = asyncio.Event()
         self._servers: list[transport.EntryServer] = []
         self._said_ready = False
 
@@ -205,7 +210,7 @@
 
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
-        await self._drains.wait()
+        await self._stopped.wait()
         cut = await _doors.close_all(
             self._servers, self._left_ms, self._give_up
         )
@@ -255,15 +260,13 @@
         )
 
     def _begin_draining(self) -> None:
-        # The balancer knows: whoever still comes is better served elsewhere.
-        # A stop that waited for a moment without any request would not find
-        # one under callers that keep coming, and give up at its limit what
-        # was open then.
+        # Requests are still served: a balancer that has too few daemons left
+        # sends callers here all the same, and one slow request keeps this one
+        # for seconds.  Their connections close after them.
         self._metrics.add('shutdowns_draining')
-        self._drains.set()
 
     def _end(self) -> None:
-        self._drains.set()
+        self._stopped.set()
 
 
 _PHASE_ACTIONS = {
--- a/samphiredock/daemon/_shutdown.py
+++ b/samphiredock/daemon/_shutdown.py
@@ -46,6 +46,10 @@
         Bound on the whole shutdown.
     on_phase
         Called with each phase that is entered.
+    last_call_ms
+        How long before the limit the daemon closes though it is not idle.
+        Callers that keep coming may leave no moment without a request; what
+        is read until then can still be answered within the limit.
     """
 
     state: Phase
@@ -59,7 +63,9 @@
         balancer_lag_ms: float,
         limit_ms: float,
         on_phase: typing.Callable[[Phase], None],
+        last_call_ms: float = 0.0,
     ) -> None:
+        self._last_call_ms = last_call_ms
         self._balancer_lag_ms = balancer_lag_ms
         self._limit_ms = limit_ms
         self._on_phase = on_phase
@@ -98,7 +104,10 @@
             return
         if now_ms >= self._started_ms + self._balancer_lag_ms:
             self.balancer_knows()
-        if not in_flight:
+        draining = self.state is Phase.DRAINING
+        if draining and now_ms >= self._ends_ms - self._last_call_ms:
+            self.limit_passed()
+        elif not in_flight:
             # Only DRAINING ends on idleness: in LEAVING more may come.
             self.idle()
 
--- a/tests/unit/test_entry_node.py
+++ b/tests/unit/test_entry_node.py
@@ -56,6 +56,11 @@
         self.service = _Service()
         descriptor = os.open(os.devnull, os.O_WRONLY)
         self.addCleanup(os.close, descriptor)
+        # The last call comes half a second after the signal, and leaves what
+        # is open all the rest.
+        self.enterContext(
+            mock.patch.object(_entry_node, '_LAST_CALL_MS', 59_000.0)
+        )
         self.node = _entry_node.EntryNode(
             state.EntrySettings(
                 'one', 'here', door, ready, store, peer,
@@ -105,7 +110,8 @@
 
         The balancer is told and sends nobody; some callers come all the
         same, at any moment one of them has a request open, so that the stop
-        never finds itself idle.  Once the balancer knows, none is taken.
+        never finds itself idle.  None is taken from the last call on, which
+        leaves time for what is open.
         """
         self.service.open = 1
         host, _, port = self.address.partition(':')
--- a/tests/unit/test_shutdown.py
+++ b/tests/unit/test_shutdown.py
@@ -56,6 +56,33 @@
         self.shutdown.on_tick(1_100.0, 1)
         self.assertIs(Phase.CLOSED, self.shutdown.phase)
 
+    def test_the_last_call_comes_before_the_limit(self) -> None:
+        """Callers that keep coming have their requests answered.
+
+        They leave no moment without a request; at the limit those that are
+        open would be given up.
+        """
+        shutdown = _shutdown.Shutdown(
+            2_000.0, 30_000.0, self.phases.append, 1_000.0
+        )
+        shutdown.on_signal(0.0)
+        shutdown.on_tick(28_999.0, 5)
+        self.assert_phases(Phase.LEAVING, Phase.DRAINING)
+        shutdown.on_tick(29_000.0, 5)
+        self.assertIs(Phase.CLOSED, shutdown.phase)
+        self.assertEqual(1_000.0, shutdown.left_ms(29_000.0))
+
+    def test_the_last_call_waits_for_the_balancer(self) -> None:
+        """It still sends requests here, and none of them is refused."""
+        shutdown = _shutdown.Shutdown(
+            2_000.0, 2_500.0, self.phases.append, 1_000.0
+        )
+        shutdown.on_signal(0.0)
+        shutdown.on_tick(1_999.0, 5)
+        self.assert_phases(Phase.LEAVING)
+        shutdown.on_tick(2_000.0, 5)
+        self.assertIs(Phase.CLOSED, shutdown.phase)
+
     def test_ticks_before_a_signal_change_nothing(self) -> None:
         self.shutdown.on_tick(1e9, 0)
         self.assert_phases()
