A daemon whose stop's time is up answers its callers before it ends

Callers of a search or a run that was open at the limit got no answer: the daemon lived on past its limit, until its last deadline or until it was killed, and then closed their connections.

Cause: the end of the stop logged what was open and ended nothing; the HTTP library then waits for handlers, 60 s by default. Ruled out: the signals (one, two and three do the same) and the targets (their silence only makes it last).

Now the end of the stop ends every wait. A search finishes as at its deadline: with what was answered, else unknown, or not run if no target can have begun. A run takes the ways of its deadline: not run only where nothing was sent or a report proves that none began, a cancel keeps its 300 ms, nothing is sent afterwards, and the claim is taken back in the store. The daemon sees the answers leave, for 1 s at most, the part that a slow reader has not taken too; then the doors close, with 0.5 s in place of 60 s for bodies that are still being read.

--- a/samphiredock/coordination/once/_claim_book.py
+++ b/samphiredock/coordination/once/_claim_book.py
@@ -6,6 +6,7 @@
 
 from samphiredock.coordination.once import _claim_bucket
 from samphiredock.coordination.once import _claim_health
+from samphiredock.coordination.once import _cutoff
 from samphiredock import metrics
 from samphiredock import state
 from samphiredock import timers
@@ -33,7 +34,9 @@
         clock: timers.Timers,
         randomness: random.Random,
         counters: metrics.Metrics,
+        cutoff: _cutoff.Cutoff | None = None,
     ) -> None:
+        self._cutoff = cutoff or _cutoff.Cutoff(clock)
         self._platform = platform
         self._clock = clock
         self._random = randomness
@@ -60,7 +63,7 @@
         Only ``GRANTED`` allows to send: the put succeeded, or a read shows
         the own token.
         """
-        if self._clock.now_ms() >= deadline_at_ms:
+        if self._clock.now_ms() >= self._cutoff.bound(deadline_at_ms):
             return OpenResult(None, False)
         if not self._health.admits():
             self._metrics.add('claims_refused_unseen')
@@ -75,7 +78,7 @@
         if distrust:
             writer.distrust()
         writer.submit(change)
-        await _claim_bucket.wait_until(self._clock, answer, deadline_at_ms)
+        await self._cutoff.wait_until(answer, deadline_at_ms)
         if not answer.done():
             answer.cancel()
         opened = None if answer.cancelled() else answer.result()
--- a/samphiredock/coordination/once/_claim_holders.py
+++ b/samphiredock/coordination/once/_claim_holders.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from samphiredock.coordination.once import _claim_bucket
+from samphiredock.coordination.once import _cutoff
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
@@ -52,7 +52,9 @@
         peers: transport.Peers,
         clock: timers.Timers,
         counters: metrics.Metrics,
+        cutoff: _cutoff.Cutoff | None = None,
     ) -> None:
+        self._cutoff = cutoff or _cutoff.Cutoff(clock)
         self._peers = peers
         self._clock = clock
         self._metrics = counters
@@ -125,14 +127,12 @@
         future: asyncio.Future,
         until_ms: float,
     ) -> protocol.ClaimAnswer | None:
-        while self._clock.now_ms() < until_ms:
+        while self._clock.now_ms() < self._cutoff.bound(until_ms):
             self._metrics.add('claim_asks')
             if not self._peers.send(parts.holder, protocol.ClaimAsk(token)):
                 return None
             next_ms = self._clock.now_ms() + ASK_PERIOD_MS
-            if await _claim_bucket.wait_until(
-                self._clock, future, min(next_ms, until_ms)
-            ):
+            if await self._cutoff.wait_until(future, min(next_ms, until_ms)):
                 return future.result()
             silent_ms = self._clock.now_ms() - self._heard_ms[token]
             if silent_ms >= SILENT_MS:
--- a/samphiredock/coordination/once/_run_claiming.py
+++ b/samphiredock/coordination/once/_run_claiming.py
@@ -3,6 +3,7 @@
 from samphiredock.coordination.once import _claim_book
 from samphiredock.coordination.once import _claim_bucket
 from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _cutoff
 from samphiredock.coordination.once import _run_request
 from samphiredock.coordination.once import _run_states
 from samphiredock import metrics
@@ -21,7 +22,9 @@
         holders: _claim_holders.Holders,
         endings: _run_request.Endings,
         counters: metrics.Metrics,
+        cutoff: _cutoff.Cutoff,
     ) -> None:
+        self._cutoff = cutoff
         self._book = book
         self._holders = holders
         self._endings = endings
@@ -96,6 +99,8 @@
             return self._endings.lose(
                 run, 'claimed by another, its end not known'
             )
+        if failure is None and self._cutoff.has_passed():
+            return self._endings.refuse(run, _run_request.stopping())
         if failure is None:
             return self._endings.not_run(
                 run,
--- a/samphiredock/coordination/once/_run_once.py
+++ b/samphiredock/coordination/once/_run_once.py
@@ -12,6 +12,7 @@
 from samphiredock.coordination.once import _claim_book
 from samphiredock.coordination.once import _claim_bucket
 from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _cutoff
 from samphiredock.coordination.once import _run_admission
 from samphiredock.coordination.once import _run_claiming
 from samphiredock.coordination.once import _run_orders
@@ -69,18 +70,25 @@
         self._numbers = itertools.count(randomness.getrandbits(48))
         self._live: dict[str, _run_request.Run] = {}
         self._draining = False
+        self._cutoff = _cutoff.Cutoff(clock)
         self._book = _claim_book.ClaimBook(
-            platform, clock, randomness, counters
+            platform, clock, randomness, counters, self._cutoff
+        )
+        self._holders = _claim_holders.Holders(
+            peers, clock, counters, self._cutoff
         )
-        self._holders = _claim_holders.Holders(peers, clock, counters)
         self._endings = _run_request.Endings(
             self._book, self._holders, self._quarantine, counters
         )
         orders = _run_orders.Orders(
-            peers, clock, counters, self._endings.on_late_report
+            peers,
+            clock,
+            counters,
+            self._endings.on_late_report,
+            self._cutoff,
         )
         self._claiming = _run_claiming.Claiming(
-            self._book, self._holders, self._endings, counters
+            self._book, self._holders, self._endings, counters, self._cutoff
         )
         self._sending = _run_sending.Sending(
             site,
@@ -91,6 +99,7 @@
             clock,
             randomness,
             counters,
+            self._cutoff,
         )
 
     def in_flight(self) -> int:
@@ -118,18 +127,21 @@
         if live is not None:
             return self._counted(await self._join(live, admitted))
         if self._draining:
-            return self._counted(
-                protocol.NotRun(
-                    protocol.NotRunReason.SHUTTING_DOWN,
-                    'this daemon is leaving; this attempt was not run',
-                    _run_request.RETRY_AFTER_MS,
-                )
-            )
+            return self._counted(_run_request.stopping())
         run = self._start(admitted)
         # The request goes on when its caller is gone: a caller that the
         # balancer cut off must find the recorded outcome when it retries.
         return self._counted(await asyncio.shield(run.task))
 
+    def end(self) -> None:
+        """Take no new request and end those there are, each truthfully.
+
+        Each is answered as at its deadline, at the latest
+        ``CANCEL_WAIT_MS`` from now, and nothing is sent any more.
+        """
+        self._draining = True
+        self._cutoff.pass_now()
+
     async def drain(self, limit_ms: float = DRAIN_LIMIT_MS) -> int:
         """Take no new request; finish and record those there are.
 
--- a/samphiredock/coordination/once/_run_orders.py
+++ b/samphiredock/coordination/once/_run_orders.py
@@ -6,6 +6,7 @@
 import typing
 
 from samphiredock.coordination.once import _claim_bucket
+from samphiredock.coordination.once import _cutoff
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
@@ -56,7 +57,9 @@
         clock: timers.Timers,
         counters: metrics.Metrics,
         on_late: LateReport,
+        cutoff: _cutoff.Cutoff | None = None,
     ) -> None:
+        self._cutoff = cutoff or _cutoff.Cutoff(clock)
         self._peers = peers
         self._clock = clock
         self._metrics = counters
@@ -81,12 +84,28 @@
     async def report(
         self, attempt_id: str, until_ms: float
     ) -> protocol.RunReport | None:
-        """Wait for the next report on an order, None if none came."""
+        """Wait for the next report on an order, None if none came.
+
+        The wait ends when the daemon's time is up: the order is cancelled
+        then, as at its deadline.
+        """
+        return await self._next(
+            attempt_id,
+            lambda waker: self._cutoff.wait_until(waker, until_ms),
+        )
+
+    async def _next(
+        self,
+        attempt_id: str,
+        wait: typing.Callable[
+            [asyncio.Future], typing.Coroutine[typing.Any, typing.Any, bool]
+        ],
+    ) -> protocol.RunReport | None:
         outstanding = self._outstanding[attempt_id]
         if outstanding.unread is None:
             waker = asyncio.get_running_loop().create_future()
             outstanding.waker = waker
-            await _claim_bucket.wait_until(self._clock, waker, until_ms)
+            await wait(waker)
             outstanding.waker = None
         report, outstanding.unread = outstanding.unread, None
         return report
@@ -97,6 +116,8 @@
         """Ask the dispatcher to stop; return a report that settles it.
 
         Only a report counts: that the message was sent proves nothing.
+        The wait is short, and so is taken also when the daemon's time is
+        up: most orders that were not begun are proved so within it.
         """
         owner = self._outstanding[attempt_id].owner
         until_ms = min(until_ms, self._clock.now_ms() + CANCEL_WAIT_MS)
@@ -106,7 +127,12 @@
         ):
             return None
         while self._clock.now_ms() < until_ms:
-            report = await self.report(attempt_id, until_ms)
+            report = await self._next(
+                attempt_id,
+                lambda waker: _claim_bucket.wait_until(
+                    self._clock, waker, until_ms
+                ),
+            )
             if report is not None and is_final(report):
                 return report
         return None
--- a/samphiredock/coordination/once/_run_request.py
+++ b/samphiredock/coordination/once/_run_request.py
@@ -211,6 +211,15 @@
     return protocol.Completed(outcome.result, outcome.accepted, True)
 
 
+def stopping() -> protocol.NotRun:
+    """Return the refusal of a daemon that takes nothing more."""
+    return protocol.NotRun(
+        protocol.NotRunReason.SHUTTING_DOWN,
+        'this daemon is leaving; this attempt was not run',
+        RETRY_AFTER_MS,
+    )
+
+
 def key_reused() -> protocol.NotRun:
     """Return the refusal of a key that belongs to another request."""
     return protocol.NotRun(
--- a/samphiredock/coordination/once/_run_sending.py
+++ b/samphiredock/coordination/once/_run_sending.py
@@ -4,6 +4,7 @@
 import typing
 
 from samphiredock.coordination.once import _claim_holders
+from samphiredock.coordination.once import _cutoff
 from samphiredock.coordination.once import _run_admission
 from samphiredock.coordination.once import _run_orders
 from samphiredock.coordination.once import _run_request
@@ -57,7 +58,9 @@
         clock: timers.Timers,
         randomness: random.Random,
         counters: metrics.Metrics,
+        cutoff: _cutoff.Cutoff | None = None,
     ) -> None:
+        self._cutoff = cutoff or _cutoff.Cutoff(clock)
         self._site = site
         self._view = view
         self._orders = orders
@@ -102,6 +105,8 @@
         """
         assert self._holders.status(run.token) is _Status.RUNNING
         admitted = run.admitted
+        if self._cutoff.has_passed():
+            return _run_request.stopping()
         if self._clock.now_ms() >= admitted.deadline_at_ms:
             self._metrics.add('run_too_late_to_send')
             return protocol.NotRun(
--- a/samphiredock/coordination/search/_coordinator.py
+++ b/samphiredock/coordination/search/_coordinator.py
@@ -118,6 +118,17 @@
             effects = search.scatter.on_member_lost(member, now_ms)
             self._carry_out(search, effects)
 
+    def end(self) -> None:
+        """Answer every search with what there is; the daemon's time is up.
+
+        The caller would otherwise lose its connection, with neither an
+        answer nor a word on whether a target has begun.
+        """
+        now_ms = self._clock.now_ms()
+        for search in list(self._searches.values()):
+            if not search.done.done():
+                self._carry_out(search, search.scatter.give_up(now_ms))
+
     async def search(
         self, request: protocol.SearchRequest
     ) -> protocol.SearchOutcome:
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -18,6 +18,13 @@
 _BODY_LIMIT_BYTES = 1_000_000
 _SHUTDOWN_TICK_MS = 50.0
 _LAST_RECORD_MS = 1_000.0
+_ANSWER_MS = 1_000.0
+"""For the answers that are given when the time is up: an order's cancel
+takes up to 300 ms, the rest the turns of a busy event loop."""
+_ANSWER_LOOK_MS = 10.0
+_DOOR_CLOSE_S = 0.5
+"""For a body that is still being read, and for a caller that reads its
+answer slowly; the library waits for each up to twice as long."""
 
 _SHUTTING_DOWN = protocol.NotRun(
     protocol.NotRunReason.SHUTTING_DOWN,
@@ -160,7 +167,9 @@
         tls: ssl.SSLContext | None,
     ) -> None:
         host, _, port = address.rpartition(':')
-        runner = web.AppRunner(application, access_log=None)
+        runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=_DOOR_CLOSE_S
+        )
         self._runners.append(runner)
         await runner.setup()
         host = host.removeprefix('[').removesuffix(']')
@@ -173,6 +182,7 @@
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
         await self._stopped.wait()
+        await self._answer_all()
         await self._stop_listening()
         # An outcome that is not in the store yet is lost with this process,
         # and the caller's retry finds it unknown for good.
@@ -180,6 +190,23 @@
         await self._parts.close()
         _log.notice('stopped', name=self._settings.name)
 
+    async def _answer_all(self) -> None:
+        """Wait until what was read is answered, so that no door cuts it.
+
+        Every wait behind a request has been ended, and what waits on its
+        connection is refused; a caller that sends on and on is cut.
+        """
+        until_ms = self._parts.clock.now_ms() + _ANSWER_MS
+        while self._is_busy() and self._parts.clock.now_ms() < until_ms:
+            await asyncio.sleep(_ANSWER_LOOK_MS / 1000.0)
+
+    def _is_busy(self) -> bool:
+        return any(
+            transport.is_busy(connection)
+            for runner in self._runners
+            for connection in runner.server.connections
+        )
+
     async def _stop_listening(self) -> None:
         for runner in self._runners:
             await runner.cleanup()
@@ -218,11 +245,14 @@
         self._parts.metrics.add('shutdowns_draining')
 
     def _end(self) -> None:
+        """Answer what is open: a closed connection would tell nothing."""
         self._parts.dispatcher.stop()
         left = self.in_flight()
+        self._parts.coordinator.end()
+        self._parts.runner.end()
         if left:
-            _log.warning('stopped with requests in flight', left=left)
-            self._parts.metrics.add('requests_cut', left)
+            _log.warning('requests given up', left=left)
+            self._parts.metrics.add('requests_given_up', left)
         self._stopped.set()
 
 
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -20,6 +20,7 @@
             'CLOSE_MS',
             'EntryServer',
         ),
+        '_http_guard': ('is_busy',),
         '_link_errors': (
             'LinkError',
             'LinkErrorKind',
--- a/samphiredock/transport/_http_guard.py
+++ b/samphiredock/transport/_http_guard.py
@@ -68,6 +68,30 @@
     return guarded
 
 
+def is_busy(connection: web.RequestHandler) -> bool:
+    """Whether a request was read and its answer has not left.
+
+    A caller that reads slowly leaves part of the answer in this process,
+    where it would end with it.
+    """
+    if connection._request_in_progress or waits_behind(connection):
+        return True
+    open_transport = connection.transport
+    return (
+        open_transport is not None
+        and open_transport.get_write_buffer_size() > 0
+    )
+
+
+def waits_behind(connection: web.RequestHandler) -> bool:
+    """Whether another request was read behind the one that is served.
+
+    The library has no public word for it, and drops what waits as soon as
+    the answer before it closes the connection.
+    """
+    return bool(connection._messages)
+
+
 def has_json_type(request: web.Request) -> bool:
     """Whether the body is, or may be, JSON by its stated type."""
     return request.content_type in _JSON_TYPES
--- /dev/null
+++ b/tests/failure/test_stopped_runs.py
@@ -0,0 +1,109 @@
+"""A daemon whose time is up tells what became of each request."""
+
+from samphiredock import protocol
+from standins import memory_runners
+from tests import simulation_runs
+
+_KEY = 'payout-7'
+_Reason = protocol.NotRunReason
+
+
+class StoppedRunsTest(simulation_runs.RunnersCase):
+    """The first daemon ends while a request waits, seconds to its deadline."""
+
+    async def _ended(self, waited_ms: float, kind: type) -> object:
+        """Call, end the daemon after a while; return the outcome."""
+        call = self.system.call(self.first, _KEY)
+        await self.system.clock.pass_ms(waited_ms)
+        self.assertFalse(call.done())
+        before_ms = self.system.clock.now_ms()
+        self.first.runner.end()
+        outcome = await self.assert_told(call, kind)
+        self.assertLess(
+            self.system.clock.now_ms() - before_ms,
+            memory_runners.DEADLINE_MS / 2,
+        )
+        return outcome
+
+    async def _assert_retry(self, kind: type, executions: int) -> None:
+        """Assert a retry at the second daemon, and all that ever ran."""
+        call = self.system.call(self.second, _KEY)
+        await self.assert_told(call, kind)
+        await self.system.clock.pass_ms(60_000)
+        self.assertEqual(executions, self.system.executions())
+
+    async def test_begun(self) -> None:
+        """The caller reads "unknown": a target has the request."""
+        self.system.use('silent')
+        await self._ended(50, protocol.Unknown)
+        self.assertEqual(1, self.system.executions())
+
+    async def test_queued_at_its_dispatcher(self) -> None:
+        """The caller reads "not run", and the retry runs.
+
+        The dispatcher confirms that it dropped the order.  No second
+        target is tried, for the daemon sends nothing any more.
+        """
+        self.system.use('queue')
+        for dispatcher in self.system.dispatchers:
+            dispatcher.queue_ms = 60_000
+        outcome = await self._ended(50, protocol.NotRun)
+        self.assertIs(_Reason.SHUTTING_DOWN, outcome.reason)
+        orders = [len(row.orders) for row in self.system.dispatchers]
+        self.assertEqual(1, sum(orders))
+        self.system.use('answer')
+        await self._assert_retry(protocol.Completed, 1)
+
+    async def test_dispatcher_stopped_too(self) -> None:
+        """The caller reads "unknown": nothing proves that none began.
+
+        The dispatcher reads neither the order nor the cancel in time.
+        """
+        self.system.use('queue')
+        for dispatcher in self.system.dispatchers:
+            dispatcher.deaf_to_cancels = True
+            dispatcher.queue_ms = 60_000
+        await self._ended(40, protocol.Unknown)
+
+    async def test_store_silent(self) -> None:
+        """The caller reads "not run", and the retry runs.
+
+        The claim was not granted, so that nothing was sent; it may reach
+        the store late, where the daemon takes it back.
+        """
+        self.system.use('answer')
+        self.system.store.silent = True
+        outcome = await self._ended(100, protocol.NotRun)
+        self.assertIs(_Reason.SHUTTING_DOWN, outcome.reason)
+        self.assertEqual(0, self.system.executions())
+        self.system.store.silent = False
+        await self.system.clock.pass_ms(5_000)
+        await self._assert_retry(protocol.Completed, 1)
+
+    async def test_another_holder_runs_it(self) -> None:
+        """The caller reads "unknown": the other daemon may have run it."""
+        self.system.use('silent')
+        other = self.system.call(self.second, _KEY)
+        await self.system.executed()
+        await self._ended(200, protocol.Unknown)
+        await self.assert_told(other, protocol.Unknown)
+        self.assertEqual(1, self.system.executions())
+
+    async def test_two_callers_with_one_key(self) -> None:
+        """Both read the same."""
+        self.system.use('silent')
+        calls = [self.system.call(self.first, _KEY) for _ in range(2)]
+        await self.system.executed()
+        self.first.runner.end()
+        for call in calls:
+            await self.assert_told(call, protocol.Unknown)
+        self.assertEqual(1, self.system.executions())
+
+    async def test_request_after_the_end(self) -> None:
+        """The caller is refused; nothing is sent."""
+        self.system.use('answer')
+        self.first.runner.end()
+        call = self.system.call(self.first, _KEY)
+        outcome = await self.assert_told(call, protocol.NotRun)
+        self.assertIs(_Reason.SHUTTING_DOWN, outcome.reason)
+        await self._assert_retry(protocol.Completed, 1)
--- a/tests/unit/test_coordinator.py
+++ b/tests/unit/test_coordinator.py
@@ -36,6 +36,34 @@
         self.assertLessEqual(took_ms, 162.0)
         self.assertEqual(0, self.daemon.coordinator.in_flight())
 
+    async def test_end_answers_with_what_there_is(self) -> None:
+        """A daemon that stops gives what it has, long before the deadline.
+
+        Half of the targets are silent; were nothing answered yet, the
+        caller would be told that the outcome is unknown.
+        """
+        self.tier.targets.silent.add('d1')
+        search = self.tier.gather(
+            self.daemon.coordinator.search(memory_searches.ask())
+        )
+        started_ms = self.tier.clock.now_ms()
+        self.tier.clock.after(100.0, self.daemon.coordinator.end)
+        (outcome,) = await search
+        self.assertIsInstance(outcome, protocol.Partial)
+        self.assertEqual(0.5, outcome.coverage)
+        self.assertLess(self.tier.clock.now_ms() - started_ms, 102.0)
+        self.assertEqual(0, self.daemon.coordinator.in_flight())
+
+    async def test_end_of_what_nobody_answered_is_unknown(self) -> None:
+        """The targets may have begun it."""
+        self.tier.targets.silent |= {'d0', 'd1'}
+        search = self.tier.gather(
+            self.daemon.coordinator.search(memory_searches.ask())
+        )
+        self.tier.clock.after(100.0, self.daemon.coordinator.end)
+        (outcome,) = await search
+        self.assertIsInstance(outcome, protocol.Unknown)
+
     async def test_lost_member_is_retried_elsewhere(self) -> None:
         """When membership drops the silent dispatcher, others are asked.
 
