A daemon whose stop's time is up answers its operators before it ends

An operator whose change waited for a silent store got no answer when the daemon was stopped: a stop did not count operators' calls as under way, and at its end nothing ended them.

Operators' calls now count as under way, and at the end of the stop each is stopped and answered: a change as unavailable while it was only read for, as unknown once its write is out or an earlier call's may be; a drain and a release as unknown; a read, and what comes later, as unavailable. For that a change counts as unsure from before its write, not only after a lost answer: one that is given up under the write would be called unchanged.

--- a/samphiredock/coordination/config/_accept.py
+++ b/samphiredock/coordination/config/_accept.py
@@ -146,6 +146,12 @@
             if not isinstance(step, str):
                 return step
             detail = step
+        return self.unfinished(change, detail)
+
+    def unfinished(
+        self, change: protocol.ConfigurationChange, detail: str
+    ) -> protocol.ChangeOutcome:
+        """Return what is true of a change that is not tried any more."""
         if change.repeated or change.change_id in self._unsure:
             return protocol.ChangeUnknown(detail, _RETRY_AFTER_MS)
         return protocol.ChangeUnavailable(detail, _RETRY_AFTER_MS)
@@ -214,6 +220,9 @@
     ) -> protocol.ChangeOutcome | str:
         source = self._draft(change, recent)
         value = msgspec.json.encode(source)
+        # A daemon that stops may give the call up while the write is out.
+        was_unsure = change.change_id in self._unsure
+        self._unsure.add(change.change_id)
         put = await self._platform.put(
             _knowledge.CONFIGURATION_KEY, value, version
         )
@@ -222,12 +231,12 @@
             self._knowledge.offer_source(source, value)
             return protocol.ChangeAccepted(source.revision)
         error = put.failure()
+        if error.kind is not transport.StoreErrorKind.LOST and not was_unsure:
+            self._unsure.discard(change.change_id)
         if error.kind is transport.StoreErrorKind.REFUSED:
             return protocol.ChangeInvalid([error.detail])
-        if error.kind is transport.StoreErrorKind.LOST:
-            # Writing again under the same expected version is safe: of the
-            # two writes at most one can take effect.
-            self._unsure.add(change.change_id)
+        # After a lost answer, writing again under the same expected version
+        # is safe: of the two writes at most one can take effect.
         return f'write: {error.kind.value}: {error.detail}'
 
     def _draft(
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -58,6 +58,9 @@
             settings.shutdown_limit_ms,
             self._on_phase,
         )
+        self._desk = _operations.OperatorDesk(
+            self._parts, settings, self.is_ready
+        )
         self._stopped = asyncio.Event()
         self._open_requests = 0
         self._runners: list[web.AppRunner] = []
@@ -142,11 +145,8 @@
             self._parts.metrics,
             self._body_limit_bytes,
         )
-        desk = _operations.OperatorDesk(
-            self._parts, self._settings, self.is_ready
-        )
         operators = transport.operator_application(
-            desk, self._parts.metrics, self._keys.operator_token
+            self._desk, self._parts.metrics, self._keys.operator_token
         )
         await self._listen(
             callers,
@@ -219,6 +219,7 @@
         """Return the work that a graceful stop has to wait for."""
         return (
             self._open_requests
+            + self._desk.open_calls()
             + self._parts.dispatcher.in_flight()
             + self._parts.runner.in_flight()
             + self._parts.runner.unrecorded()
@@ -250,6 +251,7 @@
         left = self.in_flight()
         self._parts.coordinator.end()
         self._parts.runner.end()
+        self._desk.end()
         if left:
             _log.warning('requests given up', left=left)
             self._parts.metrics.add('requests_given_up', left)
--- a/samphiredock/daemon/_operations.py
+++ b/samphiredock/daemon/_operations.py
@@ -1,5 +1,6 @@
 """What operators may ask of this daemon."""
 
+import asyncio
 import typing
 
 from returns import result
@@ -21,6 +22,11 @@
 }
 
 
+_ENDED = 'this daemon stopped; ask another one'
+
+_Outcome = typing.TypeVar('_Outcome')
+
+
 class OperatorDesk:
     """Answers the operators' interface from the parts of the daemon."""
 
@@ -33,6 +39,41 @@
         self._parts = parts
         self._settings = settings
         self._is_ready = is_ready
+        self._ended = False
+        self._calls: set[asyncio.Future] = set()
+
+    def open_calls(self) -> int:
+        """Return how many calls wait for the store."""
+        return len(self._calls)
+
+    def end(self) -> None:
+        """Answer every call that waits; the daemon's time is up."""
+        self._ended = True
+        for waker in self._calls:
+            _wake(waker)
+
+    async def _until_end(
+        self,
+        work: typing.Coroutine[typing.Any, typing.Any, _Outcome],
+        at_end: typing.Callable[[bool], _Outcome],
+    ) -> _Outcome:
+        """Do some work; if the daemon ends first, stop it and say so.
+
+        ``at_end`` makes the answer from whether the work had begun.
+        """
+        if self._ended:
+            work.close()
+            return at_end(False)
+        waker = asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(work)
+        task.add_done_callback(lambda _: _wake(waker))
+        self._calls.add(waker)
+        try:
+            await waker
+            return task.result() if task.done() else at_end(True)
+        finally:
+            self._calls.discard(waker)
+            task.cancel()
 
     def status(self) -> dict[str, typing.Any]:
         """Return the daemon's view of members, sites and targets."""
@@ -64,6 +105,14 @@
         self, change: protocol.ConfigurationChange
     ) -> protocol.ChangeOutcome:
         """Accept a configuration change and push it to all daemons."""
+        return await self._until_end(
+            self._apply(change),
+            lambda begun: self._parts.acceptor.unfinished(change, _ENDED),
+        )
+
+    async def _apply(
+        self, change: protocol.ConfigurationChange
+    ) -> protocol.ChangeOutcome:
         outcome = await self._parts.acceptor.apply(change)
         if isinstance(outcome, protocol.ChangeAccepted):
             self._parts.spread.announce_configuration()
@@ -75,6 +124,16 @@
         typing.Sequence[protocol.ChangeSummary], protocol.OperatorError
     ]:
         """Return the accepted changes, the newest first."""
+        return await self._until_end(
+            self._history(),
+            lambda begun: _ended(_Kind.UNAVAILABLE),
+        )
+
+    async def _history(
+        self,
+    ) -> result.Result[
+        typing.Sequence[protocol.ChangeSummary], protocol.OperatorError
+    ]:
         return result.Success(await self._parts.acceptor.history())
 
     def confirmations(self) -> protocol.Confirmations:
@@ -92,6 +151,13 @@
         self, target: str, leaving: bool
     ) -> result.Result[None, protocol.OperatorError]:
         """Say that a target gets no new work, or gets it again."""
+        return await self._until_end(
+            self._set_leaving(target, leaving), _ended_write
+        )
+
+    async def _set_leaving(
+        self, target: str, leaving: bool
+    ) -> result.Result[None, protocol.OperatorError]:
         configuration = self._parts.configuration
         if configuration is None or target not in configuration.targets:
             return result.Failure(
@@ -122,6 +188,11 @@
         self, fingerprint: str
     ) -> result.Result[None, protocol.OperatorError]:
         """Take one request content out of quarantine."""
+        return await self._until_end(self._release(fingerprint), _ended_write)
+
+    async def _release(
+        self, fingerprint: str
+    ) -> result.Result[None, protocol.OperatorError]:
         listed = {row.fingerprint for row in self._parts.quarantine.listed()}
         released = await self._parts.quarantine.release(fingerprint)
         if isinstance(released, result.Success):
@@ -142,3 +213,23 @@
             target.connections,
             self._parts.is_usable(target.name),
         )
+
+
+def _wake(waker: asyncio.Future) -> None:
+    if not waker.done():
+        waker.set_result(None)
+
+
+def _ended(
+    kind: protocol.OperatorErrorKind,
+) -> result.Result[typing.Any, protocol.OperatorError]:
+    return result.Failure(
+        protocol.OperatorError(kind, _ENDED, _RETRY_AFTER_MS)
+    )
+
+
+def _ended_write(
+    begun: bool,
+) -> result.Result[None, protocol.OperatorError]:
+    # A write that was begun may be in the store, or on its way to it.
+    return _ended(_Kind.UNKNOWN if begun else _Kind.UNAVAILABLE)
--- /dev/null
+++ b/tests/unit/test_operations.py
@@ -0,0 +1,138 @@
+"""What operators are told by a daemon whose time is up."""
+
+import asyncio
+import types
+import typing
+import unittest
+
+from returns import result
+
+from samphiredock.coordination.config import _accept
+from samphiredock.daemon import _operations
+from samphiredock import metrics
+from samphiredock import protocol
+from samphiredock import state
+from samphiredock import transport
+from standins import memory_hosts
+from tests.unit import bases
+
+_Kind = protocol.OperatorErrorKind
+
+
+class _SilentStore:
+    """Takes calls and answers none of those it is told to be silent to."""
+
+    def __init__(self, *silent: str) -> None:
+        self.silent = silent
+        self.calls: list[str] = []
+
+    async def get(self, key: str) -> result.Result:
+        """Read: there is nothing."""
+        return await self._call('get', transport.StoreErrorKind.NOT_FOUND)
+
+    async def put(self, key: str, value: bytes, version: int) -> object:
+        """Write."""
+        return await self._call('put', transport.StoreErrorKind.UNAVAILABLE)
+
+    async def _call(
+        self, name: str, kind: transport.StoreErrorKind
+    ) -> result.Result:
+        self.calls.append(name)
+        if name in self.silent:
+            await asyncio.get_running_loop().create_future()
+        return result.Failure(transport.StoreError(kind, name))
+
+
+class OperatorDeskTest(unittest.IsolatedAsyncioTestCase):
+    """A call waits for the store, and the daemon ends."""
+
+    def _make(self, *silent: str) -> _operations.OperatorDesk:
+        self.store = _SilentStore(*silent)
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        knowledge = types.SimpleNamespace(source=None)
+        acceptor = _accept.Acceptor(
+            self.store, knowledge, memory_hosts.SteppedTimers(), counters
+        )
+        parts = types.SimpleNamespace(
+            acceptor=acceptor,
+            configuration=types.SimpleNamespace(targets={'desk-1': None}),
+            signs=types.SimpleNamespace(
+                set_leaving=lambda name, leaving: self.store.put('', b'', 0)
+            ),
+            quarantine=types.SimpleNamespace(
+                listed=lambda: [],
+                release=lambda name: self.store.put('', b'', 0),
+            ),
+        )
+        return _operations.OperatorDesk(
+            typing.cast(typing.Any, parts),
+            typing.cast(state.Settings, None),
+            lambda: True,
+        )
+
+    async def _ended(
+        self,
+        desk: _operations.OperatorDesk,
+        call: typing.Coroutine,
+        store_call: str,
+    ) -> object:
+        """End the daemon when the store has the call; return the outcome."""
+        task = asyncio.create_task(call)
+        while store_call not in self.store.calls:
+            await asyncio.sleep(0)
+        self.assertEqual(1, desk.open_calls())
+        desk.end()
+        outcome = await task
+        self.assertEqual(0, desk.open_calls())
+        return outcome
+
+    def _change(self, repeated: bool = False) -> protocol.ConfigurationChange:
+        return protocol.ConfigurationChange(
+            0, 'mine', 'operator', bases.base(), {}, repeated
+        )
+
+    async def test_change_not_written(self) -> None:
+        """It waited for a read: nothing was, and will be, changed."""
+        desk = self._make('get')
+        ended = await self._ended(desk, desk.apply(self._change()), 'get')
+        self.assertIsInstance(ended, protocol.ChangeUnavailable)
+        await asyncio.sleep(0)
+        self.assertEqual(['get'], self.store.calls)
+
+    async def test_change_perhaps_written(self) -> None:
+        """The write is out: nobody knows here whether it takes effect."""
+        desk = self._make('put')
+        ended = await self._ended(desk, desk.apply(self._change()), 'put')
+        self.assertIsInstance(ended, protocol.ChangeUnknown)
+
+    async def test_change_tried_before(self) -> None:
+        """An earlier call for it may have changed something."""
+        desk = self._make('get')
+        change = self._change(repeated=True)
+        ended = await self._ended(desk, desk.apply(change), 'get')
+        self.assertIsInstance(ended, protocol.ChangeUnknown)
+
+    async def test_writes_that_wait(self) -> None:
+        """Both may be in the store."""
+        for make in (
+            lambda desk: desk.set_leaving('desk-1', True),
+            lambda desk: desk.release('f'),
+        ):
+            desk = self._make('put')
+            ended = await self._ended(desk, make(desk), 'put')
+            self.assertIs(_Kind.UNKNOWN, ended.failure().kind)
+
+    async def test_calls_after_the_end(self) -> None:
+        """They are refused, and the store is not asked."""
+        desk = self._make()
+        desk.end()
+        changed = await desk.apply(self._change())
+        self.assertIsInstance(changed, protocol.ChangeUnavailable)
+        for ended in (
+            await desk.set_leaving('desk-1', True),
+            await desk.release('f'),
+            await desk.history(),
+        ):
+            self.assertIs(_Kind.UNAVAILABLE, ended.failure().kind)
+        self.assertEqual([], self.store.calls)
