A request that waits behind another is answered when the daemon stops

A caller that sent two requests on one connection to a daemon that stops got the answer to the first, and its connection closed. The second had been read; nothing said whether it was run.

Cause: every answer of a stopping daemon closed its connection, and the HTTP library drops what is queued on a connection that closes.

Now only the answer to the last request that was read closes it; the others behind the first are served or refused in their turn, by the stop's phase.

Before: one answer, then the connection's end.

Left: bytes that arrive in the one or two turns of the event loop in which the doors close are dropped by the library, like those that arrive a moment later.

--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -74,9 +74,9 @@
     status: int
     detail: str
 
-    def response(self, service: Service) -> web.Response:
+    def response(self) -> web.Response:
         """Return the refusal as a typed body."""
-        return _respond(service, _bad(self.detail), self.status)
+        return _respond(_bad(self.detail), self.status)
 
 
 def caller_application(
@@ -98,7 +98,10 @@
     counters = counters or metrics.Metrics('callers')
     app = web.Application(
         client_max_size=body_limit_bytes,
-        middlewares=[_http_guard.guard(counters, 'callers', _error_body)],
+        middlewares=[
+            _closing(service),
+            _http_guard.guard(counters, 'callers', _error_body),
+        ],
     )
     app.router.add_post('/v1/search', handlers.search)
     app.router.add_post('/v1/run', handlers.run)
@@ -107,6 +110,27 @@
     return app
 
 
+def _closing(service: Service) -> typing.Callable:
+    """Return a middleware that ends connections of a daemon that stops.
+
+    Only the answer to the last request that was read ends one: those that
+    wait behind it would be dropped, with neither answer nor refusal.
+    """
+
+    @web.middleware
+    async def closing(
+        request: web.Request, handler: typing.Callable
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        if service.is_closing() and not _http_guard.waits_behind(
+            request.protocol
+        ):
+            response.force_close()
+        return response
+
+    return closing
+
+
 class _Handlers:
     """One method a route."""
 
@@ -119,16 +143,16 @@
     async def search(self, request: web.Request) -> web.Response:
         body = await _read(request, _SEARCH, self._body_limit_bytes())
         if isinstance(body, _Refusal):
-            return body.response(self._service)
-        return _respond(self._service, await self._service.search(body))
+            return body.response()
+        return _respond(await self._service.search(body))
 
     async def run(self, request: web.Request) -> web.Response:
         body = await _read(request, _RUN, self._body_limit_bytes())
         if isinstance(body, _Refusal):
-            return body.response(self._service)
+            return body.response()
         key = _idempotency_key(request)
         if isinstance(key, _Refusal):
-            return key.response(self._service)
+            return key.response()
         order = protocol.RunRequest(
             body.service,
             body.operation,
@@ -136,7 +160,7 @@
             protocol.issue_time_ms(key),
             body.deadline_ms,
         )
-        return _respond(self._service, await self._service.run(order, key))
+        return _respond(await self._service.run(order, key))
 
     async def live(self, request: web.Request) -> web.Response:
         return web.Response(text='live\n')
@@ -208,7 +232,7 @@
 
 
 def _respond(
-    service: Service, outcome: protocol.Outcome, status: int | None = None
+    outcome: protocol.Outcome, status: int | None = None
 ) -> web.Response:
     headers = {}
     if status is None:
@@ -216,15 +240,12 @@
     retry_after_ms = getattr(outcome, 'retry_after_ms', 0)
     if retry_after_ms:
         headers['Retry-After'] = str(-(-retry_after_ms // 1000))
-    response = web.Response(
+    return web.Response(
         status=status,
         body=msgspec.json.encode(outcome),
         content_type=_http_guard.JSON_TYPE,
         headers=headers,
     )
-    if service.is_closing():
-        response.force_close()
-    return response
 
 
 def _status_of(outcome: protocol.Outcome) -> int:
--- a/standins/memory_services.py
+++ b/standins/memory_services.py
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         self.outcome: protocol.Outcome = protocol.Answered([], 1, 1.0)
         self.error: Exception | None = None
+        self.closing = False
         self.asked: list[object] = []
         self.issued_at_ms: set[int] = set()
 
@@ -36,8 +37,8 @@
         return True
 
     def is_closing(self) -> bool:
-        """Never closing."""
-        return False
+        """As the test says."""
+        return self.closing
 
     def _answer(self, asked: object) -> typing.Any:
         self.asked.append(asked)
--- a/tests/unit/test_caller_http.py
+++ b/tests/unit/test_caller_http.py
@@ -42,6 +42,31 @@
         async with self.client.post(path, data=data, headers=names) as got:
             return got.status, await got.json(), got.headers
 
+    async def test_a_closing_daemon_answers_what_waits(self) -> None:
+        """Two requests come on one connection, and both are answered.
+
+        The connection ends with the answer to the last one that was read:
+        ended by the first, it would take the second with it.
+        """
+        self.service.closing = True
+        body = msgspec.json.encode(SEARCH)
+        request = (
+            b'POST /v1/search HTTP/1.1\r\nHost: daemon\r\n'
+            b'Content-Type: application/json\r\n'
+            b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+        )
+        reader, writer = await asyncio.open_connection(
+            self.client.host, self.client.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(request * 2)
+        async with asyncio.timeout(10.0):
+            answers = (await reader.read()).split(b'HTTP/1.1 ')[1:]
+        self.assertEqual([b'200', b'200'], [row[:3] for row in answers])
+        self.assertEqual(
+            [False, True], [b'Connection: close' in row for row in answers]
+        )
+
     async def test_bad_input_has_its_own_status_and_starts_nothing(
         self,
     ) -> None:
