Tests: half a request, a kept connection, two daemons stopped at once

Three more ways to the end of a stop. A body that never comes whole held the daemon for the HTTP library's 60 s; a request on a kept connection is refused while an older one is open, and that one is answered; daemons that wait for each other answer the callers of both.

That a wait begun after the end ends at once is not needed by any test: the callers' own checks come before it.

--- a/tests/process/test_stop_limit.py
+++ b/tests/process/test_stop_limit.py
@@ -11,6 +11,7 @@
 from tests.process import system as systems
 
 _DAEMON = 'entry-1'
+_OTHER = 'entry-2'
 _LIMIT_MS = 1_500
 _LONG_MS = 60_000
 """Deadlines, and silence before a target counts as lost: far past the
@@ -86,8 +87,17 @@
             self.system.kill(_DAEMON, signal.SIGTERM)
             await asyncio.sleep(_POLL_S)
 
-    async def _assert_ended(self) -> None:
-        process = self.system.processes[_DAEMON]
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        place = self.system.daemons[_DAEMON]
+        url = urllib.parse.urlsplit(place.caller_url)
+        reader, writer = await asyncio.open_connection(url.hostname, url.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def _assert_ended(self, daemon: str = _DAEMON) -> None:
+        process = self.system.processes[daemon]
         async with asyncio.timeout(_WAIT_S):
             while process.poll() is None:
                 await asyncio.sleep(_POLL_S)
@@ -175,10 +185,7 @@
         """Two on one connection: the second was read and waits."""
         before = len(self._executed('sub-query'))
         await self._silence(*self.system.target_urls)
-        place = self.system.daemons[_DAEMON]
-        url = urllib.parse.urlsplit(place.caller_url)
-        reader, writer = await asyncio.open_connection(url.hostname, url.port)
-        self.addCleanup(writer.close)
+        reader, writer = await self._connect()
         writer.write(_search_bytes() * 2)
         await self._until_executed('sub-query', before + 1)
         await self._stop()
@@ -189,6 +196,58 @@
         self.assertIn(b'shutting-down', answers[1])
         await self._assert_ended()
 
+    async def test_half_a_request_does_not_hold_the_daemon(self) -> None:
+        """Its body never comes whole; the daemon ends all the same."""
+        _, writer = await self._connect()
+        writer.write(_search_bytes()[:-1])
+        await asyncio.sleep(_POLL_S)
+        await self._stop()
+        await self._assert_ended()
+
+    async def test_request_on_a_kept_connection_is_refused(self) -> None:
+        """It comes when new ones are refused and old ones are open."""
+        reader, writer = await self._connect()
+        writer.write(_search_bytes())
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b'200 OK', head)
+        length = head.lower().partition(b'content-length: ')[2]
+        await reader.readexactly(int(length.split(b'\r\n')[0]))
+        before = len(self._executed('sub-query'))
+        await self._silence(*self.system.target_urls)
+        search = asyncio.create_task(self.system.search(_DAEMON, _TERMS))
+        await self._until_executed('sub-query', before + 1)
+        await self._stop(2)
+        writer.write(_search_bytes())
+        async with asyncio.timeout(_WAIT_S):
+            answer = await reader.read()
+        self.assertIn(b'503 Service Unavailable', answer)
+        self.assertIn(b'Connection: close', answer)
+        self.assertIn(b'shutting-down', answer)
+        self.assertEqual('unknown', (await search).kind_of_outcome)
+        await self._assert_ended()
+
+    async def test_two_daemons_stopped_at_once(self) -> None:
+        """Each waits for the other as well; callers of both are answered."""
+        runs = len(self._executed('run'))
+        await self._silence(*self.system.target_urls)
+        keys = [self.system.new_key() for _ in range(2)]
+        calls = []
+        for daemon, key in zip((_DAEMON, _OTHER), keys):
+            calls += [
+                asyncio.create_task(self.system.search(daemon, _TERMS)),
+                asyncio.create_task(self.system.pay(daemon, key)),
+            ]
+        await self._until_executed('run', runs + 2)
+        self.system.kill(_OTHER, signal.SIGTERM)
+        await self._stop()
+        ended = await asyncio.gather(*calls)
+        self.assertEqual(
+            ['unknown'] * 4, [call.kind_of_outcome for call in ended]
+        )
+        await self._assert_ended(_OTHER)
+        await self._assert_ended()
+        self.assertEqual(runs + 2, len(self._executed('run')))
+
 
 def _search_bytes() -> bytes:
     body = msgspec.json.encode(
