Storms in which daemons end truthfully instead of being killed

Twenty storms of freezes, outages, lost messages and lost store answers, in which daemons are told that their time is up and exit a second later.

--- a/tests/failure/test_stopped_runs.py
+++ b/tests/failure/test_stopped_runs.py
@@ -1,10 +1,20 @@
 """A daemon whose time is up tells what became of each request."""
 
+import asyncio
+import unittest
+from unittest import mock
+
+from samphiredock import metrics
 from samphiredock import protocol
+from samphiredock.state import _claims
 from standins import memory_runners
+from tests import history_runs
 from tests import simulation_runs
 
 _KEY = 'payout-7'
+_STORMS = 20
+_LAST_WORDS_MS = 1_000.0
+"""Between a daemon's end and its exit: answers leave, claims are closed."""
 _Reason = protocol.NotRunReason
 
 
@@ -107,3 +117,54 @@
         outcome = await self.assert_told(call, protocol.NotRun)
         self.assertIs(_Reason.SHUTTING_DOWN, outcome.reason)
         await self._assert_retry(protocol.Completed, 1)
+
+
+class _StopStorm(simulation_runs.Storm):
+    """Daemons end truthfully before they are gone, instead of being killed."""
+
+    def _kill(self) -> None:
+        daemon = self._any()
+        daemon.runner.end()
+        self.system.faults['end'] += 1
+        self.system.clock.after(_LAST_WORDS_MS, lambda: self._exit(daemon))
+
+    def _exit(self, daemon: memory_runners.Daemon) -> None:
+        if self.system.daemons[daemon.name] is daemon:
+            self.system.kill(daemon)
+            self.system.start(daemon.name)
+
+
+class StopStormTest(unittest.TestCase):
+    """Many failures at once, from a seed, while daemons are stopped."""
+
+    def test_storms(self) -> None:
+        """Callers retry at every daemon while daemons end under them.
+
+        Each key runs once at most, and what callers were told, at a
+        daemon's end too, agrees with it.
+        """
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        found: list[str] = []
+        ends = refused = 0
+        with mock.patch.object(_claims, 'BUCKETS', 2):
+            for number in range(_STORMS):
+                seed = simulation_runs.SEED + number
+                storm = _StopStorm(seed, counters)
+                asyncio.run(storm.run())
+                history = storm.system.history
+                found += [
+                    f'seed {seed}: {text}'
+                    for text in history_runs.violations(history)
+                ]
+                ends += storm.system.faults['end']
+                refused += sum(
+                    isinstance(outcome, protocol.NotRun)
+                    and outcome.reason is _Reason.SHUTTING_DOWN
+                    for outcome in (
+                        getattr(event, 'outcome', None) for event in history
+                    )
+                )
+        self.assertEqual([], found)
+        self.assertGreater(ends, 30)
+        self.assertGreater(refused, 30)
