A connection that opens as its server closes is not overlooked

Seen (found by reading, shown by a test of each turn of the loop): a caller connects as a stop closes the doors; its request is handled, the process ends, the connection breaks with no answer, and no counter tells of it.

Cause: an accepted connection is open one turn later; the server saw none and counted as closed. Ruled out: later turns (the caller is refused) and earlier ones (the connection is seen).

Change: one turn passes between the end of listening and the first look.

--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -79,8 +79,9 @@
         """
         if self._server is not None:
             self._server.close()
-        if self._checking is not None:
-            self._checking.cancel()
+        # One that was accepted a moment ago is open after this turn; not seen,
+        # its request would be taken by a server that counts as closed.
+        await asyncio.sleep(0)
         ends_ms = self._clock.now_ms() + limit_ms
         while self._connections and self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import typing
 import unittest
 
@@ -321,6 +322,37 @@
                 if not isinstance(made, BaseException):
                     made[1].close()
 
+    async def test_what_is_handled_is_answered_when_it_has_closed(
+        self,
+    ) -> None:
+        """The process ends then, and with it whatever still runs.
+
+        A connection is accepted as the server closes, but open only a turn
+        later, when the server seemed to have none.
+        """
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        clock = timers.LoopTimers()
+        self.addCleanup(clock.close)
+        door = transport.Door(self._handle, lambda: True, state.CallerLimits)
+        for turns in range(8):
+            self.begun.clear()
+            server = transport.EntryServer(door, counters, clock)
+            await server.start('127.0.0.1:0', 16)
+            host, _, port = server.address().partition(':')
+            with socket.create_connection((host, int(port))) as caller:
+                caller.sendall(b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await server.close(30_000.0)
+                # What comes only now would be lost with the process.
+                caller.setblocking(False)
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                with self.subTest(turns=turns):
+                    if self.begun.is_set():
+                        self.assertIn(b' 200 ', caller.recv(100))
+
     async def test_a_request_that_is_read_as_it_closes_is_answered(
         self,
     ) -> None:
