A request behind an answer that still leaves is answered as a door closes

Seen: a caller reads a large answer slowly and sends its next request; the answer did not say that it is the last. The request was read and dropped, and its connection ended half a second later.

Cause: a closing server ended such a connection at once, since nothing was under way on it. Ruled out: the answer itself, which came whole.

Change: it is left alone until the answer has left. Its test, which saw only that the answer is whole, now wants the next request answered too.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -313,16 +313,17 @@
                 self._next()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is under way.
+        """Close the connection unless something is under way on it.
 
-        One whose last answer is on its way closes by itself.
+        Until the caller has read an answer that did not say that it is the
+        last one, it may send its next request.  One whose last answer is on
+        its way closes by itself.
         """
-        if self._lingers or not self._is_idle():
+        transport = self._open_transport()
+        if self._lingers or transport.get_write_buffer_size():
             return
-        if self._open_transport().get_write_buffer_size():
-            self._finish()
-        else:
-            self._open_transport().close()
+        if self._is_idle():
+            transport.close()
 
     def cut(self) -> bool:
         """Close the connection, and with it what runs on it.
--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -675,7 +675,10 @@
     async def test_a_slow_reader_has_its_answer_as_the_server_closes(
         self,
     ) -> None:
-        """It was not told of the end, and sends its next request."""
+        """It was not told of the end, and sends its next request.
+
+        That one is read, and must not be dropped without a word.
+        """
         self.writer.write(_request('/large'))
         await self.begun.wait()
         await self._turns()
@@ -683,7 +686,26 @@
         await self._turns()
         self.writer.write(_request('/late'))
         await self._turns()
-        await self._check_whole()
+        answers = await self._rest()
+        large, _, late = answers.rpartition(b'HTTP/1.1 200 ')
+        self.assertEqual(_LARGE, large.partition(b'\r\n\r\n')[2])
+        self.assertTrue(late.endswith(b'/late'))
+        self.writer.close()
+        await asyncio.wait_for(closing, 10.0)
+
+    async def test_a_head_that_does_not_come_is_refused_as_it_closes(
+        self,
+    ) -> None:
+        """It would hold the close, and with it a stop, to its very end."""
+        self.writer.write(b'GET /b HTTP/1.1\r\nX: ')
+        await self._turns()
+        closing = asyncio.create_task(self.server.close(60_000.0))
+        await self._turns()
+        for _ in range(10):
+            self.clock.advance(500.0)
+        await self._turns()
+        self.clock.advance(1_000.0)
+        self.assertIn(b' 408 ', await self._rest())
         self.writer.close()
         await asyncio.wait_for(closing, 10.0)
 
