Heads that do not come are refused while a server closes, too

Seen: half of a head held a stop to its very end and was counted as cut. Cause: the check of heads ended as the close began.

--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -88,6 +88,9 @@
                 connection.close_if_idle()
             await asyncio.sleep(_LOOK_MS / 1000.0)
         self.cut()
+        # Only now: a head that does not come would hold the close.
+        if self._checking is not None:
+            self._checking.cancel()
 
     def cut(self) -> int:
         """Close the connections that are left.
@@ -95,7 +98,7 @@
         Returns how many had a request without an answer, or an answer that
         was not out yet.
         """
-        return sum([connection.cut() for connection in self._connections])
+        return sum(connection.cut() for connection in self._connections)
 
     def _connect(self) -> _entry_connection.EntryConnection:
         return _entry_connection.EntryConnection(
