The last answers of a stop get 0.3 s; a door that fails to close is cut

Cause: 0.1 of the 0.5 s that are kept before the kill were used for the answers, so that a caller that reads slowly lost one that was ready; and a door whose close raised counted as closed, with requests open behind it.

--- a/samphiredock/daemon/_doors.py
+++ b/samphiredock/daemon/_doors.py
@@ -11,6 +11,10 @@
 _LOOK_MS = 20.0
 """How often it is seen whether the stop's time is over."""
 
+_LAST_ANSWERS_MS = 300.0
+"""How long the last answers may take to leave, for callers that read slowly;
+less than is kept before the kill."""
+
 
 async def close_all(
     servers: abc.Sequence[transport.EntryServer],
@@ -45,16 +49,18 @@
         for server in servers
     ]
     while left_ms() > 0.0:
-        if not await _wait(closing, _LOOK_MS):
+        if await _are_closed(closing, _LOOK_MS):
             return 0
     give_up()
-    await _wait(closing, transport.CLOSE_MS)
+    await _are_closed(closing, _LAST_ANSWERS_MS)
     cut = sum(server.cut() for server in servers)
     await asyncio.wait(closing)
     return cut
 
 
-async def _wait(closing: list[asyncio.Task[None]], limit_ms: float) -> bool:
-    """Wait until all doors are closed; whether some are left."""
-    _, left = await asyncio.wait(closing, timeout=limit_ms / 1000.0)
-    return bool(left)
+async def _are_closed(
+    closing: list[asyncio.Task[None]], limit_ms: float
+) -> bool:
+    """Wait until all doors are closed; false if one is not, or has failed."""
+    done, left = await asyncio.wait(closing, timeout=limit_ms / 1000.0)
+    return not left and not any(task.exception() for task in done)
