A coordinator whose own code failed is not waited for until the deadline

Seen (by reading): the daemon that handed a request over gets a 500 that lacks what the hop adds, takes it for another request's answer, and its caller waits for a final answer until the deadline.

Change: a failure may lack the id, as those of targets may; it promises nothing and nobody else is asked. Measured: new test fails before, passes after.

--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -196,13 +196,25 @@
     def is_reply_to(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
     ) -> bool:
-        """Whether an answer belongs to this request and to no other."""
-        return reply.header(_ID) == request.request_id
+        """Whether an answer belongs to this request and to no other.
+
+        Only a failure may lack the id: that of a daemon whose own code
+        failed, which would else be waited for until the deadline.
+        """
+        echoed = reply.header(_ID)
+        if echoed is None:
+            return reply.status >= 400
+        return echoed == request.request_id
 
     def read_reply(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
     ) -> protocol.TargetReply:
         """A coordinator's answer is the caller's, unless it refused."""
+        if reply.header(_ID) is None:
+            # It may have sent the request on before it failed.
+            return protocol.TargetReply(
+                _Status.BROKEN, reply, detail=f'status {reply.status}'
+            )
         if reply.header(_REFUSED) is not None:
             return protocol.TargetReply(_Status.SHED, reply, detail='refused')
         version = reply.header(_VERSION) or ''
--- a/tests/unit/test_roles.py
+++ b/tests/unit/test_roles.py
@@ -155,6 +155,19 @@
         read = self.dialect.read_reply(self.request, reply)
         self.assertIs(protocol.SubStatus.SHED, read.status)
 
+    def test_a_failure_of_its_code_is_not_waited_out(self) -> None:
+        """Its caller would wait for an answer until the deadline.
+
+        The server behind which the code failed knows nothing of the hop.
+        The request may have been sent on: nobody else is asked.
+        """
+        reply = protocol.HttpReply(500, (), b'internal error, see the log')
+        self.assertTrue(self.dialect.is_reply_to(self.request, reply))
+        read = self.dialect.read_reply(self.request, reply)
+        self.assertIs(protocol.SubStatus.BROKEN, read.status)
+        other = protocol.HttpReply(200, (), b'')
+        self.assertFalse(self.dialect.is_reply_to(self.request, other))
+
     def test_its_own_503_is_the_callers_answer(self) -> None:
         """The coordinator has given the request up; it is not tried anew."""
         reply = forwarding.coordinator_reply(
