A stop's end reaches what other daemons wait for

Seen: a daemon whose stop is over closed the connections of other daemons with requests on them: an order at silent targets, and a hand-over that waits for the store. Nothing of the latter had run, and its caller was told that it may have.

Cause: only the requests of the forwarders were ended; orders and the question to the store are waits of their own. Ruled out: untruth (a lost order counts as begun).

Change: orders end at once, new ones are refused, and nobody waits for the store's answer any longer; the hand-over is refused, and goes to another daemon.

--- a/samphiredock/coordination/forwarding/_merger.py
+++ b/samphiredock/coordination/forwarding/_merger.py
@@ -16,6 +16,17 @@
 _End = _merge_gathering.Part | protocol.EndedItem
 
 
+class _Gathered:
+    """The end of the time to gather."""
+
+
+class _GivenUp:
+    """The end of this daemon's time."""
+
+
+_Event = _End | _Gathered | _GivenUp
+
+
 class Merger:
     """Asks the targets that orders name.
 
@@ -41,6 +52,17 @@
         self._clock = clock
         self._metrics = counters
         self._log = _request_log.RequestLog(clock, counters)
+        self._events: set[asyncio.Queue[_Event]] = set()
+
+    def give_up(self) -> None:
+        """End every order now: this daemon stops.
+
+        The daemon that has the search learns at once that nothing more will
+        come, and asks others; it would learn it only from the end of the
+        process else.
+        """
+        for events in self._events:
+            events.put_nowait(_GivenUp())
 
     def close(self) -> None:
         """Write the lines that wait."""
@@ -51,25 +73,33 @@
     ) -> typing.AsyncGenerator[protocol.MergeReport, None]:
         """Yield what comes of an order; closing this ends its exchanges."""
         gathering = _merge_gathering.Gathering(order)
-        ends: asyncio.Queue[_End | None] = asyncio.Queue()
+        events: asyncio.Queue[_Event] = asyncio.Queue()
         request = order.request()
         tasks = [
-            asyncio.create_task(self._ask(request, item, order.left_ms, ends))
+            asyncio.create_task(
+                self._ask(request, item, order.left_ms, events)
+            )
             for item in order.items
         ]
         self._metrics.add('orders_taken')
         self._metrics.add('order_items', len(tasks))
         timer = self._clock.after(
-            order.gather_ms, functools.partial(ends.put_nowait, None)
+            order.gather_ms,
+            functools.partial(events.put_nowait, _Gathered()),
         )
         told = _Told(self._clock.now_ms())
+        self._events.add(events)
         try:
             while not gathering.is_over():
-                report = _take(gathering, await ends.get())
+                event = await events.get()
+                if isinstance(event, _GivenUp):
+                    return
+                report = _take(gathering, event)
                 if report is not None:
                     told.add(report)
                     yield report
         finally:
+            self._events.discard(events)
             timer.cancel()
             for task in tasks:
                 task.cancel()
@@ -95,13 +125,13 @@
         request: protocol.ForwardRequest,
         item: protocol.OrderedItem,
         left_ms: float,
-        ends: asyncio.Queue[_End | None],
+        events: asyncio.Queue[_Event],
     ) -> None:
         sent_ms = self._clock.now_ms()
         target = self._asker.target(item.target)
         if target is None or target.service != item.service or target.leaving:
             self._metrics.add('order_items_refused')
-            ends.put_nowait(
+            events.put_nowait(
                 protocol.EndedItem(
                     item.number,
                     protocol.SubStatus.NOT_ORDERED,
@@ -116,11 +146,11 @@
             assert asked.reply is not None
             receipt = asked.reply.receipt or ''
             body = asked.reply.reply.body
-            ends.put_nowait(
+            events.put_nowait(
                 _merge_gathering.Part(item.number, receipt, took_ms, body)
             )
             return
-        ends.put_nowait(
+        events.put_nowait(
             protocol.EndedItem(
                 item.number,
                 asked.status,
@@ -151,11 +181,11 @@
 
 
 def _take(
-    gathering: _merge_gathering.Gathering, end: _End | None
+    gathering: _merge_gathering.Gathering, event: _End | _Gathered
 ) -> protocol.MergeReport | None:
-    """Give an end, or None for the end of the time to gather."""
-    if end is None:
+    """Give an event to the gathering; return what is to be reported."""
+    if isinstance(event, _Gathered):
         return gathering.on_gathered()
-    if isinstance(end, protocol.EndedItem):
-        return gathering.on_failure(end)
-    return gathering.on_part(end)
+    if isinstance(event, protocol.EndedItem):
+        return gathering.on_failure(event)
+    return gathering.on_part(event)
--- a/samphiredock/daemon/_entry_knowledge.py
+++ b/samphiredock/daemon/_entry_knowledge.py
@@ -1,5 +1,6 @@
 """What an entry daemon learns from the store, and which part it has."""
 
+import asyncio
 import collections
 
 from returns import result
@@ -76,6 +77,7 @@
         self._clock = clock
         self._metrics = counters
         self._unreadable: set[str] = set()
+        self._given_up = asyncio.Event()
         self._settled = False
         self._settling_targets = 0
         self._settling_since_ms = 0.0
@@ -132,6 +134,10 @@
         """Remove this daemon's object from the store."""
         await self._presence.leave()
 
+    def give_up(self) -> None:
+        """Have nobody wait for the store any longer: this daemon stops."""
+        self._given_up.set()
+
     def close(self) -> None:
         """Stop learning."""
         self._watcher.close()
@@ -261,12 +267,25 @@
                 return False
         if self.version() >= least_version:
             return True
-        key = self._adapter.routing_key
-        reply = await self._store.get(key)
-        if isinstance(reply, result.Success):
-            self._take_routing(reply.unwrap())
+        await self._read_routing()
         return self.version() >= least_version
 
+    async def _read_routing(self) -> None:
+        """Ask the store for the routing table, until this daemon stops."""
+        reading = asyncio.ensure_future(
+            self._store.get(self._adapter.routing_key)
+        )
+        ending = asyncio.ensure_future(self._given_up.wait())
+        try:
+            await asyncio.wait(
+                (reading, ending), return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done() and isinstance(reading.result(), result.Success):
+                self._take_routing(reading.result().unwrap())
+        finally:
+            reading.cancel()
+            ending.cancel()
+
     # Which daemons coordinate.
 
     def _on_daemons(self, daemons: tuple[forwarding.Daemon, ...]) -> None:
--- a/samphiredock/daemon/_entry_service.py
+++ b/samphiredock/daemon/_entry_service.py
@@ -101,6 +101,7 @@
             self._stale_handover,
         )
         self._open_requests = 0
+        self._has_given_up = False
         knowledge.targets.on_gone(self._links.forget)
         knowledge.targets.on_new(self._warm_later)
         knowledge.peers.on_gone(self._peer_links.forget)
@@ -122,7 +123,14 @@
         ]
 
     def give_up(self) -> None:
-        """Answer every request now, with what is true of it now."""
+        """Answer every request now, with what is true of it now.
+
+        Those of other daemons as well: what was not begun they can still
+        have run elsewhere.
+        """
+        self._has_given_up = True
+        self._knowledge.give_up()
+        self._merger.give_up()
         for forwarder in self._forwarders:
             forwarder.give_up()
 
@@ -306,6 +314,8 @@
         self, body: bytes
     ) -> protocol.HttpReply | protocol.StreamedReply:
         """Begin to carry out an order, or refuse what cannot be read."""
+        if self._has_given_up:
+            return protocol.HttpReply(503, body=b'this daemon is stopping')
         read = protocol.read_order(body)
         if isinstance(read, result.Failure):
             self._metrics.add('orders_unreadable')
--- a/tests/failure/test_merged_crossing.py
+++ b/tests/failure/test_merged_crossing.py
@@ -363,6 +363,22 @@
         self.assertEqual(0, outcome.missing)
         self.check_bound()
 
+    async def test_one_that_gives_up_costs_a_hedge(self) -> None:
+        """It stops, and its time is over while targets work for it.
+
+        It ends its orders at once; the search asks other targets, without
+        waiting for the end of its process.
+        """
+        await self._ask()
+        stopping = self.links.seen[0].merger
+        self.desk.mergers[stopping].give_up()
+        await memory_links.settle()
+        self.answer_all()
+        outcome = await self.outcome(4)
+        self.check_whole(outcome)
+        self.assertEqual(0, outcome.missing)
+        self.check_bound()
+
     async def test_a_target_of_another_service_is_not_asked(self) -> None:
         """An order names a target that has changed its service since.
 
--- a/tests/unit/test_entry_knowledge.py
+++ b/tests/unit/test_entry_knowledge.py
@@ -20,6 +20,7 @@
     def __init__(self, clock: timers.ManualTimers) -> None:
         self._clock = clock
         self.is_lost = False
+        self.is_silent = False
         self.refuses = False
         self.watches = 0
 
@@ -32,7 +33,9 @@
         return result.Success(())
 
     async def get(self, key: str) -> result.Result:
-        """Have nothing newer."""
+        """Have nothing newer, or be silent."""
+        if self.is_silent:
+            await asyncio.Event().wait()
         return self._lost()
 
     async def watch(
@@ -102,6 +105,21 @@
         await self._advance(1_000.0)
         self.assertFalse(await self.knowledge.knows(0, False))
 
+    async def test_a_stop_does_not_wait_for_the_store(self) -> None:
+        """A request is handed over with a newer version than is known here.
+
+        The store is asked for it and stays silent.  The daemon stops, and
+        refuses the request while the other one can still ask a third.
+        """
+        self.store.is_silent = True
+        knowing = asyncio.create_task(self.knowledge.knows(9, False))
+        await memory_links.settle()
+        self.assertFalse(knowing.done())
+        self.knowledge.give_up()
+        await memory_links.settle()
+        self.assertTrue(knowing.done())
+        self.assertFalse(await knowing)
+
     async def test_it_serves_while_others_vouch_for_it(self) -> None:
         """One that hears the store knows no newer version than this one."""
         self.store.is_lost = True
