The pages for balancer and metrics close after the doors

Cause: closed with the doors, the counters of a stop's end could never be read, and the balancer's question was refused instead of answered. Requests are given up before the log tells of it: a line that fails must not leave them cut.

--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -100,7 +100,8 @@
             _LAST_CALL_MS,
         )
         self._stopped = asyncio.Event()
-        self._servers: list[transport.EntryServer] = []
+        self._doors: list[transport.EntryServer] = []
+        self._pages: list[transport.EntryServer] = []
         self._said_ready = False
 
     def is_closing(self) -> bool:
@@ -130,13 +131,25 @@
         self._knowledge.start()
         self._service.start()
         settings = self._settings
-        await self._listen(self._service.handle_peer, settings.peer_address)
-        await self._listen(self._say_ready, settings.ready_address)
+        self._doors.append(
+            await self._listen(
+                self._service.handle_peer, settings.peer_address
+            )
+        )
+        self._pages.append(
+            await self._listen(self._say_ready, settings.ready_address)
+        )
         if settings.metrics_address is not None:
-            await self._listen(self._show_metrics, settings.metrics_address)
+            self._pages.append(
+                await self._listen(
+                    self._show_metrics, settings.metrics_address
+                )
+            )
         await self._wait_for_knowledge()
-        await self._listen(
-            self._service.handle, settings.caller_address, self._callers
+        self._doors.append(
+            await self._listen(
+                self._service.handle, settings.caller_address, self._callers
+            )
         )
         _log.notice('started', name=settings.name, site=settings.site)
 
@@ -154,11 +167,11 @@
         handle: transport.Handle,
         address: str,
         listening: socket.socket | None = None,
-    ) -> None:
+    ) -> transport.EntryServer:
         door = transport.Door(handle, self.is_closing, self._knowledge.limits)
         server = transport.EntryServer(door, self._metrics, self._clock)
-        self._servers.append(server)
         await server.start(address, early.BACKLOG, listening)
+        return server
 
     async def _say_ready(
         self, method: str, path: str, headers: protocol.Headers, body: bytes
@@ -211,12 +224,12 @@
     async def wait_stopped(self) -> None:
         """Wait until a shutdown has gone through all its phases."""
         await self._stopped.wait()
-        cut = await _doors.close_all(
-            self._servers, self._left_ms, self._give_up
-        )
+        cut = await _doors.close_all(self._doors, self._left_ms, self._give_up)
         if cut:
             _log.error('requests cut', connections=cut)
             self._metrics.add('requests_cut', cut)
+        # Who watches the stop sees its counters until the end.
+        await asyncio.gather(*(page.close() for page in self._pages))
         self._knowledge.close()
         self._service.close()
         self._store_calls.close()
@@ -229,10 +242,11 @@
 
     def _give_up(self) -> None:
         left = self._service.open_requests()
+        oldest = self._oldest()
+        self._service.give_up()
         if left:
-            _log.warning('requests given up', left=left, oldest=self._oldest())
+            _log.warning('requests given up', left=left, oldest=oldest)
             self._metrics.add('requests_given_up', left)
-        self._service.give_up()
 
     def _on_phase(self, phase: _shutdown.Phase) -> None:
         _log.notice(
