The tests of a second and third signal wait for the phase between them

Cause: signals that nobody has taken yet count as one; in one run the third was not seen, and the tests would have passed with one.

--- a/tests/process/test_stop_end.py
+++ b/tests/process/test_stop_end.py
@@ -69,8 +69,11 @@
         ]
         for request_id in ('f1', 'p1', 's1'):
             await self._until_sent(request_id)
-        for number in signals[:-1]:
+        for number, phase in zip(signals[:-1], ('leaving', 'draining')):
+            # Signals that nobody has taken yet count as one.
             self.system.send('one', signal.Signals(number))
+            while f'"phase":"{phase}"' not in self.system.log('one'):
+                await asyncio.sleep(0.01)
         exit_status = await self.system.stop_daemon(
             'one', signal.Signals(signals[-1])
         )
