Tests that fail: a request waits in its daemon while connections are idle

Symptom: a request that must run once gets no answer in its whole time, and no target ever sees it, some seconds after a daemon was restarted. Its daemon has chosen a target and waits for a connection to it, though all of them are idle.

--- a/tests/unit/test_http_channel.py
+++ b/tests/unit/test_http_channel.py
@@ -215,6 +215,69 @@
         )
         self.assertEqual(1, self.pool._pools['t'].open)
 
+    async def _open(self, count: int) -> None:
+        """Have so many connections open, all idle."""
+
+        async def slow(
+            seen: scripted_target.Seen, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.02)
+            await self._plain(seen, writer)
+
+        self.target.script = slow
+        await asyncio.gather(*(self._ask(f'{n}') for n in range(count)))
+        self.assertEqual(count, self.target.connections)
+        self.target.script = self._plain
+
+    async def test_a_request_that_runs_once_finds_room_as_the_limit_falls(
+        self,
+    ) -> None:
+        """Its caller waits its whole time, and no target ever sees it.
+
+        A daemon that was restarted is back, and takes its part of a
+        target's connections: this one's limit falls by one.  All of its
+        connections are idle, for too long to be trusted with a request that
+        must run once.  One was closed for it, which left no room below the
+        new limit, and with nothing under way no turn ever came.
+        """
+        clock = timers.ManualTimers()
+        limit = 5
+        self.pool = transport.ChannelPool(clock, lambda target: limit)
+        await self._open(5)
+        limit = 4
+        clock.advance(300.0)
+        reply = await self._ask('x', kept_ms=100.0)
+        self.assertEqual(b'x', reply.unwrap().body)
+        self.assertEqual(4, self.pool._pools['t'].open)
+
+    async def test_a_request_that_waits_finds_room_as_the_limit_rises(
+        self,
+    ) -> None:
+        """Another daemon has left, and its part falls to this one.
+
+        The one connection that there was room for is at a target that is
+        silent; its end would be the first turn to come.
+        """
+
+        async def first_is_silent(
+            seen: scripted_target.Seen, writer: asyncio.StreamWriter
+        ) -> None:
+            if seen.headers['request-id'] == 'a':
+                await asyncio.sleep(30.0)
+            await self._plain(seen, writer)
+
+        self.target.script = first_is_silent
+        limit = 1
+        self.pool = transport.ChannelPool(self.clock, lambda target: limit)
+        first = asyncio.create_task(self._ask('a', 20_000.0))
+        second = asyncio.create_task(self._ask('b', 10_000.0))
+        await asyncio.sleep(0.05)
+        limit = 2
+        reply = await second
+        self.assertEqual(b'b', reply.unwrap().body)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+
     async def test_waiting_for_a_connection_says_nothing_of_the_target(
         self,
     ) -> None:
