A request finds a connection where the limit of its daemon has changed

Seen: requests that must run once got no answer in their 6 s, some seconds after a daemon was restarted; those that were open as their own daemon was stopped lost their connection.

Cause: daemons share a target's connections; when a restarted one is back, each other's limit falls by one. A request that must run once does not use a connection that was idle for more than 0.1 s. Where all were idle for longer, one was closed for it: that left as many as the new limit, so no room, and with nothing under way no turn ever came. It waited its whole time in its own daemon.

Ruled out: a silent target (no target has seen the request); a route that allows one attempt (what is not hedged must run once); the limits of targets.

Change: connections are closed until there is room. A request that waits looks again each 0.2 s, first in its line: a limit that rises wakes nobody, which is the same cause the other way round. A turn that comes as the wait ends is not lost any more, it goes to the next.

--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -25,6 +25,10 @@
 _IDLE_LIMIT_MS = 15_000.0
 """How long an idle connection is kept if the target says nothing."""
 
+_LOOK_AGAIN_MS = 200.0
+"""How long an exchange waits for a connection before it looks for room again:
+the end of another exchange wakes it, a limit that has risen does not."""
+
 _FORGOTTEN_WITHIN_MS = 5.0
 """A target that has forgotten a connection resets what is sent on it at
 once: 3 ms there and back between sites, and a busy loop.  Work of a target
@@ -222,13 +226,16 @@
         is_wanted: typing.Callable[[], bool],
     ) -> _Idle | _link_errors.LinkError:
         """Return a kept connection or a new one."""
+        has_waited = False
         while True:
             self._drop_stale(pool)
             if pool.idle and self._idle_ms(pool.idle[-1]) <= kept_ms:
                 return pool.idle.pop()
             limit = max(1, self._limit(target))
-            if pool.idle and pool.open >= limit:
-                # Room for a new one: the longest idle is of least use.
+            while pool.idle and pool.open >= limit:
+                # Room for a new one: the longest idle is of least use.  One
+                # is not enough where the limit has fallen: without room, and
+                # with nothing under way, no turn would ever come.
                 pool.idle.pop(0).channel.close()
                 pool.open -= 1
             if pool.open < limit:
@@ -236,29 +243,37 @@
                 if isinstance(made, _link_errors.LinkError):
                     return made
                 return self._idle_from_now(made, None)
-            if not await self._wait(pool, ends_ms):
+            if self._clock.now_ms() >= ends_ms:
                 return _link_errors.LinkError(
                     _Kind.NO_CONNECTION, 'no free connection'
                 )
+            await self._wait(pool, ends_ms, has_waited)
+            has_waited = True
             if not is_wanted():
                 pool.wake()
                 return _UNWANTED
 
-    async def _wait(self, pool: _Pool, ends_ms: float) -> bool:
-        """Wait for a turn to look again; False if none came in time."""
+    async def _wait(
+        self, pool: _Pool, ends_ms: float, has_waited: bool
+    ) -> None:
+        """Wait for a turn to look again, or until it is time to."""
         waiter = asyncio.get_running_loop().create_future()
-        pool.waiters.append(waiter)
+        if has_waited:
+            # Before those that came later.
+            pool.waiters.appendleft(waiter)
+        else:
+            pool.waiters.append(waiter)
+        limit_s = min(self._left_s(ends_ms), _LOOK_AGAIN_MS / 1000.0)
         try:
-            async with asyncio.timeout(self._left_s(ends_ms)):
-                await waiter
-        except TimeoutError:
-            return False
+            await asyncio.wait((waiter,), timeout=limit_s)
         except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled():
+            if waiter.done():
                 # Its turn had come: the next one would wait for nothing.
                 pool.wake()
             raise
-        return True
+        finally:
+            # One that has not come goes to the next that waits.
+            waiter.cancel()
 
     def has_room(self, target: state.LiveTarget) -> bool:
         """Whether an exchange would get a connection without waiting."""
