The test of two daemons stopped at once no longer needs both runs begun

It failed once in a run of 26 process tests, before anything was stopped: it waited 15 s for the second of two runs to begin at a silent target. In six runs that printed what callers were told, two had one run begun; the other, still queued, was given back and told "not run", truthfully. The wait expected more than the daemons promise: a queued run need not begin.

It now waits for one, and checks each caller by what the targets did: a begun run must be told "unknown", only one that never began may be told "not run", and every caller must be answered.

--- a/tests/process/test_stop_limit.py
+++ b/tests/process/test_stop_limit.py
@@ -227,7 +227,11 @@
         await self._assert_ended()
 
     async def test_two_daemons_stopped_at_once(self) -> None:
-        """Each waits for the other as well; callers of both are answered."""
+        """Each waits for the other as well; callers of both are answered.
+
+        One run may still wait in a dispatcher's queue: only such a one may
+        be told "not run", and it never runs.
+        """
         runs = len(self._executed('run'))
         await self._silence(*self.system.target_urls)
         keys = [self.system.new_key() for _ in range(2)]
@@ -237,16 +241,20 @@
                 asyncio.create_task(self.system.search(daemon, _TERMS)),
                 asyncio.create_task(self.system.pay(daemon, key)),
             ]
-        await self._until_executed('run', runs + 2)
+        await self._until_executed('run', runs + 1)
         self.system.kill(_OTHER, signal.SIGTERM)
         await self._stop()
         ended = await asyncio.gather(*calls)
-        self.assertEqual(
-            ['unknown'] * 4, [call.kind_of_outcome for call in ended]
-        )
         await self._assert_ended(_OTHER)
         await self._assert_ended()
-        self.assertEqual(runs + 2, len(self._executed('run')))
+        begun = {row.idempotency_key for row in self._executed('run')}
+        for call in ended:
+            truths = {(504, 'unknown')}
+            key = call.idempotency_key
+            if key and key not in begun:
+                truths.add((503, 'not-run'))
+            self.assertIn((call.status, call.kind_of_outcome), truths)
+        self.assertLessEqual(len(self._executed('run')), runs + 2)
 
 
 def _search_bytes() -> bytes:
