What waits for a connection when a stop ends is told that it has not run

Seen: the request of the change before, at the end of a stop: unknown (502) for what no target had seen, so that a caller could not ask again. Cause: an attempt counted as begun from the decision to send it.

Change: an exchange notes the turn in which its request goes out. At the end of a stop attempts that have not gone out are taken back, their tasks end where they wait, and the scatter tells what is left. Orders still count as begun.

--- a/samphiredock/coordination/forwarding/_asking.py
+++ b/samphiredock/coordination/forwarding/_asking.py
@@ -76,6 +76,7 @@
         repeatable: bool = True,
         hedge: bool = False,
         is_wanted: typing.Callable[[], bool] = lambda: True,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> Asked:
         """Send a request to a target once.
 
@@ -93,6 +94,8 @@
             another request's first one.
         is_wanted
             Whether the answer is still of use.
+        on_send
+            Called as the request goes out.
         """
         target = self._targets.get(target_id)
         if target is None:
@@ -107,6 +110,7 @@
             lambda got: self._dialect.is_reply_to(request, got),
             math.inf if repeatable else self._once_kept_ms,
             is_wanted,
+            on_send=on_send,
         )
         took_ms = self._clock.now_ms() - sent_ms
         if isinstance(reply, result.Failure):
--- a/samphiredock/coordination/forwarding/_flight_sender.py
+++ b/samphiredock/coordination/forwarding/_flight_sender.py
@@ -67,6 +67,23 @@
         if not flight.done.done():
             self._arm(flight)
 
+    def give_up(self, flight: _flights.Flight) -> None:
+        """Have a flight end with what is known now.
+
+        What still waits for a connection is taken back: its target has not
+        seen it, and its caller can be told so.
+        """
+        unsent = {
+            attempt_id: exchange
+            for attempt_id, exchange in flight.exchanges.items()
+            if not exchange.has_gone_out
+        }
+        for exchange in unsent.values():
+            if exchange.task is not None:
+                exchange.task.cancel()
+        now_ms = self._clock.now_ms()
+        self.carry_out(flight, flight.scatter.give_up(now_ms, unsent))
+
     def abandon(self, flight: _flights.Flight) -> None:
         """The caller has left: nobody wants what is under way."""
         for exchange in flight.exchanges.values():
@@ -189,6 +206,7 @@
             flight.plan.route.repeatable,
             item.hedge,
             lambda: not exchange.lingers,
+            exchange.go_out,
         )
         reply = asked.reply
         if reply is not None and asked.status is _Status.ANSWERED:
--- a/samphiredock/coordination/forwarding/_flights.py
+++ b/samphiredock/coordination/forwarding/_flights.py
@@ -22,12 +22,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One exchange with a target; ``lingers`` after nobody needs it."""
+    """One exchange with a target; ``lingers`` after nobody needs it.
+
+    It was decided at ``sent_ms``, and ``has_gone_out`` once it had a
+    connection.
+    """
 
     target: str
     sent_ms: float
     task: asyncio.Task | None = None
     lingers: bool = False
+    has_gone_out: bool = False
+
+    def go_out(self) -> None:
+        """The target gets the request now."""
+        self.has_gone_out = True
 
 
 @dataclasses.dataclass(slots=True)
--- a/samphiredock/coordination/forwarding/_forward_types.py
+++ b/samphiredock/coordination/forwarding/_forward_types.py
@@ -64,13 +64,15 @@
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
         on_chunk: typing.Callable[[bytes], None] | None = None,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> result.Result[protocol.HttpReply, transport.LinkError]:
         """Send a request once and return its answer.
 
         Answers for which ``is_reply`` is false belong to other requests;
         a connection that was idle for more than ``kept_ms`` is not used.
         Nothing is sent once ``is_wanted`` is false.  ``on_chunk`` takes
-        the chunks of the answer, which are not in its body then.
+        the chunks of the answer, which are not in its body then;
+        ``on_send`` is called as the request goes out.
         """
 
     def has_room(self, target: state.LiveTarget) -> bool:
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -118,8 +118,7 @@
         for flight in list(self._under_way.values()):
             if not flight.done.done():
                 flight.trail.note(now_ms, 'given up', why='stopping')
-                effects = flight.scatter.give_up(now_ms)
-                self._sender.carry_out(flight, effects)
+                self._sender.give_up(flight)
 
     async def forward(
         self,
--- a/samphiredock/coordination/search/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -160,12 +160,19 @@
                 self._retry(attempt.shard, False, now_ms)
         return self._done(now_ms)
 
-    def give_up(self, now_ms: float) -> list[_scatter_types.Effect]:
+    def give_up(
+        self, now_ms: float, unsent: typing.Iterable[str] = ()
+    ) -> list[_scatter_types.Effect]:
         """Nothing that is under way can be awaited any longer.
 
         The caller is told what is known now: what came, that nothing was
-        sent, or that it may have run.
+        sent, or that it may have run.  ``unsent`` are attempts that have not
+        gone out, and will not.
         """
+        for attempt_id in unsent:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is not None:
+                self._attempts.end(attempt, None)
         self._finish()
         return self._done(now_ms)
 
--- a/samphiredock/transport/_channel_pool.py
+++ b/samphiredock/transport/_channel_pool.py
@@ -130,6 +130,7 @@
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
         on_chunk: _http_channel.OnChunk | None = None,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> result.Result[protocol.HttpReply, _link_errors.LinkError]:
         """Send a request once and return its answer.
 
@@ -155,6 +156,8 @@
         on_chunk
             Takes each chunk of the answer as it comes; they are not in the
             body then.
+        on_send
+            Called in the turn in which the request goes out.
         """
         ends_ms = self._clock.now_ms() + timeout_ms
         pool = self._pools[target.target_id]
@@ -164,6 +167,7 @@
         if not is_wanted():
             self._put_back(pool, target, taken)
             return result.Failure(_UNWANTED)
+        on_send()
         channel = taken.channel
         sent_ms = self._clock.now_ms()
         idle_ms = sent_ms - taken.since_ms if taken.was_kept else 0.0
--- a/standins/cold_links.py
+++ b/standins/cold_links.py
@@ -128,6 +128,7 @@
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
         on_chunk: typing.Callable[[bytes], None] | None = None,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> memory_links.Reply:
         """Get a connection, send and wait; a cancelled one is closed."""
         name = target.target_id
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -57,12 +57,16 @@
 
 
 class HandLinks:
-    """Implements the forwarder's links; every exchange waits in ``open``."""
+    """Implements the forwarder's links; every exchange waits in ``open``.
+
+    Exchanges with ``busy`` targets wait for a connection.
+    """
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
         self.dead: set[str] = set()
         self.full: set[str] = set()
+        self.busy: set[str] = set()
         self.listening_takes_turns = 0
 
     @property
@@ -79,9 +83,13 @@
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
         on_chunk: typing.Callable[[bytes], None] | None = None,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> Reply:
         """Wait for the test."""
         future = asyncio.get_running_loop().create_future()
+        while target.target_id in self.busy:
+            await asyncio.sleep(0)
+        on_send()
         sent = Sent(target.target_id, request, future)
         self.sent.append(sent)
         try:
--- a/standins/memory_orders.py
+++ b/standins/memory_orders.py
@@ -61,6 +61,7 @@
         kept_ms: float = math.inf,
         is_wanted: typing.Callable[[], bool] = lambda: True,
         on_chunk: typing.Callable[[bytes], None] | None = None,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> memory_links.Reply:
         """Carry an order, and its reports back."""
         name = target.target_id
--- a/tests/failure/test_given_up.py
+++ b/tests/failure/test_given_up.py
@@ -55,6 +55,21 @@
         self.assertIsInstance(outcome, protocol.NotRun)
         self.assertGreater(outcome.retry_after_ms, 0)
 
+    async def test_what_waits_for_a_connection_has_not_run(self) -> None:
+        """No target has seen it, and none will; its caller may ask again.
+
+        All connections to its target are in use as the daemon stops.
+        """
+        for path in ('/one/x', '/once/x'):
+            with self.subTest(path):
+                self.setUp()
+                self.desk.links.busy = {f'p-{n}' for n in range(3)}
+                outcome = await self._give_up(await self._ask(path))
+                self.assertIsInstance(outcome, protocol.NotRun)
+                self.desk.links.busy.clear()
+                await self.desk.advance(200.0)
+                self.assertEqual([], self.desk.links.sent)
+
     async def test_parts_that_are_enough_are_delivered(self) -> None:
         """A ready answer is not thrown away for the part that is late."""
         task = await self._ask('/all/x')
