A door reads what had come before it closes its idle connections

Cause (of a part, shown by a test): a connection counts as idle while its next request lies in the socket, until the loop has read it. Ruled out: requests that were read (none is logged as cut). The rest sends as the close is on its way.

Change: two turns pass before idle connections are looked at; the first is for those that open, the second for what had come on the others.

Measured: the new test fails with one turn, passes with two.

--- a/samphiredock/transport/_entry_http.py
+++ b/samphiredock/transport/_entry_http.py
@@ -79,9 +79,12 @@
         """
         if self._server is not None:
             self._server.close()
-        # One that was accepted a moment ago is open after this turn; not seen,
-        # its request would be taken by a server that counts as closed.
-        await asyncio.sleep(0)
+        # A connection that was accepted a moment ago is open one turn later;
+        # not seen, its request would be taken by a server that counts as
+        # closed.  After another turn what had come on an idle connection has
+        # been read, and is answered instead of crossing its close.
+        for _ in range(2):
+            await asyncio.sleep(0)
         ends_ms = self._clock.now_ms() + limit_ms
         while self._connections and self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
--- a/tests/unit/test_entry_http.py
+++ b/tests/unit/test_entry_http.py
@@ -353,6 +353,32 @@
                     if self.begun.is_set():
                         self.assertIn(b' 200 ', caller.recv(100))
 
+    async def test_what_had_come_before_it_closes_is_answered(self) -> None:
+        """A caller's second request is in the socket as the server closes.
+
+        Its connection counts as idle until the loop has read it.
+        """
+        counters = metrics.Metrics('test')
+        self.addCleanup(counters.close)
+        clock = timers.LoopTimers()
+        self.addCleanup(clock.close)
+        door = transport.Door(self._handle, lambda: False, state.CallerLimits)
+        server = transport.EntryServer(door, counters, clock)
+        await server.start('127.0.0.1:0', 16)
+        host, _, port = server.address().partition(':')
+        request = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(request)
+            await self.begun.wait()
+            await asyncio.sleep(0)
+            caller.sendall(request)
+            await server.close(30_000.0)
+            caller.settimeout(10.0)
+            answers = b''
+            while part := caller.recv(1_000):
+                answers += part
+        self.assertEqual(2, answers.count(b' 200 '))
+
     async def test_a_request_that_is_read_as_it_closes_is_answered(
         self,
     ) -> None:
