The soak stops daemons in series, under callers that stay

What callers saw, and the soak did not: a daemon that is stopped has a whole request, a target holds it for longer than the stop may take, and the caller's connection ends without an answer.

Cause in the soak: requests were given up by their deadline of 1.5 s, before a stop of up to 6 s came to its end; one daemon at a time got one signal; and the callers' HTTP library asks again by itself when a connection that it has used ends without an answer, so that a cut request looked answered.

Change: callers use raw connections, one to three requests at once, until these end. New faults: daemons stopped in series that overlap, each with up to three signals and a SIGHUP; services that hold requests for longer than a stop, or for ever; targets that leave, end and come back elsewhere.

Checks: 'stops cut nothing' is replaced by a stricter one. It judged only requests that ended during a stop of status 0; now whatever a target has begun must be answered, unless the very daemon was killed. 'not run is true' judges all kinds, 'attempts' routes that allow one target, and a stop must end with status 0.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,25 +2,46 @@
 
 import asyncio
 import collections
+import pathlib
+import shutil
 import sys
 
 import click
 
 from soak import _checks
+from soak import _faults
 from soak import _run
 from standins import prepared_system
 
 
-async def judge(seed: int, seconds: float, hosts: int) -> list[str]:
-    """Run one soak; print what was seen, return what was wrong."""
+async def judge(
+    seed: int,
+    seconds: float,
+    hosts: int,
+    planned: bool = False,
+    logs: pathlib.Path | None = None,
+) -> list[str]:
+    """Run one soak; print what was seen, return what was wrong.
+
+    ``planned`` lets only planned work fall; ``logs`` is where the daemons'
+    logs are kept.
+    """
+    faults = _faults.PLANNED if planned else tuple(_faults.FAULTS)
     async with prepared_system.PreparedSystem(_run.SHARDS) as system:
-        soak = _run.Soak(seed, hosts, system)
+        soak = _run.Soak(seed, hosts, system, faults)
         history = await soak.run(seconds)
+        for name in soak.names if logs else ():
+            shutil.copy(system.log_path(name), logs)
     statuses = collections.Counter(
         f'{row.kind} {row.status}' for row in history.asked
     )
     click.echo(f'seed {seed}: {dict(sorted(statuses.items()))}')
     click.echo(f'faults: {dict(sorted(soak.faults.items()))}')
+    longest_s = max(stop.to_s - stop.from_s for stop in history.stops)
+    click.echo(
+        f'{len(history.stops)} stops, the longest {longest_s:.2f} s; a '
+        f'platform kills after {_run.STOP_LIMIT_S} s'
+    )
     wrong = []
     for name, check in _checks.CHECKS.items():
         found = check(history)
@@ -33,9 +54,21 @@
 @click.option('--seed', default=1, help='Draws faults and requests.')
 @click.option('--minutes', default=0.5, help='How long faults fall.')
 @click.option('--hosts', default=3, help='How many daemons.')
-def main(seed: int, minutes: float, hosts: int) -> None:
+@click.option('--planned', is_flag=True, help='No faults but planned work.')
+@click.option(
+    '--logs',
+    type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
+    help='Folder where the logs of the daemons are kept.',
+)
+def main(
+    seed: int,
+    minutes: float,
+    hosts: int,
+    planned: bool,
+    logs: pathlib.Path | None,
+) -> None:
     """Soak the daemons that pass requests on; exit 1 if a check fails."""
-    wrong = asyncio.run(judge(seed, minutes * 60.0, hosts))
+    wrong = asyncio.run(judge(seed, minutes * 60.0, hosts, planned, logs))
     for problem in wrong[:20]:
         click.echo(problem)
     sys.exit(1 if wrong else 0)
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,172 @@
+"""Callers that keep open connections, and use them until they end."""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+import random
+import typing
+
+from soak import _checks
+from standins import prepared_system
+from standins import scripted_target
+
+_PAUSE_S = 0.02
+_ROUNDS = (1, 10, 1_000)
+"""How often a caller uses a connection before it leaves."""
+
+_PIPELINED = (1, 1, 1, 2, 3)
+"""How many requests it sends at once."""
+
+LONG_MS = 10_000
+"""Longer than a stop may take: its end comes before that of the request."""
+
+_DEADLINES_MS = (1_500, 1_500, LONG_MS)
+
+KINDS = {'search': 6, 'fetch': 2, 'pay': 2, 'probe': 2}
+_PATHS = {'search': '/search/x', 'fetch': '/fetch/x', 'pay': '/pay/x'}
+_METHODS = {'pay': 'POST'}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request; ``version`` adds the route that a probe asks for."""
+
+    kind: str
+    request_id: str
+    deadline_ms: int
+    version: int = 0
+
+    def encode(self) -> bytes:
+        """Return all of it as it is sent."""
+        path = _PATHS.get(self.kind, f'/added-{self.version}/x')
+        return (
+            f'{_METHODS.get(self.kind, "GET")} {path} HTTP/1.1\r\n'
+            f'Host: {prepared_system.HOST}\r\n'
+            f'Request-Id: {self.request_id}\r\n'
+            f'Deadline-Ms: {self.deadline_ms}\r\n'
+            f'Content-Length: 0\r\n\r\n'
+        ).encode()
+
+
+class Callers:
+    """Ask daemons, and write down what each request came to.
+
+    An HTTP library's client asks again by itself when a connection that it
+    has used ends without an answer: a request that was cut would look like
+    one that was answered.
+
+    Parameters
+    ----------
+    rng
+        Draws requests and daemons.
+    system
+        Whose daemons are asked.
+    """
+
+    def __init__(
+        self, rng: random.Random, system: prepared_system.PreparedSystem
+    ) -> None:
+        self.asked: list[_checks.Asked] = []
+        self.starts: collections.Counter[str] = collections.Counter()
+        self.away: set[str] = set()
+        self.version = 1
+        self.running = True
+        self._rng = rng
+        self._system = system
+        self._numbers = itertools.count()
+
+    async def call(self) -> None:
+        """Use one connection after another as long as callers run."""
+        while self.running:
+            up = [name for name in self._system.doors if name not in self.away]
+            if up:
+                rounds = self._rng.choice(_ROUNDS)
+                await self.use(self._rng.choice(up), self._draw_many, rounds)
+            await asyncio.sleep(_PAUSE_S)
+
+    def draw(self, kind: str, deadline_ms: int = LONG_MS) -> Request:
+        """Return a new request; a probe is for a route of late."""
+        version = 0
+        if kind == 'probe':
+            version = self._rng.randint(max(1, self.version - 2), self.version)
+        request_id = f'{kind}{next(self._numbers)}'
+        return Request(kind, request_id, deadline_ms, version)
+
+    def _draw_many(self) -> list[Request]:
+        kinds = self._rng.choices(
+            list(KINDS), list(KINDS.values()), k=self._rng.choice(_PIPELINED)
+        )
+        return [
+            self.draw(kind, self._rng.choice(_DEADLINES_MS)) for kind in kinds
+        ]
+
+    async def use(
+        self,
+        daemon: str,
+        draw: typing.Callable[[], list[Request]],
+        rounds: int = 1,
+    ) -> int:
+        """Send what is drawn on one connection, and again after the answers.
+
+        The caller leaves only when nothing is under way.  Returns the last
+        status, 0 for no whole answer.
+        """
+        start = self.starts[daemon]
+        host, _, port = self._system.doors[daemon].rpartition(':')
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return 0
+        status = -1
+        while status and rounds and self.running:
+            rounds -= 1
+            sent_s = asyncio.get_running_loop().time()
+            requests = draw()
+            writer.write(b''.join(row.encode() for row in requests))
+            for request in requests:
+                seen = await _read_answer(reader)
+                row = _asked(request, seen, daemon, start, sent_s)
+                self.asked.append(row)
+                status = row.status
+            if rounds:
+                await asyncio.sleep(_PAUSE_S)
+        writer.close()
+        return status
+
+
+async def _read_answer(
+    reader: asyncio.StreamReader,
+) -> scripted_target.Seen | None:
+    """Read one whole answer, None if the connection ends before its end."""
+    try:
+        return await scripted_target.read_request(reader)
+    except (asyncio.IncompleteReadError, OSError):
+        return None
+
+
+def _asked(
+    request: Request,
+    seen: scripted_target.Seen | None,
+    daemon: str,
+    start: int,
+    sent_s: float,
+) -> _checks.Asked:
+    status, headers, body = 0, {}, b''
+    if seen is not None:
+        status, headers = int(seen.line.split()[1]), seen.headers
+        body = seen.body
+    stated = headers.get('part-stamps') or headers.get('answer-stamp', '')
+    return _checks.Asked(
+        request.kind,
+        request.request_id,
+        status,
+        tuple(row.strip() for row in stated.split(',') if row),
+        int(headers.get('missing-parts', 0)),
+        body,
+        daemon,
+        start,
+        sent_s,
+        asyncio.get_running_loop().time(),
+        request.version,
+    )
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -9,6 +9,9 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
+_ONE_TARGET = frozenset({'probe'})
+"""Kinds whose routes allow one target only."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asked:
@@ -33,12 +36,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
-    """A daemon was asked to stop, and was gone by itself."""
+    """A daemon got some ``signals`` to stop, and ended with a status."""
 
     daemon: str
     start: int
     from_s: float
     to_s: float
+    status: int = 0
+    signals: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +64,7 @@
     """All that was seen in a run.
 
     ``records`` are those of each service's targets, ``shards`` the services
-    that a search asks.
+    that a search asks, ``killed`` the starts of daemons that were killed.
     """
 
     asked: tuple[Asked, ...]
@@ -70,6 +75,7 @@
     top: int
     attempts: int
     stops: tuple[Stop, ...] = ()
+    killed: frozenset[tuple[str, int]] = frozenset()
 
 
 def check_at_most_once(history: History) -> list[str]:
@@ -91,9 +97,7 @@
     return [
         f'{row.request_id}: got status {row.status}, but it ran'
         for row in history.asked
-        if row.kind == 'pay'
-        and row.status in PROMISES
-        and row.request_id in began
+        if row.status in PROMISES and row.request_id in began
     ]
 
 
@@ -139,14 +143,17 @@
 
 def check_attempts(history: History) -> list[str]:
     """No more targets of a service run a request than its route allows."""
+    alone = {
+        row.request_id for row in history.asked if row.kind in _ONE_TARGET
+    }
     targets = collections.defaultdict(set)
     for run in history.runs:
         targets[run.request_id, run.service].add(run.target)
     return [
         f'{request_id}: got {len(found)} targets of {service}, expected at '
-        f'most {history.attempts}'
+        f'most {1 if request_id in alone else history.attempts}'
         for (request_id, service), found in targets.items()
-        if len(found) > history.attempts
+        if len(found) > (1 if request_id in alone else history.attempts)
     ]
 
 
@@ -159,20 +166,47 @@
     ]
 
 
-def check_stops(history: History) -> list[str]:
-    """A graceful stop cuts no request that a target has begun."""
+def check_answered(history: History) -> list[str]:
+    """What a target has begun is answered on the caller's connection.
+
+    Callers do not leave, so that only the kill of the daemon that was asked
+    excuses it.  A stop does not, whatever the targets and the other daemons
+    do: what is open at its end is answered as unknown.  A request that
+    crosses a close is not begun.
+    """
     began = {run.request_id for run in history.runs}
-    cut = [
-        row
+    return [
+        f'{row.request_id}: got no answer of {row.daemon}, start {row.start}, '
+        f'{row.ended_s - row.sent_s:.3f} s after it was sent'
+        f'{_stop_at(row, history)}'
         for row in history.asked
-        if row.status == 0 and row.request_id in began
+        if row.status == 0
+        and row.request_id in began
+        and (row.daemon, row.start) not in history.killed
     ]
+
+
+def _stop_at(row: Asked, history: History) -> str:
+    """Tell how far the stop of a request's daemon had come at its end."""
+    for stop in history.stops:
+        if (row.daemon, row.start) == (stop.daemon, stop.start):
+            since_s = row.ended_s - stop.from_s
+            return (
+                f', {since_s:.3f} s after the first of {stop.signals} signals'
+            )
+    return ''
+
+
+def check_exits(history: History) -> list[str]:
+    """A stop ends with status 0.
+
+    A further signal may find a program that handles none any more.
+    """
     return [
-        f'{row.request_id}: got no answer of {stop.daemon}, which was stopping'
+        f'{stop.daemon}: got exit status {stop.status} after {stop.signals} '
+        f'signals, expected 0'
         for stop in history.stops
-        for row in cut
-        if (row.daemon, row.start) == (stop.daemon, stop.start)
-        and stop.from_s <= row.ended_s <= stop.to_s
+        if stop.status > 0 or (stop.status < 0 and stop.signals == 1)
     ]
 
 
@@ -209,6 +243,7 @@
     'own whole answer': check_own_answer,
     'attempts': check_attempts,
     'routes': check_routes,
-    'stops cut nothing': check_stops,
+    'stops cut nothing': check_answered,
+    'stops end in order': check_exits,
     'versions never go back': check_versions,
 }
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -36,6 +36,12 @@
         """Pause a daemon."""
 
 
+NEVER_S = 3_600.0
+"""A target that takes this long does not answer in any run."""
+
+_SILENT_S = (4.0, NEVER_S)
+"""Longer than a stop may take."""
+
 Fault = typing.Callable[[Run, float], typing.Awaitable[None]]
 
 _FOREIGN_ENTRIES: tuple[object, ...] = (
@@ -55,6 +61,15 @@
     await soak.stop_daemon()
 
 
+async def _stop_series(soak: Run, for_s: float) -> None:
+    """Stop daemons while others still stop, or have just started again."""
+    stops: list[asyncio.Task[None]] = []
+    for _ in range(soak.rng.randint(2, 4)):
+        stops.append(asyncio.create_task(soak.stop_daemon()))
+        await asyncio.wait(stops[-1:], timeout=soak.rng.choice((0.0, for_s)))
+    await asyncio.gather(*stops)
+
+
 async def _freeze(soak: Run, for_s: float) -> None:
     await soak.freeze(for_s)
 
@@ -73,6 +88,31 @@
     target.delay_s = 0.0
 
 
+async def _silent_service(soak: Run, for_s: float) -> None:
+    """Hold what some targets of a service begin for longer than a stop."""
+    drawn = soak.draw_target()
+    service = soak.rng.choice((prepared_system.DESK, drawn.service))
+    every = [
+        target
+        for target in soak.system.targets.values()
+        if target.service == service
+    ]
+    silent = every[: soak.rng.randint(1, len(every))]
+    for target in silent:
+        target.delay_s = soak.rng.choice(_SILENT_S)
+    await asyncio.sleep(for_s)
+    for target in silent:
+        target.delay_s = 0.0
+
+
+async def _restart_target(soak: Run, for_s: float) -> None:
+    """Let a target leave and end; it comes back at another address."""
+    name = soak.draw_target().target_id
+    soak.system.register(name, 'draining')
+    await asyncio.sleep(for_s)
+    await soak.links.restart_target(name)
+
+
 async def _drain_target(soak: Run, for_s: float) -> None:
     target = soak.draw_target()
     soak.system.register(target.target_id, 'draining')
@@ -143,9 +183,12 @@
 FAULTS: typing.Mapping[str, Fault] = {
     'kill daemon': _kill,
     'stop daemon': _stop,
+    'daemons stop in series': _stop_series,
     'freeze daemon': _freeze,
     'target loses answers': _lose_answers,
     'target slow': _slow_target,
+    'service silent': _silent_service,
+    'target restarts': _restart_target,
     'target drains': _drain_target,
     'entries lapse': _lapse,
     'entry of another writer': _foreign_entry,
@@ -158,3 +201,16 @@
     'link to the store': _link_to_store,
     'settings change': _read_settings,
 }
+
+PLANNED = (
+    'stop daemon',
+    'daemons stop in series',
+    'settings change',
+    'new version',
+    'service silent',
+    'target slow',
+    'target drains',
+    'target restarts',
+    'entries lapse',
+)
+"""Planned work, and what targets may do to it."""
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -30,14 +30,27 @@
         self._system = system
         self._targets: dict[str, relay.Route] = {}
         self._stores: dict[str, relay.Route] = {}
+        self._restarting = asyncio.Lock()
 
     async def place_before_targets(self) -> None:
         """Let the targets' entries name the relays."""
-        for name, target in self._system.targets.items():
-            port = int(target.address.rpartition(':')[2])
-            self._targets[name] = relay.Route(name, 0, port)
-            target.address = await self._targets[name].start()
-            self._system.register(name)
+        for name in self._system.targets:
+            await self._place_before(name)
+
+    async def _place_before(self, name: str) -> None:
+        target = self._system.targets[name]
+        port = int(target.address.rpartition(':')[2])
+        self._targets[name] = relay.Route(name, 0, port)
+        target.address = await self._targets[name].start()
+        self._system.register(name)
+
+    async def restart_target(self, name: str) -> None:
+        """End a target and start it, both with another address."""
+        async with self._restarting:
+            self._targets[name].stop()
+            born = self._system.targets[name].born
+            await self._system.restart_target(name, born)
+            await self._place_before(name)
 
     async def place_before_store(self, daemon: str) -> str:
         """Return the address at which a daemon reaches the store."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -2,29 +2,39 @@
 
 import asyncio
 import collections
-import itertools
 import random
 import signal
+import typing
 
-import aiohttp
-
+from soak import _callers
 from soak import _checks
 from soak import _faults
 from soak import _links
 from standins import prepared_system
 
 SHARDS = tuple(f'shard-{number}' for number in range(1, 7))
-_CALLERS = 6
-_CALLER_PAUSE_S = 0.02
+_CALLERS = 12
 _FAULT_EVERY_S = (0.2, 1.0)
 _FAULT_FOR_S = (0.3, 1.5)
 _SETTLE_S = 1.5
-_KINDS = {'search': 6, 'fetch': 2, 'pay': 2}
-_PATHS = {'search': '/search/x', 'fetch': '/fetch/x', 'pay': '/pay/x'}
-_METHODS = {'search': 'GET', 'fetch': 'GET', 'pay': 'POST'}
+_ROUTES_MS = 30_000
+_LOOK_S = 0.02
+_TRIES = 20
+
+STOP_LIMIT_S = 3.0
+"""When a platform would kill a daemon that stops."""
+
+_TERM, _HUP = signal.SIGTERM, signal.SIGHUP
+_STOP_SIGNALS = (
+    (_TERM,),
+    (_TERM, _TERM),
+    (_TERM, _TERM, _TERM),
+    (_HUP, _TERM),
+    (_TERM, _HUP, _TERM),
+)
+"""What a daemon that is stopped may get, one after the other."""
 
-_PROBE_SHARE = 0.1
-"""Part of the requests that ask for a route added by some version."""
+_SIGNAL_GAP_S = (0.0, 0.6)
 
 
 class Soak:
@@ -38,24 +48,28 @@
         How many daemons.
     system
         The stand-ins, and the daemons as processes.
+    faults
+        Names of the faults that may fall.
     """
 
     def __init__(
-        self, seed: int, hosts: int, system: prepared_system.PreparedSystem
+        self,
+        seed: int,
+        hosts: int,
+        system: prepared_system.PreparedSystem,
+        faults: typing.Collection[str] = tuple(_faults.FAULTS),
     ) -> None:
         self.rng = random.Random(seed)
         self.system = system
         self.names = [f'entry-{number}' for number in range(hosts)]
-        self.asked: list[_checks.Asked] = []
+        self.callers = _callers.Callers(self.rng, system)
         self.faults: collections.Counter[str] = collections.Counter()
         self.version = 1
         self.links = _links.Links(system)
-        self._numbers = itertools.count()
-        self._down: set[str] = set()
+        self._names_of_faults = sorted(faults)
         self._stopping: set[str] = set()
-        self._starts: collections.Counter[str] = collections.Counter()
+        self._killed: set[tuple[str, int]] = set()
         self._stops: list[_checks.Stop] = []
-        self._running = True
 
     async def run(self, seconds: float) -> _checks.History:
         """Start everything, let faults fall, and return what was seen."""
@@ -65,9 +79,14 @@
         for name in self.names:
             store = await self.links.place_before_store(name)
             await self.system.start_daemon(
-                name, coordinators_per_site=2, platform_address=store
+                name,
+                coordinators_per_site=2,
+                platform_address=store,
+                stop_limit_s=STOP_LIMIT_S,
             )
-        callers = [asyncio.create_task(self._call()) for _ in range(_CALLERS)]
+        callers = [
+            asyncio.create_task(self.callers.call()) for _ in range(_CALLERS)
+        ]
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + seconds
         pending: set[asyncio.Task] = set()
@@ -76,17 +95,23 @@
             await asyncio.sleep(self.rng.uniform(*_FAULT_EVERY_S))
         await asyncio.gather(*pending)
         self.links.heal()
-        self._running = False
-        await asyncio.gather(*callers)
         await asyncio.sleep(_SETTLE_S)
         await self._serves_again()
+        await self._stop_all()
+        self.callers.running = False
+        await asyncio.gather(*callers)
         self.links.close()
         return self.history()
 
     def configure(self, version: int) -> None:
         """Write a version; each adds a route and keeps those before."""
-        self.version = version
-        self.system.configure(version, added=range(1, version + 1))
+        self.version = self.callers.version = version
+        self.system.configure(
+            version,
+            added=range(1, version + 1),
+            timeout_ms=_ROUTES_MS,
+            added_attempts=1,
+        )
 
     def history(self) -> _checks.History:
         """Return what was seen so far."""
@@ -96,7 +121,7 @@
         }
         runs = tuple(_checks.Run(*row.split()) for row in self.system.runs)
         return _checks.History(
-            tuple(self.asked),
+            tuple(self.callers.asked),
             runs,
             SHARDS,
             records,
@@ -104,12 +129,13 @@
             5,
             2,
             tuple(self._stops),
+            frozenset(self._killed),
         )
 
     async def _serves_again(self) -> None:
         for name in self.names:
             for _ in range(200):
-                if await self._ask(name, 'search') == 200:
+                if await self._search(name) == 200:
                     break
                 await asyncio.sleep(0.05)
             else:
@@ -118,66 +144,45 @@
                     f'{self.system.log(name)[-3000:]}'
                 )
 
-    # Callers.
-
-    async def _call(self) -> None:
-        kinds, weights = list(_KINDS), list(_KINDS.values())
-        while self._running:
-            kind = self.rng.choices(kinds, weights)[0]
-            up = [name for name in self.names if name not in self._down]
-            if up and self.rng.random() < _PROBE_SHARE:
-                await self._probe(self.rng.choice(up))
-            elif up:
-                await self._ask(self.rng.choice(up), kind)
-            await asyncio.sleep(_CALLER_PAUSE_S)
-
-    async def _probe(self, daemon: str) -> None:
-        """Ask for the route that some version has added."""
-        version = self.rng.randint(max(1, self.version - 2), self.version)
-        await self._ask(daemon, 'probe', f'/added-{version}/x', version)
-
-    async def _ask(
-        self, daemon: str, kind: str, path: str = '', version: int = 0
-    ) -> int:
-        request_id = f'{kind}{next(self._numbers)}'
-        loop = asyncio.get_running_loop()
-        start, sent_s = self._starts[daemon], loop.time()
-        status, headers, body = 0, {}, b''
-        try:
-            status, headers, body = await self.system.ask(
-                daemon,
-                path or _PATHS[kind],
-                request_id,
-                _METHODS.get(kind, 'GET'),
-                1_500,
-            )
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
-            # The caller saw no whole answer; the checks ask whether it may.
-            pass
-        stated = headers.get('Part-Stamps') or headers.get('Answer-Stamp', '')
-        receipts = tuple(row.strip() for row in stated.split(',') if row)
-        missing = int(headers.get('Missing-Parts', 0))
-        self.asked.append(
-            _checks.Asked(
-                kind,
-                request_id,
-                status,
-                receipts,
-                missing,
-                body,
-                daemon,
-                start,
-                sent_s,
-                loop.time(),
-                version,
+    async def _search(self, name: str) -> int:
+        return await self.callers.use(
+            name, lambda: [self.callers.draw('search', 1_500)]
+        )
+
+    async def _stop_all(self) -> None:
+        """Stop all daemons while each has requests at silent targets."""
+        for target in self.system.targets.values():
+            target.delay_s = _faults.NEVER_S
+        held = [
+            await self._hold_open(name, kind)
+            for name in self.names
+            for kind in _callers.KINDS
+        ]
+        await asyncio.gather(*map(self._stop, self.names))
+        await asyncio.gather(*held)
+
+    async def _hold_open(self, name: str, kind: str) -> asyncio.Task[int]:
+        """Return a request once a target has begun it; it stays open."""
+        for _ in range(_TRIES):
+            request, before = self.callers.draw(kind), len(self.system.runs)
+            began = f'{request.request_id} '
+            asking = asyncio.create_task(
+                self.callers.use(name, lambda: [request])  # noqa: B023
             )
+            while not asking.done():
+                new = self.system.runs[before:]
+                if any(row.startswith(began) for row in new):
+                    return asking
+                await asyncio.sleep(_LOOK_S)
+        raise AssertionError(
+            f'{name} brought no {kind} to a target\n'
+            f'{self.system.log(name)[-3000:]}'
         )
-        return status
 
     # Faults.
 
     async def _fault(self) -> None:
-        name = self.rng.choice(sorted(_faults.FAULTS))
+        name = self.rng.choice(self._names_of_faults)
         self.faults[name] += 1
         for_s = self.rng.uniform(*_FAULT_FOR_S)
         await _faults.FAULTS[name](self, for_s)
@@ -187,7 +192,7 @@
         up = [
             name
             for name in self.names
-            if name not in self._down | self._stopping
+            if name not in self.callers.away | self._stopping
         ]
         return self.rng.choice(up) if len(up) > 1 else None
 
@@ -195,7 +200,8 @@
         """Kill a daemon and start it again."""
         name = self.draw_running()
         if name is not None:
-            self._down.add(name)
+            self.callers.away.add(name)
+            self._killed.add((name, self.callers.starts[name]))
             await self.system.stop_daemon(name, signal.SIGKILL)
             await self._start_again(name)
 
@@ -205,37 +211,45 @@
         Callers go on using it, on open connections and new ones.
         """
         name = self.draw_running()
-        if name is None:
-            return
+        if name is not None:
+            await self._stop(name)
+            await self._start_again(name)
+
+    async def _stop(self, name: str) -> None:
+        """Send the signals of one stop; return when the daemon is gone."""
         self._stopping.add(name)
-        loop = asyncio.get_running_loop()
-        from_s = loop.time()
-        status = await self.system.stop_daemon(name)
-        self._down.add(name)
+        *first, last = signals = self.rng.choice(_STOP_SIGNALS)
+        from_s = asyncio.get_running_loop().time()
+        for number in first:
+            self.system.send(name, number)
+            await asyncio.sleep(self.rng.uniform(*_SIGNAL_GAP_S))
+        status = await self.system.stop_daemon(name, last)
+        self.callers.away.add(name)
         self._stopping.discard(name)
-        if status == 0:
-            stop = _checks.Stop(name, self._starts[name], from_s, loop.time())
-            self._stops.append(stop)
-        await self._start_again(name)
+        to_s = asyncio.get_running_loop().time()
+        start = self.callers.starts[name]
+        self._stops.append(
+            _checks.Stop(name, start, from_s, to_s, status, len(signals))
+        )
 
     async def _start_again(self, name: str) -> None:
-        self._starts[name] += 1
+        self.callers.starts[name] += 1
         self.links.heal_store(name)
         self.system.store.faults.status = 0
         self.system.store.faults.silent = False
         await self.system.restart_daemon(name)
-        self._down.discard(name)
+        self.callers.away.discard(name)
 
     async def freeze(self, for_s: float) -> None:
         """Let a daemon stand still."""
         name = self.draw_running()
         if name is None:
             return
-        self._down.add(name)
+        self.callers.away.add(name)
         self.system.send(name, signal.SIGSTOP)
         await asyncio.sleep(for_s)
         self.system.send(name, signal.SIGCONT)
-        self._down.discard(name)
+        self.callers.away.discard(name)
 
     def draw_target(self) -> prepared_system.PreparedTarget:
         """Return a target to disturb."""
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -43,6 +43,7 @@
         self.born = born
         self.delay_s = 0.0
         self.lose_answers = False
+        self._ended = asyncio.Event()
         self._log = log
         self._server = scripted_target.ScriptedTarget(self._answer)
         self.address = ''
@@ -53,6 +54,7 @@
 
     async def stop(self) -> None:
         """Close every connection and stop listening."""
+        self._ended.set()
         await self._server.stop()
 
     def records(self) -> bytes:
@@ -71,7 +73,7 @@
             writer.write(scripted_target.answer(request_id, status=421))
             return
         self._log.append(f'{request_id} {self.target_id}')
-        await asyncio.sleep(self.delay_s)
+        await self._work()
         if self.lose_answers:
             scripted_target.reset(writer)
             return
@@ -84,6 +86,13 @@
             )
         )
 
+    async def _work(self) -> None:
+        """Take the time of one request, or until the target is stopped."""
+        if self.delay_s:
+            ended = asyncio.create_task(self._ended.wait())
+            await asyncio.wait((ended,), timeout=self.delay_s)
+            ended.cancel()
+
 
 class PreparedSystem:
     """Use as an asynchronous context manager.
@@ -175,9 +184,13 @@
         prefix: str = '/search/',
         added: typing.Iterable[int] = (),
         timeout_ms: int = 3_000,
+        added_attempts: int = 2,
         **changes: typing.Any,
     ) -> None:
-        """Write a configuration with three routes, and those ``added``."""
+        """Write a configuration with three routes, and those ``added``.
+
+        ``added_attempts`` is how many targets the latter allow a request.
+        """
         common = {'Host': HOST, 'TimeoutMs': timeout_ms, 'MaxAttempts': 2}
         routes = [
             {
@@ -199,6 +212,7 @@
                 'Name': f'added-{number}', 'PathPrefix': f'/added-{number}/',
                 'Service': DESK, 'Kind': 'idempotent',
                 'TargetLatencyMs': 1_000, **common,
+                'MaxAttempts': added_attempts,
             }
             for number in added
         ]  # fmt: skip
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -19,3 +19,13 @@
         drain, the store is away, cut and without its history.
         """
         self.assertEqual([], await soak.judge(SEED, SECONDS, 3))
+
+    async def test_planned_stops_cut_nothing(self) -> None:
+        """A caller's connection ends, and its request has no answer.
+
+        Targets hold requests for longer than a stop may take, and daemons
+        are stopped meanwhile: several at once, and each with up to three
+        signals.  A daemon that ends closes what is still open, though its
+        caller has left the connection open to read what came of it.
+        """
+        self.assertEqual([], await soak.judge(SEED, SECONDS, 4, True))
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -72,11 +72,12 @@
     def test_a_refusal_that_is_not_true(self) -> None:
         """The caller would ask again for what was done."""
         for status in (408, 421, 429, 503):
-            seen = history(
-                _checks.Asked('pay', 'p1', status),
-                runs=(_checks.Run('p1', 'desk-0'),),
-            )
-            self.assertEqual({'not run is true'}, self._wrong(seen))
+            for kind in ('pay', 'fetch', 'probe', 'search'):
+                seen = history(
+                    _checks.Asked(kind, 'p1', status),
+                    runs=(_checks.Run('p1', 'desk-0'),),
+                )
+                self.assertEqual({'not run is true'}, self._wrong(seen))
 
     def test_answers_that_are_not_its_own_or_not_whole(self) -> None:
         """Each is one change of a sound answer."""
@@ -97,27 +98,53 @@
         self.assertEqual({'own whole answer'}, self._wrong(history(fetch)))
 
     def test_too_many_targets_and_unknown_routes(self) -> None:
-        """Three targets of a shard; a 404 for a route that is there."""
+        """Three targets of a shard; a 404 for a route that is there.
+
+        The route of a probe allows one target.
+        """
         seen = history(
             _checks.Asked('fetch', 'f1', 404),
             runs=tuple(_checks.Run('q1', f's1-{n}') for n in range(3)),
         )
         self.assertEqual({'attempts', 'routes'}, self._wrong(seen))
+        for kind, wrong in (('probe', {'attempts'}), ('fetch', set())):
+            seen = history(
+                _checks.Asked(kind, 'q1', 502),
+                runs=tuple(_checks.Run('q1', f'desk-{n}') for n in range(2)),
+            )
+            self.assertEqual(wrong, self._wrong(seen))
 
-    def test_a_stop_that_cuts_a_request(self) -> None:
-        """A target had begun it, and its caller got nothing."""
+    def test_a_request_that_is_cut(self) -> None:
+        """A target had begun it, and its connection ended without answer.
+
+        Only a kill of this start of its daemon excuses it; what no target
+        has begun may cross a close.
+        """
         cut = _checks.Asked(
-            'fetch', 'f1', 0, daemon='one', start=2, ended_s=5.0
-        )
-        stops = (_checks.Stop('one', 2, 4.0, 6.0),)
-        seen = history(cut, runs=(_checks.Run('f1', 'desk-0'),))
-        wrong = dataclasses.replace(seen, stops=stops)
-        self.assertEqual({'stops cut nothing'}, self._wrong(wrong))
-        self.assertEqual(set(), self._wrong(seen))
-        later = dataclasses.replace(cut, start=3)
-        self.assertEqual(
-            set(), self._wrong(dataclasses.replace(wrong, asked=(later,)))
+            'fetch', 'f1', 0, daemon='one', start=2, sent_s=3.0, ended_s=5.0
         )
+        began = (_checks.Run('f1', 'desk-0'),)
+        stop = _checks.Stop('one', 2, 4.0, 6.0)
+        for stops in ((), (stop,)):
+            seen = dataclasses.replace(history(cut, runs=began), stops=stops)
+            self.assertEqual({'stops cut nothing'}, self._wrong(seen))
+        for killed in (('one', 1), ('two', 2)):
+            other = dataclasses.replace(seen, killed=frozenset({killed}))
+            self.assertEqual({'stops cut nothing'}, self._wrong(other))
+        excused = dataclasses.replace(seen, killed=frozenset({('one', 2)}))
+        self.assertEqual(set(), self._wrong(excused))
+        self.assertEqual(set(), self._wrong(history(cut)))
+
+    def test_a_stop_that_ends_in_disorder(self) -> None:
+        """A failure, or a signal that nothing handled."""
+        for status, signals in ((1, 1), (1, 3), (-15, 1)):
+            stop = _checks.Stop('one', 1, 4.0, 6.0, status, signals)
+            seen = dataclasses.replace(history(), stops=(stop,))
+            self.assertEqual({'stops end in order'}, self._wrong(seen))
+        for status, signals in ((0, 1), (0, 3), (-15, 2)):
+            stop = _checks.Stop('one', 1, 4.0, 6.0, status, signals)
+            seen = dataclasses.replace(history(), stops=(stop,))
+            self.assertEqual(set(), self._wrong(seen))
 
     def test_a_version_that_goes_back(self) -> None:
         """A daemon served the route of version 5 and then knows only 3.
