The soak judges what a stop drops before any target began it

A request that a daemon had read whole, and that waited for a target when the stop ended, got neither answer nor refusal, and no check asked for one: they judged what targets had begun.

Change: what was sent before the first signal of a stop, first in line on its connection, must be answered or refused. What is sent during the stop may cross the close. Some sends come in two pieces.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,6 +47,8 @@
         found = check(history)
         click.echo(f'{name}: {len(found)} wrong')
         wrong += [f'{name}: {problem}' for problem in found]
+    if logs:
+        (logs / 'wrong.txt').write_text('\n'.join(wrong), encoding='utf-8')
     return wrong
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,6 +18,10 @@
 _PIPELINED = (1, 1, 1, 2, 3)
 """How many requests it sends at once."""
 
+_SPLIT_SHARE = 0.2
+_LATE_BYTES = 3
+"""Part of the sends whose last bytes come a pause later."""
+
 LONG_MS = 10_000
 """Longer than a stop may take: its end comes before that of the request."""
 
@@ -121,12 +125,11 @@
         status = -1
         while status and rounds and self.running:
             rounds -= 1
-            sent_s = asyncio.get_running_loop().time()
             requests = draw()
-            writer.write(b''.join(row.encode() for row in requests))
-            for request in requests:
+            sent_s = await self._send(writer, requests)
+            for behind, request in enumerate(requests):
                 seen = await _read_answer(reader)
-                row = _asked(request, seen, daemon, start, sent_s)
+                row = _asked(request, seen, daemon, start, sent_s, behind)
                 self.asked.append(row)
                 status = row.status
             if rounds:
@@ -134,6 +137,18 @@
         writer.close()
         return status
 
+    async def _send(
+        self, writer: asyncio.StreamWriter, requests: list[Request]
+    ) -> float:
+        """Send requests; return when the last byte was handed over."""
+        data = b''.join(row.encode() for row in requests)
+        if self._rng.random() < _SPLIT_SHARE:
+            writer.write(data[:-_LATE_BYTES])
+            await asyncio.sleep(_PAUSE_S)
+            data = data[-_LATE_BYTES:]
+        writer.write(data)
+        return asyncio.get_running_loop().time()
+
 
 async def _read_answer(
     reader: asyncio.StreamReader,
@@ -151,6 +166,7 @@
     daemon: str,
     start: int,
     sent_s: float,
+    behind: int,
 ) -> _checks.Asked:
     status, headers, body = 0, {}, b''
     if seen is not None:
@@ -169,4 +185,5 @@
         sent_s,
         asyncio.get_running_loop().time(),
         request.version,
+        behind,
     )
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -18,7 +18,8 @@
     """One request as its caller saw it; status 0 for no whole answer.
 
     ``start`` counts the starts of its daemon; times are of one clock.
-    ``version`` is the configuration that adds the route of a probe.
+    ``version`` is the configuration that adds the route of a probe,
+    ``behind`` how many requests were sent before it without a wait.
     """
 
     kind: str
@@ -32,6 +33,7 @@
     sent_s: float = 0.0
     ended_s: float = 0.0
     version: int = 0
+    behind: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,30 +173,43 @@
 
     Callers do not leave, so that only the kill of the daemon that was asked
     excuses it.  A stop does not, whatever the targets and the other daemons
-    do: what is open at its end is answered as unknown.  A request that
-    crosses a close is not begun.
+    do: what is open at its end is answered as unknown.
     """
     began = {run.request_id for run in history.runs}
     return [
         f'{row.request_id}: got no answer of {row.daemon}, start {row.start}, '
         f'{row.ended_s - row.sent_s:.3f} s after it was sent'
-        f'{_stop_at(row, history)}'
+        for row in _cut(history)
+        if row.request_id in began
+    ]
+
+
+def _cut(history: History) -> list[Asked]:
+    """Return what ended without answer at a daemon that was not killed."""
+    return [
+        row
         for row in history.asked
-        if row.status == 0
-        and row.request_id in began
-        and (row.daemon, row.start) not in history.killed
+        if row.status == 0 and (row.daemon, row.start) not in history.killed
     ]
 
 
-def _stop_at(row: Asked, history: History) -> str:
-    """Tell how far the stop of a request's daemon had come at its end."""
-    for stop in history.stops:
-        if (row.daemon, row.start) == (stop.daemon, stop.start):
-            since_s = row.ended_s - stop.from_s
-            return (
-                f', {since_s:.3f} s after the first of {stop.signals} signals'
-            )
-    return ''
+def check_refused(history: History) -> list[str]:
+    """What a daemon had before its stop began is answered or refused.
+
+    Whether a target has begun it or not: it was read whole.  One that is
+    sent later may cross the close, and one behind another is told by the
+    other's answer that its connection ends.
+    """
+    stops = {(stop.daemon, stop.start): stop for stop in history.stops}
+    return [
+        f'{row.request_id}: got no answer, its connection to {row.daemon}, '
+        f'start {row.start}, ended {row.ended_s - stop.from_s:.3f} s after '
+        f'the first of {stop.signals} signals'
+        for row in _cut(history)
+        if (stop := stops.get((row.daemon, row.start)))
+        and row.sent_s < stop.from_s
+        and not row.behind
+    ]
 
 
 def check_exits(history: History) -> list[str]:
@@ -244,6 +259,7 @@
     'attempts': check_attempts,
     'routes': check_routes,
     'stops cut nothing': check_answered,
+    'stops refuse by word': check_refused,
     'stops end in order': check_exits,
     'versions never go back': check_versions,
 }
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -121,7 +121,7 @@
         has begun may cross a close.
         """
         cut = _checks.Asked(
-            'fetch', 'f1', 0, daemon='one', start=2, sent_s=3.0, ended_s=5.0
+            'fetch', 'f1', 0, daemon='one', start=2, sent_s=4.5, ended_s=5.0
         )
         began = (_checks.Run('f1', 'desk-0'),)
         stop = _checks.Stop('one', 2, 4.0, 6.0)
@@ -135,6 +135,27 @@
         self.assertEqual(set(), self._wrong(excused))
         self.assertEqual(set(), self._wrong(history(cut)))
 
+    def test_a_request_that_is_dropped(self) -> None:
+        """It was sent before the stop, and its connection just ended.
+
+        No target has begun it.  One that was sent during the stop may cross
+        the close; one behind another is told by the other's answer.
+        """
+        dropped = _checks.Asked(
+            'fetch', 'f1', 0, daemon='one', start=2, sent_s=3.0, ended_s=5.0
+        )
+        stops = (_checks.Stop('one', 2, 4.0, 6.0),)
+        for change, wrong in (
+            ({}, {'stops refuse by word'}),
+            ({'status': 502}, set()),
+            ({'sent_s': 4.5}, set()),
+            ({'behind': 1}, set()),
+            ({'start': 1}, set()),
+        ):
+            row = dataclasses.replace(dropped, **change)
+            seen = dataclasses.replace(history(row), stops=stops)
+            self.assertEqual(wrong, self._wrong(seen))
+
     def test_a_stop_that_ends_in_disorder(self) -> None:
         """A failure, or a signal that nothing handled."""
         for status, signals in ((1, 1), (1, 3), (-15, 1)):
