--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,7 +48,8 @@
         click.echo(f'{name}: {len(found)} wrong')
         wrong += [f'{name}: {problem}' for problem in found]
     if logs:
-        (logs / 'wrong.txt').write_text('\n'.join(wrong), encoding='utf-8')
+        lines = [*wrong, *map(str, history.stops)]
+        (logs / 'seen.txt').write_text('\n'.join(lines), encoding='utf-8')
     return wrong
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -29,7 +29,7 @@
     (_TERM,),
     (_TERM, _TERM),
     (_TERM, _TERM, _TERM),
-    (_HUP, _TERM),
+    (_TERM, _HUP),
     (_TERM, _HUP, _TERM),
 )
 """What a daemon that is stopped may get, one after the other."""
