The soak stops daemons that have just been launched

Callers come as soon as a daemon listens, and a fifth of the starts get a SIGTERM before they are ready. What waits in the socket of such a daemon was not read: only what a target has begun is judged there, and that the exit is no failure.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -38,7 +38,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
-    """A daemon got some ``signals`` to stop, and ended with a status."""
+    """A daemon got some ``signals`` to stop, and ended with a status.
+
+    ``ready`` is False if it was still starting at the first of them.
+    """
 
     daemon: str
     start: int
@@ -46,6 +49,7 @@
     to_s: float
     status: int = 0
     signals: int = 1
+    ready: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,7 +202,8 @@
 
     Whether a target has begun it or not: it was read whole.  One that is
     sent later may cross the close, and one behind another is told by the
-    other's answer that its connection ends.
+    other's answer that its connection ends.  A daemon that was not ready
+    has not read what waits for it.
     """
     stops = {(stop.daemon, stop.start): stop for stop in history.stops}
     return [
@@ -207,6 +212,7 @@
         f'the first of {stop.signals} signals'
         for row in _cut(history)
         if (stop := stops.get((row.daemon, row.start)))
+        and stop.ready
         and row.sent_s < stop.from_s
         and not row.behind
     ]
@@ -215,13 +221,14 @@
 def check_exits(history: History) -> list[str]:
     """A stop ends with status 0.
 
-    A further signal may find a program that handles none any more.
+    A signal may find a program that handles none yet, or none any more.
     """
     return [
         f'{stop.daemon}: got exit status {stop.status} after {stop.signals} '
         f'signals, expected 0'
         for stop in history.stops
-        if stop.status > 0 or (stop.status < 0 and stop.signals == 1)
+        if stop.status > 0
+        or (stop.status < 0 and stop.signals == 1 and stop.ready)
     ]
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -36,6 +36,11 @@
 
 _SIGNAL_GAP_S = (0.0, 0.6)
 
+_STOPPED_EARLY_SHARE = 0.2
+_STOPPED_EARLY_S = (0.1, 1.2)
+"""Part of the starts that are stopped, and how long after the launch: before
+the signal has a handler, before the daemon is ready, and just after."""
+
 
 class Soak:
     """A running soak.
@@ -67,7 +72,7 @@
         self.version = 1
         self.links = _links.Links(system)
         self._names_of_faults = sorted(faults)
-        self._stopping: set[str] = set()
+        self._busy: set[str] = set()
         self._killed: set[tuple[str, int]] = set()
         self._stops: list[_checks.Stop] = []
 
@@ -192,7 +197,7 @@
         up = [
             name
             for name in self.names
-            if name not in self.callers.away | self._stopping
+            if name not in self.callers.away | self._busy
         ]
         return self.rng.choice(up) if len(up) > 1 else None
 
@@ -215,9 +220,9 @@
             await self._stop(name)
             await self._start_again(name)
 
-    async def _stop(self, name: str) -> None:
+    async def _stop(self, name: str, ready: bool = True) -> None:
         """Send the signals of one stop; return when the daemon is gone."""
-        self._stopping.add(name)
+        self._busy.add(name)
         *first, last = signals = self.rng.choice(_STOP_SIGNALS)
         from_s = asyncio.get_running_loop().time()
         for number in first:
@@ -225,19 +230,32 @@
             await asyncio.sleep(self.rng.uniform(*_SIGNAL_GAP_S))
         status = await self.system.stop_daemon(name, last)
         self.callers.away.add(name)
-        self._stopping.discard(name)
+        self._busy.discard(name)
         to_s = asyncio.get_running_loop().time()
         start = self.callers.starts[name]
         self._stops.append(
-            _checks.Stop(name, start, from_s, to_s, status, len(signals))
+            _checks.Stop(
+                name, start, from_s, to_s, status, len(signals), ready
+            )
         )
 
     async def _start_again(self, name: str) -> None:
+        """Start a daemon; callers come at once, and perhaps a stop."""
+        self._launch(name)
+        while self.rng.random() < _STOPPED_EARLY_SHARE:
+            await asyncio.sleep(self.rng.uniform(*_STOPPED_EARLY_S))
+            await self._stop(name, ready=False)
+            self._launch(name)
+        await self.system.wait_ready(name)
+        self._busy.discard(name)
+
+    def _launch(self, name: str) -> None:
+        self._busy.add(name)
         self.callers.starts[name] += 1
         self.links.heal_store(name)
         self.system.store.faults.status = 0
         self.system.store.faults.silent = False
-        await self.system.restart_daemon(name)
+        self.system.launch_daemon(name)
         self.callers.away.discard(name)
 
     async def freeze(self, for_s: float) -> None:
