--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -122,9 +122,8 @@
             reader, writer = await asyncio.open_connection(host, int(port))
         except OSError:
             return 0
-        status = -1
-        while status and rounds and self.running:
-            rounds -= 1
+        status = 0
+        for _ in range(rounds):
             requests = draw()
             sent_s = await self._send(writer, requests)
             for behind, request in enumerate(requests):
@@ -132,8 +131,9 @@
                 row = _asked(request, seen, daemon, start, sent_s, behind)
                 self.asked.append(row)
                 status = row.status
-            if rounds:
-                await asyncio.sleep(_PAUSE_S)
+            if not status or not self.running:
+                break
+            await asyncio.sleep(_PAUSE_S)
         writer.close()
         return status
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -167,23 +167,29 @@
         await asyncio.gather(*held)
 
     async def _hold_open(self, name: str, kind: str) -> asyncio.Task[int]:
-        """Return a request once a target has begun it; it stays open."""
+        """Return a request that a target has begun and does not answer."""
         for _ in range(_TRIES):
-            request, before = self.callers.draw(kind), len(self.system.runs)
-            began = f'{request.request_id} '
-            asking = asyncio.create_task(
-                self.callers.use(name, lambda: [request])  # noqa: B023
-            )
-            while not asking.done():
-                new = self.system.runs[before:]
-                if any(row.startswith(began) for row in new):
-                    return asking
-                await asyncio.sleep(_LOOK_S)
+            asking = await self._ask_until_begun(name, self.callers.draw(kind))
+            if not asking.done():
+                return asking
         raise AssertionError(
             f'{name} brought no {kind} to a target\n'
             f'{self.system.log(name)[-3000:]}'
         )
 
+    async def _ask_until_begun(
+        self, name: str, request: _callers.Request
+    ) -> asyncio.Task[int]:
+        """Return a request once a target has begun it, or it was refused."""
+        before, began = len(self.system.runs), f'{request.request_id} '
+        asking = asyncio.create_task(self.callers.use(name, lambda: [request]))
+        while not asking.done():
+            new = self.system.runs[before:]
+            if any(row.startswith(began) for row in new):
+                break
+            await asyncio.sleep(_LOOK_S)
+        return asking
+
     # Faults.
 
     async def _fault(self) -> None:
