The soak takes a request that a daemon's log tells of for read

A request that was sent during a stop and cut before a target began it could not be told from one that crossed the close. A line of the daemon's own log about it shows that it was read whole: it must then be answered or refused. No time is judged.

Callers keep what came before a reset: asyncio's reader drops an answer that lies in it unread as soon as the connection breaks.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,7 +48,8 @@
         click.echo(f'{name}: {len(found)} wrong')
         wrong += [f'{name}: {problem}' for problem in found]
     if logs:
-        lines = [*wrong, *map(str, history.stops)]
+        cut = [row for row in history.asked if not row.status]
+        lines = [*wrong, *map(str, [*history.stops, *cut])]
         (logs / 'seen.txt').write_text('\n'.join(lines), encoding='utf-8')
     return wrong
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -117,9 +117,8 @@
         status, 0 for no whole answer.
         """
         start = self.starts[daemon]
-        host, _, port = self._system.doors[daemon].rpartition(':')
         try:
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await _connect(self._system.doors[daemon])
         except OSError:
             return 0
         status = 0
@@ -150,6 +149,25 @@
         return asyncio.get_running_loop().time()
 
 
+class _Reader(asyncio.StreamReader):
+    """Keeps what has come before a reset: it may be a whole answer."""
+
+    def set_exception(self, exc: Exception) -> None:
+        """Take a broken connection for an ended one."""
+        self.feed_eof()
+
+
+async def _connect(address: str) -> tuple[_Reader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    reader = _Reader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    transport, _ = await loop.create_connection(
+        lambda: protocol, host, int(port)
+    )
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def _read_answer(
     reader: asyncio.StreamReader,
 ) -> scripted_target.Seen | None:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -70,7 +70,8 @@
     """All that was seen in a run.
 
     ``records`` are those of each service's targets, ``shards`` the services
-    that a search asks, ``killed`` the starts of daemons that were killed.
+    that a search asks, ``killed`` the starts of daemons that were killed,
+    ``read`` the requests that the log of each daemon tells of.
     """
 
     asked: tuple[Asked, ...]
@@ -82,6 +83,9 @@
     attempts: int
     stops: tuple[Stop, ...] = ()
     killed: frozenset[tuple[str, int]] = frozenset()
+    read: typing.Mapping[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def check_at_most_once(history: History) -> list[str]:
@@ -173,11 +177,11 @@
 
 
 def check_answered(history: History) -> list[str]:
-    """What a target has begun is answered on the caller's connection.
+    """What a daemon has read or a target begun is answered to its caller.
 
     Callers do not leave, so that only the kill of the daemon that was asked
     excuses it.  A stop does not, whatever the targets and the other daemons
-    do: what is open at its end is answered as unknown.
+    do: what is open at its end is answered as unknown, or refused.
     """
     began = {run.request_id for run in history.runs}
     return [
@@ -185,6 +189,7 @@
         f'{row.ended_s - row.sent_s:.3f} s after it was sent'
         for row in _cut(history)
         if row.request_id in began
+        or row.request_id in history.read.get(row.daemon, ())
     ]
 
 
@@ -200,10 +205,10 @@
 def check_refused(history: History) -> list[str]:
     """What a daemon had before its stop began is answered or refused.
 
-    Whether a target has begun it or not: it was read whole.  One that is
-    sent later may cross the close, and one behind another is told by the
-    other's answer that its connection ends.  A daemon that was not ready
-    has not read what waits for it.
+    Whether its log tells of it or not.  One that is sent later may cross
+    the close, and one behind another is told by the other's answer that its
+    connection ends.  A daemon that was not ready has not read what waits
+    for it.
     """
     stops = {(stop.daemon, stop.start): stop for stop in history.stops}
     return [
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import re
 import signal
 import typing
 
@@ -34,6 +35,9 @@
 )
 """What a daemon that is stopped may get, one after the other."""
 
+_TOLD_OF = re.compile('"request":"([a-z0-9]+)"')
+"""A request that a line of a daemon's log is about."""
+
 _SIGNAL_GAP_S = (0.0, 0.6)
 
 _STOPPED_EARLY_SHARE = 0.2
@@ -135,6 +139,10 @@
             2,
             tuple(self._stops),
             frozenset(self._killed),
+            {
+                name: frozenset(_TOLD_OF.findall(self.system.log(name)))
+                for name in self.names
+            },
         )
 
     async def _serves_again(self) -> None:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -118,7 +118,7 @@
         """A target had begun it, and its connection ended without answer.
 
         Only a kill of this start of its daemon excuses it; what no target
-        has begun may cross a close.
+        has begun and the daemon has not read may cross a close.
         """
         cut = _checks.Asked(
             'fetch', 'f1', 0, daemon='one', start=2, sent_s=4.5, ended_s=5.0
@@ -133,6 +133,10 @@
             self.assertEqual({'stops cut nothing'}, self._wrong(other))
         excused = dataclasses.replace(seen, killed=frozenset({('one', 2)}))
         self.assertEqual(set(), self._wrong(excused))
+        for name, wrong in (('one', {'stops cut nothing'}), ('two', set())):
+            read = {name: frozenset({'f1'})}
+            seen = dataclasses.replace(history(cut), read=read)
+            self.assertEqual(wrong, self._wrong(seen))
         self.assertEqual(set(), self._wrong(history(cut)))
 
     def test_a_request_that_is_dropped(self) -> None:
