The soak takes an end by a signal that nobody sent for a crash

A daemon that had ended by itself before it was stopped, with two or three signals, passed: any signal's status did then. Now only those of the signals that a stop sends do.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -3,12 +3,16 @@
 import collections
 import dataclasses
 import math
+import signal
 import typing
 
 RECORD_BYTES = 16
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
+_SENT = frozenset({-signal.SIGTERM, -signal.SIGHUP})
+"""Exit statuses of a process that ends by a signal which a stop sends."""
+
 _ONE_TARGET = frozenset({'probe'})
 """Kinds whose routes allow one target only."""
 
@@ -226,17 +230,21 @@
 def check_exits(history: History) -> list[str]:
     """A stop ends with status 0.
 
-    A signal may find a program that handles none yet, or none any more.
+    A signal of the stop may find a program that handles none yet, or none
+    any more; any other end is a crash.
     """
     return [
         f'{stop.daemon}: got exit status {stop.status} after {stop.signals} '
         f'signals, expected 0'
         for stop in history.stops
-        if stop.status > 0
-        or (stop.status < 0 and stop.signals == 1 and stop.ready)
+        if stop.status and not _ends_by_signal(stop)
     ]
 
 
+def _ends_by_signal(stop: Stop) -> bool:
+    return stop.status in _SENT and (stop.signals > 1 or not stop.ready)
+
+
 def check_versions(history: History) -> list[str]:
     """A daemon that has served a new route does not forget it.
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -164,8 +164,8 @@
         self.assertEqual(set(), self._wrong(seen))
 
     def test_a_stop_that_ends_in_disorder(self) -> None:
-        """A failure, or a signal that nothing handled."""
-        for ended in ((1, 1), (1, 3), (-15, 1), (1, 1, False)):
+        """A failure, a crash, or a signal that nothing handled."""
+        for ended in ((1, 1), (1, 3), (-15, 1), (-4, 3), (1, 1, False)):
             stop = _checks.Stop('one', 1, 4.0, 6.0, *ended)
             seen = dataclasses.replace(history(), stops=(stop,))
             self.assertEqual({'stops end in order'}, self._wrong(seen))
