Signals at the start and at the end of a daemon end nothing

Cause: signals are handled from the event loop's start to its end; before and after, the system's default holds. Also, a settings file that changed between its first read and the first look at its time was never read again.

Change: the reload signal does nothing until settings are read, all signals do nothing after the stop; the file's time is taken before it is read.

Measured: the new test of test_platform fails before (not ready in 20 s), passes after; early, stop_end: 11 passed.

--- a/samphiredock/daemon/early.py
+++ b/samphiredock/daemon/early.py
@@ -7,12 +7,22 @@
 """
 
 from collections import abc
+import signal
 import socket
 
 BACKLOG = 1_024
 """Connections that may wait to be accepted; callers come in bursts."""
 
 
+def ignore_reload() -> None:
+    """Have the signal to read the settings again do nothing for now.
+
+    By default it ends the process, and with it the callers that wait.  The
+    settings have not been read yet, so that nothing is missed.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def listen(arguments: abc.Sequence[str], option: str) -> socket.socket | None:
     """Listen on the address that an option of the command line states.
 
--- a/samphiredock/daemon/entry.py
+++ b/samphiredock/daemon/entry.py
@@ -23,6 +23,8 @@
 _LOOK_S = 2.0
 """How often the settings file is looked at; it may change without a signal."""
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 _CANNOT_RUN_STATUS = 1
 _INVALID_STATUS = 2
 
@@ -74,13 +76,14 @@
     listened on, 2 for settings that are not valid; every mistake is
     printed with file, path, what was got and what was expected.
     """
+    # Before they are read: what changes in between would go unnoticed.
+    source = _Source(settings_path)
     settings = _read(settings_path)
     if check:
         click.echo(f'{settings_path}: valid')
         return
     if callers is not None:
         _check_address(callers, settings)
-    source = _Source(settings_path)
     stream = logs.BoundedStream(sys.stdout.fileno())
     logs.set_up(settings.log_level, stream)
     try:
@@ -121,7 +124,7 @@
 ) -> None:
     loop = asyncio.get_running_loop()
     node = EntryNode(settings, adapter, stream, callers)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, node.on_signal)
     loop.add_signal_handler(signal.SIGHUP, lambda: source.read_for(node))
     await node.start()
@@ -132,6 +135,11 @@
     looking = background.start(_look_for_changes(source, node), 'settings')
     await node.wait_stopped()
     looking.cancel()
+    # The loop's end would leave them to the system, which ends the process
+    # as if it had failed.
+    for number in (*_STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 async def _look_for_changes(source: _Source, node: EntryNode) -> None:
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -252,6 +252,26 @@
         await self._logged('one', 'introduced by another daemon')
         await self._until(200, 'one', '/search/x')
 
+    async def test_a_reload_during_the_start_ends_nothing(self) -> None:
+        """The callers that wait would be reset, and the start begin anew.
+
+        The platform says that the settings have changed before the daemon
+        has imported what handles that.
+        """
+        await self.system.start_daemon('one')
+        await self.system.stop_daemon('one', signal.SIGKILL)
+        self.system.launch_daemon('one')
+        host, port = self.system.doors['one'].split(':')
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, port)
+                break
+            except OSError:
+                await asyncio.sleep(0.005)
+        self.system.send('one', signal.SIGHUP)
+        await self.system.wait_ready('one')
+        writer.close()
+
     async def _coordinator(self) -> str:
         """Wait until two daemons hand over; return the third."""
         for _ in range(400):
