--- a/samphiredock/timers.py
+++ b/samphiredock/timers.py
@@ -82,6 +82,7 @@
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._gap_callbacks: list[typing.Callable[[float], None]] = []
+        self._closed = False
         self._last_tick_ms = self.now_ms()
         self._watch = _Repeating(self, TICK_MS, self._check_gap)
 
@@ -97,7 +98,12 @@
         self, delay_ms: float, callback: typing.Callable[[], None]
     ) -> Subscription:
         """Call back once, ``delay_ms`` from now."""
-        return self._loop.call_later(max(0.0, delay_ms) / 1000.0, callback)
+        delay_s = max(0.0, delay_ms) / 1000.0
+        return self._loop.call_later(delay_s, self._fire, callback)
+
+    def _fire(self, callback: typing.Callable[[], None]) -> None:
+        if not self._closed:
+            callback()
 
     def every(
         self, period_ms: float, callback: typing.Callable[[], None]
@@ -126,7 +132,11 @@
                 callback(gap_ms)
 
     def close(self) -> None:
-        """Stop the watch for gaps."""
+        """Call nobody back any more.
+
+        A part would begin a task that the end of the loop destroys.
+        """
+        self._closed = True
         self._watch.cancel()
 
 
