--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -30,8 +30,8 @@
 
 _EXIT_MS = 500.0
 """What is kept of the time before the kill for the answers to what is still
-open, and for the exit.  Answers are written in one turn of the loop; whatever
-is kept here is taken from targets that would have answered in time."""
+open, and for the exit.  Answers to callers are written in one turn of the
+loop; more would be taken from targets that still answer in time."""
 
 _LAST_CALL_MS = 1_000.0
 """How long before the limit of a stop the doors close, whoever still comes:
@@ -222,7 +222,7 @@
         self._shutdown.on_signal(self._clock.now_ms())
 
     async def wait_stopped(self) -> None:
-        """Wait until a shutdown has gone through all its phases."""
+        """Wait for the end of a stop, and close what is open."""
         await self._stopped.wait()
         cut = await _doors.close_all(self._doors, self._left_ms, self._give_up)
         if cut:
@@ -274,9 +274,9 @@
         )
 
     def _begin_draining(self) -> None:
-        # Requests are still served: a balancer that has too few daemons left
-        # sends callers here all the same, and one slow request keeps this one
-        # for seconds.  Their connections close after them.
+        # Requests are still served: a balancer with too few daemons left sends
+        # callers here all the same, and one slow request may keep this daemon
+        # for seconds.  Connections end with their next answer.
         self._metrics.add('shutdowns_draining')
 
     def _end(self) -> None:
--- a/tests/process/test_stop_end.py
+++ b/tests/process/test_stop_end.py
@@ -18,13 +18,11 @@
 class StopEndTest(unittest.IsolatedAsyncioTestCase):
     """Targets that take a request and stay silent; a daemon is stopped.
 
-    A caller sees its connection closed, with no answer and no refusal.  A
-    target has the request and does not answer it, and the route allows no
-    second target, so that it is open until its deadline, seconds later.
-    The daemon is stopped meanwhile; at its limit it closed all doors and
-    with them what was open.  Two such connections ended 4.916 and 4.918 s
-    after the signal, whenever their request had come: the limit of 4.8 s, a
-    tick of 20 ms, and 100 ms that a door waits.
+    A caller sees its connection closed, with no answer and no refusal.  Its
+    request is open until its deadline, seconds later, and the daemon is
+    stopped meanwhile: at its limit it closed the doors and with them what was
+    open.  What showed it: connections that ended 0.12 s after the limit of a
+    stop, whenever their requests had come.
     """
 
     async def asyncSetUp(self) -> None:
--- a/tests/unit/test_entry_node.py
+++ b/tests/unit/test_entry_node.py
@@ -32,10 +32,7 @@
         self.open = 0
 
     def open_requests(self) -> int:
-        """Return what the test says.
-
-        None, if a request is read as the stop finds itself idle.
-        """
+        """Return what the test says, whatever is under way."""
         return self.open
 
     async def handle(self, *request: object) -> protocol.HttpReply:
