A log line tells a request without a connection from one at a silent target

Seen: requests that waited in their own daemon for a connection had the same lines as those at a target that stays silent: sent, and nothing until their deadline.

Change: the lines of a stop, and the end of an attempt that nobody needs any more, say where a request has no connection.

--- a/samphiredock/coordination/forwarding/_flight_sender.py
+++ b/samphiredock/coordination/forwarding/_flight_sender.py
@@ -177,14 +177,18 @@
             self._replicas.ended(exchange.target, took_ms)
 
     def _drop(self, flight: _flights.Flight, attempt_id: str) -> None:
+        exchange = flight.exchanges.get(attempt_id)
         if not flight.done.done():
+            # An attempt that only waited for a connection was seen by no
+            # target, however long it took.
+            waited = exchange is not None and not exchange.has_gone_out
+            facts = {'no_connection': True} if waited else {}
             flight.trail.note(
-                self._clock.now_ms(), 'not needed', attempt=attempt_id
+                self._clock.now_ms(), 'not needed', attempt=attempt_id, **facts
             )
         if attempt_id in flight.orders:
             self._order_flights.drop(flight, attempt_id)
             return
-        exchange = flight.exchanges.get(attempt_id)
         if exchange is None or exchange.task is None:
             return
         exchange.lingers = True
--- a/samphiredock/coordination/forwarding/_flights.py
+++ b/samphiredock/coordination/forwarding/_flights.py
@@ -98,26 +98,32 @@
 class UnderWay:
     """A request that has no outcome yet, for the log.
 
-    ``at`` are the targets, and the daemons with orders for it, that are
-    waited for.
+    ``at`` are the targets that have it, and the daemons with orders for it;
+    ``no_connection`` those for which it still waits for a connection.
     """
 
     request_id: str
     for_ms: float
     at: tuple[str, ...]
+    no_connection: tuple[str, ...] = ()
 
 
 def under_way(flight: Flight, now_ms: float) -> UnderWay:
     """Return what a flight waits for."""
-    at = {
-        exchange.target
+    waited_for = [
+        exchange
         for exchange in flight.exchanges.values()
         if not exchange.lingers
-    }
+    ]
+    at = {row.target for row in waited_for if row.has_gone_out}
     at.update(out.merger for out in flight.orders.values() if out.waiting)
-    for_ms = round(now_ms - flight.trail.started_ms, 1)
-    request_id = flight.plan.request.request_id
-    return UnderWay(request_id, for_ms, tuple(sorted(at)))
+    unsent = {row.target for row in waited_for if not row.has_gone_out}
+    return UnderWay(
+        flight.plan.request.request_id,
+        round(now_ms - flight.trail.started_ms, 1),
+        tuple(sorted(at)),
+        tuple(sorted(unsent)),
+    )
 
 
 def outcome_of(
--- a/tests/failure/test_given_up.py
+++ b/tests/failure/test_given_up.py
@@ -107,3 +107,31 @@
         """The daemon that handed it over passes the outcome on."""
         outcome = await self._give_up(await self._ask('/once/x'))
         self.assertFalse(forwarding.goes_elsewhere(outcome))
+
+
+class SightTest(unittest.IsolatedAsyncioTestCase):
+    """What the log tells of requests that a stop waits for."""
+
+    async def test_a_request_without_a_connection_is_at_no_target(
+        self,
+    ) -> None:
+        """Taken for one at a silent target, its cause is sought there.
+
+        Its line says "sent" since its target was chosen; no target has seen
+        it, and it waits in this daemon.
+        """
+        desk = memory_links.ForwardDesk()
+        desk.links.busy = {'p-0'}
+        tasks = [desk.ask('/one/x', f'id-{number}') for number in range(3)]
+        await memory_links.settle()
+        rows = desk.forwarder.under_way()
+        self.assertEqual(
+            [('p-1',), ('p-2',)],
+            sorted(row.at for row in rows if row.at),
+        )
+        self.assertEqual(
+            [('p-0',)],
+            [row.no_connection for row in rows if row.no_connection],
+        )
+        desk.forwarder.give_up()
+        await asyncio.gather(*tasks)
