A store that has lost writes is read anew

Cause: the users' store may come back from a copy some seconds old; it then gives out revisions again, and a watch from an old one misses changes without an error. Change: the client keeps the newest Store-Era of any reply; a watch from a position of an earlier era fails with ROLLED_BACK, and the watcher reads everything again and treats it as an outage, so that entries that are written again a moment later are not dropped.

--- a/samphiredock/coordination/config/_watcher.py
+++ b/samphiredock/coordination/config/_watcher.py
@@ -259,7 +259,7 @@
             return True
         for callback in self._on_outage:
             callback()
-        return False
+        return error.kind is transport.StoreErrorKind.ROLLED_BACK
 
     def _on_success(self, prefix: str, sent_ms: float | None) -> None:
         if sent_ms is not None:
--- a/samphiredock/transport/_platform.py
+++ b/samphiredock/transport/_platform.py
@@ -25,7 +25,8 @@
     ``UNAVAILABLE``: the call was not applied.  ``LOST``: it may have been
     applied.  ``REFUSED``: the value is too large.  ``FORGOTTEN``: the store
     no longer has the changes after the position of a watch, so the caller
-    must read everything again from position 0.
+    must read everything again from position 0.  ``ROLLED_BACK``: so must it,
+    since the store has lost writes, and gives their positions again.
     """
 
     NOT_FOUND = 'not-found'
@@ -34,6 +35,7 @@
     LOST = 'lost'
     REFUSED = 'refused'
     FORGOTTEN = 'forgotten'
+    ROLLED_BACK = 'rolled-back'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +121,13 @@
         Position 0 returns all objects at once.
         """
 
+    def era(self) -> int:
+        """Return the newest era that a reply of the store has shown.
+
+        It rises when the store has come back without its last writes.
+        Nothing that was read or written in an earlier era may still hold.
+        """
+
 
 class Platform(Objects, typing.Protocol):
     """The object store together with the platform's host list."""
--- a/samphiredock/transport/_platform_http.py
+++ b/samphiredock/transport/_platform_http.py
@@ -137,6 +137,10 @@
             reply, lambda got: _page(got[1], position == 0)
         )
 
+    def era(self) -> int:
+        """Return 0: this store keeps every write that it acknowledges."""
+        return 0
+
     async def hosts(
         self,
     ) -> result.Result[tuple[_platform.Host, ...], _platform.StoreError]:
--- a/samphiredock/transport/_pooled_store_calls.py
+++ b/samphiredock/transport/_pooled_store_calls.py
@@ -44,6 +44,15 @@
         self._pool = _connection_pool.ConnectionPool(
             clock, lambda store: _CONNECTIONS
         )
+        self._on_reply: list[
+            typing.Callable[[typing.Mapping[str, str]], None]
+        ] = []
+
+    def on_reply(
+        self, callback: typing.Callable[[typing.Mapping[str, str]], None]
+    ) -> None:
+        """Call ``callback`` with the headers of every reply."""
+        self._on_reply.append(callback)
 
     async def call(
         self,
@@ -67,8 +76,11 @@
         if isinstance(reply, result.Failure):
             return _failure(reply.failure())
         got = reply.unwrap()
+        received_headers = dict(got.headers)
+        for callback in self._on_reply:
+            callback(received_headers)
         return _store_replies.classify_reply(
-            f'{method} {path}', (got.status, got.body, dict(got.headers))
+            f'{method} {path}', (got.status, got.body, received_headers)
         )
 
     def close(self) -> None:
--- a/samphiredock/transport/_store_replies.py
+++ b/samphiredock/transport/_store_replies.py
@@ -45,6 +45,11 @@
         ``timeout_ms`` replaces the default timeout of this object.
         """
 
+    def on_reply(
+        self, callback: typing.Callable[[typing.Mapping[str, str]], None]
+    ) -> None:
+        """Call ``callback`` with the headers of every reply."""
+
 
 def classify_reply(
     call: str, reply: StoreReply
--- a/standins/prepared_store.py
+++ b/standins/prepared_store.py
@@ -1,7 +1,8 @@
 """A stand-in of the object store on the users' platform.
 
 Serves objects by kind and name over HTTP, with revisions, conditional
-writes, watches, and switches for the platform's documented faults.
+writes, watches, and switches for the platform's documented faults.  It can
+come back from an older copy of its data.
 """
 
 import asyncio
@@ -31,12 +32,22 @@
     stale: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """The data of the store at a time."""
+
+    objects: dict[tuple[str, str], _Json]
+    events: list[tuple[int, str, _Json, bool]]
+    revision: int
+
+
 class PreparedStore:
     """The store; ``put`` and ``remove`` act for operators and targets."""
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.era = 1
         self._objects: dict[tuple[str, str], _Json] = {}
         self._events: list[tuple[int, str, _Json, bool]] = []
         self._revision = 1
@@ -47,7 +58,7 @@
 
     async def start(self) -> str:
         """Start listening; return ``IP:port``."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._add_era])
         app.router.add_route('*', '/objects/{kind}', self._handle_kind)
         app.router.add_route(
             '*', '/objects/{kind}/{name}', self._handle_object
@@ -99,6 +110,18 @@
         self._events.clear()
         self.cut_watches()
 
+    def copy(self) -> '_Copy':
+        """Return a copy of the data, for :meth:`roll_back`."""
+        return _Copy(dict(self._objects), list(self._events), self._revision)
+
+    def roll_back(self, copy: '_Copy') -> None:
+        """Come back from a copy: later writes are lost, a new era begins."""
+        self._objects = dict(copy.objects)
+        self._events = list(copy.events)
+        self._revision = copy.revision
+        self.era += 1
+        self.cut_watches()
+
     def cut_watches(self) -> None:
         """Abort the connection of every waiting watch."""
         cut, self._cut = self._cut, asyncio.Event()
@@ -111,6 +134,14 @@
 
     # HTTP handlers.
 
+    @web.middleware
+    async def _add_era(
+        self, request: web.Request, handler: typing.Any
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        response.headers['Store-Era'] = str(self.era)
+        return response
+
     async def _apply_fault(self, request: web.Request) -> web.Response | None:
         self.calls += 1
         if self.faults.silent:
@@ -149,7 +180,7 @@
         self, request: web.Request, kind: str
     ) -> web.StreamResponse:
         position = int(request.query['Watch'])
-        if position + 1 < self._oldest:
+        if position + 1 < self._oldest or position > self._revision:
             return web.Response(status=410)
         cut = self._cut
         loop = asyncio.get_running_loop()
--- a/tests/unit/test_object_store.py
+++ b/tests/unit/test_object_store.py
@@ -54,6 +54,59 @@
         self.assertEqual(('servers/b',), page.gone)
         self.assertFalse(page.whole)
 
+    async def test_watch_ends_when_the_store_has_lost_writes(self) -> None:
+        """Positions are given again, and changes before them would be missed.
+
+        The revision of the watch is reached again before it is sent.
+        """
+        copy = self.store.copy()
+        self.store.put('servers', 'lost', {'N': 1})
+        page = (await self.client.watch('servers/', 0, 0)).unwrap()
+        self.assertEqual(1, self.client.era())
+        self.store.roll_back(copy)
+        for name in 'abc':
+            self.store.put('servers', name, {'N': 1})
+        reply = await self.client.watch('servers/', page.position, 10)
+        self.assertEqual(Kind.ROLLED_BACK, reply.failure().kind)
+        self.assertEqual(2, self.client.era())
+        page = (await self.client.watch('servers/', 0, 0)).unwrap()
+        self.assertEqual(
+            ['servers/a', 'servers/b', 'servers/c'],
+            [row.key for row in page.changed],
+        )
+        reply = await self.client.watch('servers/', page.position, 10)
+        self.assertEqual((), reply.unwrap().changed)
+
+    async def test_watch_ends_when_another_call_shows_lost_writes(
+        self,
+    ) -> None:
+        """The next watch is not sent from a position of the lost writes."""
+        self.store.put('servers', 'a', {'N': 1})
+        copy = self.store.copy()
+        page = (await self.client.watch('servers/', 0, 0)).unwrap()
+        self.store.roll_back(copy)
+        await self.client.get('config/main')
+        calls = self.store.calls
+        reply = await self.client.watch('servers/', page.position, 10)
+        self.assertEqual(Kind.ROLLED_BACK, reply.failure().kind)
+        self.assertEqual(calls, self.store.calls)
+
+    async def test_first_known_era_is_no_loss(self) -> None:
+        """A daemon that starts must not read everything twice."""
+        self.store.era = 7
+        page = (await self.client.watch('servers/', 0, 0)).unwrap()
+        reply = await self.client.watch('servers/', page.position, 10)
+        self.assertEqual((), reply.unwrap().changed)
+
+    async def test_failed_calls_show_the_era_too(self) -> None:
+        """A share must end although the store cannot be read yet."""
+        copy = self.store.copy()
+        await self.client.get('config/main')
+        self.store.roll_back(copy)
+        self.store.faults.status = 503
+        await self.client.get('config/main')
+        self.assertEqual(2, self.client.era())
+
     async def test_malformed_rows_are_skipped(self) -> None:
         """One unreadable row must not make the others unavailable."""
         page = (await self.client.watch('servers/', 0, 0)).unwrap()
