The time in which a sent request may arrive is bounded

Cause: a retry is charged when it is decided and arrives when it arrives: after a wait for a connection, from a socket buffer when a partition heals, or from a daemon that was paused with an order. Change: extra attempts, and earlier ones of their shard, are written within 0.5 s or dropped; bytes that are not acknowledged in 1.5 s are dropped by the kernel, those of an ended exchange at once; a daemon that was paused takes no orders for a moment; the clock counts the time of a suspension; a handed-over or pipelined request states its age.

--- a/samphiredock/coordination/forwarding/_attempt_sender.py
+++ b/samphiredock/coordination/forwarding/_attempt_sender.py
@@ -9,6 +9,7 @@
 from samphiredock.coordination.forwarding import _order_tracker
 from samphiredock.coordination.forwarding import _pending_requests
 from samphiredock.coordination.forwarding import _target_client
+from samphiredock.coordination.search import _arrival
 from samphiredock.coordination.search import _scatter_types
 from samphiredock.coordination.targets import _replica_selector
 from samphiredock import protocol
@@ -159,6 +160,9 @@
     ) -> bool:
         """Trace an attempt; return whether it is the first for its shard."""
         is_first = item.shard_id not in pending.asked
+        if not is_first:
+            send_by_ms = self._clock.now_ms() + _arrival.SEND_WITHIN_MS
+            pending.send_by_ms[item.shard_id] = send_by_ms
         why = 'first' if is_first else 'hedge' if item.hedge else 'retry'
         pending.asked.add(item.shard_id)
         pending.shard_of[item.attempt_id] = item.shard_id
@@ -243,7 +247,7 @@
             left_ms,
             pending.plan.route.repeatable,
             item.hedge,
-            lambda: not exchange.is_dropped,
+            lambda: self._may_send(pending, item, exchange),
             exchange.mark_sent,
         )
         reply = exchange_result.reply
@@ -261,6 +265,25 @@
             request, item.target, exchange_result
         )
 
+    def _may_send(
+        self,
+        pending: _pending_requests.PendingRequest,
+        item: protocol.SubQuery,
+        exchange: _pending_requests.Exchange,
+    ) -> bool:
+        """Return whether an attempt that waits may still be written.
+
+        Once a shard has extra attempts, all of them must arrive while their
+        charges last.
+        """
+        now_ms = self._clock.now_ms()
+        send_by_ms = pending.send_by_ms.get(item.shard_id, math.inf)
+        return (
+            not exchange.is_dropped
+            and now_ms <= send_by_ms
+            and now_ms <= pending.plan.scatter.deadline_at_ms
+        )
+
     # Results.
 
     def _on_result(
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from samphiredock.coordination.forwarding import _crash_guard
+from samphiredock.coordination.forwarding import _forward_types
 from samphiredock.coordination.forwarding import _roles
 from samphiredock.coordination.forwarding import _routing
 from samphiredock import protocol
@@ -27,6 +28,7 @@
 _ID = 'Samphiredock-Request'
 _VERSION = 'Samphiredock-Version'
 _REFUSED = 'Samphiredock-Refused'
+_AGE = 'Samphiredock-Age-Ms'
 _STALE_OK = 'Samphiredock-Stale-Ok'
 _PREFIX = 'samphiredock-'
 
@@ -44,6 +46,7 @@
     ``left_ms`` is the time left until the caller's deadline.
     ``least_version`` is the newest routing table whose effect the sender has
     seen: if an older one were used, callers would see a change undone.
+    ``age_ms`` is how long ago the sender knows that a daemon received it.
     ``stale_ok`` is set when every coordinator has lost the store, so that an
     old routing table is the best available.
     """
@@ -53,6 +56,7 @@
     left_ms: float
     least_version: int
     stale_ok: bool = False
+    age_ms: float = 0.0
 
 
 def read_handed_over(headers: protocol.Headers) -> HandedOver | None:
@@ -72,11 +76,34 @@
             float(added[_LEFT.lower()]),
             int(added[_VERSION.lower()]),
             _STALE_OK.lower() in added,
+            float(added.get(_AGE.lower(), 0.0)),
         )
     except (KeyError, ValueError):
         return None
 
 
+def as_received(
+    request: protocol.ForwardRequest,
+    handed: HandedOver,
+    table: _forward_types.RouteTable | None,
+) -> protocol.ForwardRequest:
+    """Return a handed-over request with its age and the time that it has left.
+
+    Its age is that at the sender, and what is missing from the deadline that
+    its caller stated, or from the timeout of its route in ``table``.
+    """
+    limits_ms = [handed.left_ms]
+    route = table.match(request.host, request.path) if table else None
+    if route is not None:
+        limits_ms = [route.timeout_ms]
+        if request.deadline_ms is not None:
+            limits_ms.append(request.deadline_ms)
+    age_ms = handed.age_ms + min(limits_ms) - handed.left_ms
+    return dataclasses.replace(
+        request, deadline_ms=handed.left_ms, age_ms=max(0.0, age_ms)
+    )
+
+
 def coordinator_reply(
     reply: protocol.HttpReply, handed: HandedOver, version: int
 ) -> protocol.HttpReply:
@@ -189,6 +216,8 @@
             (_LEFT, f'{left_ms:.1f}'),
             (_VERSION, str(self._least_version())),
         ]
+        if request.age_ms:
+            added.append((_AGE, str(request.age_ms)))
         return protocol.HttpRequest(
             request.method,
             request.path,
--- a/samphiredock/coordination/forwarding/_merger.py
+++ b/samphiredock/coordination/forwarding/_merger.py
@@ -9,6 +9,7 @@
 from samphiredock.coordination.forwarding import _report_batcher
 from samphiredock.coordination.forwarding import _request_log
 from samphiredock.coordination.forwarding import _target_client
+from samphiredock.coordination.search import _arrival
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
@@ -63,6 +64,14 @@
         for events in self._events:
             events.put_nowait(_Aborted())
 
+    def may_take_orders(self) -> bool:
+        """Return whether an order that is read now is certainly a new one.
+
+        One that has waited unread during a pause of this process would send
+        attempts that its coordinator has given up and replaced.
+        """
+        return not self._clock.has_just_resumed()
+
     def close(self) -> None:
         """Write the log lines that are still queued."""
         self._log.write()
@@ -140,8 +149,12 @@
                 )
             )
             return
+        send_by_ms = sent_ms + min(left_ms, _arrival.ORDERED_SEND_WITHIN_MS)
         exchange_result = await self._target_client.send(
-            request, item.target, left_ms
+            request,
+            item.target,
+            left_ms,
+            is_wanted=lambda: self._clock.now_ms() <= send_by_ms,
         )
         took_ms = self._clock.now_ms() - sent_ms
         if exchange_result.status is protocol.SubStatus.ANSWERED:
--- a/samphiredock/coordination/forwarding/_order_client.py
+++ b/samphiredock/coordination/forwarding/_order_client.py
@@ -8,6 +8,7 @@
 from samphiredock.coordination.forwarding import _forward_types
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _merger_assignments
+from samphiredock.coordination.search import _arrival
 from samphiredock.coordination.targets import _replica_selector
 from samphiredock import logs
 from samphiredock import metrics
@@ -109,6 +110,7 @@
                 return
             on_report(read.unwrap())
 
+        send_by_ms = began_ms + _arrival.SEND_WITHIN_MS
         self._loads.record_sent(merger)
         took_ms: float | None = None
         try:
@@ -117,6 +119,7 @@
                 _request_of(order),
                 order.left_ms,
                 lambda got: True,
+                is_wanted=lambda: self._clock.now_ms() <= send_by_ms,
                 on_chunk=handle_chunk,
             )
             if first_report_ms < math.inf:
--- a/samphiredock/coordination/forwarding/_pending_requests.py
+++ b/samphiredock/coordination/forwarding/_pending_requests.py
@@ -71,6 +71,8 @@
     ``shard_of``, ``sent_orders`` and ``exchanges`` have attempt ids as keys;
     an attempt is in ``sent_orders`` if another daemon sends it, otherwise in
     ``exchanges`` until it ends.  ``asked`` and ``answered`` are shards.
+    ``send_by_ms`` holds, for shards with extra attempts, until when an attempt
+    may be written.
     """
 
     plan: _route_plans.ForwardPlan
@@ -90,6 +92,7 @@
     asked: set[str] = dataclasses.field(default_factory=set)
     answered: set[str] = dataclasses.field(default_factory=set)
     exchanges: dict[str, Exchange] = dataclasses.field(default_factory=dict)
+    send_by_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.parts = _collected_parts.CollectedParts(self.plan.route.top)
--- a/samphiredock/protocol/_forwarding.py
+++ b/samphiredock/protocol/_forwarding.py
@@ -65,7 +65,8 @@
     ``headers`` are the end-to-end headers, without those that the
     daemon sets itself.  ``path`` is undecoded, with its query string.
     ``deadline_ms`` is how much longer the caller waits, None if the caller
-    did not state it.
+    did not state it.  ``age_ms`` is how long ago a daemon received it, 0 if
+    it has just come, infinite if that is not known.
     """
 
     request_id: str
@@ -75,6 +76,7 @@
     headers: Headers
     body: bytes
     deadline_ms: float | None
+    age_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/samphiredock/timers.py
+++ b/samphiredock/timers.py
@@ -7,6 +7,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 import time
 import typing
 
@@ -17,6 +18,13 @@
 TICK_MS = 100.0
 """Interval of the ticks that detect a freeze."""
 
+PAUSE_MS = 500.0
+"""A tick later than this means that input may have waited unread meanwhile."""
+
+_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+"""Counts the time for which the machine was suspended, which the clock of the
+event loop may leave out: a lease that lapsed meanwhile would look valid."""
+
 
 class TimerHandle(typing.Protocol):
     """A timer that can be cancelled."""
@@ -50,6 +58,12 @@
     def frozen_for_ms(self) -> float:
         """Return the length in ms of a freeze not reported yet, 0 if none."""
 
+    def has_just_resumed(self) -> bool:
+        """Return whether the process was paused until a moment ago.
+
+        What it reads now may have waited unread for the length of the pause.
+        """
+
 
 class _Repeating:
     """A repeating timer, made of one-shot timers."""
@@ -86,11 +100,12 @@
         self._gap_callbacks: list[typing.Callable[[float], None]] = []
         self._closed = False
         self._last_tick_ms = self.now_ms()
+        self._resumed_ms = -math.inf
         self._tick = _Repeating(self, TICK_MS, self._check_gap)
 
     def now_ms(self) -> float:
         """Return monotonic milliseconds."""
-        return time.monotonic() * 1000.0
+        return time.clock_gettime(_CLOCK) * 1000.0
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
@@ -125,10 +140,17 @@
         """
         return max(0.0, self.now_ms() - self._last_tick_ms - TICK_MS)
 
+    def has_just_resumed(self) -> bool:
+        """Return whether the process was paused until a moment ago."""
+        resumed_for_ms = self.now_ms() - self._resumed_ms
+        return self.frozen_for_ms() > PAUSE_MS or resumed_for_ms < PAUSE_MS
+
     def _check_gap(self) -> None:
         now_ms = self.now_ms()
         gap_ms = now_ms - self._last_tick_ms - TICK_MS
         self._last_tick_ms = now_ms
+        if gap_ms > PAUSE_MS:
+            self._resumed_ms = now_ms
         if gap_ms > GAP_MS:
             for callback in self._gap_callbacks:
                 callback(gap_ms)
@@ -160,6 +182,12 @@
         self._heap: list[tuple[float, int, _ManualTimer]] = []
         self._gap_callbacks: list[typing.Callable[[float], None]] = []
         self.unseen_gap_ms = 0.0
+        self._resumed_ms = -math.inf
+
+    def has_just_resumed(self) -> bool:
+        """Return whether :meth:`freeze` ended a moment ago."""
+        resumed_for_ms = self._now_ms - self._resumed_ms
+        return self.unseen_gap_ms > PAUSE_MS or resumed_for_ms < PAUSE_MS
 
     def frozen_for_ms(self) -> float:
         """Return the length of an unreported freeze, as set by the test."""
@@ -205,5 +233,7 @@
     def freeze(self, gap_ms: float) -> None:
         """Advance the clock without firing timers, then report a freeze."""
         self._now_ms += gap_ms
+        if gap_ms > PAUSE_MS:
+            self._resumed_ms = self._now_ms
         for callback in self._gap_callbacks:
             callback(gap_ms)
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -15,11 +15,13 @@
         '_entry_connection': (
             'EntryCallbacks',
             'EntryHandler',
+            'is_pipelined',
         ),
         '_entry_http': (
             'CLOSE_TIMEOUT_MS',
             'EntryServer',
         ),
+        '_http_connection': ('DELIVERY_LIMIT_MS',),
         '_http_guard': ('is_busy',),
         '_link_errors': (
             'LinkError',
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import contextvars
 import dataclasses
 import http
 import typing
@@ -55,6 +56,12 @@
 """Answers one request, given its method, raw path, headers and body; cancelled
 when the caller disconnects."""
 
+is_pipelined: contextvars.ContextVar[bool] = contextvars.ContextVar(
+    'is_pipelined', default=False
+)
+"""Whether the request that a handler answers came behind another one on its
+connection: then it is unknown when its caller sent it."""
+
 _LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -80,7 +87,8 @@
     complete, then the number of bytes received.  ``refusal_status`` is the
     error status of a request that is refused and not handled, 0 for any
     other, and ``detail`` is the reason.  The connection ends after a refusal:
-    where the next request would begin is unknown.
+    where the next request would begin is unknown.  ``is_pipelined`` says that
+    it came before the request ahead of it was answered.
     """
 
     method: str = ''
@@ -94,6 +102,7 @@
     expects_continue: bool = False
     refusal_status: int = 0
     detail: str = ''
+    is_pipelined: bool = False
 
 
 class EntryConnection(asyncio.Protocol):
@@ -198,7 +207,9 @@
         """Begin a request, unless reading has ended."""
         if self._reading_ended:
             return
-        self._partial_request = _Request()
+        self._partial_request = _Request(
+            is_pipelined=self._answer_task is not None or bool(self._queued)
+        )
         self._in_head = True
 
     def on_url(self, part: bytes) -> None:
@@ -437,6 +448,7 @@
                 request.refusal_status, body=request.detail.encode()
             )
         path = request.path.decode('latin-1')
+        is_pipelined.set(request.is_pipelined)
         try:
             return await self._callbacks.handle(
                 request.method,
--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import socket
+import struct
 import typing
 
 import httptools
@@ -27,6 +28,14 @@
 """A host that lost power never closes its connections.  The kernel's
 keepalive probes detect that within about 4 s and close them here."""
 
+DELIVERY_LIMIT_MS = 1_500
+"""Bytes that are not acknowledged within this time are never delivered: the
+kernel drops them with their connection.  Otherwise a request could reach its
+target when a partition heals, long after its daemon gave it up."""
+
+_LINGER = struct.Struct('ii')
+"""The ``struct linger`` of the socket API: whether, and for how many s."""
+
 _Kind = _link_errors.LinkErrorKind
 
 
@@ -257,15 +266,17 @@
             return outcome
         finally:
             timer.cancel()
-            self._reader = None
-            self._waiter = None
             if not reusable:
                 self.close()
+            self._reader = None
+            self._waiter = None
 
     def close(self) -> None:
         """Abort the connection and the exchange that runs on it."""
         self._closed = True
         if self._transport is not None:
+            if self._waiter is not None:
+                _reset_on_close(self._transport.get_extra_info('socket'))
             self._transport.abort()
 
     def _succeed(self) -> None:
@@ -306,11 +317,23 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DELIVERY_LIMIT_MS),
     )
     for level, option, value in options:
         sock.setsockopt(level, option, value)
 
 
+def _reset_on_close(sock: socket.socket) -> None:
+    """Drop bytes that the peer has not received when the socket is closed.
+
+    They would otherwise be delivered after the exchange has ended.
+    """
+    if sock.fileno() >= 0:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(1, 0)
+        )
+
+
 def _encode(request: protocol.HttpRequest) -> bytes:
     lines = [f'{request.method} {request.path} HTTP/1.1']
     lines += [f'{name}: {value}' for name, value in request.headers]
--- a/standins/memory_hosts.py
+++ b/standins/memory_hosts.py
@@ -1,6 +1,7 @@
 """Manual clocks, and simulated hosts that freeze and die."""
 
 import asyncio
+import math
 import random
 import typing
 
@@ -65,6 +66,7 @@
         self._held: list[typing.Callable[[], None]] = []
         self._gap_callbacks: list[typing.Callable[[float], None]] = []
         self._last_tick_ms = base.now_ms()
+        self._resumed_ms = -math.inf
         self.now_ms = base.now_ms
         self.wall_ms = base.wall_ms
 
@@ -96,6 +98,10 @@
         since_ms = self.now_ms() - self._last_tick_ms
         return max(0.0, since_ms - timers.TICK_MS)
 
+    def has_just_resumed(self) -> bool:
+        """Return whether a freeze ended a moment ago."""
+        return self.now_ms() - self._resumed_ms < timers.PAUSE_MS
+
     def run(self, callback: typing.Callable[[], None]) -> None:
         """Call back now, or when a frozen host wakes; never if dead."""
         if self.frozen:
@@ -113,6 +119,7 @@
     def wake(self, randomness: random.Random | None = None) -> None:
         """Resume, and run the held callbacks in order or shuffled."""
         self.frozen = False
+        self._resumed_ms = self.now_ms()
         held, self._held = self._held, []
         if randomness is not None:
             randomness.shuffle(held)
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -91,6 +91,9 @@
         future = asyncio.get_running_loop().create_future()
         while target.target_id in self.busy:
             await asyncio.sleep(0)
+        if not is_wanted():
+            kind = transport.LinkErrorKind.NO_CONNECTION
+            return result.Failure(transport.LinkError(kind, 'not wanted'))
         on_send()
         sent = SentRequest(target.target_id, request, future)
         self.sent.append(sent)
@@ -135,11 +138,13 @@
     def read_reply(
         self, request: protocol.ForwardRequest, reply: protocol.HttpReply
     ) -> protocol.TargetReply:
-        """Read a reply: status 200, a ``Refused`` header, or a failure."""
+        """Read a reply: status 200 or 421, a refusal, or a failure."""
         receipt = reply.header('Receipt')
         status = protocol.SubStatus.BROKEN
         if reply.status == 200:
             status = protocol.SubStatus.ANSWERED
+        elif reply.status == 421:
+            status = protocol.SubStatus.NOT_OWNER
         elif reply.header('Refused'):
             status = protocol.SubStatus.SHED
         return protocol.TargetReply(
@@ -169,7 +174,11 @@
         self.counters = metrics.Metrics('test')
         self.latencies = coordination.Latencies()
         self.budget = forwarding.WindowBudget(
-            self.clock, 0.2, 56.0, 10_000.0, lambda: daemons
+            self.clock,
+            0.2,
+            56.0,
+            10_000.0,
+            lambda: 1.0 / daemons if daemons else 0.0,
         )
         self.shards = tuple(f's{number}' for number in range(shards))
         self.offer(1)
@@ -224,6 +233,10 @@
                 'one', prefix='/one/', repeatable=True, attempts=2,
                 services=one, **common,
             ),
+            state.Route(
+                'slow', prefix='/slow/', repeatable=True, attempts=2,
+                services=one, **{**common, 'timeout_ms': 5_000.0},
+            ),
             state.Route(
                 'once', prefix='/once/', repeatable=False, attempts=2,
                 services=one, **common,
--- a/tests/failure/test_cross_site_orders.py
+++ b/tests/failure/test_cross_site_orders.py
@@ -346,6 +346,15 @@
             self.check_consistent(outcome)
         self.check_target_limit()
 
+    async def test_merger_takes_no_orders_after_a_pause(self) -> None:
+        """They may have waited unread until others have replaced them."""
+        merger = self.harness.mergers['b-0']
+        self.assertTrue(merger.may_take_orders())
+        self.harness.clock.freeze(3_000.0)
+        self.assertFalse(merger.may_take_orders())
+        self.harness.clock.advance(3_000.0)
+        self.assertTrue(merger.may_take_orders())
+
     async def test_lost_merger_costs_a_retry(self) -> None:
         """Nobody knows which of its targets the lost daemon has asked.
 
--- a/tests/failure/test_forwarder.py
+++ b/tests/failure/test_forwarder.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from samphiredock.coordination.search import _arrival
 from samphiredock import protocol
 from samphiredock import transport
 from standins import memory_links
@@ -175,6 +176,29 @@
         self.assertTrue(sent[9].cancelled)
 
 
+class WaitingRetryTest(unittest.IsolatedAsyncioTestCase):
+    """A retry that waits for a connection."""
+
+    async def test_retry_that_waits_too_long_is_not_sent(self) -> None:
+        """It would arrive in a later window than the one it was charged to."""
+        harness = memory_links.ForwarderHarness()
+        task = harness.ask('/slow/x')
+        await memory_links.settle()
+        first = harness.links.open[0]
+        others = {'p-0', 'p-1', 'p-2'} - {first.target}
+        harness.links.busy = set(others)
+        first.lose(Kind.BROKEN)
+        await harness.advance(_arrival.SEND_WITHIN_MS + 1.0)
+        harness.links.busy.clear()
+        await memory_links.settle()
+        waited = [row for row in harness.links.sent if row is not first]
+        self.assertLessEqual(len(waited), 1)
+        for row in waited:
+            row.lose(Kind.BROKEN)
+        await harness.advance(2_000.0)
+        self.assertTrue(task.done())
+
+
 class SheddingTest(unittest.IsolatedAsyncioTestCase):
     """Targets that refuse part of their work."""
 
--- a/tests/unit/test_roles.py
+++ b/tests/unit/test_roles.py
@@ -1,6 +1,7 @@
 """Tests of which daemons coordinate, and of handing requests over to them."""
 
 import dataclasses
+import math
 import unittest
 
 from samphiredock.coordination import forwarding
@@ -113,6 +114,34 @@
         sent = self.dialect.target_request(self.request, self.target, 321.5)
         return forwarding.read_handed_over(sent.headers)
 
+    def test_age_of_a_request_is_handed_over(self) -> None:
+        """A request counts from when its caller sent it, as far as known."""
+        table = forwarding.RoutingState()
+        table.offer(
+            state.RoutingTable(
+                1,
+                (state.Route('r', 'h', '/a/', True, 3_000.0, 100.0, 2),),
+                {},
+                state.CallerLimits(),
+            )
+        )
+        for deadline_ms, left_ms, known_ms, age_ms in (
+            (2_000.0, 1_900.0, 0.0, 100.0),
+            (6_000.0, 2_900.0, 0.0, 100.0),
+            (None, 2_900.0, 0.0, 100.0),
+            (2_000.0, 1_900.0, math.inf, math.inf),
+        ):
+            request = protocol.ForwardRequest(
+                'r1', 'GET', 'h', '/a/x', (), b'', deadline_ms, known_ms
+            )
+            dialect = forwarding.HandoverDialect(table)
+            target = state.LiveTarget('d', 'coordinators', 'x:1', 'a', 1)
+            sent = dialect.target_request(request, target, left_ms)
+            handed = forwarding.read_handed_over(sent.headers)
+            received = forwarding.as_received(request, handed, table.table)
+            self.assertEqual(left_ms, received.deadline_ms)
+            self.assertAlmostEqual(age_ms, received.age_ms)
+
     def test_handover_round_trip(self) -> None:
         """The caller's headers are kept, those of the hop are removed."""
         handed = self._handed()
