The retry budget holds whatever the daemons believe of each other

Causes: each daemon took slack / coordinators by a list of its own, also when it was not on it, and anew after each start; the retry after a pause, after a refunded hedge, and after a 421 was not charged; windows of daemons did not line up. Change: every arrival after the first is charged; a daemon uses ratio / 2 for its own requests of this window and of the one before, which is within the rule whoever counts them; the slack is shared by a list in the store that daemons follow under a lease. Log line 'extra requests' and counters say by service what was sent, why, for which requests, and by which share.

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -23,6 +23,7 @@
             'HandoverRouting',
             'LOSS_PATH',
             'StaleHandoverDialect',
+            'as_received',
             'as_target',
             'coordinator_reply',
             'can_retry_elsewhere',
@@ -46,6 +47,11 @@
             'OrderClient',
         ),
         '_presence': ('Presence',),
+        '_retry_report': ('RetryReport',),
+        '_retry_shares': (
+            'RetryShares',
+            'SHARERS_KEY',
+        ),
         '_roles': (
             'Daemon',
             'Role',
@@ -65,6 +71,16 @@
             'store_status_reply',
             'store_status_request',
         ),
-        '_window_budget': ('WindowBudget',),
+        '_share_history': (
+            'LEASE_MS',
+            'Reading',
+            'ShareHistory',
+            'SharerList',
+            'SharerPolicy',
+        ),
+        '_window_budget': (
+            'READ_DELAY_MS',
+            'WindowBudget',
+        ),
     },
 )
--- a/samphiredock/coordination/forwarding/_route_plans.py
+++ b/samphiredock/coordination/forwarding/_route_plans.py
@@ -124,6 +124,7 @@
         may_restart=False,
         initial_hedge_delay_ms=initial_hedge_delay_ms,
         uses_orders=bool(route.shards),
+        age_ms=request.age_ms,
     )
     key_ranges = {shard.shard_id: shard.key_range for shard in shards}
     return ForwardPlan(request, route, services, plan, key_ranges)
--- a/samphiredock/coordination/search/_planner.py
+++ b/samphiredock/coordination/search/_planner.py
@@ -40,6 +40,8 @@
         Whether attempts are sent as merge orders, unless this daemon queries
         the target itself.  A merge order asks another daemon to query
         targets and to merge their answers.
+    age_ms
+        How long ago a daemon received the request, infinite if unknown.
     """
 
     query_id: str
@@ -57,6 +59,7 @@
     may_restart: bool = True
     initial_hedge_delay_ms: float | None = None
     uses_orders: bool = False
+    age_ms: float = 0.0
 
     @property
     def shards(self) -> list[state.Shard]:
--- a/samphiredock/coordination/search/_scatter.py
+++ b/samphiredock/coordination/search/_scatter.py
@@ -9,6 +9,7 @@
 from samphiredock.coordination.search import _planner
 from samphiredock.coordination.search import _scatter_attempts
 from samphiredock.coordination.search import _scatter_canary
+from samphiredock.coordination.search import _scatter_charges
 from samphiredock.coordination.search import _scatter_hedges
 from samphiredock.coordination.search import _scatter_restart
 from samphiredock.coordination.search import _scatter_results
@@ -75,11 +76,13 @@
         )
         self._next_alone_ms = 0.0
         self._answer_due_ms = plan.answer_by_ms
+        self._charges = _scatter_charges.Charges(plan, context.budget)
         self.tally = _scatter_types.Tally(
             sub_queries_needed=len(self._round.shards)
         )
         self._hedges = _scatter_hedges.Hedges(
             context,
+            self._charges,
             self._index,
             limits,
             self.tally,
@@ -146,7 +149,7 @@
         silent = [attempt for attempt in attempts if attempt is not None]
         if not self._finish_effect and self._plan.repeatable:
             for shard, candidates in self._hedges.take_silent(
-                silent, self._candidates_of
+                silent, self._candidates_of, now_ms
             ):
                 self._send_attempt(shard, now_ms, candidates, hedge=True)
         return self._take_effects(now_ms)
@@ -159,7 +162,7 @@
             if attempt.dispatcher == member and not self._finish_effect:
                 self._attempts.remove(attempt, None)
                 self._may_have_begun = True
-                self._context.budget.charge(attempt.shard.shard.shard_id)
+                self._charges.on_lost()
                 self._retry(attempt.shard, False, now_ms)
         return self._take_effects(now_ms)
 
@@ -175,6 +178,7 @@
             attempt = self._attempts.get(attempt_id)
             if attempt is not None:
                 self._attempts.remove(attempt, None)
+                self._charges.on_ended(attempt, _Status.CANCELLED, now_ms)
         self._finish()
         return self._take_effects(now_ms)
 
@@ -211,7 +215,7 @@
 
     def _begin_round(self, now_ms: float) -> None:
         shards = self._round.shards
-        self._context.budget.record_first_attempts(
+        self._charges.record_first_attempts(
             [shard.shard.shard_id for shard in shards],
             self._limits.hedge_budget,
         )
@@ -288,13 +292,13 @@
         if result in _scatter_results.TARGET_FAULTS:
             self._context.replicas.record_failure(attempt.item.target)
         began = status not in protocol.NEVER_STARTED
-        charged = status in self._context.budget.charged_refusals
+        if status is not _Status.ANSWERED:
+            shard.last_failure = status.value
+        self._charges.on_ended(attempt, status, now_ms)
         if began:
             self._may_have_begun = True
         else:
             shard.started_on.discard(attempt.item.target)
-        if attempt.item.hedge and not began and not charged:
-            self._context.budget.refund(shard.shard.shard_id)
         if attempt.item.hedge and status is _Status.NO_IDLE_SLOT:
             self._hedges.on_refused(shard, now_ms)
         if attempt.alone and status is _Status.ANSWERED:
@@ -316,7 +320,7 @@
         else:
             rule = _scatter_results.RETRY_RULES[result]
             _scatter_results.apply_rule(rule, answer, shard, self.tally)
-            self._retry(shard, rule.uses_budget or charged, now_ms)
+            self._retry(shard, rule.uses_budget, now_ms)
 
     def _on_target_lost(
         self,
@@ -333,7 +337,7 @@
         self._canary_gate.record_loss(shard)
         self._hedges.stop()
         self._next_alone_ms = now_ms + _LOSS_PAUSE_MS
-        self._context.budget.charge(shard.shard.shard_id)
+        self._charges.on_lost()
         if answer.ran_alone:
             self._context.crash_tracker.record_loss(
                 self._plan.fingerprint, answer.target, self._plan.service
@@ -383,8 +387,8 @@
         if not candidates:
             self._on_no_candidate(shard, now_ms)
             return
-        shard_id = shard.shard.shard_id
-        if uses_budget and not self._context.budget.spend_retry(shard_id):
+        needs_charge = self._charges.needs_charge(shard, uses_budget)
+        if needs_charge and not self._charges.spend_retry(shard, now_ms):
             self.tally.retries_denied += 1
             self._settle(shard, now_ms)
             return
@@ -399,6 +403,11 @@
     ) -> None:
         """Pause, wait for a newer snapshot, or settle the shard."""
         if shard.may_retry_refused():
+            if not self._charges.can_retry(shard, now_ms):
+                # Waiting would only delay the same outcome.
+                self.tally.retries_denied += 1
+                self._settle(shard, now_ms)
+                return
             shard.schedule_retry(now_ms)
             self._retry_due_ms = min(self._retry_due_ms, shard.retry_at_ms)
         elif shard.snapshot_gone and self._snapshot_wait.may_restart():
--- a/samphiredock/coordination/search/_scatter_attempts.py
+++ b/samphiredock/coordination/search/_scatter_attempts.py
@@ -93,6 +93,8 @@
         shard.tried.add(target)
         shard.started_on.add(target)
         shard.outstanding += 1
+        shard.arrived += 1
+        shard.was_ordered = shard.was_ordered or is_ordered
         self._replicas.record_sent(target)
         key = (dispatcher, alone)
         box = self._outbox.get(key)
--- a/samphiredock/coordination/search/_scatter_hedges.py
+++ b/samphiredock/coordination/search/_scatter_hedges.py
@@ -6,6 +6,7 @@
 from samphiredock.coordination.search import _hedging
 from samphiredock.coordination.search import _planner
 from samphiredock.coordination.search import _scatter_attempts
+from samphiredock.coordination.search import _scatter_charges
 from samphiredock.coordination.search import _scatter_round
 from samphiredock.coordination.search import _scatter_types
 from samphiredock import state
@@ -38,7 +39,9 @@
     Parameters
     ----------
     context
-        Provides latencies, the budget and the owners of targets.
+        Provides latencies and the owners of targets.
+    charges
+        Spends the budget.
     index, limits
         The hedge delay is the limits' quantile of the index's latency, or
         the fixed delay if the limits set one.
@@ -51,12 +54,14 @@
     def __init__(
         self,
         context: _scatter_types.ScatterContext,
+        charges: _scatter_charges.Charges,
         index: str,
         limits: state.Limits,
         tally: _scatter_types.Tally,
         initial_ms: float,
     ) -> None:
         self._context = context
+        self._charges = charges
         self._index = index
         self._quantile = limits.hedge_quantile
         self._fixed_ms = limits.hedge_after_ms
@@ -127,7 +132,7 @@
         chosen = []
         for attempt in late:
             candidates = candidates_of(attempt.shard)
-            if candidates and self._spend_hedge(attempt.shard):
+            if candidates and self._spend_hedge(attempt.shard, now_ms):
                 elsewhere = [
                     name
                     for name in candidates
@@ -140,6 +145,7 @@
         self,
         attempts: typing.Iterable[_scatter_round.Attempt],
         candidates_of: CandidatesOf,
+        now_ms: float,
     ) -> list[tuple[_scatter_round.ShardState, list[str]]]:
         """Return the shards of a silent daemon's attempts to hedge now.
 
@@ -152,7 +158,7 @@
             if shard.hedged or shard.outstanding != 1:
                 continue
             candidates = candidates_of(shard)
-            if candidates and self._spend_hedge(shard):
+            if candidates and self._spend_hedge(shard, now_ms):
                 chosen.append((shard, candidates))
         return chosen
 
@@ -161,9 +167,11 @@
         shards = self._tally.sub_queries_needed
         return max(MIN_HEDGE_BATCH, math.ceil(shards * HEDGE_BATCH_SHARE))
 
-    def _spend_hedge(self, shard: _scatter_round.ShardState) -> bool:
+    def _spend_hedge(
+        self, shard: _scatter_round.ShardState, now_ms: float
+    ) -> bool:
         shard.hedged = True
-        if self._context.budget.spend_hedge(shard.shard.shard_id):
+        if self._charges.spend_hedge(shard, now_ms):
             self._tally.hedges_sent += 1
             return True
         self._tally.hedges_denied += 1
--- a/samphiredock/coordination/search/_scatter_round.py
+++ b/samphiredock/coordination/search/_scatter_round.py
@@ -4,6 +4,7 @@
 
 from samphiredock.coordination.search import _merge
 from samphiredock.coordination.search import _planner
+from samphiredock.coordination.search import _scatter_types
 from samphiredock import protocol
 from samphiredock import state
 
@@ -56,6 +57,14 @@
         The accepted answers, and the key ranges that they searched.
     outstanding
         How many attempts are pending.
+    arrived
+        How many attempts have reached a target, or may have, or still may.
+    was_ordered
+        Whether an attempt was ordered from another daemon.
+    charges
+        What the budget has charged for extra attempts.
+    last_failure
+        How the last failed attempt ended.
     passes
         How many passes over the replicas have begun; another one begins when
         replicas that refused become candidates again.
@@ -81,6 +90,12 @@
     answers: list[protocol.SubAnswer] = dataclasses.field(default_factory=list)
     ranges: list[protocol.KeyRange] = dataclasses.field(default_factory=list)
     outstanding: int = 0
+    arrived: int = 0
+    was_ordered: bool = False
+    charges: list[_scatter_types.Charge] = dataclasses.field(
+        default_factory=list
+    )
+    last_failure: str = ''
     passes: int = 1
     pause_ms: float = 0.0
     retry_at_ms: float = 0.0
--- a/samphiredock/coordination/search/_scatter_types.py
+++ b/samphiredock/coordination/search/_scatter_types.py
@@ -9,31 +9,64 @@
 from samphiredock import state
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExtraAttempt:
+    """An attempt beyond the first one of its shard.
+
+    ``cause`` says why it is sent: ``hedge``, or how the attempt before it
+    ended.  ``latest_arrival_ms`` is until when it, or an earlier attempt for
+    the shard, may reach a target.
+    """
+
+    shard: str
+    request_id: str
+    cause: str
+    latest_arrival_ms: float
+
+
+class Charge(typing.Protocol):
+    """What a budget has charged for one extra attempt."""
+
+
 class Budget(typing.Protocol):
     """Limits the attempts beyond the first one of each shard.
 
-    ``charged_refusals`` are the statuses of attempts that no target began
-    and whose retry is charged nevertheless.
+    With ``counts_arrivals`` every attempt needs a charge if another one for
+    its shard has reached a target or may have.  Otherwise the retry rules
+    decide which retries do.
     """
 
-    charged_refusals: frozenset[protocol.SubStatus]
+    counts_arrivals: bool
 
     def record_first_attempts(
-        self, shards: typing.Sequence[str], share: float
+        self,
+        shards: typing.Sequence[str],
+        share: float,
+        age_ms: float = 0.0,
     ) -> None:
-        """Allow ``share`` of an extra attempt for each shard's first one."""
+        """Allow ``share`` of an extra attempt for each shard's first one.
+
+        ``age_ms`` is how long ago the request was received by a daemon,
+        infinite if that is not known.
+        """
 
-    def spend_hedge(self, shard: str = '') -> bool:
-        """Charge a hedge; False if the budget does not allow it."""
+    def can_retry(self, extra: ExtraAttempt) -> bool:
+        """Return whether a retry would be allowed now."""
 
-    def spend_retry(self, shard: str = '') -> bool:
-        """Charge a retry; False if the budget does not allow it."""
+    def spend_hedge(self, extra: ExtraAttempt | None = None) -> Charge | None:
+        """Charge a hedge; None if the budget does not allow it."""
 
-    def charge(self, shard: str = '') -> None:
+    def spend_retry(self, extra: ExtraAttempt | None = None) -> Charge | None:
+        """Charge a retry; None if the budget does not allow it."""
+
+    def charge_unconditionally(self) -> None:
         """Charge a retry that is sent whatever the budget."""
 
-    def refund(self, shard: str = '') -> None:
-        """Undo the charge of a hedge that no target began."""
+    def settle(self, charge: Charge, latest_arrival_ms: float) -> None:
+        """Note until when the attempts of a charge may reach a target."""
+
+    def refund(self, charge: Charge) -> None:
+        """Undo the charge of an attempt that no target got."""
 
 
 class TargetView(typing.Protocol):
--- a/samphiredock/daemon/_entry_forwarding.py
+++ b/samphiredock/daemon/_entry_forwarding.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 import random
 import typing
 
@@ -36,6 +37,9 @@
 """Coordinators connect to a new target at random times within this period, so
 that they do not occupy all its slots at once."""
 
+_RETRY_REPORT_INTERVAL_MS = 5_000.0
+"""Interval of the log lines about extra requests, half of a usual window."""
+
 _log = logs.logger('entry')
 
 
@@ -89,12 +93,14 @@
             self._crash_guard,
             clock,
         )
+        self._retry_report = forwarding.RetryReport(clock, counters)
         self._budget = forwarding.WindowBudget(
             clock,
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_s * 1000.0,
-            entry_state.coordinator_count,
+            entry_state.retry_shares.share,
+            self._retry_report,
         )
         self._forwarder = self._make_forwarder()
         self._merger = forwarding.Merger(
@@ -117,8 +123,12 @@
         entry_state.peers.on_removed(self._peer_connections.forget)
 
     def start(self) -> None:
-        """Start the periodic notices to peers."""
+        """Start the periodic notices to peers and reports in the log."""
         self._peer_notices.start()
+        self._clock.every(_RETRY_REPORT_INTERVAL_MS, self._write_retry_report)
+
+    def _write_retry_report(self) -> None:
+        self._retry_report.write(self._entry_state.retry_shares.allowance())
 
     def open_requests(self) -> int:
         """Return how many requests have no answer yet."""
@@ -146,6 +156,7 @@
 
     def close(self) -> None:
         """Write the log lines still queued, and close all connections."""
+        self._write_retry_report()
         for forwarder in self._forwarders:
             forwarder.close()
         self._merger.close()
@@ -255,7 +266,10 @@
             if isinstance(read, result.Failure):
                 self._metrics.add('http_errors', interface='entry', status=400)
                 return protocol.HttpReply(400, body=read.failure().encode())
-            outcome = await self._forward(read.unwrap())
+            request = read.unwrap()
+            if transport.is_pipelined.get():
+                request = dataclasses.replace(request, age_ms=math.inf)
+            outcome = await self._forward(request)
             return self._adapter.caller_reply(outcome)
         finally:
             self._open_requests -= 1
@@ -312,8 +326,8 @@
             )
         self._open_requests += 1
         try:
-            request = dataclasses.replace(
-                read.unwrap(), deadline_ms=handed_over.left_ms
+            request = forwarding.as_received(
+                read.unwrap(), handed_over, self._entry_state.routing.table
             )
             outcome = await self._forwarder.forward(request, _HANDOVER_COST_MS)
         finally:
@@ -332,6 +346,8 @@
         """Reply with the reports on a merge order, or refuse it."""
         if self._is_finished:
             return protocol.HttpReply(503, body=b'this daemon is stopping')
+        if not self._merger.may_take_orders():
+            return protocol.HttpReply(503, body=b'read after a pause')
         read = protocol.decode_order(body)
         if isinstance(read, result.Failure):
             self._metrics.add('orders_unreadable')
--- a/samphiredock/daemon/_entry_state.py
+++ b/samphiredock/daemon/_entry_state.py
@@ -106,6 +106,14 @@
             clock,
             self._on_daemons_listed,
         )
+        self.retry_shares = forwarding.RetryShares(
+            settings.name,
+            store,
+            clock,
+            lambda: self._role.coordinators,
+            settings.retry_window_s * 1000.0,
+            settings.first_start,
+        )
         self._watcher = self._make_watcher()
 
     def _make_watcher(self) -> coordination.Watcher:
@@ -133,6 +141,7 @@
     def start(self) -> None:
         """Register this daemon and start following the store."""
         self._presence.start()
+        self.retry_shares.start()
         background.start(self._start_watching(), 'start')
 
     async def _start_watching(self) -> None:
@@ -152,11 +161,13 @@
 
     def close(self) -> None:
         """Stop following the store."""
+        self.retry_shares.close()
         self._watcher.close()
 
     def reload(self, settings: state.EntrySettings) -> None:
         """Apply changed settings."""
         self._settings = settings
+        self.retry_shares.set_window_ms(settings.retry_window_s * 1000.0)
 
     # Current values.
 
@@ -173,7 +184,7 @@
     def coordinator_count(self) -> int | None:
         """Return how many daemons coordinate, None if it is not known.
 
-        They share the retry budget and the connections to each target.
+        They share the connections to each target.
         """
         return len(self._role.coordinators) or None
 
@@ -265,6 +276,10 @@
 
     def coordinate_temporarily(self) -> None:
         """Act as a coordinator for a limited time."""
+        if not self._role.coordinates:
+            _log.notice(
+                'role', coordinates=True, temporarily_ms=_TEMPORARY_ROLE_MS
+            )
         self._role.coordinate_temporarily(
             self._clock.now_ms(), _TEMPORARY_ROLE_MS
         )
--- a/samphiredock/state/_entry_settings.py
+++ b/samphiredock/state/_entry_settings.py
@@ -40,7 +40,9 @@
 
     - ``retry_ratio``: extra requests allowed for each first attempt;
     - ``retry_slack``: extra requests allowed beyond that in any window;
-    - ``retry_window_s``: length of the windows.
+    - ``retry_window_s``: length of the windows;
+    - ``first_start``: whether the whole system starts for the first time, so
+      that nothing was sent before.
 
     Times:
 
@@ -77,6 +79,7 @@
     retry_ratio: float = 0.05
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
+    first_start: bool = False
     stop_limit_s: float = 6.0
     balancer_lag_ms: int = 2_500
     watch_ms: int = 2_500
@@ -102,6 +105,7 @@
         'log_level': _checks.choice(logs.LEVELS),
         'retry_ratio': _checks.number(0.0, 10.0),
         'retry_slack': _checks.number(0.0, 1e6),
+        'first_start': _checks.boolean(),
         'retry_window_s': _checks.number(0.1, _DURATION_LIMIT_S, 's'),
         'stop_limit_s': _checks.number(0.5, _DURATION_LIMIT_S, 's'),
         'balancer_lag_ms': _checks.integer(0, 600_000, 'ms'),
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import bisect
 import collections
 import dataclasses
 import math
@@ -21,6 +22,7 @@
 from samphiredock import timers
 from samphiredock import transport
 from standins import memory_links
+from standins import memory_sharers
 
 RATIO = 0.2
 SLACK = 56.0
@@ -78,50 +80,60 @@
     def breaches(
         self, ratio: float, slack: float, window_ms: float
     ) -> list[Breach]:
-        """Return the worst window of each service that breaks the budget.
-
-        The requests are those of the window, of the one before it, or of the
-        one half a window before it, whichever has the most.
-        """
-        found = []
-        for service in {row.service for row in self.arrivals}:
-            worst = self._worst(service, ratio, slack, window_ms)
-            if worst is not None and worst.extra > worst.allowed:
-                found.append(worst)
-        return found
-
-    def _worst(
-        self, service: str, ratio: float, slack: float, window_ms: float
-    ) -> Breach | None:
-        extra = self.extra(service)
-        requests = sorted(self.requests[service])
-        if not extra:
-            return None
-        starts = set(extra)
-        starts |= {at_ms - window_ms + 1e-6 for at_ms in extra}
-        steps = int((extra[-1] - extra[0]) / _GRID_MS) + 1
-        starts |= {extra[0] + _GRID_MS * step for step in range(steps)}
-
-        def count(times: list[float], start_ms: float) -> int:
-            end_ms = start_ms + window_ms
-            return sum(start_ms <= at_ms < end_ms for at_ms in times)
-
-        rows = []
-        for start_ms in starts:
-            most = max(
-                count(requests, start_ms),
-                count(requests, start_ms - window_ms),
-                count(requests, start_ms - window_ms / 2.0),
+        """Return the worst window of each service that breaks the budget."""
+        services = {row.service for row in self.arrivals}
+        found = [
+            worst_window(
+                service,
+                self.extra(service),
+                self.requests[service],
+                (ratio, slack, window_ms),
             )
-            rows.append(
-                Breach(
-                    service,
-                    start_ms,
-                    count(extra, start_ms),
-                    ratio * most + slack,
-                )
+            for service in services
+        ]
+        return [row for row in found if row and row.extra > row.allowed]
+
+
+def worst_window(
+    service: str,
+    extra_ms: list[float],
+    requests_ms: list[float],
+    bounds: tuple[float, float, float],
+) -> Breach | None:
+    """Return the window with the most extra arrivals beyond the allowed ones.
+
+    The requests are those of the window, of the one before it, or of the one
+    half a window before it, whichever has the most.  ``bounds`` are the ratio,
+    the slack and the length of the window.
+    """
+    ratio, slack, window_ms = bounds
+    extra, requests = sorted(extra_ms), sorted(requests_ms)
+    if not extra:
+        return None
+    starts = {*extra, *(at_ms - window_ms + 1e-6 for at_ms in extra)}
+    steps = int((extra[-1] - extra[0]) / _GRID_MS) + 1
+    starts |= {extra[0] + _GRID_MS * step for step in range(steps)}
+
+    def count(times: list[float], start_ms: float) -> int:
+        end = bisect.bisect_left(times, start_ms + window_ms)
+        return end - bisect.bisect_left(times, start_ms)
+
+    rows = []
+    for start_ms in starts:
+        most = max(
+            count(requests, start_ms),
+            count(requests, start_ms - window_ms),
+            count(requests, start_ms - window_ms / 2.0),
+        )
+        rows.append(
+            Breach(
+                service,
+                start_ms,
+                count(extra, start_ms),
+                ratio * most + slack + 1e-6,
             )
-        return max(rows, key=lambda row: row.extra - row.allowed)
+        )
+    return max(rows, key=lambda row: row.extra - row.allowed)
 
 
 class _CountingLinks(memory_links.ManualLinks):
@@ -198,12 +210,19 @@
         self.me = forwarding.Daemon(name, site, f'{name}:1', 1.0)
         self.role = forwarding.Role(name, per_site=3)
         self.counters = metrics.Metrics(name)
+        self.shares = forwarding.RetryShares(
+            name,
+            fleet.store.client(name),
+            fleet.clock,
+            lambda: self.role.coordinators,
+            WINDOW_MS,
+        )
         self.budget = forwarding.WindowBudget(
             fleet.clock,
             RATIO,
             fleet.slack,
             WINDOW_MS,
-            lambda: len(self.role.coordinators) or None,
+            self.shares.share,
         )
         self.replicas = coordination.ReplicaSelector(
             random.Random(name), lambda target: True, now_ms=fleet.clock.now_ms
@@ -246,6 +265,7 @@
         self.react = react
         self.slack = slack
         self.clock = timers.ManualTimers()
+        self.store = memory_sharers.RollbackStore(self.clock)
         self.counter = ArrivalCounter()
         self.unreachable: set[str] = set()
         self.connect_ms = 100.0
@@ -270,6 +290,7 @@
         """Start a daemon; one of this name is replaced, with all it knew."""
         daemon = FleetDaemon(self, name, site)
         self.daemons[name] = daemon
+        daemon.shares.start()
         return daemon
 
     def ask(self, daemon: FleetDaemon, count: int = 1) -> None:
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -24,6 +25,8 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _START_LIMIT_S = 20.0
 _STOP_LIMIT_S = 15.0
+_SHARE_LIMIT_S = 60.0
+_HAS_SHARE = re.compile('"event":"retry share","share":(1|0.[0-9]*[1-9])')
 _LOG_WAIT_LIMIT_S = 15.0
 
 SHARDS = ('shard-1', 'shard-2', 'shard-3', 'shard-4')
@@ -35,14 +38,20 @@
 class PreparedTarget:
     """One target, which answers with its records and a receipt.
 
-    Requests that it begins to run are appended to ``log``.  It takes
+    Requests that arrive are appended to ``arrivals`` with the time in ms, the
+    service and the id, those that it begins to run to ``log``.  It takes
     ``delay_s`` for each, and with ``lose_answers`` it resets the connection
     instead of answering.  ``born`` is stated in its registry entry
     and selects its records.
     """
 
     def __init__(
-        self, target_id: str, service: str, log: list[str], born: int = 1
+        self,
+        target_id: str,
+        service: str,
+        log: list[str],
+        arrivals: list[tuple[float, str, str]],
+        born: int = 1,
     ) -> None:
         self.target_id = target_id
         self.service = service
@@ -51,6 +60,7 @@
         self.lose_answers = False
         self._ended = asyncio.Event()
         self._log = log
+        self._arrivals = arrivals
         self._server = scripted_target.ScriptedTarget(self._answer)
         self.address = ''
 
@@ -75,6 +85,8 @@
         self, seen: scripted_target.HttpMessage, writer: asyncio.StreamWriter
     ) -> None:
         request_id = seen.headers['request-id']
+        now_ms = asyncio.get_running_loop().time() * 1000.0
+        self._arrivals.append((now_ms, self.service, request_id))
         if seen.headers.get('expect-instance') != self.target_id:
             writer.write(scripted_target.answer(request_id, status=421))
             return
@@ -104,7 +116,7 @@
     """A store, targets and daemons; use as an async context manager.
 
     ``runs`` has a line ``request target`` for each request that a target
-    began.
+    began, ``arrivals`` time in ms, service and id of each that reached one.
 
     Parameters
     ----------
@@ -124,6 +136,7 @@
         self.store = prepared_store.PreparedStore()
         self.targets: dict[str, PreparedTarget] = {}
         self.runs: list[str] = []
+        self.arrivals: list[tuple[float, str, str]] = []
         self.caller_addresses: dict[str, str] = {}
         self.store_address = ''
         self._settings: dict[str, dict[str, object]] = {}
@@ -154,7 +167,9 @@
         for service in (*self._shards, DESK):
             for number in range(replicas):
                 name = f'{service}-{number}'
-                target = PreparedTarget(name, service, self.runs)
+                target = PreparedTarget(
+                    name, service, self.runs, self.arrivals
+                )
                 await target.start()
                 self.targets[name] = target
                 self.register(name)
@@ -166,7 +181,9 @@
         """
         before = self.targets[name]
         await before.stop()
-        target = PreparedTarget(name, before.service, self.runs, born)
+        target = PreparedTarget(
+            name, before.service, self.runs, self.arrivals, born
+        )
         await target.start()
         self.targets[name] = target
         self.register(name)
@@ -327,6 +344,17 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f'{name} is not ready\n{self.log(name)[-4000:]}')
 
+    async def wait_share(self, name: str) -> None:
+        """Wait until a daemon uses its share of the retry slack."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + _SHARE_LIMIT_S
+        while not _HAS_SHARE.search(self.log(name)):
+            if loop.time() > ends_s:
+                raise TimeoutError(
+                    f'{name} has no share\n{self.log(name)[-4000:]}'
+                )
+            await asyncio.sleep(0.05)
+
     def log_path(self, name: str) -> pathlib.Path:
         """Return the file that a daemon logs to."""
         return pathlib.Path(self._folder.name) / f'{name}.log'
--- a/tests/failure/test_retry_budget.py
+++ b/tests/failure/test_retry_budget.py
@@ -1,12 +1,18 @@
 """The retry budget of a service, counted where its targets get requests."""
 
+import os
+import random
 import unittest
 
+from samphiredock import protocol
 from samphiredock import transport
 from standins import memory_fleet
 from standins import memory_links
 
 
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+
+
 def refuse(
     arrival: memory_fleet.Arrival, sent: memory_links.SentRequest
 ) -> None:
@@ -30,6 +36,13 @@
     )
 
 
+def misdirect(
+    arrival: memory_fleet.Arrival, sent: memory_links.SentRequest
+) -> None:
+    """Answer that another target is meant."""
+    sent.refuse(421)
+
+
 class RetryBudgetTest(unittest.IsolatedAsyncioTestCase):
     """Several daemons share the budget of one service."""
 
@@ -118,6 +131,80 @@
             await fleet.advance(1_300.0)
         self._check(fleet)
 
+    async def test_refusal_by_another_target_needs_budget(self) -> None:
+        """Guards against free retries after addresses have changed hands.
+
+        Whatever answers there, the request has arrived.
+        """
+        fleet = memory_fleet.Fleet(misdirect, targets=12, slack=2.0)
+        daemon = fleet.start('d0')
+        daemon.list_daemons([daemon])
+        for _ in range(4):
+            fleet.ask(daemon)
+            await fleet.advance(100.0)
+        self._check(fleet)
+
+    async def test_request_without_budget_ends_at_once(self) -> None:
+        """Guards against a caller that waits for a retry that is refused.
+
+        It is told that the request has not run.
+        """
+        fleet = memory_fleet.Fleet(refuse, targets=1, slack=0.0)
+        daemon = fleet.start('d0')
+        fleet.ask(daemon)
+        await fleet.advance(10.0)
+        self.assertTrue(fleet.tasks[0].done())
+        outcome = await fleet.tasks[0]
+        self.assertIsInstance(outcome, protocol.NotRun)
+        self.assertGreater(outcome.retry_after_ms, 0)
+
+    async def test_sharers_use_the_slack(self) -> None:
+        """A budget of which nothing is used would pass every other test."""
+        fleet = memory_fleet.Fleet(break_off)
+        daemons = [fleet.start(f'd{number}') for number in range(3)]
+        for daemon in daemons:
+            daemon.list_daemons(daemons)
+        await fleet.advance(50_000.0, step_ms=100.0)
+        for _ in range(20):
+            for daemon in daemons:
+                fleet.ask(daemon)
+            await fleet.advance(100.0)
+        self.assertGreater(len(fleet.counter.extra('p')), 50)
+        self._check(fleet)
+
+    async def test_random_schedules_of_whole_daemons(self) -> None:
+        """Daemons restart, and lose the store, each other and the traffic."""
+        for seed in range(SEED, SEED + 4):
+            with self.subTest(seed=seed):
+                await self._play_random_schedule(random.Random(seed))
+
+    async def _play_random_schedule(self, rng: random.Random) -> None:
+        reactions = (refuse, break_off, break_off_late, memory_fleet.answer)
+        fleet = memory_fleet.Fleet(break_off, slack=30.0)
+        names = [f'd{number}' for number in range(4)]
+        for name in names:
+            fleet.start(name)
+        for daemon in fleet.daemons.values():
+            daemon.list_daemons(fleet.daemons.values())
+        await fleet.advance(50_000.0, step_ms=100.0)
+        for _ in range(120):
+            fleet.react = rng.choice(reactions)
+            event = rng.randrange(12)
+            if event == 0:
+                fleet.start(rng.choice(names))
+            elif event == 1:
+                fleet.store.roll_back(rng.uniform(0.0, 15_000.0))
+            elif event == 2:
+                fleet.store.cut = {rng.choice(names)}
+            elif event == 3:
+                fleet.unreachable = {f'p-{rng.randrange(3)}'}
+            daemon = fleet.daemons[rng.choice(names)]
+            listed = rng.sample(names, rng.randint(1, len(names)))
+            daemon.list_daemons(fleet.daemons[name] for name in listed)
+            fleet.ask(fleet.daemons[rng.choice(names)], rng.choice((0, 1, 8)))
+            await fleet.advance(rng.choice((50.0, 200.0, 1_000.0)), 50.0)
+        self._check(fleet)
+
     async def test_traffic_that_moves_to_another_daemon(self) -> None:
         """Guards against windows of two daemons that do not line up.
 
--- a/tests/process/test_orders.py
+++ b/tests/process/test_orders.py
@@ -27,8 +27,8 @@
         await self.system.start_targets()
         self.system.configure(1)
         await asyncio.gather(
-            self.system.start_daemon('here'),
-            self.system.start_daemon('there', site=FAR_SITE),
+            self.system.start_daemon('here', first_start=True),
+            self.system.start_daemon('there', site=FAR_SITE, first_start=True),
         )
         await self._wait_for_orders()
 
@@ -85,6 +85,7 @@
         The daemon of the other site is suspended.  When its report is late,
         this daemon queries the targets there directly.
         """
+        await self.system.wait_share('here')
         self.system.send('there', signal.SIGSTOP)
         try:
             self.assertEqual(10, len(await self._search('r2')))
@@ -99,6 +100,7 @@
 
     async def test_targets_run_a_search_once_or_hedged(self) -> None:
         """Orders and hedges together never run a search twice at a target."""
+        await self.system.wait_share('here')
         for number in range(8):
             if number == 4:
                 self.system.send('there', signal.SIGSTOP)
--- a/tests/unit/test_entry_settings.py
+++ b/tests/unit/test_entry_settings.py
@@ -69,6 +69,7 @@
         values = {
             'Node': '"n"', 'Zone': '"z"', 'Listen.Front': '"127.0.0.1:2"',
             'Listen.Ready': '"127.0.0.1:3"', 'platform.Addr': '"127.0.0.1:4"',
+            'Bootstrap': 'true',
         }  # fmt: skip
         for name, value in values.items():
             filled = filled.replace('{{' + name + '|json}}', value)
--- a/tests/unit/test_wire_names.py
+++ b/tests/unit/test_wire_names.py
@@ -268,7 +268,8 @@
     'EntrySettings': (
         'name site caller_address ready_address platform_address peer_address '
         'cores core_share coordinators_per_site metrics_address log_level '
-        'retry_ratio retry_slack retry_window_s stop_limit_s balancer_lag_ms '
+        'retry_ratio retry_slack retry_window_s first_start '
+        'stop_limit_s balancer_lag_ms '
         'watch_ms collect_ms caller_way_ms hedge_quantile other_site_factor'
     ),
     'CurvePair': 'public secret',
