The soak counts extra arrivals at the targets, and rolls the store back

Change: targets record arrivals; a check by the rule, with a budget so small that it binds; a fault in which the store loses its last writes. Result: the check fails on a history with one more extra arrival than allowed (test_soak_checks).

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -6,6 +6,8 @@
 import signal
 import typing
 
+from standins import memory_fleet
+
 RECORD_BYTES = 16
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses which state that a request has not run and never will."""
@@ -83,6 +85,9 @@
     ``attempts`` the number of targets that a route allows.  ``killed`` holds
     the daemon starts that ended by SIGKILL, as ``(daemon, start)``, and
     ``logged`` the ids of the requests in each daemon's log.
+    ``arrivals`` holds the time in ms, the service and the id of each request
+    that reached a target.  ``budget`` are the ratio, the slack and the length
+    in ms of the windows of the retry budget.
     """
 
     requests: tuple[RequestRecord, ...]
@@ -97,6 +102,8 @@
     logged: typing.Mapping[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
+    arrivals: tuple[tuple[float, str, str], ...] = ()
+    budget: tuple[float, float, float] = (0.0, math.inf, 1.0)
 
 
 def check_at_most_once(history: History) -> list[str]:
@@ -293,11 +300,42 @@
     return wrong
 
 
+def check_retry_budget(history: History) -> list[str]:
+    """Return the services that got more extra arrivals than allowed.
+
+    Counts all daemons together, by the caller's request.
+    """
+    extra = collections.defaultdict(list)
+    seen = set()
+    for at_ms, service, request_id in sorted(history.arrivals):
+        if (service, request_id) in seen:
+            extra[service].append(at_ms)
+        seen.add((service, request_id))
+    wrong = []
+    for service, times_ms in extra.items():
+        is_shard = service in history.shards
+        sent_ms = [
+            row.sent_s * 1000.0
+            for row in history.requests
+            if (row.kind == 'search') == is_shard
+        ]
+        worst = memory_fleet.worst_window(
+            service, times_ms, sent_ms, history.budget
+        )
+        if worst is not None and worst.extra > worst.allowed:
+            wrong.append(
+                f'{service}: got {worst.extra} extra arrivals in a window, '
+                f'expected at most {worst.allowed:.1f}'
+            )
+    return wrong
+
+
 CHECKS: typing.Mapping[str, typing.Callable[[History], list[str]]] = {
     'at most once': check_at_most_once,
     'not run is true': check_not_run,
     'own whole answer': check_own_answer,
     'attempts': check_attempts,
+    'retry budget': check_retry_budget,
     'routes': check_routes,
     'stops cut nothing': check_answered,
     'stops refuse by word': check_refused,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -162,6 +162,20 @@
     soak.system.store.forget_history()
 
 
+async def _store_rolled_back(soak: SoakControl, for_s: float) -> None:
+    """The store comes back without the writes of daemons in ``for_s``.
+
+    What operators and targets have written is written again.
+    """
+    store = soak.system.store
+    copy = store.copy()
+    await asyncio.sleep(for_s)
+    store.roll_back(copy)
+    soak.publish_version(soak.version)
+    for name in soak.system.targets:
+        soak.system.register(name)
+
+
 async def _new_version(soak: SoakControl, for_s: float) -> None:
     soak.publish_version(soak.version + soak.rng.randint(1, 3))
 
@@ -200,6 +214,7 @@
     'store silent': _store_silent,
     'watches cut': _cut_watches,
     'history forgotten': _forget_history,
+    'store rolled back': _store_rolled_back,
     'new version': _new_version,
     'link to a target': _link_to_target,
     'link to the store': _link_to_store,
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -25,6 +25,9 @@
 STOP_LIMIT_S = 3.0
 """Time after which the platform kills a daemon that is stopping."""
 
+RETRY_BUDGET = (0.1, 12.0, 4_000.0)
+"""Ratio, slack and length in ms of the windows, so small that they bind."""
+
 _TERM, _HUP = signal.SIGTERM, signal.SIGHUP
 _STOP_SIGNALS = (
     (_TERM,),
@@ -93,6 +96,9 @@
                 coordinators_per_site=2,
                 platform_address=store,
                 stop_limit_s=STOP_LIMIT_S,
+                retry_ratio=RETRY_BUDGET[0],
+                retry_slack=RETRY_BUDGET[1],
+                retry_window_s=RETRY_BUDGET[2] / 1000.0,
             )
         callers = [
             asyncio.create_task(self.callers.run_caller())
@@ -147,6 +153,8 @@
                 name: frozenset(_LOGGED_REQUEST.findall(self.system.log(name)))
                 for name in self.names
             },
+            tuple(self.system.arrivals),
+            RETRY_BUDGET,
         )
 
     async def _wait_until_serving(self) -> None:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -45,6 +45,17 @@
     def _failed_checks(self, seen: _checks.History) -> set[str]:
         return {name for name, check in _checks.CHECKS.items() if check(seen)}
 
+    def test_more_retries_than_allowed(self) -> None:
+        """Counted at the targets, whichever daemons have sent them."""
+        seen = dataclasses.replace(
+            history(search('s1-0', 's2-1', 's3-0', 's4-0')),
+            arrivals=tuple((float(at), 's1', 'q1') for at in range(4)),
+            budget=(0.5, 2.0, 1_000.0),
+        )
+        self.assertEqual({'retry budget'}, self._failed_checks(seen))
+        allowed = dataclasses.replace(seen, budget=(0.5, 2.5, 1_000.0))
+        self.assertEqual(set(), self._failed_checks(allowed))
+
     def test_a_sound_history_passes(self) -> None:
         """Full and partial results, a lost payment, a correct refusal."""
         seen = history(
