--- a/standins/retry_model.py
+++ b/standins/retry_model.py
@@ -23,8 +23,6 @@
 MAX_PAUSE_MS = 15_000.0
 MAX_ROLLBACK_MS = 15_000.0
 MAX_READ_DELAY_MS = 900.0
-NAMES = tuple('abcdef')
-
 _TRAFFIC = ((0,) * 20 + (1,), (0, 0, 0, 0, 0, 1), (0, 0, 1, 1, 2, 20))
 """Requests in one step, one of which is drawn each time."""
 
@@ -36,14 +34,15 @@
 class ModelBounds:
     """What a run of the model lets the daemons do.
 
-    ``settle_ms`` is how long they hold a share before they use it, and
-    ``earned_factor`` multiplies what a request earns.  The defaults are those
-    of the product.
+    There are two to ``most_daemons`` of them.  ``settle_ms`` is how long they
+    hold a share before they use it, and ``earned_factor`` multiplies what a
+    request earns.  The defaults are those of the product.
     """
 
     ratio: float = 0.2
     slack: float = 30.0
     window_ms: float = 10_000.0
+    most_daemons: int = 6
     settle_ms: float | None = None
     earned_factor: float = 1.0
 
@@ -79,7 +78,7 @@
         self.name = name
         self.clock = _PausableTimers(model)
         self.era = model.era
-        self.view = frozenset(NAMES[: model.count])
+        self.view = frozenset(model.names)
         self.paused_until_ms = 0.0
         self.cut_until_ms = 0.0
         self.next_read_ms = model.now_ms
@@ -115,7 +114,8 @@
         self.bounds = bounds
         self.now_ms = 0.0
         self.era = 1
-        self.count = self.random.randint(2, len(NAMES))
+        self.count = self.random.randint(2, bounds.most_daemons)
+        self.names = [f'd{number}' for number in range(self.count)]
         self.is_first_start = self.random.random() < 0.5
         self.extra_ms: list[float] = []
         self.requests_ms: list[float] = []
@@ -124,9 +124,7 @@
         self._revision = 0
         self._order = itertools.count()
         self._later: list[tuple[float, int, typing.Callable[[], None]]] = []
-        self._daemons = {
-            name: _Daemon(self, name) for name in NAMES[: self.count]
-        }
+        self._daemons = {name: _Daemon(self, name) for name in self.names}
         self._busy = self._daemons_of(self.count)
         self._traffic = self.random.choice(_TRAFFIC)
         self._trouble = self.random.choice(_TROUBLE)
@@ -330,7 +328,7 @@
             )
 
     def _daemons_of(self, count: int) -> frozenset[str]:
-        return frozenset(self.random.sample(NAMES[: self.count], count))
+        return frozenset(self.random.sample(self.names, count))
 
     def _call_at(
         self, at_ms: float, callback: typing.Callable[[], None]
--- a/tests/failure/test_retry_model.py
+++ b/tests/failure/test_retry_model.py
@@ -30,6 +30,14 @@
         """Whatever the daemons believe of each other, and of the store."""
         self.assertEqual([], self._breaches(retry_model.ModelBounds()))
 
+    def test_many_daemons_keep_the_budget(self) -> None:
+        """As many as the system is designed for, each with its own view."""
+        for seed in range(SEED, SEED + 3):
+            bounds = retry_model.ModelBounds(most_daemons=490, slack=162.0)
+            worst = retry_model.RetryModel(seed, bounds).run(60_000.0)
+            self.assertIsNotNone(worst)
+            self.assertLessEqual(worst.extra, worst.allowed)
+
     def test_schedules_use_most_of_the_budget(self) -> None:
         """A model in which nothing is sent would find nothing."""
         full = 0
