Regression tests of the retry budget: one line of comment each

Cause: the issue asks for a name and at most one line. Change: docstrings of test_retry_budget only; checks and bounds stay.

--- a/tests/failure/test_retry_budget.py
+++ b/tests/failure/test_retry_budget.py
@@ -52,10 +52,7 @@
     async def test_daemons_that_coordinate_temporarily_share_the_budget(
         self,
     ) -> None:
-        """Guards against a full part for each of many temporary coordinators.
-
-        All know the three coordinators, and none of these can be reached.
-        """
+        """Guards against a full part for each of many temporary coordinators."""
         fleet = memory_fleet.Fleet(break_off)
         others = [fleet.start(f'd{number}') for number in range(16)]
         for daemon in others:
@@ -68,10 +65,7 @@
         self._check(fleet)
 
     async def test_daemons_whose_lists_differ_share_the_budget(self) -> None:
-        """Guards against a part for each daemon by its own list.
-
-        After a cut between sites each daemon lists those of its own only.
-        """
+        """Guards against a part for each daemon by its own list of daemons."""
         fleet = memory_fleet.Fleet(break_off)
         daemons = [
             fleet.start(f'{site}{number}', site)
@@ -101,10 +95,7 @@
         self._check(fleet)
 
     async def test_retry_after_a_pause_needs_budget(self) -> None:
-        """Guards against an uncounted second try at the only target.
-
-        It refuses all, so each request is sent to it again after a pause.
-        """
+        """Guards against an uncounted second try at the only target."""
         fleet = memory_fleet.Fleet(refuse, targets=1)
         daemon = fleet.start('d0')
         daemon.list_daemons([daemon])
@@ -114,11 +105,7 @@
         self._check(fleet)
 
     async def test_retry_after_an_unreachable_hedge_needs_budget(self) -> None:
-        """Guards against a retry that is free since the last try got nowhere.
-
-        The first try breaks off when its hedge is out already; the hedge is
-        refunded, as its target cannot be reached.
-        """
+        """Guards against a retry that is free since its hedge was refunded."""
         fleet = memory_fleet.Fleet(break_off_late, slack=2.0)
         daemon = fleet.start('d0')
         daemon.list_daemons([daemon])
@@ -132,10 +119,7 @@
         self._check(fleet)
 
     async def test_refusal_by_another_target_needs_budget(self) -> None:
-        """Guards against free retries after addresses have changed hands.
-
-        Whatever answers there, the request has arrived.
-        """
+        """Guards against free retries after addresses have changed hands."""
         fleet = memory_fleet.Fleet(misdirect, targets=12, slack=2.0)
         daemon = fleet.start('d0')
         daemon.list_daemons([daemon])
@@ -145,10 +129,7 @@
         self._check(fleet)
 
     async def test_request_without_budget_ends_at_once(self) -> None:
-        """Guards against a caller that waits for a retry that is refused.
-
-        It is told that the request has not run.
-        """
+        """Guards against a caller that waits for a retry that is refused."""
         fleet = memory_fleet.Fleet(refuse, targets=1, slack=0.0)
         daemon = fleet.start('d0')
         fleet.ask(daemon)
@@ -206,11 +187,7 @@
         self._check(fleet)
 
     async def test_traffic_that_moves_to_another_daemon(self) -> None:
-        """Guards against windows of two daemons that do not line up.
-
-        One spends in the first moment of a window what requests of the window
-        before have earned, the other one what those of this window earn.
-        """
+        """Guards against windows of two daemons that do not line up."""
         fleet = memory_fleet.Fleet(break_off)
         first, second = fleet.start('d0'), fleet.start('d1')
         for daemon in (first, second):
