--- a/tests/failure/test_retry_budget.py
+++ b/tests/failure/test_retry_budget.py
@@ -52,7 +52,7 @@
     async def test_daemons_that_coordinate_temporarily_share_the_budget(
         self,
     ) -> None:
-        """Guards against a full part for each of many temporary coordinators."""
+        """Guards against a full part for each temporary coordinator."""
         fleet = memory_fleet.Fleet(break_off)
         others = [fleet.start(f'd{number}') for number in range(16)]
         for daemon in others:
