A daemon that may hold an outdated table denies no route

Cause: a coordinator without the store answers by the table it holds. The freshness check that keeps it from that was skipped for a handover with Stale-Ok and never asked for its own callers, and a later round in which no peer had contact with the store erased the newer version told before. Change: the newest version that any daemon is known to hold is kept and never lowered, also not by a store that was rolled back, since versions are the operator's. "Not found" needs that nobody is known to hold a newer table and that the store or a peer with contact has confirmed this one; else the caller gets 503 and is told to come back after the next check. A handed-over request is tried at another coordinator if a newer table is known to exist; if none is, it is answered at once, so that an outage of the store does not send each such request to every coordinator. Routes that the old table has are served as before.

--- a/samphiredock/cli/_explain.py
+++ b/samphiredock/cli/_explain.py
@@ -21,6 +21,8 @@
 _REFUSAL_REASONS = {
     'not-ready': 'the daemon had no routing table yet',
     'unknown-route': 'no route of the version in force fits its path',
+    'routes-outdated': 'the daemon lacked its route, and could not know '
+    'whether a newer routing table has it',
     'no-target': 'too few services had a target that could be reached',
     'overloaded': 'every target refused it as overloaded, or no retry budget '
     'was left',
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
+import typing
 
 from returns import result
 
@@ -14,6 +15,7 @@
 from samphiredock.coordination.forwarding import _caller_time
 from samphiredock.coordination.forwarding import _crash_guard
 from samphiredock.coordination.forwarding import _forward_types
+from samphiredock.coordination.forwarding import _freshness_check
 from samphiredock.coordination.forwarding import _live_targets
 from samphiredock.coordination.forwarding import _order_client
 from samphiredock.coordination.forwarding import _outcome_log
@@ -36,6 +38,10 @@
 """When a caller should retry after a refusal whose cause should pass soon.
 Longer than the 200 ms after which a lost target is tried again."""
 
+OUTDATED_RETRY_MS = int(_freshness_check.FRESHNESS_CHECK_INTERVAL_MS)
+"""When a caller should retry whose route may be in a newer routing table: the
+next freshness check may have brought it by then."""
+
 
 class Forwarder:
     """Forwards requests to targets and merges the replies.
@@ -57,6 +63,8 @@
     order_client
         Sends merge orders to daemons of other sites; None to ask every target
         directly.
+    may_deny_route
+        Returns whether a route that the table lacks does not exist.
     """
 
     def __init__(
@@ -71,8 +79,10 @@
         counters: metrics.Metrics,
         crashes: _crash_guard.CrashGuard | None = None,
         order_client: _order_client.OrderClient | None = None,
+        may_deny_route: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         self._crashes = crashes
+        self._may_deny_route = may_deny_route
         self._settings = settings
         self._routing = routing
         self._targets = targets
@@ -164,6 +174,12 @@
                 NO_TARGET_RETRY_MS,
             )
         route = table.match(request.host, request.path)
+        if route is None and not self._may_deny_route():
+            return _refused(
+                protocol.NotRunReason.ROUTES_OUTDATED,
+                f'no route in version {table.version}, which may be outdated',
+                OUTDATED_RETRY_MS,
+            )
         if route is None:
             return _refused(
                 protocol.NotRunReason.UNKNOWN_ROUTE,
--- a/samphiredock/coordination/forwarding/_freshness_check.py
+++ b/samphiredock/coordination/forwarding/_freshness_check.py
@@ -1,11 +1,19 @@
-"""Decides whether a coordinator without the store may serve other daemons.
-
-Its routing table may be old: a daemon that has contact with the store may know
-a newer one, and its callers would see a change undone.  So a coordinator that
-has lost contact regularly asks some other coordinators for their version.  It
-may serve if any of them answers and none that has contact with the store knows
-a newer version.  If none has contact, an old table is the best available.
-Asking in the background keeps the check off the path of requests.
+"""Decides what a coordinator may do with a routing table that may be old.
+
+A daemon that has contact with the store may know a newer table, and its
+callers would see a change undone.  So a coordinator that has lost contact
+regularly asks some other coordinators for their version.  It may serve if any
+of them answers and none that had contact with the store knew a newer version.
+If none has contact, an old table is the best available.  Asking in the
+background keeps the check off the path of requests.
+
+That a route does not exist is a claim about the present, so it needs more: no
+newer version may be known to anyone, and the store itself or a peer that has
+contact with it must have confirmed the table lately.
+
+Versions are the operator's and only rise.  A store that has come back from an
+older copy shows an old version until the operator writes the newer one again,
+so the newest version known is never lowered.
 """
 
 import dataclasses
@@ -57,10 +65,21 @@
 
 
 class FreshnessCheck:
-    """Keeps the result of the last round of questions."""
+    """Keeps the last round of questions and the newest versions heard of."""
 
     def __init__(self) -> None:
         self._last_round: RoundResult | None = None
+        self._newest_known = 0
+        # The newest version of a peer that had contact with the store.
+        self._newest_confirmed = 0
+
+    def note_version(self, version: int) -> None:
+        """Record a version that some daemon holds or has used."""
+        self._newest_known = max(self._newest_known, version)
+
+    def knows_newer_than(self, version: int) -> bool:
+        """Whether some daemon holds a newer table than this version."""
+        return self._newest_known > version
 
     def record_round(
         self, answers: typing.Sequence[StoreStatus], asked_ms: float
@@ -70,18 +89,38 @@
         A round without answers is ignored: this daemon may be cut off, and the
         others may know more.
         """
+        for row in answers:
+            self.note_version(row.version)
         if answers:
             versions = [row.version for row in answers if row.hears]
             newest = max(versions) if versions else None
             self._last_round = RoundResult(asked_ms, newest)
+            self._newest_confirmed = max(self._newest_confirmed, newest or 0)
         return self._last_round
 
     def may_serve(self, version: int, now_ms: float) -> bool:
         """Whether this daemon may serve others with a given version."""
+        return (
+            self._valid_round(now_ms) is not None
+            and self._newest_confirmed <= version
+        )
+
+    def may_deny(
+        self, version: int, now_ms: float, has_store_contact: bool
+    ) -> bool:
+        """Whether a route unknown to a given version does not exist now."""
+        if self.knows_newer_than(version):
+            return False
+        if has_store_contact:
+            return True
+        last_round = self._valid_round(now_ms)
+        return last_round is not None and last_round.newest is not None
+
+    def _valid_round(self, now_ms: float) -> RoundResult | None:
         last_round = self._last_round
         if last_round is None or now_ms - last_round.at_ms > VALID_MS:
-            return False
-        return last_round.newest is None or last_round.newest <= version
+            return None
+        return last_round
 
 
 def store_status_request() -> protocol.HttpRequest:
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import typing
 
 import msgspec
 
@@ -119,17 +120,20 @@
     return protocol.HttpReply(503, headers, why.encode())
 
 
-def can_retry_elsewhere(outcome: protocol.ForwardOutcome) -> bool:
+def can_retry_elsewhere(
+    outcome: protocol.ForwardOutcome, is_table_outdated: bool = False
+) -> bool:
     """Whether another coordinator can still run a request handed over.
 
-    It can if this coordinator has refused because it is shutting down: nothing
-    was sent.  Passed on, the refusal would cost the caller one of its few
-    tries.
+    It can if this coordinator has refused because it is shutting down, or for
+    a route that it lacks while some daemon holds a newer table: nothing was
+    sent.  Passed on, the refusal would cost the caller one of its few tries.
     """
-    return (
-        isinstance(outcome, protocol.NotRun)
-        and outcome.reason is protocol.NotRunReason.SHUTTING_DOWN
-    )
+    if not isinstance(outcome, protocol.NotRun):
+        return False
+    if outcome.reason is protocol.NotRunReason.ROUTES_OUTDATED:
+        return is_table_outdated
+    return outcome.reason is protocol.NotRunReason.SHUTTING_DOWN
 
 
 LOSS_PATH = '/samphiredock/losses'
@@ -193,10 +197,23 @@
 
 
 class HandoverDialect:
-    """The protocol between two daemons; implements :class:`Dialect`."""
+    """The protocol between two daemons; implements :class:`Dialect`.
+
+    Parameters
+    ----------
+    routing
+        The routing table held here.
+    on_version
+        Called with the version of the table by which a coordinator replied.
+    """
 
-    def __init__(self, routing: _routing.RoutingState) -> None:
+    def __init__(
+        self,
+        routing: _routing.RoutingState,
+        on_version: typing.Callable[[int], None] = lambda version: None,
+    ) -> None:
         self._routing = routing
+        self._on_version = on_version
         self._seen_version = 0
 
     def _least_version(self) -> int:
@@ -252,6 +269,7 @@
         version = reply.header(_VERSION) or ''
         if version.isdigit():
             self._seen_version = max(self._seen_version, int(version))
+            self._on_version(int(version))
         kept = tuple(
             row
             for row in reply.headers
--- a/samphiredock/daemon/_entry_forwarding.py
+++ b/samphiredock/daemon/_entry_forwarding.py
@@ -106,7 +106,9 @@
         self._merger = forwarding.Merger(
             self._forwarder.target_client, clock, counters
         )
-        dialect = forwarding.HandoverDialect(entry_state.routing)
+        dialect = forwarding.HandoverDialect(
+            entry_state.routing, entry_state.freshness_check.note_version
+        )
         self._handover = self._make_handover(dialect)
         self._stale_handover = self._make_handover(
             forwarding.StaleHandoverDialect(dialect)
@@ -206,6 +208,7 @@
             self._metrics,
             self._crash_guard,
             self._make_order_client(),
+            entry_state.may_deny_route,
         )
 
     def _make_order_client(self) -> forwarding.OrderClient:
@@ -332,7 +335,9 @@
             outcome = await self._forwarder.forward(request, _HANDOVER_COST_MS)
         finally:
             self._open_requests -= 1
-        if forwarding.can_retry_elsewhere(outcome):
+        if forwarding.can_retry_elsewhere(
+            outcome, self._entry_state.is_table_outdated()
+        ):
             return forwarding.refusal_reply(handed_over, outcome.detail)
         return forwarding.coordinator_reply(
             self._adapter.caller_reply(outcome),
--- a/samphiredock/daemon/_entry_state.py
+++ b/samphiredock/daemon/_entry_state.py
@@ -228,6 +228,21 @@
             late_ms
         )
 
+    def may_deny_route(self) -> bool:
+        """Whether a route that is not in the table does not exist now.
+
+        Without contact with the store the table may lack routes added since.
+        """
+        return self.freshness_check.may_deny(
+            self.routing_version(),
+            self._clock.now_ms(),
+            self.has_store_contact(),
+        )
+
+    def is_table_outdated(self) -> bool:
+        """Whether some daemon is known to hold a newer routing table."""
+        return self.freshness_check.knows_newer_than(self.routing_version())
+
     def coordinates(self) -> bool:
         """Whether this daemon sends requests to targets itself.
 
@@ -299,8 +314,10 @@
         least_version
             The newest version of the routing table seen by the sender.
         stale_ok
-            Whether to serve without contact with the store too.
+            Whether to serve without contact with the store too.  Routes that
+            the table lacks are still not denied (:meth:`may_deny_route`).
         """
+        self.freshness_check.note_version(least_version)
         if not self._role.coordinates:
             # The sender's list of daemons has this one as a coordinator;
             # lists differ for some seconds after a change.
--- a/samphiredock/protocol/_outcomes.py
+++ b/samphiredock/protocol/_outcomes.py
@@ -43,6 +43,7 @@
     SHUTTING_DOWN = 'shutting-down'
     NOT_READY = 'not-ready'
     UNKNOWN_ROUTE = 'unknown-route'
+    ROUTES_OUTDATED = 'routes-outdated'
 
 
 class Answered(msgspec.Struct, frozen=True, tag='answered'):
--- a/tests/unit/test_wire_names.py
+++ b/tests/unit/test_wire_names.py
@@ -212,6 +212,7 @@
         'SHUTTING_DOWN': 'shutting-down',
         'NOT_READY': 'not-ready',
         'UNKNOWN_ROUTE': 'unknown-route',
+        'ROUTES_OUTDATED': 'routes-outdated',
     },
     'SubStatus': {
         'ANSWERED': 'answered',
