A coordinator without the store reads a newer routing table from a peer

What callers saw: a daemon cut off from the store refused routes that its peers already served; and where the only coordinator was cut off, it refused every request, of old routes too, of a daemon that held a newer table. Cause: the freshness check told it of the newer version, but nothing gave it the table; a handover demands at least the sender's version. Change: a coordinator that knows of a newer version asks, besides other coordinators, the daemon that handed over, and reads the table, as stored, from the one that holds the newest. Log line: "routing table read from a peer".

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -64,10 +64,13 @@
         '_freshness_check': (
             'FRESHNESS_CHECK_PEERS',
             'FRESHNESS_CHECK_INTERVAL_MS',
+            'ROUTING_PATH',
             'STORE_STATUS_PATH',
             'StoreStatus',
             'FreshnessCheck',
             'read_store_status',
+            'routing_reply',
+            'routing_request',
             'store_status_reply',
             'store_status_request',
         ),
--- a/samphiredock/coordination/forwarding/_freshness_check.py
+++ b/samphiredock/coordination/forwarding/_freshness_check.py
@@ -26,6 +26,9 @@
 STORE_STATUS_PATH = '/samphiredock/heard'
 """Where daemons ask each other for their store status."""
 
+ROUTING_PATH = '/samphiredock/routing'
+"""Where daemons read the routing table that a peer holds."""
+
 FRESHNESS_CHECK_INTERVAL_MS = 500.0
 """How often a coordinator that has lost the store asks."""
 
@@ -125,11 +128,27 @@
 
 def store_status_request() -> protocol.HttpRequest:
     """Return the request for another daemon's store status."""
-    return protocol.HttpRequest(
-        'GET', STORE_STATUS_PATH, (('Host', 'samphiredock'),)
+    return _request(STORE_STATUS_PATH)
+
+
+def routing_request() -> protocol.HttpRequest:
+    """Return the request for the routing table that another daemon holds."""
+    return _request(ROUTING_PATH)
+
+
+def routing_reply(value: bytes | None) -> protocol.HttpReply:
+    """Return the reply with a routing table as it is stored, if any."""
+    if value is None:
+        return protocol.HttpReply(404, body=b'no routing table yet')
+    return protocol.HttpReply(
+        200, (('Content-Type', 'application/json'),), value
     )
 
 
+def _request(path: str) -> protocol.HttpRequest:
+    return protocol.HttpRequest('GET', path, (('Host', 'samphiredock'),))
+
+
 def store_status_reply(version: int, hears: bool) -> protocol.HttpReply:
     """Return the reply with this daemon's store status."""
     body = msgspec.json.encode(StoreStatus(version, hears))
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -31,6 +31,7 @@
 _REFUSED = 'Samphiredock-Refused'
 _AGE = 'Samphiredock-Age-Ms'
 _STALE_OK = 'Samphiredock-Stale-Ok'
+_SENDER = 'Samphiredock-Sender'
 _PREFIX = 'samphiredock-'
 
 UNKNOWN_ROUTE_MS = 10_000.0
@@ -50,6 +51,7 @@
     ``age_ms`` is how long ago the sender knows that a daemon received it.
     ``stale_ok`` is set when every coordinator has lost the store, so that an
     old routing table is the best available.
+    ``sender`` is the name of the daemon that handed the request over.
     """
 
     headers: protocol.Headers
@@ -58,6 +60,7 @@
     least_version: int
     stale_ok: bool = False
     age_ms: float = 0.0
+    sender: str = ''
 
 
 def read_handed_over(headers: protocol.Headers) -> HandedOver | None:
@@ -78,6 +81,7 @@
             int(added[_VERSION.lower()]),
             _STALE_OK.lower() in added,
             float(added.get(_AGE.lower(), 0.0)),
+            added.get(_SENDER.lower(), ''),
         )
     except (KeyError, ValueError):
         return None
@@ -205,13 +209,17 @@
         The routing table held here.
     on_version
         Called with the version of the table by which a coordinator replied.
+    name
+        This daemon, from which a coordinator may read a newer table.
     """
 
     def __init__(
         self,
         routing: _routing.RoutingState,
         on_version: typing.Callable[[int], None] = lambda version: None,
+        name: str = '',
     ) -> None:
+        self._name = name
         self._routing = routing
         self._on_version = on_version
         self._seen_version = 0
@@ -233,6 +241,8 @@
             (_LEFT, f'{left_ms:.1f}'),
             (_VERSION, str(self._least_version())),
         ]
+        if self._name:
+            added.append((_SENDER, self._name))
         if request.age_ms:
             added.append((_AGE, str(request.age_ms)))
         return protocol.HttpRequest(
--- a/samphiredock/daemon/_entry_forwarding.py
+++ b/samphiredock/daemon/_entry_forwarding.py
@@ -107,7 +107,9 @@
             self._forwarder.target_client, clock, counters
         )
         dialect = forwarding.HandoverDialect(
-            entry_state.routing, entry_state.freshness_check.note_version
+            entry_state.routing,
+            entry_state.freshness_check.note_version,
+            settings.name,
         )
         self._handover = self._make_handover(dialect)
         self._stale_handover = self._make_handover(
@@ -321,6 +323,8 @@
         )
         if isinstance(read, result.Failure):
             return forwarding.refusal_reply(handed_over, read.failure())
+        if handed_over.least_version > self._entry_state.routing_version():
+            self._peer_notices.note_newer_table(handed_over.sender)
         if not await self._entry_state.can_serve_handed_over(
             handed_over.least_version, handed_over.stale_ok
         ):
--- a/samphiredock/daemon/_entry_peers.py
+++ b/samphiredock/daemon/_entry_peers.py
@@ -1,7 +1,7 @@
 """Notices and questions between entry daemons.
 
 They report lost targets, pass on the list of coordinators (an introduction),
-and check whether the routing table held here is fresh.
+check whether the routing table held here is fresh, and pass on a newer one.
 """
 
 import asyncio
@@ -24,6 +24,9 @@
 _STATUS_TIMEOUT_MS = 200.0
 """Timeout of a question for a peer's store status; it is repeated soon."""
 
+_ROUTING_TIMEOUT_MS = 1_000.0
+"""Timeout of a read of a peer's routing table, which may be large."""
+
 _log = logs.logger('entry')
 
 
@@ -58,6 +61,9 @@
         self._crash_guard = crash_guard
         self._clock = clock
         self._rng = random.Random(name)
+        self._is_reading = False
+        # A daemon that has used a newer routing table than this one's.
+        self._newer_table_at = ''
         self._notice_handlers = {
             forwarding.LOSS_PATH: self._on_loss,
             forwarding.INTRODUCTION_PATH: self._on_introduction,
@@ -80,6 +86,8 @@
                 self._entry_state.routing_version(),
                 self._entry_state.has_store_contact(),
             )
+        if path == forwarding.ROUTING_PATH:
+            return forwarding.routing_reply(self._entry_state.routing_value())
         handler = self._notice_handlers.get(path)
         if handler is None:
             return None
@@ -99,6 +107,10 @@
             self._entry_state.on_introduction(daemons)
         return daemons is not None
 
+    def note_newer_table(self, daemon: str) -> None:
+        """Ask a daemon, too, when the freshness is checked next."""
+        self._newer_table_at = daemon
+
     # Sent to peers.
 
     def announce_loss(self, loss: forwarding.Loss) -> None:
@@ -116,12 +128,9 @@
 
     async def _check_freshness(self) -> None:
         sent_ms = self._clock.now_ms()
-        peers = self._entry_state.peers.all()
-        if not peers:
+        sample = self._draw_peers()
+        if not sample:
             return
-        sample = self._rng.sample(
-            peers, min(forwarding.FRESHNESS_CHECK_PEERS, len(peers))
-        )
         replies = await asyncio.gather(*map(self._ask_peer, sample))
         answers = [row for row in replies if row is not None]
         last_round = self._entry_state.freshness_check.record_round(
@@ -135,6 +144,61 @@
             version=self._entry_state.routing_version(),
             newest=last_round.newest if last_round else None,
         )
+        newest, peer = max(
+            (
+                (status.version, peer)
+                for peer, status in zip(sample, replies)
+                if status is not None
+            ),
+            key=lambda row: row[0],
+            default=(0, None),
+        )
+        is_newer = newest > self._entry_state.routing_version()
+        if peer is not None and is_newer and not self._is_reading:
+            self._is_reading = True
+            try:
+                await self._read_routing(peer)
+            finally:
+                self._is_reading = False
+
+    def _draw_peers(self) -> list[state.LiveTarget]:
+        """Return the daemons to ask.
+
+        These are some coordinators, and the last daemon that is known to have
+        used a newer routing table.
+        """
+        peers = list(self._entry_state.peers.all())
+        sample = self._rng.sample(
+            peers, min(forwarding.FRESHNESS_CHECK_PEERS, len(peers))
+        )
+        drawn = {peer.target_id for peer in sample}
+        return sample + [
+            forwarding.as_target(daemon)
+            for daemon in self._entry_state.daemons()
+            if daemon.name == self._newer_table_at and daemon.name not in drawn
+        ]
+
+    async def _read_routing(self, peer: state.LiveTarget) -> None:
+        """Take over the routing table of a peer that holds a newer one."""
+        reply = await self._connections.exchange(
+            peer,
+            forwarding.routing_request(),
+            _ROUTING_TIMEOUT_MS,
+            lambda reply: True,
+        )
+        why = ''
+        if isinstance(reply, result.Failure):
+            why = reply.failure().detail
+        elif reply.unwrap().status != 200:
+            why = f'status {reply.unwrap().status}'
+        else:
+            self._entry_state.offer_routing_value(reply.unwrap().body)
+        _log.notice(
+            'routing table read from a peer',
+            peer=peer.target_id,
+            version=self._entry_state.routing_version(),
+            why=why,
+        )
 
     async def _ask_peer(
         self, peer: state.LiveTarget
--- a/samphiredock/daemon/_entry_state.py
+++ b/samphiredock/daemon/_entry_state.py
@@ -87,6 +87,7 @@
         self._stopping = asyncio.Event()
         self._has_settled = False
         self._last_target_count = 0
+        self._routing_value: bytes | None = None
         self._target_count_since_ms = 0.0
         self.routing = forwarding.RoutingState()
         self.targets = forwarding.LiveTargets(clock)
@@ -201,6 +202,15 @@
         """Return the version of the routing table in force, 0 if none."""
         return self.routing.table.version if self.routing.table else 0
 
+    def routing_value(self) -> bytes | None:
+        """Return the table in force as it is stored, None before the first."""
+        return self._routing_value
+
+    def offer_routing_value(self, value: bytes) -> None:
+        """Put a peer's routing table in force if it is newer and valid."""
+        key = self._adapter.routing_key
+        self._offer_routing(transport.StoredObject(key, 0, value))
+
     def limits(self) -> state.CallerLimits:
         """Return the limits on callers' requests that are in force."""
         table = self.routing.table
@@ -221,11 +231,14 @@
         """Whether to ask peers whether they have contact with the store.
 
         This is true somewhat before :meth:`has_store_contact` turns false,
-        so that the peers' answers have arrived by then.
+        so that the peers' answers have arrived by then.  It is also true
+        while a peer holds a newer table: it can be read from that peer, even
+        if the store has lost it.
         """
         late_ms = self._settings.watch_ms + _WATCH_SLACK_MS / 2.0
-        return self._role.coordinates and not self._watcher.has_heard_within(
-            late_ms
+        return self._role.coordinates and (
+            self.is_table_outdated()
+            or not self._watcher.has_heard_within(late_ms)
         )
 
     def may_deny_route(self) -> bool:
@@ -447,7 +460,8 @@
         if isinstance(read, result.Failure):
             self._report_unreadable(stored.key, read.failure())
             return
-        self.routing.offer(read.unwrap())
+        if self.routing.offer(read.unwrap()):
+            self._routing_value = stored.value
 
     def _on_targets(self, page: transport.WatchPage) -> None:
         listed_ids = set()
