A caller's own handover headers are not passed to a coordinator

What a caller could do: send Samphiredock-Stale-Ok or Samphiredock-Age-Ms itself; a daemon that handed the request over passed them on, and the coordinator took them for its peer's. Change: the daemon drops headers of that prefix before it adds its own; the coordinator dropped them before the targets already.

--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -70,12 +70,9 @@
         for name, value in headers
         if name.lower().startswith(_PREFIX)
     }
-    kept = tuple(
-        row for row in headers if not row[0].lower().startswith(_PREFIX)
-    )
     try:
         return HandedOver(
-            kept,
+            _without_handover_headers(headers),
             added[_ID.lower()],
             float(added[_LEFT.lower()]),
             int(added[_VERSION.lower()]),
@@ -87,6 +84,12 @@
         return None
 
 
+def _without_handover_headers(headers: protocol.Headers) -> protocol.Headers:
+    return tuple(
+        row for row in headers if not row[0].lower().startswith(_PREFIX)
+    )
+
+
 def as_received(
     request: protocol.ForwardRequest,
     handed: HandedOver,
@@ -245,10 +248,11 @@
             added.append((_SENDER, self._name))
         if request.age_ms:
             added.append((_AGE, str(request.age_ms)))
+        # A caller must not set the handover headers itself.
         return protocol.HttpRequest(
             request.method,
             request.path,
-            request.headers + tuple(added),
+            _without_handover_headers(request.headers) + tuple(added),
             request.body,
         )
 
@@ -280,11 +284,7 @@
         if version.isdigit():
             self._seen_version = max(self._seen_version, int(version))
             self._on_version(int(version))
-        kept = tuple(
-            row
-            for row in reply.headers
-            if not row[0].lower().startswith(_PREFIX)
-        )
+        kept = _without_handover_headers(reply.headers)
         return protocol.TargetReply(
             _Status.ANSWERED, dataclasses.replace(reply, headers=kept)
         )
--- a/tests/unit/test_roles.py
+++ b/tests/unit/test_roles.py
@@ -114,6 +114,19 @@
         sent = self.dialect.target_request(self.request, self.target, 321.5)
         return forwarding.read_handed_over(sent.headers)
 
+    def test_caller_cannot_set_handover_headers(self) -> None:
+        """A caller could ask for service by an outdated routing table."""
+        headers = (
+            ('X', 'y'),
+            ('Samphiredock-Stale-Ok', '1'),
+            ('samphiredock-age-ms', '9000'),
+        )
+        self.request = dataclasses.replace(self.request, headers=headers)
+        handed = self._handed()
+        self.assertFalse(handed.stale_ok)
+        self.assertEqual(0.0, handed.age_ms)
+        self.assertEqual((('X', 'y'),), handed.headers)
+
     def test_age_of_a_request_is_handed_over(self) -> None:
         """A request counts from when its caller sent it, as far as known."""
         table = forwarding.RoutingState()
