A content is refused for its losses only beyond what chance explains

Cause: the crash guard refused after losses in two requests, supposing that a content is seldom open by chance at two losses. A common one is open at all. Change: daemons count requests that ended well without a lost target, by content and route, for one to two minutes, and send the counts with their notices. A content is refused if a harmless one, with its share of the route's requests and beside the losses of other contents about that time, would have lost as many targets with a probability under 0.001. Reports of one target within 2 s are one loss. Later successes lift a refusal, other losses do not. Each loss has a log line, and the refusal lists what was lost when and the counts that decided.

--- a/samphiredock/coordination/forwarding/_attempt_sender.py
+++ b/samphiredock/coordination/forwarding/_attempt_sender.py
@@ -17,6 +17,9 @@
 
 _Status = protocol.SubStatus
 
+_BROKEN_STATUSES = frozenset({_Status.BROKEN, _Status.ORDER_LOST})
+"""Results of attempts whose target may have been lost."""
+
 
 class AttemptSender:
     """Sends the attempts of pending requests and handles their results.
@@ -330,6 +333,8 @@
                 pending.answered.add(shard)
                 ranges = [pending.plan.key_ranges[shard]]
             else:
+                if answer.status in _BROKEN_STATUSES:
+                    pending.may_have_lost_target = True
                 pending.trace.add(
                     now_ms,
                     'failed',
--- a/samphiredock/coordination/forwarding/_crash_guard.py
+++ b/samphiredock/coordination/forwarding/_crash_guard.py
@@ -3,67 +3,80 @@
 A request's content is its method, host, path and body.  If it crashes targets,
 its caller retries it at any daemon, and each search takes down one target of
 every shard.  There is no time to try a suspect content on a single target
-first, so it is quarantined after targets were lost while running it in two
-separate requests.  One outage counts as one request, however many targets it
-takes down.
+first, so all daemons tell each other of targets lost while running a content,
+and each decides by :mod:`_crash_evidence` whether to refuse it.
 """
 
 import collections
 import dataclasses
 import typing
 
+import msgspec
 import xxhash
 
+from samphiredock.coordination.forwarding import _crash_evidence
+from samphiredock.coordination.forwarding import _request_counts
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import timers
 
-MIN_REQUESTS = 2
-"""Requests that must have lost targets.  A content that was running by chance
-during one outage is unlikely to be running during a second one."""
-
-MIN_TARGETS = 2
-"""Distinct targets that must be lost; a single one may crash on its own."""
+EXPIRY_MS = 60_000.0
+"""How long a content is remembered, and refused, after its last loss."""
 
-MIN_GAP_MS = 250.0
-"""Losses closer together than this count as one request.  A retry sent at once
-meets targets that are already down; those that it crashes itself are lost
-later, since they work on it first."""
+REPORT_SPREAD_MS = 2_000.0
+"""Reports of one target within this time are of one loss: daemons find it at
+different times, and their notices take as long as ``_NOTICE_TIMEOUT_MS``."""
 
-EXPIRY_MS = 60_000.0
-"""How long a content is remembered after its last loss."""
+_MAX_LOSSES = 1_000
+"""Losses of all contents that are kept; the oldest are dropped."""
 
-RETRY_AFTER_MS = 30_000
-_MAX_CONTENTS = 1_000
+_LOGGED_LOSSES = 8
 
 _log = logs.logger('crashes')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loss:
-    """A target was lost while it ran a content in this request."""
+class Loss(msgspec.Struct, frozen=True):
+    """A target was lost while it ran a content in this request.
+
+    ``reporter`` is the daemon that found it.  ``succeeded`` are its recent
+    requests with this content that ended well, ``route_succeeded`` those of
+    the content's route.
+    """
 
     fingerprint: str
     request_id: str
     target: str
+    reporter: str = ''
+    succeeded: int = 0
+    route_succeeded: int = 0
 
 
 @dataclasses.dataclass(slots=True)
-class _ContentLosses:
-    """Targets lost while they ran one content.
+class _Content:
+    """A content under which targets were lost.
 
-    ``requests`` are the requests that count, ``last_ms`` is the last loss.
+    ``losses`` are in order of time.  ``counts`` has, for each other daemon,
+    the requests that ended well with this content and of its route.
     """
 
-    targets: set[str] = dataclasses.field(default_factory=set)
-    requests: set[str] = dataclasses.field(default_factory=set)
-    last_ms: float = 0.0
-
-    def is_quarantined(self) -> bool:
-        return (
-            len(self.requests) >= MIN_REQUESTS
-            and len(self.targets) >= MIN_TARGETS
+    losses: list[_crash_evidence.TargetLoss] = dataclasses.field(
+        default_factory=list
+    )
+    counts: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    is_refused: bool = False
+
+    def last_ms(self) -> float:
+        """Return when the last target was lost."""
+        return self.losses[-1].at_ms
+
+    def is_repeated(self, target: str, now_ms: float) -> bool:
+        """Whether a loss of this target was reported a moment ago."""
+        return any(
+            loss.target == target and now_ms - loss.at_ms < REPORT_SPREAD_MS
+            for loss in self.losses
         )
 
 
@@ -82,6 +95,8 @@
         The timers and metrics of this daemon.
     broadcast
         Called with each loss found by this daemon, to inform the others.
+    name
+        This daemon, as the reporter of the losses that it finds.
     """
 
     def __init__(
@@ -89,62 +104,151 @@
         clock: timers.Timers,
         counters: metrics.Metrics,
         broadcast: typing.Callable[[Loss], None],
+        name: str = '',
     ) -> None:
         self._clock = clock
         self._metrics = counters
         self._broadcast = broadcast
-        self._losses: collections.OrderedDict[str, _ContentLosses] = (
-            collections.OrderedDict()
+        self._name = name
+        self._counts = _request_counts.RequestCounts(clock)
+        self._contents: dict[str, _Content] = {}
+        self._losses: collections.deque[_crash_evidence.TargetLoss] = (
+            collections.deque()
         )
 
+    def record_success(
+        self, request: protocol.ForwardRequest, route: str
+    ) -> None:
+        """Record a request that ended well and lost no target."""
+        self._counts.add(fingerprint_of(request), route)
+
     def report_loss(self, loss: Loss) -> None:
         """Record a loss found by this daemon, and inform the others."""
+        succeeded, route_succeeded = self._counts.of(loss.fingerprint)
+        loss = msgspec.structs.replace(
+            loss,
+            reporter=self._name,
+            succeeded=succeeded,
+            route_succeeded=route_succeeded,
+        )
         self.record_loss(loss)
         self._broadcast(loss)
 
     def record_loss(self, loss: Loss) -> None:
         """Record a loss found by this daemon or reported by another one."""
         now_ms = self._clock.now_ms()
-        losses = self._losses_of(loss.fingerprint, now_ms)
-        was_quarantined = losses.is_quarantined()
-        if not losses.requests or now_ms - losses.last_ms >= MIN_GAP_MS:
-            losses.requests.add(loss.request_id)
-        losses.targets.add(loss.target)
-        losses.last_ms = now_ms
-        if losses.is_quarantined() and not was_quarantined:
-            self._metrics.add('contents_convicted')
-            _log.warning(
-                'content crashes targets and is refused',
+        self._forget_old(now_ms)
+        content = self._contents.setdefault(loss.fingerprint, _Content())
+        if loss.reporter and loss.reporter != self._name:
+            counts = (loss.succeeded, loss.route_succeeded)
+            content.counts[loss.reporter] = counts
+        if not content.is_repeated(loss.target, now_ms):
+            row = _crash_evidence.TargetLoss(
+                now_ms, loss.fingerprint, loss.request_id, loss.target
+            )
+            content.losses.append(row)
+            self._losses.append(row)
+            _log.info(
+                'target lost while it ran a content',
                 fingerprint=loss.fingerprint,
                 request=loss.request_id,
-                targets=sorted(losses.targets)[:8],
-                requests=sorted(losses.requests)[:8],
-                for_ms=EXPIRY_MS,
+                target=loss.target,
+                reporter=loss.reporter,
             )
+        self._decide(loss.fingerprint, content)
 
     def refusal(
         self, request: protocol.ForwardRequest
     ) -> protocol.NotRun | None:
         """Return the refusal of a quarantined request, None if it may run."""
-        if not self._losses:
+        if not self._contents:
             return None
-        losses = self._losses.get(fingerprint_of(request))
-        if losses is None or not losses.is_quarantined():
+        content = self._contents.get(fingerprint_of(request))
+        if content is None or not content.is_refused:
             return None
-        if self._clock.now_ms() - losses.last_ms > EXPIRY_MS:
+        left_ms = content.last_ms() + EXPIRY_MS - self._clock.now_ms()
+        if left_ms < 0.0:
             return None
+        targets = {loss.target for loss in content.losses}
         return protocol.NotRun(
             protocol.NotRunReason.QUARANTINED,
-            f'{len(losses.targets)} targets were lost while they ran this '
-            f'content, in {len(losses.requests)} requests',
-            RETRY_AFTER_MS,
+            f'{len(targets)} targets were lost while they ran this content',
+            int(left_ms),
+        )
+
+    def _decide(self, fingerprint: str, content: _Content) -> None:
+        """Refuse a content, or serve it again, by the evidence now known.
+
+        Losses of other causes do not clear a content that is refused; only
+        requests that ended well do.
+        """
+        evidence = self._evidence(fingerprint, content)
+        was_refused = content.is_refused
+        if was_refused:
+            evidence = dataclasses.replace(evidence, other_losses=0)
+        content.is_refused = evidence.is_against()
+        if content.is_refused == was_refused:
+            return
+        if content.is_refused:
+            self._metrics.add('contents_convicted')
+        _log.warning(
+            'content crashes targets and is refused'
+            if content.is_refused
+            else 'content is no longer refused',
+            fingerprint=fingerprint,
+            losses=self._describe(content.losses[-_LOGGED_LOSSES:]),
+            for_ms=EXPIRY_MS if content.is_refused else 0.0,
+            chance=evidence.chance(),
+            **dataclasses.asdict(evidence),
+        )
+
+    def _evidence(
+        self, fingerprint: str, content: _Content
+    ) -> _crash_evidence.Evidence:
+        losses = content.losses
+        requests = len(_crash_evidence.separate_requests(losses))
+        targets = len({loss.target for loss in losses})
+        if requests < _crash_evidence.MIN_REQUESTS:
+            return _crash_evidence.Evidence(requests, targets)
+        counts = [self._counts.of(fingerprint), *content.counts.values()]
+        succeeded = sum(count for count, _ in counts)
+        return _crash_evidence.Evidence(
+            requests,
+            targets,
+            _crash_evidence.count_other_losses(
+                losses, self._losses, only_near=not succeeded
+            ),
+            succeeded,
+            sum(count for _, count in counts),
+            _crash_evidence.contents_per_loss(self._losses),
         )
 
-    def _losses_of(self, fingerprint: str, now_ms: float) -> _ContentLosses:
-        losses = self._losses.get(fingerprint)
-        if losses is None or now_ms - losses.last_ms > EXPIRY_MS:
-            losses = self._losses[fingerprint] = _ContentLosses()
-        self._losses.move_to_end(fingerprint)
-        while len(self._losses) > _MAX_CONTENTS:
-            self._losses.popitem(last=False)
-        return losses
+    def _forget_old(self, now_ms: float) -> None:
+        """Forget expired losses, and those beyond the limit."""
+        since_ms = now_ms - EXPIRY_MS
+        while self._losses and (
+            self._losses[0].at_ms < since_ms
+            or len(self._losses) >= _MAX_LOSSES
+        ):
+            old = self._losses.popleft()
+            content = self._contents[old.fingerprint]
+            if content.losses[-1] is old:
+                del self._contents[old.fingerprint]
+            elif not content.is_refused:
+                content.losses = [
+                    loss for loss in content.losses if loss is not old
+                ]
+
+    def _describe(
+        self, losses: typing.Iterable[_crash_evidence.TargetLoss]
+    ) -> list[dict[str, object]]:
+        """Return losses as the log shows them."""
+        now_ms = self._clock.now_ms()
+        return [
+            {
+                'ago_ms': round(now_ms - loss.at_ms),
+                'request': loss.request_id,
+                'target': loss.target,
+            }
+            for loss in losses
+        ]
--- a/samphiredock/coordination/forwarding/_forwarder.py
+++ b/samphiredock/coordination/forwarding/_forwarder.py
@@ -265,6 +265,9 @@
             del self._pending[query_id]
             if pending.timer is not None:
                 pending.timer.cancel()
+        if self._crashes and pending.answered:
+            if not pending.may_have_lost_target:
+                self._crashes.record_success(plan.request, plan.route.name)
         outcome = _pending_requests.outcome_of(
             pending, finish, self._clock.now_ms()
         )
--- a/samphiredock/coordination/forwarding/_pending_requests.py
+++ b/samphiredock/coordination/forwarding/_pending_requests.py
@@ -72,7 +72,7 @@
     an attempt is in ``sent_orders`` if another daemon sends it, otherwise in
     ``exchanges`` until it ends.  ``asked`` and ``answered`` are shards.
     ``send_by_ms`` holds, for shards with extra attempts, until when an attempt
-    may be written.
+    may be written.  ``may_have_lost_target`` is set once an exchange broke.
     """
 
     plan: _route_plans.ForwardPlan
@@ -93,6 +93,7 @@
     answered: set[str] = dataclasses.field(default_factory=set)
     exchanges: dict[str, Exchange] = dataclasses.field(default_factory=dict)
     send_by_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    may_have_lost_target: bool = False
 
     def __post_init__(self) -> None:
         self.parts = _collected_parts.CollectedParts(self.plan.route.top)
--- a/samphiredock/daemon/_entry_forwarding.py
+++ b/samphiredock/daemon/_entry_forwarding.py
@@ -85,6 +85,7 @@
             clock,
             counters,
             lambda loss: self._peer_notices.announce_loss(loss),
+            settings.name,
         )
         self._peer_notices = _entry_peers.PeerNotices(
             settings.name,
--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -166,6 +166,7 @@
         daemons: int | None = 1,
         clock: timers.ManualTimers | None = None,
         links: ManualLinks | None = None,
+        crashes: forwarding.CrashGuard | None = None,
     ) -> None:
         self.clock = clock or timers.ManualTimers()
         self.links = links or ManualLinks()
@@ -204,7 +205,8 @@
             self.links,
             self.clock,
             self.counters,
-            order_client=self.make_order_client(),
+            crashes,
+            self.make_order_client(),
         )
 
     def make_replicas(self) -> coordination.ReplicaSelector:
