A stalled daemon no longer takes a sound target for an unreachable one

What callers saw: a daemon that was suspended or busy for over 300 ms while it connected counted the target as unreachable, and, if it was looking whether the target had died, reported a crash. Cause: the timeout of 300 ms is measured by a timer, but a connection that is open needs several turns of the event loop; after a stall the timer fires in the first one. Change: after the timeout the connection gets 20 ms more, measured from when this process noticed. Replies are not affected: their bytes are read before timers.

--- a/samphiredock/transport/_connection_pool.py
+++ b/samphiredock/transport/_connection_pool.py
@@ -18,6 +18,11 @@
 """Shorter than TCP's first SYN retransmission after 1 s, which would be too
 late for the caller."""
 
+_CONNECT_GRACE_MS = 20.0
+"""Time after the timeout to process a connection that is open already.  If
+this process was suspended or busy, it sees the timeout first; the target would
+count as unreachable, or even as crashed."""
+
 _IDLE_MARGIN_MS = 300.0
 """A connection is not reused this close to its idle timeout: the target may
 be closing it, and a request lost on it cannot be repeated if it must run at
@@ -360,10 +365,7 @@
         connected = False
         limit_s = min(CONNECT_TIMEOUT_MS / 1000.0, self._remaining_s(ends_ms))
         try:
-            async with asyncio.timeout(limit_s):
-                connection = await _http_connection.open_connection(
-                    target.address
-                )
+            connection = await _open_connection(target.address, limit_s)
             connected = True
             return connection
         except TimeoutError:
@@ -399,3 +401,22 @@
         else:
             pool.open_count -= 1
         pool.wake()
+
+
+async def _open_connection(
+    address: str, limit_s: float
+) -> _http_connection.HttpConnection:
+    """Connect to ``IP:port``; raises ``TimeoutError`` or ``OSError``."""
+    task = asyncio.ensure_future(_http_connection.open_connection(address))
+    try:
+        for timeout_s in (limit_s, _CONNECT_GRACE_MS / 1000.0):
+            done, _ = await asyncio.wait((task,), timeout=timeout_s)
+            if done:
+                return task.result()
+        raise TimeoutError
+    except asyncio.CancelledError:
+        if task.done() and task.exception() is None:
+            task.result().close()
+        raise
+    finally:
+        task.cancel()
--- a/tests/unit/test_connection_pool.py
+++ b/tests/unit/test_connection_pool.py
@@ -4,7 +4,9 @@
 import math
 import socket
 import struct
+import time
 import unittest
+from unittest import mock
 
 from returns import result
 
@@ -12,6 +14,7 @@
 from samphiredock import state
 from samphiredock import timers
 from samphiredock import transport
+from samphiredock.transport import _connection_pool
 from standins import scripted_target
 
 Kind = transport.LinkErrorKind
@@ -73,6 +76,33 @@
             self.assertEqual(f'r{number}'.encode(), reply.body)
         self.assertEqual(1, self.target.connections)
 
+    async def test_stall_is_not_taken_for_an_unreachable_target(self) -> None:
+        """A daemon that was suspended counted sound targets as lost.
+
+        This process does nothing for longer than the connect timeout, at
+        each of the first turns of the event loop after connecting began.
+        """
+        loop = asyncio.get_running_loop()
+
+        def stall(turns: int) -> None:
+            if turns:
+                loop.call_soon(stall, turns - 1)
+            else:
+                time.sleep(0.04)
+
+        for turns in range(6):
+            with (
+                self.subTest(turns=turns),
+                mock.patch.object(_connection_pool, 'CONNECT_TIMEOUT_MS', 20),
+            ):
+                self.pool = transport.ConnectionPool(
+                    self.clock, lambda target: 4
+                )
+                asking = asyncio.create_task(self._ask('a'))
+                loop.call_soon(stall, turns)
+                self.assertEqual(b'a', (await asking).unwrap().body)
+                self.pool.close()
+
     async def test_an_unwanted_request_is_not_sent(self) -> None:
         """A search ends while its request waits for a connection.
 
