Crash guard: what a refused content explains is not weighed again

Cause: contents that ran beside a crashing one are lost with it; at a crash of 300 targets each of 600 such contents was weighed against all losses. Change: a content all of whose lost targets were lost under a refused one is left alone, and a content is weighed again only when the evidence for it has changed.

--- a/samphiredock/coordination/forwarding/_crash_evidence.py
+++ b/samphiredock/coordination/forwarding/_crash_evidence.py
@@ -5,6 +5,7 @@
 A content is refused once so many losses are unlikely by chance.
 """
 
+import bisect
 import dataclasses
 import math
 import typing
@@ -131,12 +132,13 @@
         Count only what was lost about the time of a loss of the content.
     """
     own = {loss.target for loss in losses}
+    times_ms = [loss.at_ms for loss in losses]
     began_ms = losses[0].at_ms - OUTAGE_MS
     by_request: dict[str, set[str]] = {}
     for loss in others:
         if loss.target in own or loss.at_ms < began_ms:
             continue
-        if only_near and not _is_near(loss, losses):
+        if only_near and not _is_near(loss.at_ms, times_ms):
             continue
         by_request.setdefault(loss.request_id, set()).add(loss.target)
     explained: set[str] = set()
@@ -155,5 +157,7 @@
     return len(pairs) / len(targets) if targets else 1.0
 
 
-def _is_near(loss: TargetLoss, losses: typing.Iterable[TargetLoss]) -> bool:
-    return any(abs(loss.at_ms - own.at_ms) <= OUTAGE_MS for own in losses)
+def _is_near(at_ms: float, times_ms: typing.Sequence[float]) -> bool:
+    """Whether a time is close to one of others, which are in order."""
+    index = bisect.bisect_left(times_ms, at_ms - OUTAGE_MS)
+    return index < len(times_ms) and times_ms[index] <= at_ms + OUTAGE_MS
--- a/samphiredock/coordination/forwarding/_crash_guard.py
+++ b/samphiredock/coordination/forwarding/_crash_guard.py
@@ -58,6 +58,7 @@
 
     ``losses`` are in order of time.  ``counts`` has, for each other daemon,
     the requests that ended well with this content and of its route.
+    ``decided_by`` is what the last decision was based on.
     """
 
     losses: list[_crash_evidence.TargetLoss] = dataclasses.field(
@@ -67,11 +68,28 @@
         default_factory=dict
     )
     is_refused: bool = False
+    decided_by: tuple[int, int, int] = (0, 0, 0)
 
     def last_ms(self) -> float:
         """Return when the last target was lost."""
         return self.losses[-1].at_ms
 
+    def basis(self, succeeded: int) -> tuple[int, int, int]:
+        """Return what must change for a new decision.
+
+        These are the separate requests, whether enough targets were lost, and
+        the requests that ended well, ``succeeded`` of them at this daemon.
+        """
+        return (
+            len(_crash_evidence.separate_requests(self.losses)),
+            min(len(self.targets()), _crash_evidence.MIN_TARGETS),
+            succeeded + sum(count for count, _ in self.counts.values()),
+        )
+
+    def targets(self) -> set[str]:
+        """Return the targets that were lost."""
+        return {loss.target for loss in self.losses}
+
     def is_repeated(self, target: str, now_ms: float) -> bool:
         """Whether a loss of this target was reported a moment ago."""
         return any(
@@ -155,7 +173,11 @@
                 target=loss.target,
                 reporter=loss.reporter,
             )
-        self._decide(loss.fingerprint, content)
+        succeeded, _ = self._counts.of(loss.fingerprint)
+        basis = content.basis(succeeded)
+        if basis != content.decided_by and not self._is_explained(content):
+            content.decided_by = basis
+            self._decide(loss.fingerprint, content)
 
     def refusal(
         self, request: protocol.ForwardRequest
@@ -169,13 +191,24 @@
         left_ms = content.last_ms() + EXPIRY_MS - self._clock.now_ms()
         if left_ms < 0.0:
             return None
-        targets = {loss.target for loss in content.losses}
         return protocol.NotRun(
             protocol.NotRunReason.QUARANTINED,
-            f'{len(targets)} targets were lost while they ran this content',
+            f'{len(content.targets())} targets were lost while they ran '
+            'this content',
             int(left_ms),
         )
 
+    def _is_explained(self, content: _Content) -> bool:
+        """Whether a refused content crashed all targets lost under this one.
+
+        What runs beside it at its targets is lost with them.
+        """
+        return any(
+            other.is_refused and content.targets() <= other.targets()
+            for other in self._contents.values()
+            if other is not content
+        )
+
     def _decide(self, fingerprint: str, content: _Content) -> None:
         """Refuse a content, or serve it again, by the evidence now known.
 
@@ -207,7 +240,7 @@
     ) -> _crash_evidence.Evidence:
         losses = content.losses
         requests = len(_crash_evidence.separate_requests(losses))
-        targets = len({loss.target for loss in losses})
+        targets = len(content.targets())
         if requests < _crash_evidence.MIN_REQUESTS:
             return _crash_evidence.Evidence(requests, targets)
         counts = [self._counts.of(fingerprint), *content.counts.values()]
--- a/tests/failure/test_crash_evidence.py
+++ b/tests/failure/test_crash_evidence.py
@@ -151,14 +151,16 @@
         490 daemons ran the content at the two targets of a host that died;
         their notices come within a second.
         """
-        fleet = _Fleet(self, 490)
-        for daemon in range(490):
-            fleet.lose('/rare', 't1', 't2', daemon=daemon, deliver=False)
-            fleet.advance(2.0)
-            if daemon % 49 == 0:
-                fleet.deliver()
-        fleet.deliver()
-        self.assertEqual(0, fleet.refusing('/rare'))
+        content = forwarding.fingerprint_of(request('/rare'))
+        for number in range(490):
+            for target in ('t1', 't2'):
+                loss = forwarding.Loss(
+                    content, f'r{number}', target, f'daemon-{number}'
+                )
+                for guard in self.fleet.guards:
+                    guard.record_loss(loss)
+            self.fleet.advance(2.0)
+        self.assertEqual(0, self.fleet.refusing('/rare'))
 
     def test_rack_that_dies_over_seconds_refuses_nothing(self) -> None:
         """Callers whose retry met the same rack again were refused.
@@ -275,6 +277,17 @@
         for at in range(30):
             self.assertEqual(0, self.fleet.refusing(f'/usual-{at}'))
 
+    def test_rare_content_lost_with_it_is_served(self) -> None:
+        """A caller's retry met the crashing content a second time."""
+        for number in range(2):
+            targets = [f't{number}-{at}' for at in range(30)]
+            self.fleet.lose('/poison', *targets)
+            self.fleet.lose('/rare', targets[3], daemon=1)
+            self.fleet.advance(_GAP_MS)
+        self.assertEqual(3, self.fleet.refusing('/poison'))
+        self.assertEqual(0, self.fleet.refusing('/rare'))
+        self.assertLessEqual(self.fleet.bad_requests_until_refused('/rare'), 3)
+
     def test_content_sent_without_a_pause_is_refused(self) -> None:
         """Losses that never pause counted as those of one request."""
         for number in range(20):
