The HTTP interface of our own maps the new reason routes-outdated

Cause: each reason needs one, though that interface never gives this one. Change: 503, as its adapter's. Daemons that pass requests on do not load this module.

--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -37,6 +37,7 @@
     protocol.NotRunReason.SHUTTING_DOWN: 503,
     protocol.NotRunReason.NOT_READY: 503,
     protocol.NotRunReason.UNKNOWN_ROUTE: 404,
+    protocol.NotRunReason.ROUTES_OUTDATED: 503,
 }
 
 _OUTCOME_STATUS = {
