A peer's routing table is used only if its targets are known

A coordinator that lost the store at 2.5 s read version 12 from a peer at 5.2 s; it names an index whose targets had registered since, of which it knew 114 of 135 shards, so it refused searches that the held table could serve. Change: a table that leaves more services of a route without a known target than the held one does is not put in force; handovers are then refused to those who have it, as before, and old routes served on.

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -59,7 +59,10 @@
             'coordinators_of',
             'is_near_targets',
         ),
-        '_routing': ('RoutingState',),
+        '_routing': (
+            'RoutingState',
+            'routes_without_targets',
+        ),
         '_splitter': ('Splitter',),
         '_freshness_check': (
             'FRESHNESS_CHECK_PEERS',
--- a/samphiredock/coordination/forwarding/_routing.py
+++ b/samphiredock/coordination/forwarding/_routing.py
@@ -1,4 +1,4 @@
-"""Holds the routing table in force."""
+"""Holds the routing table in force, and compares it with another one."""
 
 import typing
 
@@ -48,3 +48,35 @@
         for callback in self._subscribers:
             callback(table)
         return True
+
+
+def routes_without_targets(
+    offered: state.RoutingTable,
+    held: state.RoutingTable,
+    has_target: typing.Callable[[str], bool],
+) -> list[str]:
+    """Return the routes that an offered table would serve worse than another.
+
+    A daemon without the store does not know the targets that have registered
+    since.  If a newer table names their services, the daemon would refuse
+    requests that it can serve by the table it holds.
+
+    Parameters
+    ----------
+    offered, held
+        The newer table, and the one in force.
+    has_target
+        Whether a target of a service is known here.
+    """
+
+    def missing(route: state.Route) -> int:
+        services = route.shards or tuple(row.service for row in route.services)
+        return sum(not has_target(service) for service in services)
+
+    before = {(row.host, row.prefix): row for row in held.routes}
+    return [
+        route.name
+        for route in offered.routes
+        if (route.host, route.prefix) in before
+        and missing(route) > missing(before[route.host, route.prefix])
+    ]
--- a/samphiredock/daemon/_entry_peers.py
+++ b/samphiredock/daemon/_entry_peers.py
@@ -192,7 +192,8 @@
         elif reply.unwrap().status != 200:
             why = f'status {reply.unwrap().status}'
         else:
-            self._entry_state.offer_routing_value(reply.unwrap().body)
+            body = reply.unwrap().body
+            why = self._entry_state.offer_routing_value(body)
         _log.notice(
             'routing table read from a peer',
             peer=peer.target_id,
--- a/samphiredock/daemon/_entry_state.py
+++ b/samphiredock/daemon/_entry_state.py
@@ -207,10 +207,26 @@
         """Return the table in force as it is stored, None before the first."""
         return self._routing_value
 
-    def offer_routing_value(self, value: bytes) -> None:
-        """Put a peer's routing table in force if it is newer and valid."""
-        key = self._adapter.routing_key
-        self._offer_routing(transport.StoredObject(key, 0, value))
+    def offer_routing_value(self, value: bytes) -> str:
+        """Put a peer's routing table in force if it is newer and valid.
+
+        Returns why not, empty if it is.  A table whose targets are not known
+        here is not used: the old one still serves.
+        """
+        read = self._adapter.read_routing(value)
+        if isinstance(read, result.Failure):
+            return read.failure()
+        held = self.routing.table
+        lost = held and forwarding.routes_without_targets(
+            read.unwrap(),
+            held,
+            lambda service: bool(self.targets.of_service(service)),
+        )
+        if lost:
+            return f'no targets known for {len(lost)} routes'
+        if self.routing.offer(read.unwrap()):
+            self._routing_value = value
+        return ''
 
     def limits(self) -> state.CallerLimits:
         """Return the limits on callers' requests that are in force."""
--- a/tests/failure/test_outdated_routes.py
+++ b/tests/failure/test_outdated_routes.py
@@ -256,6 +256,27 @@
         ):
             self.assertIn(b'services', reply.body)
 
+    async def test_table_without_known_targets_is_not_used(self) -> None:
+        """A daemon without the store refused what it could serve before.
+
+        The newer table moves a route to a service whose targets registered
+        after the store was lost; the old service still serves it.
+        """
+        self.state.targets.put(
+            state.LiveTarget('t', 'desk', '10.0.0.1:1', 'a', 1)
+        )
+        moved = table_value(3, '/old/').replace(b'"desk"', b'"desk-2"')
+        why = self.state.offer_routing_value(moved)
+        self.assertIn('no targets known', why)
+        self.assertEqual(2, self.state.routing_version())
+        self.state.targets.put(
+            state.LiveTarget('u', 'desk-2', '10.0.0.2:1', 'a', 1)
+        )
+        self.assertEqual('', self.state.offer_routing_value(moved))
+        self.assertEqual(3, self.state.routing_version())
+        self.assertNotEqual('', self.state.offer_routing_value(b'{'))
+        self.assertEqual(moved, self.state.routing_value())
+
     async def test_rolled_back_store_denies_no_newer_route(self) -> None:
         """A store that lost version 3 shows version 2 until it is rewritten.
 
