Process test of lost targets: wait until the target itself has begun

Cause: the test's. Its request ids begin with the target's name, and it looked for that name anywhere in the line of a run, so it went on when any target had begun and could stop the target before that one had work to lose. Evidence: the old condition holds for a run of shard-1-0-3 at shard-2-1, the new one does not. Change: the line must end with the target's name; checks as before.

--- a/tests/process/test_lost_targets.py
+++ b/tests/process/test_lost_targets.py
@@ -37,7 +37,7 @@
             for number in range(20)
         ]
         for _ in range(_TRIES):
-            if any(target.target_id in row for row in self._begun(name)):
+            if self._has_begun(name):
                 break
             await asyncio.sleep(_PAUSE_S)
         await target.stop()
@@ -48,8 +48,12 @@
             await asyncio.sleep(_PAUSE_S)
         self.fail(f'{name} was not found lost')
 
-    def _begun(self, name: str) -> list[str]:
-        return [row for row in self.system.runs if row.startswith(f'{name}-')]
+    def _has_begun(self, name: str) -> bool:
+        """Whether the target runs a search that was sent to lose it."""
+        return any(
+            row.startswith(f'{name}-') and row.endswith(f' {name}')
+            for row in self.system.runs
+        )
 
     async def test_common_search_is_served_after_unrelated_losses(
         self,
