--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,7 +1,7 @@
 """One entry of another writer ends the daemons' view of all servers.
 
 The entry has a field of another type: lists in lists, deeper than a decoder
-follows.  Then a server is emptied.
+follows.  Then a server is emptied and leaves.
 """
 
 import asyncio
@@ -26,14 +26,15 @@
 DEPTH = 2_000
 ENTRY_AFTER_S = 2.0
 DRAIN_AFTER_S = 5.0
-TRAFFIC_S = 16.0
+EXITS_LATER_S = 4.0
+TRAFFIC_S = 18.0
 # The stand-in of the store encodes the entry by recursion.
 RECURSION_LIMIT = 20_000
 ROUTE = {
     'Name': 'deals',
     'Host': deployment.HOST,
     'PathPrefix': '/deals/',
-    'Kind': 'idempotent',
+    'Kind': 'non_idempotent',
     'TimeoutMs': TIMEOUT_MS,
     'TargetLatencyMs': 458,
     'Priority': 2,
@@ -84,6 +85,11 @@
     leaving.state = 'draining'
     system.beat(leaving)
     acknowledged_ms = system.record.add('draining', server=leaving.server_id)
+    await asyncio.sleep(deployment.DRAIN_MS / 1_000.0 + EXITS_LATER_S)
+    leaving.state = 'gone'
+    system.store.remove('servers', leaving.server_id)
+    await leaving.stop()
+    system.record.add('left', server=leaving.server_id)
     statuses = await traffic
     limit_ms = acknowledged_ms + deployment.DRAIN_MS
     late = [run for run in leaving.arrivals if run.at_ms > limit_ms]
@@ -110,10 +116,11 @@
             asyncio.create_task(
                 system.ask(
                     names[number % len(names)],
-                    'GET',
+                    'POST',
                     f'/deals/{number}',
                     f'r{number}',
                     TIMEOUT_MS,
+                    b'{"deal": 1}',
                 )
             )
         )
