A connection carries one attempt of a request only

Cause: a full target rejects a request, and its rejection comes twice. The request is sent to the same target again, on the connection that was used last, which is the one that was rejected. There the second copy of the rejection arrives first; it has the id of the request, which all attempts share, and is taken for the rejection of the attempt that the target in fact accepts.

A connection now keeps the ids that it has carried until their deadline, and the pool gives an attempt the connection used last of those that have not carried its request, else a new one. What arrives on another connection cannot be a reply to the earlier attempt.

The same cause on related paths: hedges, repeats of a shard, parts of a merge and hand-overs all go through the pool with the id of the request. Merge orders had no id at all and took any reply, chunk by chunk; they now have one each, which the reply echoes. A daemon of an earlier release echoes none and is believed as before.

--- a/samphiredock/coordination/forwarding/__init__.py
+++ b/samphiredock/coordination/forwarding/__init__.py
@@ -45,6 +45,7 @@
         '_order_client': (
             'ORDER_PATH',
             'OrderClient',
+            'order_reply_headers',
         ),
         '_presence': ('Presence',),
         '_retry_report': ('RetryReport',),
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -254,6 +254,7 @@
             request.path,
             _without_handover_headers(request.headers) + tuple(added),
             request.body,
+            request.request_id,
         )
 
     def is_reply_to(
--- a/samphiredock/coordination/forwarding/_order_client.py
+++ b/samphiredock/coordination/forwarding/_order_client.py
@@ -21,6 +21,8 @@
 """Path of merge orders, with the version of their format.  A daemon that does
 not know the version refuses, and its targets are asked directly."""
 
+_ORDER_ID = 'Samphiredock-Order'
+
 _Status = protocol.SubStatus
 _Kind = transport.LinkErrorKind
 
@@ -113,12 +115,13 @@
         send_by_ms = began_ms + _arrival.SEND_WITHIN_MS
         self._loads.record_sent(merger)
         took_ms: float | None = None
+        request = _request_of(order)
         try:
             reply = await self._links.exchange(
                 peer,
-                _request_of(order),
+                request,
                 order.left_ms,
-                lambda got: True,
+                lambda got: _is_reply_to(request.request_id, got),
                 is_wanted=lambda: self._clock.now_ms() <= send_by_ms,
                 on_chunk=handle_chunk,
             )
@@ -168,10 +171,29 @@
         _log.info('order failed', daemon=merger, why=why)
 
 
+def order_reply_headers(headers: protocol.Headers) -> protocol.Headers:
+    """Return the headers of the reply to an order, given those of the order.
+
+    They echo the id of the order.
+    """
+    return tuple(row for row in headers if row[0].lower() == _ORDER_ID.lower())
+
+
 def _request_of(order: protocol.MergeOrder) -> protocol.HttpRequest:
+    # The search's id is shared by all its orders; their items differ.
+    order_id = f'{order.request_id}.{order.items[0].number}'
     return protocol.HttpRequest(
         'POST',
         ORDER_PATH,
-        (('Host', 'samphiredock'),),
+        (('Host', 'samphiredock'), (_ORDER_ID, order_id)),
         protocol.encode_merge_message(order),
+        order_id,
     )
+
+
+def _is_reply_to(order_id: str, reply: protocol.HttpReply) -> bool:
+    """Whether a reply belongs to an order.
+
+    A daemon of an earlier release echoes no id.
+    """
+    return reply.header(_ORDER_ID) in (None, order_id)
--- a/samphiredock/daemon/_entry_forwarding.py
+++ b/samphiredock/daemon/_entry_forwarding.py
@@ -312,7 +312,7 @@
     ) -> protocol.HttpReply | protocol.StreamedReply:
         """Answer another daemon's handed-over request, order or notice."""
         if path == forwarding.ORDER_PATH:
-            return self._accept_order(body)
+            return self._accept_order(headers, body)
         notice = self._peer_notices.handle(path, body)
         if notice is not None:
             return notice
@@ -353,7 +353,7 @@
         )
 
     def _accept_order(
-        self, body: bytes
+        self, headers: protocol.Headers, body: bytes
     ) -> protocol.HttpReply | protocol.StreamedReply:
         """Reply with the reports on a merge order, or refuse it."""
         if self._is_finished:
@@ -369,7 +369,11 @@
             # The sender's list of daemons has this one as a coordinator;
             # lists differ for some seconds after a change.
             self._entry_state.coordinate_temporarily()
-        return protocol.StreamedReply(200, (), self._reports(read.unwrap()))
+        return protocol.StreamedReply(
+            200,
+            forwarding.order_reply_headers(headers),
+            self._reports(read.unwrap()),
+        )
 
     async def _reports(
         self, order: protocol.MergeOrder
--- a/samphiredock/protocol/_forwarding.py
+++ b/samphiredock/protocol/_forwarding.py
@@ -18,13 +18,16 @@
 class HttpRequest:
     """One HTTP request to be sent on a connection.
 
-    ``path`` is the undecoded path with its query string.
+    ``path`` is the undecoded path with its query string.  ``request_id`` is
+    the id that all attempts of a request share, empty if it has none: replies
+    to two attempts cannot be told apart by it.
     """
 
     method: str
     path: str
     headers: Headers
     body: bytes = b''
+    request_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/samphiredock/transport/_connection_pool.py
+++ b/samphiredock/transport/_connection_pool.py
@@ -179,7 +179,7 @@
         ends_ms = self._clock.now_ms() + timeout_ms
         pool = self._pools[target.target_id]
         acquired = await self._acquire(
-            pool, target, ends_ms, max_idle_ms, is_wanted
+            pool, target, ends_ms, request.request_id, max_idle_ms, is_wanted
         )
         if isinstance(acquired, _link_errors.LinkError):
             return result.Failure(acquired)
@@ -253,15 +253,16 @@
         pool: _TargetPool,
         target: state.LiveTarget,
         ends_ms: float,
+        request_id: str,
         max_idle_ms: float,
         is_wanted: typing.Callable[[], bool],
     ) -> _IdleConnection | _link_errors.LinkError:
         """Return a pooled connection or a new one."""
         has_waited = False
         while True:
-            self._drop_stale(pool)
-            if pool.idle and self._idle_ms(pool.idle[-1]) <= max_idle_ms:
-                return pool.idle.pop()
+            idle = self._take_idle(pool, request_id, max_idle_ms)
+            if idle is not None:
+                return idle
             limit = max(1, self._limit(target))
             while pool.idle and pool.open_count >= limit:
                 # Makes room for a new connection by closing the one idle for
@@ -284,6 +285,26 @@
                 pool.wake()
                 return _NOT_WANTED
 
+    def _take_idle(
+        self, pool: _TargetPool, request_id: str, max_idle_ms: float
+    ) -> _IdleConnection | None:
+        """Remove and return an idle connection that may carry a request.
+
+        It is the one used last of those that have not carried an earlier
+        attempt of the request, whose late second reply would be taken for
+        the reply to this attempt.
+        """
+        self._drop_stale(pool)
+        for position in reversed(range(len(pool.idle))):
+            idle = pool.idle[position]
+            if self._idle_ms(idle) > max_idle_ms:
+                return None
+            if not self._is_usable(pool, idle):
+                continue
+            if not idle.connection.has_carried(request_id):
+                return pool.idle.pop(position)
+        return None
+
     async def _wait(
         self, pool: _TargetPool, ends_ms: float, has_waited: bool
     ) -> None:
@@ -350,16 +371,18 @@
         Begins at the most recently used one, which is also reused first, and
         stops at the first that is usable: the others need no check yet.
         """
-        now_ms = self._clock.now_ms()
-        limit_ms = pool.idle_limit_ms(now_ms)
-        while pool.idle:
-            idle = pool.idle[-1]
-            usable = idle.connection.is_open and now_ms < idle.expires_ms
-            if usable and self._idle_ms(idle) <= limit_ms:
-                return
+        while pool.idle and not self._is_usable(pool, pool.idle[-1]):
             pool.idle.pop().connection.close()
             pool.open_count -= 1
 
+    def _is_usable(self, pool: _TargetPool, idle: _IdleConnection) -> bool:
+        now_ms = self._clock.now_ms()
+        return (
+            idle.connection.is_open
+            and now_ms < idle.expires_ms
+            and self._idle_ms(idle) <= pool.idle_limit_ms(now_ms)
+        )
+
     async def _connect(
         self, pool: _TargetPool, target: state.LiveTarget, ends_ms: float
     ) -> _http_connection.HttpConnection | _link_errors.LinkError:
--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -138,16 +138,20 @@
             return
         chunk = b''.join(self._body)
         self._body = []
-        head = protocol.HttpReply(
-            self._parser.get_status_code(), tuple(self._headers)
-        )
-        if self._is_reply(head):
+        if self._is_reply(self._make_reply(b'')):
             self._on_chunk(chunk)
 
     def on_message_complete(self) -> None:
         """Complete the reply."""
         self._complete()
 
+    def _make_reply(self, body: bytes) -> protocol.HttpReply:
+        return protocol.HttpReply(
+            self._parser.get_status_code(),
+            tuple(self._headers),
+            body,
+        )
+
     def _complete(self) -> None:
         self._in_body = False
         if self.found is not None:
@@ -155,9 +159,7 @@
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             return
-        reply = protocol.HttpReply(
-            status, tuple(self._headers), b''.join(self._body)
-        )
+        reply = self._make_reply(b''.join(self._body))
         if not self._is_reply(reply):
             # A late reply to an earlier request; the right one follows it.
             self.skipped += 1
@@ -175,12 +177,34 @@
         self._reader: _ReplyReader | None = None
         self._waiter: asyncio.Future | None = None
         self._closed = False
+        # By request id: until when another attempt may be made, in s.
+        self._carried_until_s: dict[str, float] = {}
 
     @property
     def is_open(self) -> bool:
         """Whether another exchange may be started."""
         return not self._closed
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether an earlier attempt of a request was sent here.
+
+        The next reply with this id could be a late second one to the earlier
+        attempt.  Ids are kept until the timeout of their exchange, which is
+        the deadline of all attempts.
+        """
+        return request_id in self._carried_until_s
+
+    def _record_carried(self, request_id: str, ends_s: float) -> None:
+        now_s = asyncio.get_running_loop().time()
+        carried = self._carried_until_s
+        while carried:
+            oldest = next(iter(carried))
+            if carried[oldest] > now_s:
+                break
+            del carried[oldest]
+        if request_id:
+            carried[request_id] = ends_s
+
     # asyncio.Protocol callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -249,10 +273,12 @@
         self._reader = _ReplyReader(request.method, is_reply, on_chunk)
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
+        ends_s = loop.time() + max(_MIN_TIMEOUT_MS, timeout_ms) / 1000.0
+        self._record_carried(request.request_id, ends_s)
         transport.write(_encode(request))
         # Cheaper than asyncio.timeout() around each exchange.
-        timer = loop.call_later(
-            max(_MIN_TIMEOUT_MS, timeout_ms) / 1000.0,
+        timer = loop.call_at(
+            ends_s,
             self._fail,
             _Kind.SILENT,
             f'no reply in {timeout_ms:.0f} ms',
