A refusal without an id proves nothing on a used connection

A target's reply of status 400 and up may lack the request id. On a kept connection such a 503 with Not-Run, sent late and meant for another request, was taken for the refusal of a request that must run once: it was sent to a second target or refused, and ran.

Replies now say whether their connection had carried another request before. On a new connection nothing late can arrive, so a refusal without an id remains a proof there. A hand-over without an id already counted as lost.

--- a/samphiredock/protocol/_forwarding.py
+++ b/samphiredock/protocol/_forwarding.py
@@ -32,11 +32,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpReply:
-    """One complete HTTP response."""
+    """One complete HTTP response.
+
+    ``may_be_late`` says that its connection had carried another request
+    before, to which the response may be a late second one.
+    """
 
     status: int
     headers: Headers = ()
     body: bytes = b''
+    may_be_late: bool = dataclasses.field(default=False, compare=False)
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, None if there is none."""
--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -61,7 +61,8 @@
 
     ``found`` is that reply once it is complete; ``reusable`` is False if the
     connection must not carry another exchange; ``skipped`` counts replies
-    that belong to other requests.  The ``on_`` methods are called by
+    that belong to other requests.  With ``may_be_late`` the connection has
+    carried another request before.  The ``on_`` methods are called by
     ``httptools``.
     """
 
@@ -70,8 +71,10 @@
         method: str,
         is_reply: typing.Callable[[protocol.HttpReply], bool],
         on_chunk: OnChunk | None,
+        may_be_late: bool,
     ) -> None:
         self._method = method
+        self._may_be_late = may_be_late
         self._is_reply = is_reply
         self._on_chunk = on_chunk
         self._parser = httptools.HttpResponseParser(self)
@@ -150,6 +153,7 @@
             self._parser.get_status_code(),
             tuple(self._headers),
             body,
+            self._may_be_late,
         )
 
     def _complete(self) -> None:
@@ -177,6 +181,7 @@
         self._reader: _ReplyReader | None = None
         self._waiter: asyncio.Future | None = None
         self._closed = False
+        self._is_used = False
         # By request id: until when another attempt may be made, in s.
         self._carried_until_s: dict[str, float] = {}
 
@@ -270,7 +275,10 @@
                 _Kind.UNREACHABLE,
                 'connection closed before the request was sent',
             )
-        self._reader = _ReplyReader(request.method, is_reply, on_chunk)
+        self._reader = _ReplyReader(
+            request.method, is_reply, on_chunk, self._is_used
+        )
+        self._is_used = True
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
         ends_s = loop.time() + max(_MIN_TIMEOUT_MS, timeout_ms) / 1000.0
--- a/tests/failure/test_late_replies.py
+++ b/tests/failure/test_late_replies.py
@@ -179,3 +179,22 @@
         self.assertFalse(connection.has_carried('a'))
         self.assertTrue(connection.has_carried('b'))
         connection.close()
+
+
+class UnidentifiedReplyTest(unittest.TestCase):
+    """Replies that do not echo the id of a request."""
+
+    def test_a_refusal_without_an_id_proves_nothing_on_a_used_connection(
+        self,
+    ) -> None:
+        """A late refusal let a request that must run once run twice."""
+        adapter = prepared_hosts.PreparedHosts()
+        request = protocol.ForwardRequest('r', 'POST', 'h', '/', (), b'', 1.0)
+        for status in (503, 429, 421, 500):
+            with self.subTest(status=status):
+                reply = protocol.HttpReply(
+                    status, (('Not-Run', '1'),), may_be_late=True
+                )
+                read = adapter.read_reply(request, reply)
+                self.assertIs(_STATUS.BROKEN, read.status)
+                self.assertFalse(read.is_forwardable)
