One malformed stored entry no longer hides the rows beside it

Found beside it: a daemon that starts while such an entry stands knows no server at all.

Cause: the rows of a page were decoded one by one, but only after the page's own decoder had parsed all of them, and that raises for what one row holds: RecursionError for nesting, which nothing caught, and DecodeError for text and numbers that are not JSON, after which the page counted as a lost store.

A page that cannot be decoded is now split into its rows by a scan that looks only at strings, brackets and commas, without a stack, up to the largest value of the store; if brackets do not match, rows are found by their beginning. A page that decodes takes the same path as before. An object whose name can be read is passed on with an empty value, so that readers stop using what it held before.

The same cause elsewhere: HasMore with unreadable rows ended the listing, and the next page was asked for from the last readable row; a revision of another type lost the rows; each poll wrote a log line for the same entry; decoders of objects, messages and bodies caught DecodeError only. A page without a usable revision is applied, counted as a failed read and read again from the start.

--- a/samphiredock/cli/_context.py
+++ b/samphiredock/cli/_context.py
@@ -135,11 +135,11 @@
     """
     try:
         return _OPERATOR_ERROR.decode(reply.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except protocol.DECODE_ERRORS:
         pass
     try:
         return msgspec.json.decode(reply.body, type=reply_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except protocol.DECODE_ERRORS as error:
         return protocol.OperatorError(
             protocol.OperatorErrorKind.UNKNOWN,
             f'{reply.url} answered {reply.status} with a body that cannot '
--- a/samphiredock/cli/_requests.py
+++ b/samphiredock/cli/_requests.py
@@ -141,7 +141,7 @@
 def _decode_run_outcome(reply: _client.Reply) -> protocol.RunOutcome:
     try:
         return msgspec.json.decode(reply.body, type=protocol.RunOutcome)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except protocol.DECODE_ERRORS as error:
         # The reply is not a daemon's, perhaps a load balancer's, which may
         # have passed the request on before it failed.
         return protocol.Unknown(
--- a/samphiredock/coordination/config/_accept.py
+++ b/samphiredock/coordination/config/_accept.py
@@ -290,7 +290,7 @@
 def _decode(value: bytes) -> result.Result[state.ConfigurationSource, str]:
     try:
         return result.Success(_SOURCE.decode(value))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except protocol.DECODE_ERRORS as error:
         return result.Failure(
             f'the stored configuration cannot be decoded: {error}'
         )
--- a/samphiredock/coordination/config/_current_state.py
+++ b/samphiredock/coordination/config/_current_state.py
@@ -85,7 +85,7 @@
                 return self.offer_source(_SOURCE.decode(value), value)
             if key == SNAPSHOT_KEY:
                 return self.offer_snapshot(_SNAPSHOT.decode(value), value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except protocol.DECODE_ERRORS as error:
             self._metrics.add('objects_unreadable', key=key)
             _log.error('object unreadable', key=key, why=str(error))
         return False
--- a/samphiredock/coordination/config/_watcher.py
+++ b/samphiredock/coordination/config/_watcher.py
@@ -33,6 +33,10 @@
 _POLL_BASE_DAEMONS = 8
 """With more daemons, each polls less often, which bounds the store's load."""
 
+_NO_POSITION = transport.StoreError(
+    transport.StoreErrorKind.LOST, 'the reply states no position'
+)
+
 ObjectHandler = typing.Callable[[transport.StoredObject], None]
 PageHandler = typing.Callable[[transport.WatchPage], None]
 
@@ -127,9 +131,9 @@
         if isinstance(reply, result.Failure):
             self._on_failure(prefix, reply.failure())
             return
-        self._on_success(prefix, None)
         page = transport.WatchPage(reply.unwrap(), (), 0, whole=True)
         self._page_handlers[prefix](page)
+        self._on_success(prefix, None)
 
     def has_followed_since(self, since_ms: float) -> bool:
         """Return whether the store answered watches sent since a time.
@@ -229,16 +233,16 @@
                     retry_delay_ms * 2.0, _RETRY_DELAY_LIMIT_MS
                 )
                 continue
+            page = reply.unwrap()
+            # A read from position 0 returns all objects, not changes.
+            self._handle_page(prefix, page, bool(position) and is_watching)
+            if not page.position and (page.changed or page.gone):
+                self._on_failure(prefix, _NO_POSITION)
+                position = 0
+                await _pause.pause(self._clock, retry_delay_ms)
+                continue
             retry_delay_ms = _RETRY_DELAY_MS
             self._on_success(prefix, called_ms if is_watching else None)
-            page = reply.unwrap()
-            if prefix in self._page_handlers:
-                self._page_handlers[prefix](page)
-            for stored in page.changed:
-                self.deliver(stored)
-                # A read from position 0 returns all objects, not changes.
-                if position and is_watching:
-                    self._relay(stored)
             # The store answers a read from position 0 at once.
             if not page.changed and position == 0:
                 await _pause.pause(self._clock, _RETRY_DELAY_MS)
@@ -246,6 +250,16 @@
             if prefix in self._collect_ms and (page.changed or page.gone):
                 await _pause.pause(self._clock, self._collect_ms[prefix]())
 
+    def _handle_page(
+        self, prefix: str, page: transport.WatchPage, relays: bool
+    ) -> None:
+        if prefix in self._page_handlers:
+            self._page_handlers[prefix](page)
+        for stored in page.changed:
+            self.deliver(stored)
+            if relays:
+                self._relay(stored)
+
     def _on_failure(self, prefix: str, error: transport.StoreError) -> bool:
         """Report a failed call; return whether to read all objects again."""
         self._metrics.add('store_watch_failures', kind=error.kind.value)
--- a/samphiredock/coordination/fleet/_directory.py
+++ b/samphiredock/coordination/fleet/_directory.py
@@ -15,6 +15,7 @@
 from samphiredock.coordination.fleet import _relay
 from samphiredock import logs
 from samphiredock import metrics
+from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
 from samphiredock import transport
@@ -99,7 +100,7 @@
     def _decode(self, stored: transport.StoredObject) -> state.Member | None:
         try:
             return _MEMBER.decode(stored.value)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except protocol.DECODE_ERRORS:
             self._metrics.add('objects_unreadable', key=MEMBERS_PREFIX)
             return None
 
--- a/samphiredock/coordination/forwarding/_freshness_check.py
+++ b/samphiredock/coordination/forwarding/_freshness_check.py
@@ -164,5 +164,5 @@
     """Return the store status in a reply, None if it is malformed."""
     try:
         return _decode(reply.body) if reply.status == 200 else None
-    except msgspec.DecodeError:
+    except protocol.DECODE_ERRORS:
         return None
--- a/samphiredock/coordination/forwarding/_handover.py
+++ b/samphiredock/coordination/forwarding/_handover.py
@@ -159,7 +159,7 @@
     """Return the loss reported by another daemon, None if it is malformed."""
     try:
         return msgspec.json.decode(body, type=_crash_guard.Loss)
-    except msgspec.DecodeError:
+    except protocol.DECODE_ERRORS:
         return None
 
 
--- a/samphiredock/coordination/forwarding/_introduce.py
+++ b/samphiredock/coordination/forwarding/_introduce.py
@@ -65,5 +65,5 @@
     """Return the daemons that a request lists, None if it is malformed."""
     try:
         return _decode(body)
-    except msgspec.DecodeError:
+    except protocol.DECODE_ERRORS:
         return None
--- a/samphiredock/coordination/quarantine/_quarantine.py
+++ b/samphiredock/coordination/quarantine/_quarantine.py
@@ -223,7 +223,7 @@
         """Apply a stored object below :data:`QUARANTINE_PREFIX`."""
         try:
             decoded = _STORED.decode(stored.value)
-        except msgspec.DecodeError:
+        except protocol.DECODE_ERRORS:
             self._metrics.add('quarantine_unreadable')
             return
         fingerprint = decoded.entry.fingerprint
--- a/samphiredock/protocol/__init__.py
+++ b/samphiredock/protocol/__init__.py
@@ -15,6 +15,7 @@
         '_codec': (
             'Codec',
             'CodecError',
+            'DECODE_ERRORS',
         ),
         '_dispatch_messages': (
             'Release',
--- a/samphiredock/protocol/_codec.py
+++ b/samphiredock/protocol/_codec.py
@@ -11,6 +11,13 @@
 
 import msgspec
 
+DECODE_ERRORS = (ValueError, RecursionError)
+"""What decoding bytes of another process may raise.
+
+``msgspec.DecodeError`` is a ``ValueError``; values that are nested too deeply
+raise ``RecursionError``.
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CodecError:
@@ -52,5 +59,5 @@
             )
         try:
             return decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return CodecError(f'{name.decode()}: {error}')
--- a/samphiredock/protocol/_merge_orders.py
+++ b/samphiredock/protocol/_merge_orders.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns import result
 
+from samphiredock.protocol import _codec
 from samphiredock.protocol import _forwarding
 from samphiredock.protocol import _queries
 
@@ -123,7 +124,7 @@
     """Return the order, or a text that says what is wrong with it."""
     try:
         order = _order_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _codec.DECODE_ERRORS as error:
         return result.Failure(f'merge order cannot be decoded: {error}')
     numbers = {item.number for item in order.items}
     if not 0 < len(order.items) <= MAX_ITEMS:
@@ -154,5 +155,5 @@
     """Return the report, or a text that says what is wrong with it."""
     try:
         return result.Success(_report_decoder.decode(chunk))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _codec.DECODE_ERRORS as error:
         return result.Failure(f'merge report cannot be decoded: {error}')
--- a/samphiredock/state/_claims.py
+++ b/samphiredock/state/_claims.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from samphiredock import protocol
+
 CLAIMS_PREFIX = 'claims/'
 BUCKET_COUNT = 2**18
 """Number of bucket objects; docs/design/claims.md, section 3, derives it."""
@@ -215,7 +217,7 @@
     """
     try:
         stored = _DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except protocol.DECODE_ERRORS:
         return None
     if stored.format != _FORMAT:
         return None
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -23,6 +23,14 @@
         ),
         '_http_connection': ('DELIVERY_LIMIT_MS',),
         '_http_guard': ('is_busy',),
+        '_json_rows': (
+            'RawPage',
+            'split_page',
+        ),
+        '_json_scan': (
+            'ScanError',
+            'members',
+        ),
         '_link_errors': (
             'LinkError',
             'LinkErrorKind',
--- a/samphiredock/transport/_caller_http.py
+++ b/samphiredock/transport/_caller_http.py
@@ -201,7 +201,7 @@
         body = decoder.decode(content)
     except msgspec.ValidationError as error:
         return _Refusal(422, f'wrong field: {error}')
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except protocol.DECODE_ERRORS as error:
         return _Refusal(400, f'got a body that is not JSON: {error}')
     if body.deadline_ms is not None and body.deadline_ms < 1:
         return _Refusal(
--- a/samphiredock/transport/_operator_http.py
+++ b/samphiredock/transport/_operator_http.py
@@ -168,7 +168,7 @@
             )
         try:
             change = _CHANGE_DECODER.decode(await request.read())
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except protocol.DECODE_ERRORS as error:
             return _error_response(_Kind.BAD_REQUEST, str(error))
         outcome = await self._operations.apply(change)
         return _json_response(outcome, _CHANGE_STATUS[type(outcome)])
--- a/samphiredock/transport/_platform.py
+++ b/samphiredock/transport/_platform.py
@@ -59,9 +59,10 @@
 class WatchPage:
     """Result of a watch: changed objects and the keys of deleted ones.
 
-    ``position`` is where the next watch continues.  A page with ``whole``
-    lists all objects below the prefix: one that it does not list does not
-    exist any more.
+    ``position`` is where the next watch continues, 0 if the store did not
+    say so in a readable way: then everything must be read again.  A page with
+    ``whole`` lists all objects below the prefix: one that it does not list
+    does not exist any more.
     """
 
     changed: tuple[StoredObject, ...]
--- a/samphiredock/transport/_store_replies.py
+++ b/samphiredock/transport/_store_replies.py
@@ -2,9 +2,9 @@
 
 import typing
 
-import msgspec
 from returns import result
 
+from samphiredock import protocol
 from samphiredock.transport import _platform
 
 STORE_CALL_TIMEOUT_MS = 3_000
@@ -82,7 +82,7 @@
         return reply
     try:
         return result.Success(read(reply.unwrap()))
-    except (msgspec.DecodeError, LookupError, ValueError) as error:
+    except (*protocol.DECODE_ERRORS, LookupError) as error:
         return failure(
             _platform.StoreErrorKind.LOST, f'unreadable reply: {error!r}'
         )
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -345,7 +345,7 @@
             )
         try:
             return result.Success(decoder.decode(reply))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except protocol.DECODE_ERRORS as error:
             return _failure(_link_errors.LinkErrorKind.BAD_ANSWER, str(error))
 
 
