Endless loops of a daemon go on after an unexpected exception

Its exception was logged without a trace, or, for the directory and the host list, not at all.

Watches, presence, the retry shares, the host list, the directory and the check of the settings file now run in background.start_loop: an exception is logged with its trace and counted as background_failures, and the loop begins anew after 1 s. A claim bucket reports the exception, reads back what it may have written and refuses the waiting claims. Exceptions of timers and protocols are logged and counted, too.

--- a/samphiredock/coordination/config/_watcher.py
+++ b/samphiredock/coordination/config/_watcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import typing
 
 from returns import result
@@ -196,8 +197,11 @@
         prefixes = [*self._handlers, *self._page_handlers]
         self._unread_prefixes = set(prefixes)
         for prefix in prefixes:
-            task = background.start(
-                self._watch_loop(prefix), f'watch {prefix}'
+            task = background.start_loop(
+                functools.partial(self._watch_loop, prefix),
+                f'watch {prefix}',
+                self._clock,
+                self._metrics,
             )
             self._tasks.append(task)
 
--- a/samphiredock/coordination/fleet/_membership.py
+++ b/samphiredock/coordination/fleet/_membership.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from samphiredock.coordination import background
 from samphiredock.coordination.fleet import _directory
 from samphiredock.coordination.fleet import _gossip
 from samphiredock.coordination.fleet import _gossip_state
@@ -197,7 +198,9 @@
             self._clock.every(_JOIN_RETRY_MS, self._join),
             self._clock.every(_IDLE_CHECK_MS, self._peers.close_idle),
         ]
-        self._task = asyncio.create_task(self._directory.follow())
+        self._task = background.start_loop(
+            self._directory.follow, 'directory', self._clock, self._metrics
+        )
         self._ask_seeds()
 
     def on_store_read(self) -> None:
--- a/samphiredock/coordination/forwarding/_presence.py
+++ b/samphiredock/coordination/forwarding/_presence.py
@@ -17,6 +17,8 @@
 from samphiredock.coordination import background
 from samphiredock.coordination.forwarding import _roles
 from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import protocol
 from samphiredock import timers
 from samphiredock import transport
 
@@ -61,8 +63,8 @@
         This daemon; its name is the same after a restart.
     store
         The object store.
-    clock
-        The timers of this daemon.
+    clock, counters
+        The timers and metrics of this daemon.
     on_list
         Called with all daemons after each list.
     """
@@ -72,12 +74,14 @@
         me: _roles.Daemon,
         store: transport.Objects,
         clock: timers.Timers,
+        counters: metrics.Metrics,
         on_list: typing.Callable[[tuple[_roles.Daemon, ...]], None],
     ) -> None:
         self._me = me
         self._key = DAEMONS_PREFIX + me.name
         self._store = store
         self._clock = clock
+        self._metrics = counters
         self._on_list = on_list
         self._daemons: tuple[_roles.Daemon, ...] = ()
         self._has_read_list = False
@@ -107,7 +111,9 @@
 
     def start(self) -> None:
         """Start to register and list in the background."""
-        self._task = background.start(self._run(), 'presence')
+        self._task = background.start_loop(
+            self._run, 'presence', self._clock, self._metrics
+        )
 
     async def wait_listed(self) -> None:
         """Wait until the daemons were listed, or a first try failed."""
@@ -242,7 +248,7 @@
     name = stored.key.removeprefix(DAEMONS_PREFIX)
     try:
         entry = _decode(stored.value)
-    except msgspec.DecodeError as error:
+    except protocol.DECODE_ERRORS as error:
         _log.error('object cannot be read', key=stored.key, why=str(error))
         return None
     return _roles.Daemon(
--- a/samphiredock/coordination/forwarding/_retry_shares.py
+++ b/samphiredock/coordination/forwarding/_retry_shares.py
@@ -12,6 +12,8 @@
 from samphiredock.coordination.forwarding import _share_history
 from samphiredock.coordination.search import _arrival
 from samphiredock import logs
+from samphiredock import metrics
+from samphiredock import protocol
 from samphiredock import timers
 from samphiredock import transport
 
@@ -56,8 +58,8 @@
         This daemon.
     store
         The object store.
-    clock
-        The timers of this daemon.
+    clock, counters
+        The timers and metrics of this daemon.
     coordinators
         Returns the names of the daemons that coordinate.
     window_ms
@@ -71,6 +73,7 @@
         name: str,
         store: transport.Objects,
         clock: timers.Timers,
+        counters: metrics.Metrics,
         coordinators: typing.Callable[[], typing.AbstractSet[str]],
         window_ms: float,
         is_first_start: bool = False,
@@ -78,6 +81,7 @@
         self._name = name
         self._store = store
         self._clock = clock
+        self._metrics = counters
         self._coordinators = coordinators
         self._window_ms = window_ms
         self._is_first_start = is_first_start
@@ -94,7 +98,9 @@
 
     def start(self) -> None:
         """Start to follow the list in the background."""
-        self._task = background.start(self._run(), 'retry shares')
+        self._task = background.start_loop(
+            self._run, 'retry shares', self._clock, self._metrics
+        )
 
     def close(self) -> None:
         """Stop following the list."""
@@ -195,7 +201,7 @@
     """Return a stored list; one that cannot be read gives nobody a share."""
     try:
         read = _decode(stored.value)
-    except msgspec.DecodeError as error:
+    except protocol.DECODE_ERRORS as error:
         _log.error('object cannot be read', key=stored.key, why=str(error))
         return _share_history.SharerList(stored.version)
     names = tuple(dict.fromkeys(read.names))
--- a/samphiredock/coordination/once/_claim_bucket.py
+++ b/samphiredock/coordination/once/_claim_bucket.py
@@ -11,6 +11,7 @@
 
 from returns import result
 
+from samphiredock.coordination import background
 from samphiredock.coordination.once import _store_health
 from samphiredock import metrics
 from samphiredock import state
@@ -181,7 +182,7 @@
     async def _commit_queue(self) -> None:
         try:
             while self._queue:
-                delay_ms = await self._commit()
+                delay_ms = await self._commit_or_report()
                 self._queue = [
                     change
                     for change in self._queue
@@ -203,6 +204,21 @@
         )
         self._retry_waker = None
 
+    async def _commit_or_report(self) -> float:
+        try:
+            return await self._commit()
+        except Exception as error:
+            background.report(error, 'claim bucket', self._metrics)
+            for change in self._queue:
+                if isinstance(change, OpenChange):
+                    # What was sent may have been stored.
+                    change.answer_lost |= change.put_sent
+            return self._on_store_error(
+                transport.StoreError(
+                    transport.StoreErrorKind.LOST, 'internal error'
+                )
+            )
+
     async def _commit(self) -> float:
         """Try one commit.
 
--- a/samphiredock/coordination/targets/_target_signs.py
+++ b/samphiredock/coordination/targets/_target_signs.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from samphiredock.coordination import _pause
+from samphiredock.coordination import background
 from samphiredock import logs
 from samphiredock import metrics
 from samphiredock import protocol
@@ -132,7 +133,7 @@
         name = stored.key.removeprefix(TARGETS_PREFIX)
         try:
             sign = _DECODER.decode(stored.value)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except protocol.DECODE_ERRORS:
             self._metrics.add('target_objects_unreadable')
             return
         self._learn(name, SignSource.OPERATOR, sign)
@@ -216,7 +217,9 @@
     def start(self) -> None:
         """Start to poll the host list and to ask peers for their signs."""
         self._clock.every(_ASK_PERIOD_MS, self._ask_peer)
-        self._task = asyncio.create_task(self._poll_hosts())
+        self._task = background.start_loop(
+            self._poll_hosts, 'host list', self._clock, self._metrics
+        )
 
     def close(self) -> None:
         """Stop polling the host list."""
@@ -330,5 +333,5 @@
 def _stored_at_ms(stored: transport.StoredObject) -> int:
     try:
         return _DECODER.decode(stored.value).at_ms
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except protocol.DECODE_ERRORS:
         return 0
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+import typing
 
 from samphiredock.coordination import background
 from samphiredock.daemon import _entry_adapter
@@ -122,6 +123,9 @@
 
         Raises ``OSError`` if an address cannot be listened on.
         """
+        background.report_callback_failures(
+            asyncio.get_running_loop(), self._metrics
+        )
         self._clock.after(
             _METRICS_LOAD_DELAY_MS,
             lambda: background.start(self._start_metrics(), 'metrics'),
@@ -154,6 +158,14 @@
         )
         _log.notice('started', name=settings.name, site=settings.site)
 
+    def start_loop(
+        self, make_work: typing.Callable[[], background.Work], name: str
+    ) -> asyncio.Task[None]:
+        """Run endless work that goes on after an exception."""
+        return background.start_loop(
+            make_work, name, self._clock, self._metrics
+        )
+
     async def _wait_until_ready(self) -> None:
         ends_ms = self._clock.now_ms() + _READY_WAIT_MS
         while not self.is_ready() and self._clock.now_ms() < ends_ms:
--- a/samphiredock/daemon/_entry_state.py
+++ b/samphiredock/daemon/_entry_state.py
@@ -106,12 +106,14 @@
             ),
             store,
             clock,
+            counters,
             self._on_daemons_listed,
         )
         self.retry_shares = forwarding.RetryShares(
             settings.name,
             store,
             clock,
+            counters,
             lambda: self._role.coordinators,
             settings.retry_window_s * 1000.0,
             settings.first_start,
--- a/samphiredock/daemon/_node.py
+++ b/samphiredock/daemon/_node.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from samphiredock.coordination import background
 from samphiredock.daemon import _components
 from samphiredock.daemon import _operator_handler
 from samphiredock.daemon import _shutdown
@@ -135,6 +136,9 @@
         Raises ``OSError`` if an address cannot be listened on; then
         everything opened so far is closed again.
         """
+        background.report_callback_failures(
+            asyncio.get_running_loop(), self._components.metrics
+        )
         try:
             await self._open()
         except BaseException:
--- a/samphiredock/daemon/entry.py
+++ b/samphiredock/daemon/entry.py
@@ -1,6 +1,7 @@
 """Runs the entry daemon with a platform's adapter."""
 
 import asyncio
+import functools
 import gc
 import pathlib
 import signal
@@ -10,7 +11,6 @@
 import click
 from returns import result
 
-from samphiredock.coordination import background
 from samphiredock.daemon import _entry_adapter
 from samphiredock.daemon import _entry_node
 from samphiredock.daemon import early_listener
@@ -139,8 +139,8 @@
     # them would delay requests.
     gc.freeze()
     gc.enable()
-    poll_task = background.start(
-        _poll_settings(settings_file, node), 'settings'
+    poll_task = node.start_loop(
+        functools.partial(_poll_settings, settings_file, node), 'settings'
     )
     await node.wait_stopped()
     poll_task.cancel()
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -214,6 +214,7 @@
             name,
             fleet.store.client(name),
             fleet.clock,
+            self.counters,
             lambda: self.role.coordinators,
             WINDOW_MS,
         )
--- a/tests/unit/test_presence.py
+++ b/tests/unit/test_presence.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from samphiredock.coordination import forwarding
+from samphiredock import metrics
 from samphiredock import timers
 from samphiredock import transport
 from standins import memory_links
@@ -72,6 +73,7 @@
             forwarding.Daemon('me', 'a', 'y:1', 1.0),
             store,
             self.clock,
+            metrics.Metrics('test'),
             lambda rows: self.listed.append(len(rows)),
         )
         presence.start()
@@ -121,6 +123,7 @@
             forwarding.Daemon('me', 'a', 'y:1', 1.0),
             store,
             self.clock,
+            metrics.Metrics('test'),
             lambda rows: None,
         )
         again.start()
@@ -145,6 +148,7 @@
             forwarding.Daemon('me', 'a', 'y:1', 1.0),
             store,
             self.clock,
+            metrics.Metrics('test'),
             lambda rows: None,
         )
         store.stale.clear()
@@ -181,6 +185,7 @@
             forwarding.Daemon('me', 'a', 'y:1', 1.0),
             store,
             clock,
+            metrics.Metrics('test'),
             lambda rows: listed.append(len(rows)),
         )
         presence.start()
