A caller's request is bounded in all its parts and in time

Cause: only the head and the data of the body had limits; the parser collects trailers and framing, and nothing looked at the time once the head had come.

Trailers now count as head and are dropped, as RFC 9110 allows; chunks must have a mean size, beyond the first 4,096; bytes that are neither head, data nor ordinary framing are limited like a head; the parser stops at once where a limit is passed. The whole request must come within the time that its caller states, at least the time for a head and at most the idle time. After a refusal 4 MiB are read and discarded, the rest stays in the socket.

--- a/samphiredock/daemon/_entry_adapter.py
+++ b/samphiredock/daemon/_entry_adapter.py
@@ -41,6 +41,9 @@
     def target_id(self, key: str) -> str:
         """Return the id of the target registered under a key."""
 
+    def stated_deadline_ms(self, headers: protocol.Headers) -> float | None:
+        """Return how long a caller waits, None if it does not say so."""
+
     def read_request(
         self,
         method: str,
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -79,6 +79,7 @@
         self._caller_listener = caller_listener
         self._log_stream = log_stream
         self._clock = timers.LoopTimers()
+        self._adapter = adapter
         self._metrics = metrics.Metrics(settings.name)
         self._store_calls = transport.PooledStoreCalls(
             self._clock, settings.platform_address
@@ -182,7 +183,10 @@
         listener: socket.socket | None = None,
     ) -> transport.EntryServer:
         callbacks = transport.EntryCallbacks(
-            handle, self.is_closing, self._entry_state.limits
+            handle,
+            self.is_closing,
+            self._entry_state.limits,
+            self._adapter.stated_deadline_ms,
         )
         server = transport.EntryServer(callbacks, self._metrics, self._clock)
         await server.start(address, early_listener.BACKLOG, listener)
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -20,6 +20,7 @@
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
+from samphiredock.transport import _caller_request
 
 LINGER_MS = 500.0
 """How long a connection is still read after its last reply was written.  A
@@ -34,14 +35,12 @@
 are still in the socket are read before the last queued one is answered: the
 reply to that one may end the connection."""
 
-_HEAD_SLACK_BYTES = 65_536
-"""Tolerance above the limit while a request head is incomplete: the bytes
-received may include the end of the previous request."""
+DISCARD_LIMIT_BYTES = 4 * 1024 * 1024
+"""How many bytes of a connection are read and discarded after its reading has
+ended.  The rest stays in the socket, so that the caller is slowed down."""
 
 _BAD_REQUEST = 400
 _TIMED_OUT = 408
-_TOO_LARGE_BODY = 413
-_TOO_LARGE_HEAD = 431
 _BODILESS = frozenset({204, 304})
 
 _EXPECT_CONTINUE = b'100-continue'
@@ -71,38 +70,20 @@
 
     ``handle`` answers a request, ``is_closing`` returns whether connections
     should end after the current reply, and ``limits`` returns the limits in
-    force for callers.
+    force for callers.  ``stated_ms`` returns how long a caller waits for the
+    answer by the headers of its request, None if they do not state it.
     """
 
     handle: EntryHandler
     is_closing: typing.Callable[[], bool]
     limits: typing.Callable[[], state.CallerLimits]
+    stated_ms: typing.Callable[[protocol.Headers], float | None] = (
+        lambda headers: None
+    )
 
 
-@dataclasses.dataclass(slots=True)
-class _Request:
-    """One request, from its first byte until it is answered.
-
-    ``body_bytes`` is the announced length of the body until the head is
-    complete, then the number of bytes received.  ``refusal_status`` is the
-    error status of a request that is refused and not handled, 0 for any
-    other, and ``detail`` is the reason.  The connection ends after a refusal:
-    where the next request would begin is unknown.  ``is_pipelined`` says that
-    it came before the request ahead of it was answered.
-    """
-
-    method: str = ''
-    version: str = '1.1'
-    path: bytes = b''
-    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
-    head_bytes: int = 0
-    body: list[bytes] = dataclasses.field(default_factory=list)
-    body_bytes: int = 0
-    keep_alive: bool = True
-    expects_continue: bool = False
-    refusal_status: int = 0
-    detail: str = ''
-    is_pipelined: bool = False
+class _Refused(Exception):
+    """Raised in a callback of the parser, to parse no further."""
 
 
 class EntryConnection(asyncio.Protocol):
@@ -134,10 +115,14 @@
         self._open_connections = open_connections
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._queued: collections.deque[_Request] = collections.deque()
-        self._partial_request: _Request | None = None
+        self._queued: collections.deque[_caller_request.CallerRequest] = (
+            collections.deque()
+        )
+        self._partial_request: _caller_request.CallerRequest | None = None
         self._in_head = False
-        self._head_bytes_received = 0
+        self._unparsed_bytes = 0
+        self._discarded_bytes = 0
+        self._limits = callbacks.limits()
         self._answer_task: asyncio.Task | None = None
         self._write_paused = False
         self._read_paused = False
@@ -165,9 +150,13 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
         if self._reading_ended:
+            self._discard(len(data))
             return
         self._idle_since_ms = None
-        self._head_bytes_received += len(data)
+        if self._partial_request is None or self._in_head:
+            self._unparsed_bytes += len(data)
+        else:
+            self._partial_request.wire_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -175,11 +164,30 @@
             # bytes after it are not HTTP.
             self._end_reading()
         except httptools.HttpParserError as error:
-            self._refuse(_BAD_REQUEST, str(error) or repr(error))
+            detail = str(error) or repr(error)
+            self._refuse(_caller_request.Refusal(_BAD_REQUEST, detail))
         if self._in_head or self._is_idle():
             self._limit_head()
+        elif self._partial_request is not None:
+            self._refuse_if_too_large(self._partial_request)
         self._answer_next()
 
+    def _discard(self, size_bytes: int) -> None:
+        """Count bytes that are not parsed; stop reading at the limit."""
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > DISCARD_LIMIT_BYTES:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._read_paused:
+            self._read_paused = True
+            self._connected_transport().pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._read_paused:
+            self._read_paused = False
+            self._connected_transport().resume_reading()
+
     def _is_idle(self) -> bool:
         """Return whether no request is being read, queued or answered."""
         return not (self._answer_task or self._queued or self._partial_request)
@@ -188,9 +196,10 @@
         """Limit the size of an incomplete head, and start its time limit."""
         if self._head_since_ms is None:
             self._head_since_ms = self._clock.now_ms()
-        limit = self._callbacks.limits().header_bytes + _HEAD_SLACK_BYTES
-        if self._head_bytes_received > limit:
-            self._refuse_head()
+        limits = self._callbacks.limits()
+        limit = limits.header_bytes + _caller_request.HEAD_SLACK_BYTES
+        if self._unparsed_bytes > limit:
+            self._refuse(_caller_request.head_refusal(limits))
 
     def pause_writing(self) -> None:
         """Start no further request: the caller reads too slowly."""
@@ -207,30 +216,37 @@
         """Begin a request, unless reading has ended."""
         if self._reading_ended:
             return
-        self._partial_request = _Request(
-            is_pipelined=self._answer_task is not None or bool(self._queued)
+        self._limits = self._callbacks.limits()
+        self._partial_request = _caller_request.CallerRequest(
+            self._clock.now_ms(),
+            is_pipelined=self._answer_task is not None or bool(self._queued),
         )
         self._in_head = True
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the raw path."""
         if self._partial_request is not None:
-            self._partial_request.path += part
-            self._partial_request.head_bytes += len(part)
+            self._partial_request.add_path(part)
+            self._stop_at_head_limit(self._partial_request)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
+        """Append a header; drop a trailer, which comes after the body.
+
+        A trailer must not change what the headers have said (RFC 9110).
+        """
         request = self._partial_request
         if request is None:
             return
-        request.headers.append(
-            (name.decode('latin-1'), value.decode('latin-1'))
-        )
-        request.head_bytes += len(name) + len(value) + 4
+        if not self._in_head:
+            request.count_header(name, value)
+            self._stop_at_head_limit(request)
+            return
+        request.add_header(name, value)
+        self._stop_at_head_limit(request)
         if name.lower() == b'expect' and value.lower() == _EXPECT_CONTINUE:
             request.expects_continue = True
         elif name.lower() == b'content-length' and value.isdigit():
-            request.body_bytes = int(value)
+            request.announced_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         """Refuse a request whose head or announced body is too large."""
@@ -238,17 +254,12 @@
         if request is None:
             return
         self._in_head = False
-        self._head_bytes_received = 0
+        self._unparsed_bytes = 0
         self._head_since_ms = None
-        limits = self._callbacks.limits()
         request.method = self._parser.get_method().decode('latin-1')
         request.version = self._parser.get_http_version()
         request.keep_alive = self._parser.should_keep_alive()
-        if request.head_bytes > limits.header_bytes:
-            self._refuse_head()
-        elif request.body_bytes > limits.body_bytes:
-            self._refuse_body()
-        request.body_bytes = 0
+        self._refuse_if_too_large(request)
         self._send_continue()
 
     def _send_continue(self) -> None:
@@ -269,45 +280,61 @@
         request = self._partial_request
         if request is None:
             return
-        request.body.append(part)
-        request.body_bytes += len(part)
-        if request.body_bytes > self._callbacks.limits().body_bytes:
-            self._refuse_body()
+        request.add_body(part)
+        self._stop_if_too_large(request)
+
+    def on_chunk_header(self) -> None:
+        """Count a chunk of the body."""
+        if self._partial_request is not None:
+            self._partial_request.chunk_count += 1
+            self._stop_if_too_large(self._partial_request)
 
     def on_message_complete(self) -> None:
         """Queue a request that has been read completely."""
         request, self._partial_request = self._partial_request, None
-        self._head_bytes_received = 0
+        self._unparsed_bytes = 0
         if request is None:
             return
         self._queued.append(request)
-        if len(self._queued) >= _PIPELINE_LIMIT and not self._read_paused:
-            self._read_paused = True
-            self._connected_transport().pause_reading()
+        if len(self._queued) >= _PIPELINE_LIMIT:
+            self._pause_reading()
 
     # Refusals.
 
-    def _refuse_head(self) -> None:
-        limit = self._callbacks.limits().header_bytes
-        self._refuse(
-            _TOO_LARGE_HEAD,
-            f'got a larger request head, expected at most {limit} bytes',
-        )
+    def _stop_at_head_limit(
+        self, request: _caller_request.CallerRequest
+    ) -> None:
+        # Called for each header, so without the checks of the body.
+        if request.head_bytes > self._limits.header_bytes:
+            self._stop_if_too_large(request)
 
-    def _refuse_body(self) -> None:
-        limit = self._callbacks.limits().body_bytes
-        self._refuse(
-            _TOO_LARGE_BODY,
-            f'got a larger body, expected at most {limit} bytes',
-        )
+    def _stop_if_too_large(
+        self, request: _caller_request.CallerRequest
+    ) -> None:
+        """Refuse a request over the limits, and parse no further.
+
+        Raises ``_Refused``, for use in callbacks of the parser.
+        """
+        if self._refuse_if_too_large(request):
+            raise _Refused
 
-    def _refuse(self, status: int, detail: str) -> None:
+    def _refuse_if_too_large(
+        self, request: _caller_request.CallerRequest
+    ) -> bool:
+        refusal = _caller_request.size_refusal(request, self._limits)
+        if refusal is not None:
+            self._refuse(refusal)
+        return refusal is not None
+
+    def _refuse(self, refusal: _caller_request.Refusal) -> None:
         """Queue an error reply and stop reading."""
         if self._reading_ended:
             return
-        self._metrics.add('http_errors', interface='entry', status=status)
+        self._metrics.add(
+            'http_errors', interface='entry', status=refusal.status
+        )
         self._queued.append(
-            _Request(keep_alive=False, refusal_status=status, detail=detail)
+            _caller_request.CallerRequest(keep_alive=False, refusal=refusal)
         )
         self._end_reading()
 
@@ -319,7 +346,7 @@
     # Time limits.
 
     def check(self, now_ms: float) -> None:
-        """Close an idle connection; refuse a head that is overdue.
+        """Close an idle connection; refuse a request that is overdue.
 
         A lowered idle limit applies from the next reply on: a caller that
         still relies on the earlier one could send a request just as the
@@ -330,13 +357,28 @@
             limit_ms = max(self._idle_limit_ms, limits.idle_ms)
             if now_ms - self._idle_since_ms > limit_ms:
                 self.close_if_idle()
-        elif self._head_since_ms is not None:
-            if now_ms - self._head_since_ms > limits.header_ms:
-                self._refuse(
-                    _TIMED_OUT,
-                    'got no complete request head within the time limit',
+        elif self._is_overdue(now_ms, limits):
+            self._refuse(
+                _caller_request.Refusal(
+                    _TIMED_OUT, 'got no complete request within the time limit'
                 )
-                self._answer_next()
+            )
+            self._answer_next()
+
+    def _is_overdue(self, now_ms: float, limits: state.CallerLimits) -> bool:
+        """Whether the head, or the whole request, is not received in time."""
+        if self._head_since_ms is not None:
+            return now_ms - self._head_since_ms > limits.header_ms
+        request = self._partial_request
+        if request is None:
+            return False
+        if self._answer_task is not None or self._read_paused:
+            # The caller may wait for the reply to an earlier request.
+            request.begun_ms = now_ms
+            return False
+        stated_ms = self._callbacks.stated_ms(tuple(request.headers))
+        limit_ms = _caller_request.time_limit_ms(stated_ms, limits)
+        return now_ms - request.begun_ms > limit_ms
 
     def close_if_idle(self) -> None:
         """Close the connection if no request or reply is in progress.
@@ -379,12 +421,13 @@
         ):
             return
         request = self._queued.popleft()
-        if self._read_paused and len(self._queued) <= _PIPELINE_RESUME:
-            self._read_paused = False
-            self._connected_transport().resume_reading()
+        if len(self._queued) <= _PIPELINE_RESUME:
+            self._resume_reading()
         self._answer_task = asyncio.create_task(self._answer_request(request))
 
-    async def _answer_request(self, request: _Request) -> None:
+    async def _answer_request(
+        self, request: _caller_request.CallerRequest
+    ) -> None:
         reply = await self._make_reply(request)
         if isinstance(reply, protocol.StreamedReply):
             is_complete = await self._write_pieces(request, reply)
@@ -410,7 +453,7 @@
         self._answer_next()
         self._send_continue()
 
-    def _is_last_reply(self, request: _Request) -> bool:
+    def _is_last_reply(self, request: _caller_request.CallerRequest) -> bool:
         """Return whether the connection ends after the reply to this request.
 
         It does not while another request is queued or partly read: that one
@@ -424,7 +467,9 @@
         return self._reading_ended or self._callbacks.is_closing()
 
     async def _write_pieces(
-        self, request: _Request, reply: protocol.StreamedReply
+        self,
+        request: _caller_request.CallerRequest,
+        reply: protocol.StreamedReply,
     ) -> bool:
         """Write a streamed reply piece by piece; return False if it failed."""
         self._write(_encode_stream_head(reply))
@@ -441,11 +486,11 @@
         return True
 
     async def _make_reply(
-        self, request: _Request
+        self, request: _caller_request.CallerRequest
     ) -> protocol.HttpReply | protocol.StreamedReply:
-        if request.refusal_status:
+        if request.refusal is not None:
             return protocol.HttpReply(
-                request.refusal_status, body=request.detail.encode()
+                request.refusal.status, body=request.refusal.detail.encode()
             )
         path = request.path.decode('latin-1')
         is_pipelined.set(request.is_pipelined)
@@ -471,10 +516,9 @@
         self._queued.clear()
         self._reading_ended = True
         self._is_lingering = True
+        self._discarded_bytes = 0
+        self._resume_reading()
         transport = self._connected_transport()
-        if self._read_paused:
-            self._read_paused = False
-            transport.resume_reading()
         with contextlib.suppress(OSError):
             # The caller may have reset the connection.
             transport.write_eof()
@@ -502,7 +546,9 @@
 
 
 def _encode(
-    request: _Request, reply: protocol.HttpReply, is_last: bool
+    request: _caller_request.CallerRequest,
+    reply: protocol.HttpReply,
+    is_last: bool,
 ) -> bytes:
     lines = _head_lines(reply)
     body = reply.body
