A target's reply is bounded in all its parts

Cause: the only limit was that on all bytes of the exchange, and the parser makes objects for what is not data.

_reply_limits counts the head with its trailers, headers, interim replies, replies to earlier requests, chunks by their mean size and bytes that lead nowhere; above a limit the parser stops, the connection closes and the attempt ends as a bad answer, which the health of the target shows and after which another target serves what may be repeated. Trailers are dropped: one could have said that a request has not run.

A watch of the store whose reply is over the limits would get it again for ever; it is read again from the start.

--- a/samphiredock/coordination/config/_watcher.py
+++ b/samphiredock/coordination/config/_watcher.py
@@ -38,6 +38,14 @@
     transport.StoreErrorKind.LOST, 'the reply states no position'
 )
 
+_READ_AGAIN = frozenset(
+    {
+        transport.StoreErrorKind.ROLLED_BACK,
+        transport.StoreErrorKind.UNREADABLE,
+    }
+)
+"""Errors after which a watch from the same position cannot succeed."""
+
 ObjectHandler = typing.Callable[[transport.StoredObject], None]
 PageHandler = typing.Callable[[transport.WatchPage], None]
 
@@ -279,7 +287,7 @@
             return True
         for callback in self._on_outage:
             callback()
-        return error.kind is transport.StoreErrorKind.ROLLED_BACK
+        return error.kind in _READ_AGAIN
 
     def _on_success(self, prefix: str, sent_ms: float | None) -> None:
         if sent_ms is not None:
--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -16,9 +16,9 @@
 
 from samphiredock import protocol
 from samphiredock.transport import _link_errors
+from samphiredock.transport import _reply_limits
 
-_REPLY_LIMIT_BYTES = 16 * 1024 * 1024
-"""Bounds the memory that one reply may take."""
+_buffered = _reply_limits.BufferedBytes()
 
 _MIN_TIMEOUT_MS = 1.0
 
@@ -60,10 +60,9 @@
     """Parses the bytes received during one exchange and finds its reply.
 
     ``found`` is that reply once it is complete; ``reusable`` is False if the
-    connection must not carry another exchange; ``skipped`` counts replies
-    that belong to other requests.  With ``may_be_late`` the connection has
-    carried another request before.  The ``on_`` methods are called by
-    ``httptools``.
+    connection must not carry another exchange.  With ``may_be_late`` the
+    connection has carried another request before.  The ``on_`` methods are
+    called by ``httptools``.
     """
 
     def __init__(
@@ -78,13 +77,13 @@
         self._is_reply = is_reply
         self._on_chunk = on_chunk
         self._parser = httptools.HttpResponseParser(self)
-        self._size = 0
+        self._meter = _reply_limits.ReplyMeter(_buffered)
         self._begin()
         self.found: protocol.HttpReply | None = None
         self.reusable = True
-        self.skipped = 0
 
     def _begin(self) -> None:
+        self._meter.begin_reply()
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
         self._has_framing = False
@@ -93,13 +92,18 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
-        Raises ``httptools.HttpParserError`` if they are not HTTP, or if
-        the reply is too large.
+        Raises ``httptools.HttpParserError`` if they are not HTTP, or
+        ``LimitExceeded``.
         """
-        self._size += len(data)
-        if self._size > _REPLY_LIMIT_BYTES:
-            raise httptools.HttpParserError('the reply exceeds the size limit')
-        self._parser.feed_data(data)
+        self._meter.on_received(len(data))
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            raise (error.__context__ or error) from None
+
+    def close(self) -> None:
+        """Drop what was received."""
+        self._meter.release()
 
     def feed_end(self) -> None:
         """Handle EOF: the target closed the connection without a reset."""
@@ -113,10 +117,18 @@
             # A second reply has arrived, which a later request would take
             # for its own.
             self.reusable = False
+            raise _reply_limits.LimitExceeded('a second reply')
         self._begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header; note whether it delimits the body."""
+        """Append a header; note whether it delimits the body.
+
+        A trailer, which comes after the body, is dropped: it must not change
+        what the headers have said (RFC 9110).
+        """
+        self._meter.on_header(name, value)
+        if self._in_body:
+            return
         key = name.decode('latin-1')
         self._headers.append((key, value.decode('latin-1')))
         if key.lower() in ('content-length', 'transfer-encoding'):
@@ -125,6 +137,7 @@
     def on_headers_complete(self) -> None:
         """Begin the body; complete a reply to HEAD, which has none."""
         self._in_body = True
+        self._meter.on_headers_complete()
         if self._method == 'HEAD':
             # The parser would wait for the body that the Content-Length of
             # a reply to HEAD announces but that is not sent.
@@ -133,14 +146,20 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._meter.on_body(len(body))
         self._body.append(body)
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self._meter.on_chunk()
+
     def on_chunk_complete(self) -> None:
         """Pass a chunk of the awaited reply to ``on_chunk``."""
         if self._on_chunk is None or self.found is not None or not self._body:
             return
         chunk = b''.join(self._body)
         self._body = []
+        self._meter.release()
         if self._is_reply(self._make_reply(b'')):
             self._on_chunk(chunk)
 
@@ -162,11 +181,12 @@
             return
         status = self._parser.get_status_code()
         if 100 <= status < 200:
+            self._meter.on_interim()
             return
         reply = self._make_reply(b''.join(self._body))
         if not self._is_reply(reply):
             # A late reply to an earlier request; the right one follows it.
-            self.skipped += 1
+            self._meter.on_skipped()
             return
         self.found = reply
         if not self._parser.should_keep_alive():
@@ -228,7 +248,10 @@
             return
         try:
             self._reader.feed(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            _reply_limits.LimitExceeded,
+        ) as error:
             self._reader.reusable = False
             if self._reader.found is None:
                 self._fail(_Kind.BAD_ANSWER, str(error) or repr(error))
@@ -302,6 +325,7 @@
             timer.cancel()
             if not reusable:
                 self.close()
+            self._reader.close()
             self._reader = None
             self._waiter = None
 
--- a/samphiredock/transport/_platform.py
+++ b/samphiredock/transport/_platform.py
@@ -27,6 +27,8 @@
     no longer has the changes after the position of a watch, so the caller
     must read everything again from position 0.  ``ROLLED_BACK``: so must it,
     since the store has lost writes, and gives their positions again.
+    ``UNREADABLE``: the reply to a read is no reply or over the limits; the
+    same watch would get it again, so everything must be read again, too.
     """
 
     NOT_FOUND = 'not-found'
@@ -36,6 +38,7 @@
     REFUSED = 'refused'
     FORGOTTEN = 'forgotten'
     ROLLED_BACK = 'rolled-back'
+    UNREADABLE = 'unreadable'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/samphiredock/transport/_pooled_store_calls.py
+++ b/samphiredock/transport/_pooled_store_calls.py
@@ -74,7 +74,7 @@
         if method not in _store_replies.WRITE_METHODS and _is_broken(reply):
             reply = await self._send(request, limit_ms, 0.0)
         if isinstance(reply, result.Failure):
-            return _failure(reply.failure())
+            return _failure(reply.failure(), method)
         got = reply.unwrap()
         received_headers = dict(got.headers)
         for callback in self._on_reply:
@@ -129,9 +129,14 @@
 
 
 def _failure(
-    error: _link_errors.LinkError,
+    error: _link_errors.LinkError, method: str
 ) -> result.Failure[_platform.StoreError]:
     kind = _platform.StoreErrorKind.LOST
     if error.kind in _NOT_SENT:
         kind = _platform.StoreErrorKind.UNAVAILABLE
+    elif (
+        error.kind is _Kind.BAD_ANSWER
+        and method not in _store_replies.WRITE_METHODS
+    ):
+        kind = _platform.StoreErrorKind.UNREADABLE
     return _store_replies.failure(kind, f'{error.kind.value}: {error.detail}')
--- a/tests/failure/test_endless_bytes.py
+++ b/tests/failure/test_endless_bytes.py
@@ -14,7 +14,10 @@
 from samphiredock import transport
 from samphiredock.transport import _caller_request
 from samphiredock.transport import _entry_connection
+from samphiredock.transport import _http_connection
+from samphiredock.transport import _reply_limits
 from standins import endless_bytes
+from standins import scripted_target
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / 'platform'))
@@ -23,6 +26,8 @@
 
 _BLOCK_BYTES = 65_536
 _MOST_BYTES = 64 * 1024 * 1024
+_BODIES = frozenset({'a body without a length', 'a body with a length'})
+_Kind = transport.LinkErrorKind
 
 
 def _blocks(way: endless_bytes.Way) -> typing.Iterator[bytes]:
@@ -40,6 +45,144 @@
     return {name: way for name, way in ways.items() if way[1]}
 
 
+class EndlessReplyTest(unittest.IsolatedAsyncioTestCase):
+    """A target that writes without end."""
+
+    def _read(self, way: endless_bytes.Way) -> int:
+        """Return how many bytes are read before the exchange fails."""
+        reader = _http_connection._ReplyReader(
+            'GET', lambda got: got.header('Request-Id') == 'a', None, False
+        )
+        read_bytes = 0
+        try:
+            for block in _blocks(way):
+                read_bytes += len(block)
+                reader.feed(block)
+        except (
+            _http_connection.httptools.HttpParserError,
+            _reply_limits.LimitExceeded,
+        ):
+            pass
+        self.assertIsNone(reader.found)
+        reader.close()
+        return read_bytes
+
+    def test_little_is_read_of_what_is_no_body(self) -> None:
+        """One target held a daemon's event loop and filled its memory."""
+        for name, way in _endless(endless_bytes.REPLIES).items():
+            with self.subTest(name):
+                limit_bytes = 4 * _BLOCK_BYTES
+                if name in _BODIES:
+                    limit_bytes = _reply_limits.REPLY_LIMIT_BYTES
+                self.assertLessEqual(
+                    self._read(way), limit_bytes + _BLOCK_BYTES
+                )
+
+    def test_replies_together_are_limited(self) -> None:
+        """Fifty targets took more memory than a host has."""
+        readers = [
+            _http_connection._ReplyReader('GET', lambda got: True, None, False)
+            for _ in range(50)
+        ]
+        first, repeated = endless_bytes.REPLIES['a body without a length']
+        open_readers = list(readers)
+        for reader in readers:
+            reader.feed(first)
+        for _ in range(_reply_limits.REPLY_LIMIT_BYTES // _BLOCK_BYTES):
+            for reader in list(open_readers):
+                try:
+                    reader.feed(repeated * _BLOCK_BYTES)
+                except _reply_limits.LimitExceeded:
+                    reader.close()
+                    open_readers.remove(reader)
+            self.assertLessEqual(
+                _http_connection._buffered.held_bytes,
+                _reply_limits.BUFFERED_LIMIT_BYTES
+                + len(readers) * (_BLOCK_BYTES + 1),
+            )
+        for reader in open_readers:
+            reader.close()
+        self.assertEqual(0, _http_connection._buffered.held_bytes)
+
+    def test_ordinary_replies_are_within_the_limits(self) -> None:
+        """Limits that ordinary targets reach would lose their replies."""
+        chunks = b'40\r\n' + b'x' * 64 + b'\r\n'
+        head = b'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n'
+        late = b'HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n'
+        body = bytes(2 * 1024 * 1024)
+        for name, reply in {
+            'a large body': head
+            + b'Content-Length: %d\r\n\r\n' % len(body)
+            + body,
+            'many chunks': head
+            + b'Transfer-Encoding: chunked\r\n\r\n'
+            + chunks * 30_000
+            + b'0\r\nA: b\r\n\r\n',
+            'many headers': head
+            + b'A: b\r\n' * 200
+            + b'Content-Length: 0\r\n\r\n',
+            'late replies': late * 8 + head + b'Content-Length: 0\r\n\r\n',
+            'an interim reply': b'HTTP/1.1 103 Hints\r\nA: b\r\n\r\n' * 2
+            + head
+            + b'Content-Length: 0\r\n\r\n',
+        }.items():
+            with self.subTest(name):
+                reader = _http_connection._ReplyReader(
+                    'GET', lambda got: got.header('Request-Id') == 'a',
+                    None, False,
+                )  # fmt: skip
+                for begin in range(0, len(reply), _BLOCK_BYTES):
+                    reader.feed(reply[begin : begin + _BLOCK_BYTES])
+                self.assertIsNotNone(reader.found)
+                reader.close()
+
+    def test_trailers_are_no_headers(self) -> None:
+        """A trailer could say that a request that ran has not run."""
+        reader = _http_connection._ReplyReader(
+            'GET', lambda got: True, None, False
+        )
+        reader.feed(
+            b'HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\nNot-Run: 1\r\n\r\n'
+        )
+        self.assertIsNone(reader.found.header('Not-Run'))
+        reader.close()
+
+    async def test_exchange_ends_as_a_bad_answer(self) -> None:
+        """The exchange lasted until its timeout."""
+        closed = asyncio.Event()
+
+        async def write(
+            seen: scripted_target.HttpMessage, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                for block in _blocks(way):
+                    writer.write(block)
+                    await writer.drain()
+            except ConnectionError:
+                closed.set()
+
+        target = scripted_target.ScriptedTarget(write)
+        address = await target.start()
+        self.addAsyncCleanup(target.stop)
+        clock = timers.LoopTimers()
+        self.addCleanup(clock.close)
+        pool = transport.ConnectionPool(clock, lambda target: 4)
+        entry = state.LiveTarget('t', 's', address, 'here', 2)
+        for name, way in _endless(endless_bytes.REPLIES).items():
+            with self.subTest(name):
+                closed.clear()
+                reply = await pool.exchange(
+                    entry,
+                    protocol.HttpRequest('GET', '/', (('Request-Id', 'a'),)),
+                    60_000.0,
+                    lambda got: got.header('Request-Id') == 'a',
+                )
+                self.assertIs(_Kind.BAD_ANSWER, reply.failure().kind)
+                await asyncio.wait_for(closed.wait(), 30.0)
+                self.assertEqual(0, pool._pools['t'].open_count)
+
+
 class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
     """A caller that writes without end."""
 
--- a/tests/unit/test_object_store.py
+++ b/tests/unit/test_object_store.py
@@ -91,6 +91,18 @@
         self.assertEqual(Kind.ROLLED_BACK, reply.failure().kind)
         self.assertEqual(calls, self.store.calls)
 
+    async def test_watch_over_the_limits_is_read_again_from_the_start(
+        self,
+    ) -> None:
+        """A daemon would ask for the same changes for ever."""
+        page = (await self.client.watch('servers/', 0, 0)).unwrap()
+        for _ in range(8):
+            self.store.put('servers', 'a', {'N': 'x' * 1_000_000})
+        reply = await self.client.watch('servers/', page.position, 1_000)
+        self.assertEqual(Kind.UNREADABLE, reply.failure().kind)
+        listed = await self.client.watch('servers/', 0, 0)
+        self.assertEqual(1, len(listed.unwrap().changed))
+
     async def test_first_known_era_is_no_loss(self) -> None:
         """A daemon that starts must not read everything twice."""
         self.store.era = 7
