The clients of own targets and of the store bound what they read

A server that writes without end took, in one call with a timeout of 2 s (benchmarks/endless_bytes on aiohttp's client, one run): a body 3.8 GB as a health probe of a target and 4.9 GB as a call of the store; chunks of one byte, a chunk extension, interim replies and blank lines the whole 2 s of processor, in which nothing else ran for up to 146 ms.

Cause: read() collects whatever comes, and aiohttp's parser limits neither framing nor interim replies nor blank lines.

Both clients now use the connection that entry daemons use towards targets, with its limits; the store's client of entry daemons is the only one, for any http or https URL, and aiohttp's is gone from the daemons. What it repeated by itself, a read after a lost connection, was already repeated there, and a write never is.

--- a/benchmarks/endless_bytes.py
+++ b/benchmarks/endless_bytes.py
@@ -2,10 +2,9 @@
 
 ``target``: a target writes to the connection of one exchange of the entry
 daemon's client; ``caller``: a caller writes to its server.  ``link`` and
-``store`` are the clients of our own targets and of the object store, which are
-built on aiohttp.  Each way runs in a process of its own, and the peer in
-this one, whose time is not counted.  ``many`` is the memory with 50 such
-targets at once.
+``store`` are the clients of our own targets and of the object store.  Each
+way runs in a process of its own, and the peer in this one, whose time is not
+counted.  ``many`` is the memory with 50 such targets at once.
 """
 
 import asyncio
@@ -21,7 +20,6 @@
 import time
 import typing
 
-import aiohttp
 import click
 
 from samphiredock import metrics
@@ -118,11 +116,12 @@
 
 
 async def _as_store(address: str, count: int) -> dict[str, object]:
-    async with aiohttp.ClientSession() as session:
-        calls = transport.StoreCalls(
-            session, f'http://{address}', int(_TIMEOUT_MS)
-        )
-        return await _measure(lambda: calls.call('GET', '/objects/x'))
+    calls = transport.PooledStoreCalls(
+        timers.LoopTimers(), f'http://{address}'
+    )
+    return await _measure(
+        lambda: calls.call('GET', '/objects/x', timeout_ms=int(_TIMEOUT_MS))
+    )
 
 
 _CLIENTS = {'target': _as_pool, 'link': _as_link, 'store': _as_store}
--- a/samphiredock/daemon/_components.py
+++ b/samphiredock/daemon/_components.py
@@ -3,8 +3,6 @@
 import random
 import typing
 
-import aiohttp
-
 from samphiredock import coordination
 from samphiredock import metrics
 from samphiredock import protocol
@@ -50,10 +48,10 @@
         self.member = _member_of(settings, self.clock.wall_ms())
         self._codec = protocol.Codec(PEER_MESSAGES)
         self.hub = self._make_hub(keys)
-        self._session = aiohttp.ClientSession()
-        self.platform = transport.HttpPlatform(
-            self._session, settings.platform_url
+        self._store_calls = transport.PooledStoreCalls(
+            self.clock, settings.platform_url
         )
+        self.platform = transport.HttpPlatform(self._store_calls)
         self._make_state_and_membership()
         self._make_dispatcher()
         self._make_coordinator_and_runner()
@@ -240,7 +238,7 @@
         self.quarantine.close()
         await self.dispatcher.close()
         self.hub.close()
-        await self._session.close()
+        self._store_calls.close()
         self.clock.close()
         self.metrics.close()
 
--- a/samphiredock/daemon/_entry_node.py
+++ b/samphiredock/daemon/_entry_node.py
@@ -82,7 +82,7 @@
         self._adapter = adapter
         self._metrics = metrics.Metrics(settings.name)
         self._store_calls = transport.PooledStoreCalls(
-            self._clock, settings.platform_address
+            self._clock, f'http://{settings.platform_address}'
         )
         self._entry_state = _entry_state.EntryState(
             settings,
--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -58,12 +58,12 @@
             'WatchPage',
         ),
         '_platform_http': ('HttpPlatform',),
-        '_store_calls': ('StoreCalls',),
         '_store_replies': (
             'STORE_CALL_TIMEOUT_MS',
             'STORE_WATCH_SLACK_MS',
             'StoreCaller',
             'StoreReply',
+            'header_of',
             'parse_store_reply',
         ),
         '_target_http': (
--- a/samphiredock/transport/_connection_pool.py
+++ b/samphiredock/transport/_connection_pool.py
@@ -56,6 +56,10 @@
 
 _Kind = _link_errors.LinkErrorKind
 
+_Connect = typing.Callable[
+    [str],
+    typing.Coroutine[typing.Any, typing.Any, _http_connection.HttpConnection],
+]
 
 _NOT_WANTED = _link_errors.LinkError(
     _Kind.NO_CONNECTION, 'the reply is no longer wanted'
@@ -128,15 +132,20 @@
     limit
         Returns how many connections this daemon may have to a target; at
         least one is always allowed.
+    connect
+        Connects to the address of a target, ``IP:port``; raises ``OSError``
+        if that fails.
     """
 
     def __init__(
         self,
         clock: timers.Timers,
         limit: typing.Callable[[state.LiveTarget], int],
+        connect: _Connect | None = None,
     ) -> None:
         self._clock = clock
         self._limit = limit
+        self._connect_to = connect or _connect_to_address
         self._pools: dict[str, _TargetPool] = collections.defaultdict(
             _TargetPool
         )
@@ -390,7 +399,9 @@
         connected = False
         limit_s = min(CONNECT_TIMEOUT_MS / 1000.0, self._remaining_s(ends_ms))
         try:
-            connection = await _open_connection(target.address, limit_s)
+            connection = await _open_in_time(
+                self._connect_to(target.address), limit_s
+            )
             connected = True
             return connection
         except TimeoutError:
@@ -428,11 +439,21 @@
         pool.wake()
 
 
-async def _open_connection(
-    address: str, limit_s: float
+async def _connect_to_address(
+    address: str,
+) -> _http_connection.HttpConnection:
+    host, _, port = address.rpartition(':')
+    return await _http_connection.open_connection(host, int(port))
+
+
+async def _open_in_time(
+    opening: typing.Coroutine[
+        typing.Any, typing.Any, _http_connection.HttpConnection
+    ],
+    limit_s: float,
 ) -> _http_connection.HttpConnection:
-    """Connect to ``IP:port``; raises ``TimeoutError`` or ``OSError``."""
-    task = asyncio.ensure_future(_http_connection.open_connection(address))
+    """Return an opened connection; raises ``TimeoutError`` or ``OSError``."""
+    task = asyncio.ensure_future(opening)
     try:
         for timeout_s in (limit_s, _CONNECT_GRACE_MS / 1000.0):
             done, _ = await asyncio.wait((task,), timeout=timeout_s)
--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import socket
+import ssl
 import struct
 import typing
 
@@ -358,12 +359,13 @@
             self._waiter.set_result(_link_errors.LinkError(kind, detail))
 
 
-async def open_connection(address: str) -> HttpConnection:
-    """Connect to ``IP:port``; raises ``OSError`` if that fails."""
-    host, _, port = address.rpartition(':')
+async def open_connection(
+    host: str, port: int, tls: ssl.SSLContext | None = None
+) -> HttpConnection:
+    """Connect to a server; raises ``OSError`` if that fails."""
     loop = asyncio.get_running_loop()
     _, connection = await loop.create_connection(
-        HttpConnection, host, int(port)
+        HttpConnection, host, port, ssl=tls
     )
     return connection
 
--- a/samphiredock/transport/_platform_http.py
+++ b/samphiredock/transport/_platform_http.py
@@ -2,12 +2,10 @@
 
 import urllib.parse
 
-import aiohttp
 import msgspec
 from returns import result
 
 from samphiredock.transport import _platform
-from samphiredock.transport import _store_calls
 from samphiredock.transport import _store_replies
 
 _VERSION_HEADER = 'X-Object-Version'
@@ -46,21 +44,12 @@
 
     Parameters
     ----------
-    session
-        The HTTP session, owned by the caller.
-    base_url
-        For example ``http://127.0.0.1:7100``.
-    timeout_ms
-        Timeout of each call except a watch.
+    calls
+        Makes the HTTP calls.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        base_url: str,
-        timeout_ms: int = _store_replies.STORE_CALL_TIMEOUT_MS,
-    ) -> None:
-        self._calls = _store_calls.StoreCalls(session, base_url, timeout_ms)
+    def __init__(self, calls: _store_replies.StoreCaller) -> None:
+        self._calls = calls
         self._hosts: tuple[_platform.Host, ...] = ()
         self._hosts_etag: str | None = None
 
@@ -71,9 +60,7 @@
         reply = await self._calls.call('GET', self._path(key))
         return _store_replies.parse_store_reply(
             reply,
-            lambda got: _platform.StoredObject(
-                key, int(got[2][_VERSION_HEADER]), got[1]
-            ),
+            lambda got: _platform.StoredObject(key, _version_of(got), got[1]),
         )
 
     async def put(
@@ -92,7 +79,7 @@
             'PUT', self._path(key), value, _if_match(expected_version)
         )
         return _store_replies.parse_store_reply(
-            reply, lambda got: int(got[2][_VERSION_HEADER])
+            reply, lambda got: _version_of(got)
         )
 
     async def delete(
@@ -103,7 +90,7 @@
             'DELETE', self._path(key), None, _if_match(expected_version)
         )
         return _store_replies.parse_store_reply(
-            reply, lambda got: int(got[2][_VERSION_HEADER])
+            reply, lambda got: _version_of(got)
         )
 
     async def scan(
@@ -161,13 +148,17 @@
                 _platform.Host(row.name, row.leaving)
                 for row in _HOSTS_DECODER.decode(content)
             )
-            self._hosts_etag = headers.get('ETag')
+            self._hosts_etag = _store_replies.header_of(headers, 'ETag')
         return self._hosts
 
     def _path(self, key: str) -> str:
         return '/objects/' + urllib.parse.quote(key)
 
 
+def _version_of(reply: _store_replies.StoreReply) -> int:
+    return int(_store_replies.header_of(reply[2], _VERSION_HEADER) or '')
+
+
 def _page(content: bytes, whole: bool = True) -> _platform.WatchPage:
     page = _PAGE_DECODER.decode(content)
     objects = tuple(
--- a/samphiredock/transport/_pooled_store_calls.py
+++ b/samphiredock/transport/_pooled_store_calls.py
@@ -1,7 +1,8 @@
 """Calls to an object store over pooled connections.
 
-Used by entry daemons instead of aiohttp's client, whose import would slow
-down their start (see ``docs/design/start.md``).
+aiohttp's client is not used: its import would slow down the start of an entry
+daemon (see ``docs/design/start.md``), and it sets no limit on what a server
+sends.
 """
 
 import math
@@ -13,12 +14,14 @@
 from samphiredock import state
 from samphiredock import timers
 from samphiredock.transport import _connection_pool
+from samphiredock.transport import _http_connection
 from samphiredock.transport import _link_errors
+from samphiredock.transport import _origin
 from samphiredock.transport import _platform
 from samphiredock.transport import _store_replies
 
-_CONNECTIONS = 16
-"""Covers two pending watches and a few short calls."""
+_CONNECTIONS = 100
+"""Covers a pending watch of each prefix and the short calls beside them."""
 
 _Kind = _link_errors.LinkErrorKind
 
@@ -33,16 +36,22 @@
     ----------
     clock
         The timers of this daemon.
-    address
-        ``IP:port`` of the store.
+    base_url
+        For example ``http://127.0.0.1:7100``.
     """
 
-    def __init__(self, clock: timers.Timers, address: str) -> None:
-        self._address = address
+    def __init__(self, clock: timers.Timers, base_url: str) -> None:
+        origin = _origin.Origin.of_url(base_url)
+        self._authority = origin.authority
+        self._path_prefix = origin.path_prefix
         # The pool connects to targets, so the store is described as one.
-        self._store = state.LiveTarget(address, '', address, '', slots=1)
+        self._store = state.LiveTarget(base_url, '', base_url, '', slots=1)
         self._pool = _connection_pool.ConnectionPool(
-            clock, lambda store: _CONNECTIONS
+            clock,
+            lambda store: _CONNECTIONS,
+            lambda address: _http_connection.open_connection(
+                origin.host, origin.port, origin.tls
+            ),
         )
         self._on_reply: list[
             typing.Callable[[typing.Mapping[str, str]], None]
@@ -94,8 +103,10 @@
         body: bytes | None,
         headers: typing.Mapping[str, str] | None,
     ) -> protocol.HttpRequest:
-        all_headers = (('Host', self._address), *(headers or {}).items())
-        return protocol.HttpRequest(method, path, all_headers, body or b'')
+        all_headers = (('Host', self._authority), *(headers or {}).items())
+        return protocol.HttpRequest(
+            method, self._path_prefix + path, all_headers, body or b''
+        )
 
     async def _send(
         self,
--- a/samphiredock/transport/_store_replies.py
+++ b/samphiredock/transport/_store_replies.py
@@ -29,6 +29,14 @@
 """Status, body and headers of a reply."""
 
 
+def header_of(headers: typing.Mapping[str, str], name: str) -> str | None:
+    """Return the value of a header, None if there is none."""
+    for key, value in headers.items():
+        if key.lower() == name.lower():
+            return value
+    return None
+
+
 class StoreCaller(typing.Protocol):
     """Makes HTTP calls to an object store."""
 
--- a/samphiredock/transport/_target_http.py
+++ b/samphiredock/transport/_target_http.py
@@ -1,18 +1,22 @@
-"""A dispatcher's HTTP calls to one target, over aiohttp."""
+"""A dispatcher's HTTP calls to one target."""
 
 import asyncio
 import collections
+import math
 import typing
 
-import aiohttp
 import msgspec
 from returns import result
 
 from samphiredock import protocol
 from samphiredock import state
+from samphiredock.transport import _http_connection
 from samphiredock.transport import _link_errors
+from samphiredock.transport import _origin
 
 _KEEPALIVE_S = 30.0
+"""How long an idle connection may be reused."""
+
 _TIMEOUT_SLACK_MS = 20.0
 _CONNECT_TIMEOUT_MS = 1_000.0
 
@@ -60,24 +64,75 @@
 
 
 class _Connection:
-    """One HTTP connection, as a session of its own.
+    """One place of a link's limit, with at most one open HTTP connection.
 
-    ``generation`` is that of the link when the connection was created; a
-    connection of an earlier generation is not reused.
+    ``generation`` is that of the link when the place was taken; a connection
+    of an earlier generation is not reused.
     """
 
-    def __init__(self, generation: int) -> None:
+    def __init__(self, origin: _origin.Origin, generation: int) -> None:
         self.generation = generation
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=1, keepalive_timeout=_KEEPALIVE_S
+        self._origin = origin
+        self._http: _http_connection.HttpConnection | None = None
+        self._usable_until_s = -math.inf
+
+    async def exchange(
+        self, method: str, path: str, content: bytes | None, total_ms: float
+    ) -> protocol.HttpReply | _link_errors.LinkError:
+        """Connect if necessary, send a request and return its reply."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + total_ms / 1000.0
+        connection = await self._open(total_ms)
+        if isinstance(connection, _link_errors.LinkError):
+            return connection
+        headers = (
+            ('Host', self._origin.authority),
+            ('Content-Type', 'application/json'),
+        )
+        outcome = await connection.exchange(
+            protocol.HttpRequest(
+                method,
+                self._origin.path_prefix + path,
+                headers,
+                content or b'',
             ),
-            headers={'Content-Type': 'application/json'},
-            skip_auto_headers=('User-Agent', 'Accept-Encoding'),
+            lambda reply: True,
+            (ends_s - loop.time()) * 1000.0,
         )
+        if isinstance(outcome, _link_errors.LinkError):
+            return outcome
+        idle_s = _KEEPALIVE_S
+        if outcome.keepalive_ms is not None:
+            idle_s = min(idle_s, outcome.keepalive_ms / 1000.0)
+        self._usable_until_s = loop.time() + idle_s
+        return outcome.reply
+
+    async def _open(
+        self, total_ms: float
+    ) -> _http_connection.HttpConnection | _link_errors.LinkError:
+        now_s = asyncio.get_running_loop().time()
+        if self._http is not None:
+            if self._http.is_open and now_s < self._usable_until_s:
+                return self._http
+            await self.close()
+        limit_s = min(total_ms * 0.9, _CONNECT_TIMEOUT_MS) / 1000.0
+        try:
+            async with asyncio.timeout(limit_s):
+                self._http = await _http_connection.open_connection(
+                    self._origin.host, self._origin.port, self._origin.tls
+                )
+        except OSError as error:
+            # TimeoutError is an OSError, too.
+            return _link_errors.LinkError(
+                _link_errors.LinkErrorKind.UNREACHABLE, repr(error)
+            )
+        return self._http
 
     async def close(self) -> None:
-        await self.session.close()
+        if self._http is None:
+            return
+        self._http.close()
+        self._http = None
         # The transport closes its socket in a later turn of the event loop;
         # until then the target still counts the connection.
         await asyncio.sleep(0)
@@ -87,14 +142,12 @@
 class HttpTargetLink:
     """HTTP connections to one target, never more than the target allows.
 
-    A timeout closes all idle connections while other exchanges still run.
-    With one aiohttp session for the target this would need a second session,
-    and both together could exceed the limit.  So each connection is a session
-    of its own and counts here until it is closed.
+    A timeout closes all idle connections while other exchanges still run;
+    each connection counts here until it is closed.
     """
 
     def __init__(self, target: state.Target) -> None:
-        self._url = target.url.rstrip('/')
+        self._origin = _origin.Origin.of_url(target.url)
         self._set_limit(target.connections)
         self._idle: list[_Connection] = []
         self._open = 0
@@ -130,11 +183,7 @@
     async def run(
         self, body: protocol.TargetRun, timeout_ms: float
     ) -> result.Result[protocol.TargetRunAnswer, _link_errors.LinkError]:
-        """Run a request that must not be repeated; it is sent at most once.
-
-        aiohttp re-sends only idempotent methods after a lost connection,
-        and POST is not one.
-        """
+        """Run a request that must not be repeated; it is sent at most once."""
 
         def check(answer: protocol.TargetRunAnswer) -> str:
             return _mismatch(
@@ -260,7 +309,7 @@
                 continue
             if self._open < limit:
                 self._open += 1
-                return _Connection(self._generation)
+                return _Connection(self._origin, self._generation)
             left_s = ends_s - loop.time()
             waiter = loop.create_future()
             self._waiters.append(waiter)
@@ -312,39 +361,20 @@
         timeout_ms: float,
         decoder: msgspec.json.Decoder,
     ) -> result.Result[typing.Any, _link_errors.LinkError]:
-        total_ms = timeout_ms + _TIMEOUT_SLACK_MS
-        limit = aiohttp.ClientTimeout(
-            total=total_ms / 1000.0,
-            sock_connect=min(total_ms * 0.9, _CONNECT_TIMEOUT_MS) / 1000.0,
+        reply = await connection.exchange(
+            method, path, content, timeout_ms + _TIMEOUT_SLACK_MS
         )
-        try:
-            async with connection.session.request(
-                method, self._url + path, data=content, timeout=limit
-            ) as response:
-                reply = await response.read()
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            return _failure(_link_errors.LinkErrorKind.UNREACHABLE, str(error))
-        except asyncio.TimeoutError:
-            return _failure(
-                _link_errors.LinkErrorKind.SILENT,
-                f'no reply in {timeout_ms:.0f} ms',
-            )
-        except (aiohttp.ClientError, OSError) as error:
-            return _failure(
-                _link_errors.LinkErrorKind.BROKEN, type(error).__name__
-            )
-        if response.status != 200:
-            text = reply[:200].decode('utf-8', 'replace')
+        if isinstance(reply, _link_errors.LinkError):
+            return result.Failure(reply)
+        if reply.status != 200:
+            text = reply.body[:200].decode('utf-8', 'replace')
             return _failure(
                 _link_errors.LinkErrorKind.BROKEN,
-                f'{response.status} {text}',
+                f'{reply.status} {text}',
                 True,
             )
         try:
-            return result.Success(decoder.decode(reply))
+            return result.Success(decoder.decode(reply.body))
         except protocol.DECODE_ERRORS as error:
             return _failure(_link_errors.LinkErrorKind.BAD_ANSWER, str(error))
 
--- a/tests/failure/test_endless_bytes.py
+++ b/tests/failure/test_endless_bytes.py
@@ -1,12 +1,15 @@
 """Peers that write bytes without end: targets, and callers."""
 
 import asyncio
+import enum
 import pathlib
 import sys
 import typing
 import unittest
 from unittest import mock
 
+from returns import result
+
 from samphiredock import metrics
 from samphiredock import protocol
 from samphiredock import state
@@ -28,6 +31,8 @@
 _MOST_BYTES = 64 * 1024 * 1024
 _BODIES = frozenset({'a body without a length', 'a body with a length'})
 _Kind = transport.LinkErrorKind
+_Result = result.Result[typing.Any, typing.Any]
+_TIMEOUT_MS = 60_000.0
 
 
 def _blocks(way: endless_bytes.Way) -> typing.Iterator[bytes]:
@@ -148,39 +153,79 @@
         self.assertIsNone(reader.found.header('Not-Run'))
         reader.close()
 
-    async def test_exchange_ends_as_a_bad_answer(self) -> None:
-        """The exchange lasted until its timeout."""
-        closed = asyncio.Event()
 
-        async def write(
-            seen: scripted_target.HttpMessage, writer: asyncio.StreamWriter
-        ) -> None:
-            try:
-                for block in _blocks(way):
-                    writer.write(block)
-                    await writer.drain()
-            except ConnectionError:
-                closed.set()
-
-        target = scripted_target.ScriptedTarget(write)
-        address = await target.start()
-        self.addAsyncCleanup(target.stop)
-        clock = timers.LoopTimers()
-        self.addCleanup(clock.close)
-        pool = transport.ConnectionPool(clock, lambda target: 4)
-        entry = state.LiveTarget('t', 's', address, 'here', 2)
-        for name, way in _endless(endless_bytes.REPLIES).items():
+class EndlessExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Clients of a server that writes without end, with a long timeout."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server."""
+        self.clock = timers.LoopTimers()
+        self.addCleanup(self.clock.close)
+        self.closed = asyncio.Event()
+        self.ways = _endless(endless_bytes.REPLIES)
+        self.way = endless_bytes.ORDINARY
+        server = scripted_target.ScriptedTarget(self._write)
+        self.address = await server.start()
+        self.addAsyncCleanup(server.stop)
+
+    async def _write(
+        self, seen: scripted_target.HttpMessage, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            for block in _blocks(self.way):
+                writer.write(block)
+                await writer.drain()
+        except ConnectionError:
+            self.closed.set()
+
+    async def _check(
+        self,
+        call: typing.Callable[[], typing.Awaitable[_Result]],
+        kind: enum.Enum,
+    ) -> None:
+        """Check that a call fails for each way, and closes its connection."""
+        for name, self.way in self.ways.items():
             with self.subTest(name):
-                closed.clear()
-                reply = await pool.exchange(
-                    entry,
-                    protocol.HttpRequest('GET', '/', (('Request-Id', 'a'),)),
-                    60_000.0,
-                    lambda got: got.header('Request-Id') == 'a',
-                )
-                self.assertIs(_Kind.BAD_ANSWER, reply.failure().kind)
-                await asyncio.wait_for(closed.wait(), 30.0)
-                self.assertEqual(0, pool._pools['t'].open_count)
+                self.closed.clear()
+                self.assertIs(kind, (await call()).failure().kind)
+                await self.closed.wait()
+
+    async def test_entry_daemon(self) -> None:
+        """An exchange lasted until its timeout, and so did its costs."""
+        pool = transport.ConnectionPool(self.clock, lambda target: 4)
+        entry = state.LiveTarget('t', 's', self.address, 'here', 2)
+        await self._check(
+            lambda: pool.exchange(
+                entry,
+                protocol.HttpRequest('GET', '/', (('Request-Id', 'a'),)),
+                _TIMEOUT_MS,
+                lambda got: got.header('Request-Id') == 'a',
+            ),
+            _Kind.BAD_ANSWER,
+        )
+        self.assertEqual(0, pool._pools['t'].open_count)
+
+    async def test_dispatcher(self) -> None:
+        """A health probe took gigabytes."""
+        link = transport.HttpTargetLink(
+            state.Target('t', 'here', f'http://{self.address}', 2, 4, 5)
+        )
+        self.addAsyncCleanup(link.close)
+        await self._check(lambda: link.health(_TIMEOUT_MS), _Kind.BAD_ANSWER)
+        self.assertEqual(0, link.open_connections)
+
+    async def test_store(self) -> None:
+        """A call of the store took gigabytes."""
+        calls = transport.PooledStoreCalls(
+            self.clock, f'http://{self.address}'
+        )
+        self.addCleanup(calls.close)
+        # Replies of the store have no ids: the first one is taken.
+        del self.ways['replies to others']
+        await self._check(
+            lambda: calls.call('GET', '/', timeout_ms=int(_TIMEOUT_MS)),
+            transport.StoreErrorKind.UNREADABLE,
+        )
 
 
 class EndlessRequestTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/failure/test_late_replies.py
+++ b/tests/failure/test_late_replies.py
@@ -163,7 +163,8 @@
     async def test_ids_are_forgotten_after_the_deadline(self) -> None:
         """A connection in long use would hold the ids of all its requests."""
         self.target.script = self._accept
-        connection = await _http_connection.open_connection(self.entry.address)
+        host, _, port = self.entry.address.rpartition(':')
+        connection = await _http_connection.open_connection(host, int(port))
         for request_id, timeout_ms in (('a', 100.0), ('b', _TIMEOUT_MS)):
             await connection.exchange(
                 protocol.HttpRequest(
--- a/tests/unit/test_object_store.py
+++ b/tests/unit/test_object_store.py
@@ -27,7 +27,7 @@
         self.addAsyncCleanup(self.store.stop)
         clock = timers.LoopTimers()
         self.addCleanup(clock.close)
-        calls = transport.PooledStoreCalls(clock, address)
+        calls = transport.PooledStoreCalls(clock, f'http://{address}')
         self.addCleanup(calls.close)
         self.client = prepared_hosts.ObjectStore(calls)
 
--- a/tests/unit/test_platform_http.py
+++ b/tests/unit/test_platform_http.py
@@ -6,10 +6,21 @@
 from aiohttp import test_utils
 from aiohttp import web
 
+from samphiredock import timers
 from samphiredock import transport
 from standins import store
 
 
+def _make_platform(
+    case: unittest.TestCase, base_url: str
+) -> transport.HttpPlatform:
+    clock = timers.LoopTimers()
+    case.addCleanup(clock.close)
+    calls = transport.PooledStoreCalls(clock, base_url)
+    case.addCleanup(calls.close)
+    return transport.HttpPlatform(calls)
+
+
 class HostListTest(unittest.IsolatedAsyncioTestCase):
     """The host list is transferred only when it has changed."""
 
@@ -20,8 +31,7 @@
         self.server = test_utils.TestServer(application)
         await self.server.start_server()
         self.session = aiohttp.ClientSession()
-        url = str(self.server.make_url('/'))
-        self.platform = transport.HttpPlatform(self.session, url)
+        self.platform = _make_platform(self, str(self.server.make_url('/')))
 
     async def asyncTearDown(self) -> None:
         await self.session.close()
@@ -69,13 +79,10 @@
         self.runner = web.AppRunner(app, access_log=None)
         await self.runner.setup()
         await web.TCPSite(self.runner, '127.0.0.1', 0).start()
-        self.session = aiohttp.ClientSession()
-        self.platform = transport.HttpPlatform(
-            self.session, f'http://127.0.0.1:{self.runner.addresses[0][1]}'
-        )
+        port = self.runner.addresses[0][1]
+        self.platform = _make_platform(self, f'http://127.0.0.1:{port}')
 
     async def asyncTearDown(self) -> None:
-        await self.session.close()
         await self.runner.cleanup()
 
     async def _get(self, request: web.Request) -> web.Response:
@@ -137,12 +144,8 @@
 
         app = web.Application()
         app.router.add_route('*', '/{tail:.*}', reply_garbage)
-        async with (
-            test_utils.TestServer(app) as server,
-            aiohttp.ClientSession() as session,
-        ):
-            url = str(server.make_url('/'))
-            platform = transport.HttpPlatform(session, url)
+        async with test_utils.TestServer(app) as server:
+            platform = _make_platform(self, str(server.make_url('/')))
             calls = (
                 platform.get('k'),
                 platform.put('k', b'{}', 1),
