--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 import sys
+import typing
 
 import click
 
@@ -20,6 +21,7 @@
     hosts: int,
     planned: bool = False,
     logs: pathlib.Path | None = None,
+    only: typing.Collection[str] = (),
 ) -> list[str]:
     """Run one soak, print a summary, and return the problems found.
 
@@ -35,8 +37,10 @@
         Inject only planned work, such as drains and restarts.
     logs
         Directory to which the daemons' logs are copied.
+    only
+        Names of the faults to inject, instead of all or the planned ones.
     """
-    faults = _faults.PLANNED if planned else tuple(_faults.FAULTS)
+    faults = only or (_faults.PLANNED if planned else tuple(_faults.FAULTS))
     async with prepared_system.PreparedSystem(_run.SHARDS) as system:
         soak = _run.Soak(seed, hosts, system, faults)
         history = await soak.run(seconds)
@@ -69,6 +73,12 @@
 @click.option('--minutes', default=0.5, help='How long faults are injected.')
 @click.option('--hosts', default=3, help='Number of daemons.')
 @click.option('--planned', is_flag=True, help='Inject planned work only.')
+@click.option(
+    '--only',
+    type=click.Choice(sorted(_faults.FAULTS)),
+    multiple=True,
+    help='Inject this fault only; may be repeated.',
+)
 @click.option(
     '--logs',
     type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
@@ -79,10 +89,13 @@
     minutes: float,
     hosts: int,
     planned: bool,
+    only: tuple[str, ...],
     logs: pathlib.Path | None,
 ) -> None:
     """Soak the daemons that forward requests; exit 1 if a check fails."""
-    wrong = asyncio.run(run_soak(seed, minutes * 60.0, hosts, planned, logs))
+    wrong = asyncio.run(
+        run_soak(seed, minutes * 60.0, hosts, planned, logs, only)
+    )
     for problem in wrong[:20]:
         click.echo(problem)
     sys.exit(1 if wrong else 0)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,6 +10,7 @@
 import typing
 
 from soak import _links
+from standins import endless_bytes
 from standins import prepared_system
 
 
@@ -53,8 +54,12 @@
     {'Service': 'shard-1', 'Addr': 'nowhere', 'State': 'ready'},
     ['no', 'entry'],
     'text',
+    b'{"Version":' + b'[' * 2_000 + b']' * 2_000 + b'}',
+    b'{"Version":"\xff"}',
+    b'[NaN, 01]',
 )
-"""Invalid entries that another writer may leave in the target registry."""
+"""Invalid entries that another writer may leave in the target registry; those
+in bytes are not JSON, or nested too deeply for its decoders."""
 
 
 async def _kill(soak: SoakControl, for_s: float) -> None:
@@ -85,6 +90,24 @@
     target.lose_answers = False
 
 
+async def _endless_bytes(soak: SoakControl, for_s: float) -> None:
+    """Let targets write bytes without end."""
+    ways = [way for way in endless_bytes.REPLIES.values() if way[1]]
+    targets = [soak.draw_target() for _ in range(soak.rng.randint(1, 3))]
+    for target in targets:
+        target.endless = soak.rng.choice(ways)
+    await asyncio.sleep(for_s)
+    for target in targets:
+        target.endless = None
+
+
+async def _late_answers(soak: SoakControl, for_s: float) -> None:
+    target = soak.draw_target()
+    target.repeats_late = True
+    await asyncio.sleep(for_s)
+    target.repeats_late = False
+
+
 async def _slow_target(soak: SoakControl, for_s: float) -> None:
     target = soak.draw_target()
     target.delay_s = soak.rng.choice((0.1, 0.4, 3.0))
@@ -135,10 +158,14 @@
 
 
 async def _invalid_entry(soak: SoakControl, for_s: float) -> None:
+    store = soak.system.store
     entry = soak.rng.choice(_INVALID_ENTRIES)
-    soak.system.store.put('servers', 'foreign', entry)
+    if isinstance(entry, bytes):
+        store.put_raw('servers', 'foreign', entry)
+    else:
+        store.put('servers', 'foreign', entry)
     await asyncio.sleep(for_s)
-    soak.system.store.remove('servers', 'foreign')
+    store.remove('servers', 'foreign')
 
 
 async def _store_unavailable(soak: SoakControl, for_s: float) -> None:
@@ -204,6 +231,8 @@
     'daemons stop in series': _stop_series,
     'freeze daemon': _freeze,
     'target loses answers': _lose_answers,
+    'target writes without end': _endless_bytes,
+    'target answers twice': _late_answers,
     'target slow': _slow_target,
     'service silent': _silent_service,
     'target restarts': _restart_target,
--- a/standins/prepared_store.py
+++ b/standins/prepared_store.py
@@ -55,6 +55,8 @@
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
         self._cut = asyncio.Event()
+        # By the placeholder for them in the JSON of objects.
+        self._raw_values: dict[bytes, bytes] = {}
 
     async def start(self) -> str:
         """Start listening; return ``IP:port``."""
@@ -89,6 +91,12 @@
         self._revision += 1
         self._store_row(kind, name, row)
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose value is sent as it is, also if not JSON."""
+        token = f'raw value {len(self._raw_values)}'
+        self._raw_values[json.dumps(token).encode()] = spec
+        self.put(kind, name, token)
+
     def _store_row(self, kind: str, name: str, row: typing.Any) -> None:
         self._objects[kind, name] = row
         self._record_event(kind, row, False)
@@ -142,6 +150,16 @@
         response.headers['Store-Era'] = str(self.era)
         return response
 
+    def _json_response(
+        self, body: typing.Any, status: int = 200
+    ) -> web.Response:
+        content = json.dumps(body).encode()
+        for token, value in self._raw_values.items():
+            content = content.replace(token, value)
+        return web.Response(
+            body=content, status=status, content_type='application/json'
+        )
+
     async def _apply_fault(self, request: web.Request) -> web.Response | None:
         self.calls += 1
         if self.faults.silent:
@@ -174,7 +192,7 @@
             'HasMore': len(rows) > len(page),
             'CurrentRev': self._revision,
         }
-        return web.json_response(body)
+        return self._json_response(body)
 
     async def _watch(
         self, request: web.Request, kind: str
@@ -193,7 +211,7 @@
             ]
             left_s = ends_s - loop.time()
             if found or left_s <= 0:
-                return web.json_response(
+                return self._json_response(
                     {'events': found, 'CurrentRev': self._revision}
                 )
             waits = [
@@ -216,7 +234,7 @@
         body = json.loads(await request.read())
         name = body['meta']['Name']
         if (kind, name) in self._objects:
-            return web.json_response(self._objects[kind, name], status=409)
+            return self._json_response(self._objects[kind, name], status=409)
         self.put(kind, name, body['spec'])
         return self._write_response(request, kind, name)
 
@@ -229,17 +247,17 @@
         if held is None:
             return web.Response(status=404)
         if request.method == 'GET':
-            return web.json_response(held)
+            return self._json_response(held)
         if request.method == 'DELETE':
             wanted = int(request.query.get('Revision', 0))
         else:
             body = json.loads(await request.read())
             wanted = body['meta'].get('Revision', 0)
         if wanted and wanted != held['meta']['Revision']:
-            return web.json_response(held, status=409)
+            return self._json_response(held, status=409)
         if request.method == 'DELETE':
             self.remove(kind, name)
-            return web.json_response(held)
+            return self._json_response(held)
         self.put(kind, name, body['spec'])
         return self._write_response(request, kind, name)
 
@@ -249,7 +267,7 @@
         if self.faults.lose_writes:
             self.faults.lose_writes -= 1
             return _abort(request)
-        return web.json_response(self._objects[kind, name])
+        return self._json_response(self._objects[kind, name])
 
 
 def _abort(request: web.Request) -> web.Response:
--- a/standins/prepared_system.py
+++ b/standins/prepared_system.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import os
 import pathlib
@@ -19,10 +20,12 @@
 import aiohttp
 
 from standins import cluster
+from standins import endless_bytes
 from standins import prepared_store
 from standins import scripted_target
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
+_BLOCK_BYTES = 65_536
 _START_LIMIT_S = 20.0
 _STOP_LIMIT_S = 15.0
 _SHARE_LIMIT_S = 60.0
@@ -41,8 +44,10 @@
     Requests that arrive are appended to ``arrivals`` with the time in ms, the
     service and the id, those that it begins to run to ``log``.  It takes
     ``delay_s`` for each, and with ``lose_answers`` it resets the connection
-    instead of answering.  ``born`` is stated in its registry entry
-    and selects its records.
+    instead of answering.  With ``endless`` it writes bytes until the
+    connection is closed, with ``repeats_late`` each answer comes once more
+    before the next one on its connection.  ``born`` is stated in its registry
+    entry and selects its records.
     """
 
     def __init__(
@@ -58,6 +63,9 @@
         self.born = born
         self.delay_s = 0.0
         self.lose_answers = False
+        self.endless: endless_bytes.Way | None = None
+        self.repeats_late = False
+        self._late: dict[asyncio.StreamWriter, bytes] = {}
         self._ended = asyncio.Event()
         self._log = log
         self._arrivals = arrivals
@@ -95,14 +103,31 @@
         if self.lose_answers:
             scripted_target.reset(writer)
             return
+        if self.endless is not None:
+            await self._write_endless(writer, self.endless)
+            return
         receipt = f'{request_id}.{self.target_id}'
-        writer.write(
-            scripted_target.answer(
-                request_id,
-                self.records(),
-                headers={'Answer-Stamp': receipt},
-            )
+        answer = scripted_target.answer(
+            request_id, self.records(), headers={'Answer-Stamp': receipt}
         )
+        writer.write(self._late.pop(writer, b'') + answer)
+        if self.repeats_late:
+            self._late[writer] = answer
+
+    async def _write_endless(
+        self, writer: asyncio.StreamWriter, way: endless_bytes.Way
+    ) -> None:
+        """Write until the daemon closes the connection, or this target ends.
+
+        The fault may end before: the daemon must not depend on that.
+        """
+        first, repeated = way
+        block = repeated * max(1, _BLOCK_BYTES // len(repeated))
+        with contextlib.suppress(ConnectionError):
+            writer.write(first)
+            while not self._ended.is_set():
+                writer.write(block)
+                await writer.drain()
 
     async def _work(self) -> None:
         """Wait for ``delay_s``, or until the target is stopped."""
