Losses are explained by a refused content only when it has lost them

Cause: what runs beside a refused content at its targets is lost with them, so a content all of whose lost targets a refused one had lost, too, was not judged. Targets were compared by id, whenever they were lost; the two or three targets of a service keep their ids when they start again, so that after one refused content every later one was explained for a minute after its last loss. Evidence: test_content_is_refused_after_another_has_lost_its_targets, without a network, refuses the first content and none after it.

A loss is now explained only by a loss of the same start of the same target within the time that reports of one loss are spread over; notices state when the target had started, and a daemon that does not know goes by the time. A content is judged by the losses that are left. Refused contents do not explain each other's losses, or two at once would clear each other.

--- a/samphiredock/coordination/forwarding/_crash_evidence.py
+++ b/samphiredock/coordination/forwarding/_crash_evidence.py
@@ -37,18 +37,42 @@
 """Losses of one request are not spread wider than this.  A content that never
 pauses would otherwise count as one request for ever."""
 
+REPORT_SPREAD_MS = 2_000.0
+"""Reports of one target within this time are of one loss: daemons find it at
+different times, and their notices take as long as ``_NOTICE_TIMEOUT_MS``."""
+
 OUTAGE_MS = 2_000.0
 """Losses this close together may have one cause, such as a failing rack."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLoss:
-    """A target was lost at ``at_ms`` while it ran a content."""
+    """A target was lost at ``at_ms`` while it ran a content.
+
+    ``started_at_ms`` is when the target had started, by its own clock, 0 if
+    that is not known: it may start again under its id.
+    """
 
     at_ms: float
     fingerprint: str
     request_id: str
     target: str
+    started_at_ms: int = 0
+
+    def is_same_as(self, other: 'TargetLoss') -> bool:
+        """Whether both are reports of one loss, maybe of different contents.
+
+        A target that has started again is another one.
+        """
+        return (
+            self.target == other.target
+            and abs(self.at_ms - other.at_ms) < REPORT_SPREAD_MS
+            and not (
+                self.started_at_ms
+                and other.started_at_ms
+                and self.started_at_ms != other.started_at_ms
+            )
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +174,20 @@
     return count
 
 
+def without(
+    losses: typing.Iterable[TargetLoss], explained: typing.Iterable[TargetLoss]
+) -> list[TargetLoss]:
+    """Return the losses that are not among those explained otherwise."""
+    by_target: dict[str, list[TargetLoss]] = {}
+    for loss in explained:
+        by_target.setdefault(loss.target, []).append(loss)
+    return [
+        loss
+        for loss in losses
+        if not any(map(loss.is_same_as, by_target.get(loss.target, ())))
+    ]
+
+
 def contents_per_loss(losses: typing.Iterable[TargetLoss]) -> float:
     """Return the mean number of contents under which a target was lost."""
     pairs = {(loss.target, loss.fingerprint) for loss in losses}
--- a/samphiredock/coordination/forwarding/_crash_guard.py
+++ b/samphiredock/coordination/forwarding/_crash_guard.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import itertools
 import typing
 
 import msgspec
@@ -24,10 +25,6 @@
 EXPIRY_MS = 60_000.0
 """How long a content is remembered, and refused, after its last loss."""
 
-REPORT_SPREAD_MS = 2_000.0
-"""Reports of one target within this time are of one loss: daemons find it at
-different times, and their notices take as long as ``_NOTICE_TIMEOUT_MS``."""
-
 _MAX_LOSSES = 1_000
 """Losses of all contents that are kept; the oldest are dropped."""
 
@@ -41,7 +38,8 @@
 
     ``reporter`` is the daemon that found it.  ``succeeded`` are its recent
     requests with this content that ended well, ``route_succeeded`` those of
-    the content's route.
+    the content's route.  ``started_at_ms`` is when the target had started, in
+    ms since the epoch, 0 if that is not known.
     """
 
     fingerprint: str
@@ -50,6 +48,7 @@
     reporter: str = ''
     succeeded: int = 0
     route_succeeded: int = 0
+    started_at_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,28 +73,28 @@
         """Return when the last target was lost."""
         return self.losses[-1].at_ms
 
-    def basis(self, succeeded: int) -> tuple[int, int, int]:
+    def basis(
+        self, losses: list[_crash_evidence.TargetLoss], succeeded: int
+    ) -> tuple[int, int, int]:
         """Return what must change for a new decision.
 
-        These are the separate requests, whether enough targets were lost, and
-        the requests that ended well, ``succeeded`` of them at this daemon.
+        These are, among the losses that count, the separate requests and
+        whether enough targets were lost, and the requests that ended well,
+        ``succeeded`` of them at this daemon.
         """
         return (
-            len(_crash_evidence.separate_requests(self.losses)),
-            min(len(self.targets()), _crash_evidence.MIN_TARGETS),
+            len(_crash_evidence.separate_requests(losses)),
+            min(len(_targets(losses)), _crash_evidence.MIN_TARGETS),
             succeeded + sum(count for count, _ in self.counts.values()),
         )
 
-    def targets(self) -> set[str]:
-        """Return the targets that were lost."""
-        return {loss.target for loss in self.losses}
+    def has(self, loss: _crash_evidence.TargetLoss) -> bool:
+        """Whether a loss was reported before, by another daemon."""
+        return any(map(loss.is_same_as, self.losses))
 
-    def is_repeated(self, target: str, now_ms: float) -> bool:
-        """Whether a loss of this target was reported a moment ago."""
-        return any(
-            loss.target == target and now_ms - loss.at_ms < REPORT_SPREAD_MS
-            for loss in self.losses
-        )
+
+def _targets(losses: typing.Iterable[_crash_evidence.TargetLoss]) -> set[str]:
+    return {loss.target for loss in losses}
 
 
 def fingerprint_of(request: protocol.ForwardRequest) -> str:
@@ -160,10 +159,14 @@
         if loss.reporter and loss.reporter != self._name:
             counts = (loss.succeeded, loss.route_succeeded)
             content.counts[loss.reporter] = counts
-        if not content.is_repeated(loss.target, now_ms):
-            row = _crash_evidence.TargetLoss(
-                now_ms, loss.fingerprint, loss.request_id, loss.target
-            )
+        row = _crash_evidence.TargetLoss(
+            now_ms,
+            loss.fingerprint,
+            loss.request_id,
+            loss.target,
+            loss.started_at_ms,
+        )
+        if not content.has(row):
             content.losses.append(row)
             self._losses.append(row)
             _log.info(
@@ -173,11 +176,12 @@
                 target=loss.target,
                 reporter=loss.reporter,
             )
+        losses = self._own_losses(content)
         succeeded, _ = self._counts.of(loss.fingerprint)
-        basis = content.basis(succeeded)
-        if basis != content.decided_by and not self._is_explained(content):
+        basis = content.basis(losses, succeeded)
+        if losses and basis != content.decided_by:
             content.decided_by = basis
-            self._decide(loss.fingerprint, content)
+            self._decide(loss.fingerprint, content, losses)
 
     def refusal(
         self, request: protocol.ForwardRequest
@@ -193,29 +197,42 @@
             return None
         return protocol.NotRun(
             protocol.NotRunReason.QUARANTINED,
-            f'{len(content.targets())} targets were lost while they ran '
-            'this content',
+            f'{len(_targets(content.losses))} targets were lost while they '
+            'ran this content',
             int(left_ms),
         )
 
-    def _is_explained(self, content: _Content) -> bool:
-        """Whether a refused content crashed all targets lost under this one.
+    def _own_losses(
+        self, content: _Content
+    ) -> list[_crash_evidence.TargetLoss]:
+        """Return the losses that no refused content explains.
 
-        What runs beside it at its targets is lost with them.
+        What runs beside a refused content at its targets is lost with them.
+        That is so for the losses of the refused content only, not for what is
+        lost later at a target of the same id.
         """
-        return any(
-            other.is_refused and content.targets() <= other.targets()
+        if content.is_refused:
+            # Two refused contents must not clear each other.
+            return content.losses
+        explained = itertools.chain.from_iterable(
+            other.losses
             for other in self._contents.values()
-            if other is not content
+            if other.is_refused
         )
+        return _crash_evidence.without(content.losses, explained)
 
-    def _decide(self, fingerprint: str, content: _Content) -> None:
+    def _decide(
+        self,
+        fingerprint: str,
+        content: _Content,
+        losses: list[_crash_evidence.TargetLoss],
+    ) -> None:
         """Refuse a content, or serve it again, by the evidence now known.
 
         Losses of other causes do not clear a content that is refused; only
         requests that ended well do.
         """
-        evidence = self._evidence(fingerprint, content)
+        evidence = self._evidence(fingerprint, content, losses)
         was_refused = content.is_refused
         if was_refused:
             evidence = dataclasses.replace(evidence, other_losses=0)
@@ -229,18 +246,20 @@
             if content.is_refused
             else 'content is no longer refused',
             fingerprint=fingerprint,
-            losses=self._describe(content.losses[-_LOGGED_LOSSES:]),
+            losses=self._describe(losses[-_LOGGED_LOSSES:]),
             for_ms=EXPIRY_MS if content.is_refused else 0.0,
             chance=evidence.chance(),
             **dataclasses.asdict(evidence),
         )
 
     def _evidence(
-        self, fingerprint: str, content: _Content
+        self,
+        fingerprint: str,
+        content: _Content,
+        losses: list[_crash_evidence.TargetLoss],
     ) -> _crash_evidence.Evidence:
-        losses = content.losses
         requests = len(_crash_evidence.separate_requests(losses))
-        targets = len(content.targets())
+        targets = len(_targets(losses))
         if requests < _crash_evidence.MIN_REQUESTS:
             return _crash_evidence.Evidence(requests, targets)
         counts = [self._counts.of(fingerprint), *content.counts.values()]
--- a/samphiredock/coordination/forwarding/_target_client.py
+++ b/samphiredock/coordination/forwarding/_target_client.py
@@ -164,6 +164,7 @@
                 _crash_guard.fingerprint_of(request),
                 request.request_id,
                 target_id,
+                started_at_ms=target.started_at_ms,
             )
         )
 
--- a/tests/failure/test_crash_evidence.py
+++ b/tests/failure/test_crash_evidence.py
@@ -51,17 +51,30 @@
             self.guards[daemon].record_success(request(path), 'route')
 
     def lose(
-        self, path: str, *targets: str, daemon: int = 0, deliver: bool = True
+        self,
+        path: str,
+        *targets: str,
+        daemon: int = 0,
+        deliver: bool = True,
+        started_at_ms: int = 0,
     ) -> None:
         """Let one request lose targets at a daemon."""
         content = forwarding.fingerprint_of(request(path))
         request_id = f'r{next(self._numbers)}'
+        start = {'started_at_ms': started_at_ms} if started_at_ms else {}
         for target in targets:
-            loss = forwarding.Loss(content, request_id, target)
+            loss = forwarding.Loss(content, request_id, target, **start)
             self.guards[daemon].report_loss(loss)
         if deliver:
             self.deliver()
 
+    def restart(self, daemon: int) -> None:
+        """Restart a daemon, which then knows of no loss."""
+        old = self.guards[daemon]
+        self.guards[daemon] = forwarding.CrashGuard(
+            self.clock, old._metrics, old._broadcast, old._name
+        )
+
     def deliver(self) -> None:
         """Deliver the notices sent so far to all other daemons."""
         notices, self.notices = self.notices, []
@@ -331,6 +344,73 @@
         for path in ('/poison-1', '/poison-2'):
             self.assertEqual(3, self.fleet.refusing(path))
 
+    def test_content_is_refused_after_another_has_lost_its_targets(
+        self,
+    ) -> None:
+        """Each later crashing content was served for ever.
+
+        The targets of a service keep their ids when they start again, and a
+        refused content had lost all of them.
+        """
+        targets = ('t1', 't2', 't3')
+        for number in range(4):
+            self.fleet.lose('/first', *targets[:2], daemon=number % 3)
+            self.fleet.advance(1_000.0)
+            self.fleet.lose('/first', targets[2], daemon=number % 3)
+            self.fleet.advance(3_000.0)
+        self.assertEqual(3, self.fleet.refusing('/first'))
+        for path in ('/second', '/third'):
+            for number in range(2):
+                self.fleet.lose(path, *targets[number:][:2], daemon=number)
+                self.fleet.advance(3_500.0)
+            self.assertEqual(3, self.fleet.refusing(path))
+        self.assertEqual(3, self.fleet.refusing('/first'))
+
+    def test_crashing_contents_at_once_are_refused(self) -> None:
+        """A content hid behind another one that is sent at the same time.
+
+        Two or three contents crash the targets of one service, which are back
+        under their ids after 1 to 10 s.  A daemon is restarted amid them.
+        """
+        for count, back_ms in itertools.product((2, 3), (1_000.0, 10_000.0)):
+            with self.subTest(count=count, back_ms=back_ms):
+                fleet = self._busy_fleet()
+                paths = [f'/poison-{number}' for number in range(count)]
+                for turn in range(8):
+                    for number, path in enumerate(paths):
+                        if fleet.refusing(path) == 3:
+                            continue
+                        pair = (f't{(turn + number) % 3}', f't{number}')
+                        fleet.lose(
+                            path,
+                            *pair,
+                            daemon=number,
+                            started_at_ms=turn * 9 + number,
+                        )
+                        fleet.advance(back_ms)
+                    if turn == 1:
+                        fleet.restart(0)
+                for path in paths:
+                    self.assertGreaterEqual(fleet.refusing(path), 2)
+
+    def test_what_runs_beside_a_refused_content_is_served(self) -> None:
+        """Callers of a usual content were refused for another one's crashes.
+
+        The losses of the refused content go on while daemons learn of it.
+        """
+        self.fleet.bad_requests_until_refused('/poison')
+        for number in range(6):
+            target = f't{number % 3}'
+            self.fleet.lose(
+                '/poison', target, daemon=2, started_at_ms=number + 1
+            )
+            self.fleet.advance(500.0)
+            self.fleet.lose(
+                '/rare', target, daemon=1, started_at_ms=number + 1
+            )
+            self.fleet.advance(4_000.0)
+        self.assertEqual(0, self.fleet.refusing('/rare'))
+
     def test_content_is_refused_while_a_rack_dies(self) -> None:
         """An outage hid a content that crashes targets."""
         for number in range(20):
