Blank lines behind a request, incomplete listings, callbacks that raise

Found by reading the changes again. Blank lines behind a request that is being answered were not counted until it was answered; a listing that ends at a page without any name was taken for complete by readers of stale lists, or for a success without objects; an exception of on_chunk was unwrapped like a passed limit. Tests: blank lines behind a request are refused after at most 192 KiB, where they were read on; scans and watches of such a listing fail.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -166,10 +166,10 @@
         except httptools.HttpParserError as error:
             detail = str(error) or repr(error)
             self._refuse(_caller_request.Refusal(_BAD_REQUEST, detail))
-        if self._in_head or self._is_idle():
-            self._limit_head()
-        elif self._partial_request is not None:
+        if self._partial_request is not None and not self._in_head:
             self._refuse_if_too_large(self._partial_request)
+        else:
+            self._limit_head()
         self._answer_next()
 
     def _discard(self, size_bytes: int) -> None:
@@ -193,8 +193,13 @@
         return not (self._answer_task or self._queued or self._partial_request)
 
     def _limit_head(self) -> None:
-        """Limit the size of an incomplete head, and start its time limit."""
-        if self._head_since_ms is None:
+        """Limit the size of an incomplete head, and start its time limit.
+
+        Blank lines before a head count as well, also while an earlier request
+        is answered.
+        """
+        is_due = self._in_head or self._is_idle()
+        if is_due and self._head_since_ms is None:
             self._head_since_ms = self._clock.now_ms()
         limits = self._callbacks.limits()
         limit = limits.header_bytes + _caller_request.HEAD_SLACK_BYTES
--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -100,7 +100,9 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
-            raise (error.__context__ or error) from None
+            if isinstance(error.__context__, _reply_limits.LimitExceeded):
+                raise error.__context__ from None
+            raise
 
     def close(self) -> None:
         """Drop what was received."""
--- a/tests/failure/test_endless_bytes.py
+++ b/tests/failure/test_endless_bytes.py
@@ -295,6 +295,19 @@
                 self.assertIn((await self._answer())[9:12], _REFUSALS)
                 self.assertEqual([], self.handled)
 
+    async def test_blank_lines_behind_a_request_are_limited(self) -> None:
+        """They were read on for as long as the request took."""
+        self.connection.data_received(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        read_bytes = 0
+        for block in _blocks(endless_bytes.REQUESTS['blank lines']):
+            if self.connection._reading_ended:
+                break
+            read_bytes += len(block)
+            self.connection.data_received(block)
+        self.assertLessEqual(read_bytes, 3 * _BLOCK_BYTES)
+        answer = await self._answer()
+        self.assertLess(answer.index(b' 200 '), answer.index(b' 431 '))
+
     async def test_reading_pauses_after_a_refusal(self) -> None:
         """Reading on for half a second kept the event loop busy."""
         for block in _blocks(endless_bytes.REQUESTS['trailers']):
--- a/tests/failure/test_malformed_entries.py
+++ b/tests/failure/test_malformed_entries.py
@@ -156,10 +156,17 @@
 
     async def test_page_without_any_name_is_not_complete(self) -> None:
         """Servers on later pages were taken for gone."""
+        first = b'{"items":[%b],"HasMore":true,"CurrentRev":7}' % _good('a')
         body = b'{"items":[NaN, {"meta":1}],"HasMore":true,"CurrentRev":7}'
-        page = await self._watch(0, body)
+        page = await self._watch(0, first, body)
+        self.assertEqual(['servers/a'], self._names(page))
         self.assertFalse(page.whole)
         self.assertEqual(0, page.position)
+        for bodies in ((first, body), (body,)):
+            client = prepared_hosts.ObjectStore(_Calls(*bodies))
+            reply = await client.scan('servers/')
+            kind = reply.failure().kind
+            self.assertIs(transport.StoreErrorKind.UNREADABLE, kind)
 
     async def test_rows_are_used_without_a_revision(self) -> None:
         """A revision of another type hid all entries."""
