--- a/samphiredock/transport/_connection_pool.py
+++ b/samphiredock/transport/_connection_pool.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import math
 import typing
 
@@ -13,6 +12,7 @@
 from samphiredock import timers
 from samphiredock.transport import _http_connection
 from samphiredock.transport import _link_errors
+from samphiredock.transport import _target_pool
 
 CONNECT_TIMEOUT_MS = 300.0
 """Shorter than TCP's first SYN retransmission after 1 s, which would be too
@@ -46,14 +46,6 @@
 _MIN_DROPPED_IDLE_MS = 100.0
 """A connection that was idle for less is not assumed to have been dropped."""
 
-_LEARNED_LIMIT_FRACTION = 0.8
-"""Learned idle limit, as a fraction of the idle time after which a connection
-was found dropped."""
-
-_LEARNED_LIMIT_TTL_MS = 10_000.0
-"""How long a learned idle limit holds; a target may be replaced by one with
-another limit."""
-
 _Kind = _link_errors.LinkErrorKind
 
 _Connect = typing.Callable[
@@ -66,62 +58,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _IdleConnection:
-    """A connection without a running exchange: pooled, or about to be used.
-
-    ``idle_since_ms`` is when it was opened or last used; it is not reused
-    from ``expires_ms`` on, since the target may be closing it.
-    ``was_pooled`` is False for a connection that was just opened for an
-    exchange and has never been in the pool.
-    """
-
-    connection: _http_connection.HttpConnection
-    idle_since_ms: float
-    expires_ms: float
-    was_pooled: bool = False
-
-
-class _TargetPool:
-    """The connections to one target.
-
-    Some targets drop idle connections without closing them.
-    ``learned_limit_ms`` is an idle time shorter than the one after which a
-    connection was found dropped; it applies until ``learned_until_ms``.
-    """
-
-    def __init__(self) -> None:
-        self.idle: list[_IdleConnection] = []
-        self.open_count = 0
-        self.learned_limit_ms = math.inf
-        self.learned_until_ms = 0.0
-        self.waiters: collections.deque[asyncio.Future] = collections.deque()
-
-    def wake(self) -> None:
-        """Wake the exchange at the head of the queue."""
-        while self.waiters:
-            waiter = self.waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
-
-    def learn_idle_limit(self, idle_ms: float, now_ms: float) -> None:
-        """Lower the idle limit: one idle for this long was found dropped."""
-        known_ms = self.idle_limit_ms(now_ms)
-        self.learned_limit_ms = min(
-            known_ms, idle_ms * _LEARNED_LIMIT_FRACTION
-        )
-        self.learned_until_ms = now_ms + _LEARNED_LIMIT_TTL_MS
-
-    def idle_limit_ms(self, now_ms: float) -> float:
-        """Return how long a connection may be idle and still be reused."""
-        return (
-            self.learned_limit_ms
-            if now_ms < self.learned_until_ms
-            else math.inf
-        )
-
-
 class ConnectionPool:
     """Keeps HTTP connections open for reuse, up to a limit for each target.
 
@@ -146,8 +82,8 @@
         self._clock = clock
         self._limit = limit
         self._connect_to = connect or _connect_to_address
-        self._pools: dict[str, _TargetPool] = collections.defaultdict(
-            _TargetPool
+        self._pools: dict[str, _target_pool.TargetPool] = (
+            collections.defaultdict(_target_pool.TargetPool)
         )
 
     async def exchange(
@@ -259,13 +195,13 @@
 
     async def _acquire(
         self,
-        pool: _TargetPool,
+        pool: _target_pool.TargetPool,
         target: state.LiveTarget,
         ends_ms: float,
         request_id: str,
         max_idle_ms: float,
         is_wanted: typing.Callable[[], bool],
-    ) -> _IdleConnection | _link_errors.LinkError:
+    ) -> _target_pool.IdleConnection | _link_errors.LinkError:
         """Return a pooled connection or a new one."""
         has_waited = False
         while True:
@@ -295,8 +231,11 @@
                 return _NOT_WANTED
 
     def _take_idle(
-        self, pool: _TargetPool, request_id: str, max_idle_ms: float
-    ) -> _IdleConnection | None:
+        self,
+        pool: _target_pool.TargetPool,
+        request_id: str,
+        max_idle_ms: float,
+    ) -> _target_pool.IdleConnection | None:
         """Remove and return an idle connection that may carry a request.
 
         It is the one used last of those that have not carried an earlier
@@ -315,7 +254,7 @@
         return None
 
     async def _wait(
-        self, pool: _TargetPool, ends_ms: float, has_waited: bool
+        self, pool: _target_pool.TargetPool, ends_ms: float, has_waited: bool
     ) -> None:
         """Wait until woken, at most until the next check is due."""
         waiter = asyncio.get_running_loop().create_future()
@@ -345,20 +284,20 @@
         self,
         connection: _http_connection.HttpConnection,
         keepalive_ms: float | None,
-    ) -> _IdleConnection:
+    ) -> _target_pool.IdleConnection:
         now_ms = self._clock.now_ms()
         limit_ms = (
             _DEFAULT_IDLE_LIMIT_MS if keepalive_ms is None else keepalive_ms
         )
-        return _IdleConnection(
+        return _target_pool.IdleConnection(
             connection, now_ms, now_ms + limit_ms - _IDLE_MARGIN_MS
         )
 
     def _put_back(
         self,
-        pool: _TargetPool,
+        pool: _target_pool.TargetPool,
         target: state.LiveTarget,
-        idle: _IdleConnection,
+        idle: _target_pool.IdleConnection,
     ) -> None:
         """Put an acquired but unused connection back into the pool."""
         if (
@@ -371,10 +310,10 @@
             pool.open_count -= 1
         pool.wake()
 
-    def _idle_ms(self, idle: _IdleConnection) -> float:
+    def _idle_ms(self, idle: _target_pool.IdleConnection) -> float:
         return self._clock.now_ms() - idle.idle_since_ms
 
-    def _drop_stale(self, pool: _TargetPool) -> None:
+    def _drop_stale(self, pool: _target_pool.TargetPool) -> None:
         """Close connections that must not be reused.
 
         Begins at the most recently used one, which is also reused first, and
@@ -384,7 +323,9 @@
             pool.idle.pop().connection.close()
             pool.open_count -= 1
 
-    def _is_usable(self, pool: _TargetPool, idle: _IdleConnection) -> bool:
+    def _is_usable(
+        self, pool: _target_pool.TargetPool, idle: _target_pool.IdleConnection
+    ) -> bool:
         now_ms = self._clock.now_ms()
         return (
             idle.connection.is_open
@@ -393,7 +334,10 @@
         )
 
     async def _connect(
-        self, pool: _TargetPool, target: state.LiveTarget, ends_ms: float
+        self,
+        pool: _target_pool.TargetPool,
+        target: state.LiveTarget,
+        ends_ms: float,
     ) -> _http_connection.HttpConnection | _link_errors.LinkError:
         pool.open_count += 1
         connected = False
@@ -417,7 +361,7 @@
 
     def _release(
         self,
-        pool: _TargetPool,
+        pool: _target_pool.TargetPool,
         target: state.LiveTarget,
         connection: _http_connection.HttpConnection,
         keepalive_ms: float | None,
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -10,7 +10,6 @@
 import contextlib
 import contextvars
 import dataclasses
-import http
 import typing
 
 import httptools
@@ -21,6 +20,7 @@
 from samphiredock import state
 from samphiredock import timers
 from samphiredock.transport import _caller_request
+from samphiredock.transport import _reply_encoding
 
 LINGER_MS = 500.0
 """How long a connection is still read after its last reply was written.  A
@@ -41,7 +41,6 @@
 
 _BAD_REQUEST = 400
 _TIMED_OUT = 408
-_BODILESS = frozenset({204, 304})
 
 _EXPECT_CONTINUE = b'100-continue'
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -61,8 +60,6 @@
 """Whether the request that a handler answers came behind another one on its
 connection: then it is unknown when its caller sent it."""
 
-_LAST_CHUNK = b'0\r\n\r\n'
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryCallbacks:
@@ -447,7 +444,7 @@
             return
         is_last = self._is_last_reply(request)
         if isinstance(reply, protocol.HttpReply):
-            self._write(_encode(request, reply, is_last))
+            self._write(_reply_encoding.encode(request, reply, is_last))
         if is_last:
             self._close_after_reply()
             return
@@ -477,17 +474,17 @@
         reply: protocol.StreamedReply,
     ) -> bool:
         """Write a streamed reply piece by piece; return False if it failed."""
-        self._write(_encode_stream_head(reply))
+        self._write(_reply_encoding.encode_stream_head(reply))
         try:
             async with contextlib.aclosing(reply.pieces) as pieces:
                 async for piece in pieces:
-                    self._write(b'%x\r\n%b\r\n' % (len(piece), piece))
+                    self._write(_reply_encoding.encode_chunk(piece))
         except Exception as error:
             self._metrics.add('http_handler_failures', interface='entry')
             path = request.path.decode('latin-1')
             _log.error('handler failed', path=path, why=repr(error))
             return False
-        self._write(_LAST_CHUNK)
+        self._write(_reply_encoding.LAST_CHUNK)
         return True
 
     async def _make_reply(
@@ -536,40 +533,3 @@
             self._clock.after(LINGER_MS, self._end_lingering)
             return
         transport.close()
-
-
-def _head_lines(
-    reply: protocol.HttpReply | protocol.StreamedReply,
-) -> list[str]:
-    lines = [f'HTTP/1.1 {reply.status} {_phrase(reply.status)}']
-    return lines + [f'{name}: {value}' for name, value in reply.headers]
-
-
-def _encode_stream_head(reply: protocol.StreamedReply) -> bytes:
-    lines = [*_head_lines(reply), 'Transfer-Encoding: chunked']
-    return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
-
-
-def _encode(
-    request: _caller_request.CallerRequest,
-    reply: protocol.HttpReply,
-    is_last: bool,
-) -> bytes:
-    lines = _head_lines(reply)
-    body = reply.body
-    if request.method == 'HEAD' or reply.status in _BODILESS:
-        body = b''
-    else:
-        lines.append(f'Content-Length: {len(body)}')
-    if is_last:
-        lines.append('Connection: close')
-    elif request.version == '1.0':
-        lines.append('Connection: keep-alive')
-    return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + body
-
-
-def _phrase(status: int) -> str:
-    try:
-        return http.HTTPStatus(status).phrase
-    except ValueError:
-        return 'Unknown'
