--- a/samphiredock/transport/_reply_limits.py
+++ b/samphiredock/transport/_reply_limits.py
@@ -8,7 +8,7 @@
 """Bodies that are being received from all targets together.  A host has
 160 MB of memory."""
 
-UNSHARED_BODY_BYTES = 64 * 1024
+UNSHARED_BODY_BYTES = 256 * 1024
 """A body up to this size is received whatever the others take."""
 
 HEAD_LIMIT_BYTES = 65_536
--- a/tests/failure/test_malformed_entries.py
+++ b/tests/failure/test_malformed_entries.py
@@ -168,6 +168,20 @@
             kind = reply.failure().kind
             self.assertIs(transport.StoreErrorKind.UNREADABLE, kind)
 
+    async def test_page_of_unknown_end_is_not_complete(self) -> None:
+        """Servers that the rest of the page listed were taken for gone."""
+        for end in (
+            b'{"meta":{"Name":"m"},"spec":"',
+            b'{"a":1}],"HasMore":1}',
+        ):
+            with self.subTest(end):
+                page = await self._watch(
+                    0, b'{"items":[%b,%b' % (_good('a'), end)
+                )
+                self.assertEqual(['servers/a'], self._names(page))
+                self.assertFalse(page.whole)
+                self.assertEqual(0, page.position)
+
     async def test_rows_are_used_without_a_revision(self) -> None:
         """A revision of another type hid all entries."""
         for revision in (b'"7"', b'null', b'[]', b'7.5', b'1e400', b'[' * 9):
