Process test of endless bytes; the soak's callers write them, too

A daemon with one endless target of each service: what may be repeated is served whole by another target, a payment runs once and gets 200 or 502.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import signal
 import typing
@@ -44,6 +45,8 @@
 NEVER_S = 3_600.0
 """A service time longer than any run: the target never answers."""
 
+_BLOCK_BYTES = 65_536
+
 _SILENT_S = (4.0, NEVER_S)
 """Service times longer than ``_run.STOP_LIMIT_S``."""
 
@@ -101,6 +104,25 @@
         target.endless = None
 
 
+async def _endless_request(soak: SoakControl, for_s: float) -> None:
+    """Let a caller write bytes without end to a daemon."""
+    name = soak.draw_running()
+    if name is None:
+        return
+    ways = [way for way in endless_bytes.REQUESTS.values() if way[1]]
+    first, repeated = soak.rng.choice(ways)
+    block = repeated * max(1, _BLOCK_BYTES // len(repeated))
+    host, _, port = soak.system.caller_addresses[name].rpartition(':')
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(for_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+            with contextlib.closing(writer):
+                writer.write(first)
+                while True:
+                    writer.write(block)
+                    await writer.drain()
+
+
 async def _late_answers(soak: SoakControl, for_s: float) -> None:
     target = soak.draw_target()
     target.repeats_late = True
@@ -232,6 +254,7 @@
     'freeze daemon': _freeze,
     'target loses answers': _lose_answers,
     'target writes without end': _endless_bytes,
+    'caller writes without end': _endless_request,
     'target answers twice': _late_answers,
     'target slow': _slow_target,
     'service silent': _silent_service,
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -6,6 +6,7 @@
 import unittest
 
 from standins import cluster
+from standins import endless_bytes
 from standins import prepared_system
 
 
@@ -71,6 +72,32 @@
         self.assertEqual(502, status)
         self.assertEqual(1, len(self.system.runs_of('p1')))
 
+    async def test_endless_bytes_of_a_target_cost_no_answer(self) -> None:
+        """Every request that met such a target waited until its timeout.
+
+        Another target serves what may be repeated; a payment is not repeated,
+        since it may have run; no answer has a part of what was written.
+        """
+        await self.system.start_daemon('one', first_start=True)
+        await self.system.wait_share('one')
+        ways = [row for row in endless_bytes.REPLIES.items() if row[1][1]]
+        for number, (name, way) in enumerate(ways):
+            with self.subTest(name):
+                for target in ('desk-0', 'shard-1-0'):
+                    self.system.targets[target].endless = way
+                for path in ('/fetch/x', '/search/x'):
+                    status, headers, _ = await self.system.ask(
+                        'one', path, f'{path}-{number}'
+                    )
+                    self.assertEqual(200, status)
+                    self.assertEqual('0', headers.get('Missing-Parts', '0'))
+                request_id = f'pay-{number}'
+                status, _, _ = await self.system.ask(
+                    'one', '/pay/x', request_id, 'POST'
+                )
+                self.assertIn(status, (200, 502))
+                self.assertEqual(1, len(self.system.runs_of(request_id)))
+
     async def test_a_leaving_target_gets_no_new_work(self) -> None:
         """A target whose entry is draining gets no requests."""
         await self.system.start_daemon('one')
