An unreadable store is unavailable to operators, not an internal error

The new kind of store error had no meaning for the operators' interface: such a call ended with KeyError, status 500. A test compares the kinds. The clients of a store at an https URL get a test, too.

--- a/samphiredock/daemon/_operator_handler.py
+++ b/samphiredock/daemon/_operator_handler.py
@@ -18,6 +18,7 @@
     transport.StoreErrorKind.CONFLICT: _Kind.UNAVAILABLE,
     transport.StoreErrorKind.UNAVAILABLE: _Kind.UNAVAILABLE,
     transport.StoreErrorKind.LOST: _Kind.UNKNOWN,
+    transport.StoreErrorKind.UNREADABLE: _Kind.UNAVAILABLE,
     transport.StoreErrorKind.REFUSED: _Kind.BAD_REQUEST,
 }
 
--- a/tests/unit/test_operator_handler.py
+++ b/tests/unit/test_operator_handler.py
@@ -92,6 +92,17 @@
             0, 'mine', 'operator', base_files.example_base(), {}, repeated
         )
 
+    def test_every_error_of_a_call_has_a_meaning(self) -> None:
+        """An operator got an internal error for an unreadable store."""
+        of_watches = {
+            transport.StoreErrorKind.FORGOTTEN,
+            transport.StoreErrorKind.ROLLED_BACK,
+        }
+        self.assertEqual(
+            set(transport.StoreErrorKind) - of_watches,
+            set(_operator_handler._STORE_ERRORS),
+        )
+
     async def test_change_not_written(self) -> None:
         """A change that waits for a read is not made, now or later."""
         handler = self._make('get')
--- a/tests/unit/test_platform_http.py
+++ b/tests/unit/test_platform_http.py
@@ -1,10 +1,13 @@
 """The client of the platform's object store."""
 
+import ssl
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import test_utils
 from aiohttp import web
+import trustme
 
 from samphiredock import timers
 from samphiredock import transport
@@ -157,3 +160,31 @@
             for call in calls:
                 error = (await call).failure()
                 self.assertIs(transport.StoreErrorKind.LOST, error.kind)
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """A store at an ``https://`` URL with a path."""
+
+    async def test_store_is_read_over_tls(self) -> None:
+        """The certificate is checked against the authorities of the system."""
+        authority = trustme.CA()
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        authority.issue_cert('127.0.0.1').configure_cert(context)
+
+        async def reply(request: web.Request) -> web.Response:
+            return web.Response(headers={'X-Object-Version': '7'})
+
+        app = web.Application()
+        app.router.add_get('/below/objects/k', reply)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, '127.0.0.1', 0, ssl_context=context).start()
+        url = f'https://127.0.0.1:{runner.addresses[0][1]}/below/'
+        error = (await _make_platform(self, url).get('k')).failure()
+        self.assertIs(transport.StoreErrorKind.UNAVAILABLE, error.kind)
+        with authority.cert_pem.tempfile() as path:
+            with mock.patch.dict('os.environ', SSL_CERT_FILE=path):
+                platform = _make_platform(self, url)
+        for _ in range(2):
+            self.assertEqual(7, (await platform.get('k')).unwrap().version)
