--- a/review/entry_system.py
+++ b/review/entry_system.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import signal
 import subprocess
 import time
 import tomllib
@@ -23,11 +24,12 @@
 FIRST_ZONE = 'bole-a'
 SECOND_ZONE = 'kirkos-b'
 
-LIMIT_S = 108.0
+LIMIT_S = 112.0
 """Longest run of a script, from the start of the servers on."""
 
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
-"""Exit statuses of a script."""
+HELD, BROKEN, CANNOT_RUN = 0, 10, 2
+"""Exit statuses of a case.  An interpreter that fails exits with 1, so
+``run.sh`` turns ``BROKEN`` into 1 and the rest into 2."""
 
 _ENTRY = tomllib.loads((ROOT / 'deploy/system.toml').read_text())['roles'][
     'entry'
@@ -54,6 +56,27 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+class Case(typing.Protocol):
+    """What a script does and checks.
+
+    ``rows`` are the lines of its record.
+    """
+
+    rows: list[str]
+
+    async def set_up(self) -> None:
+        """Start the servers and daemons."""
+
+    async def run(self) -> None:
+        """Send the requests, with the disruption if it is wanted."""
+
+    def is_broken(self) -> bool:
+        """Whether the rule was broken."""
+
+    def summary(self) -> list[str]:
+        """Return what was seen, for the end of the record."""
+
+
 class EntrySystem(prepared_system.PreparedSystem):
     """A store, servers and daemons; use as an async context manager."""
 
@@ -69,7 +92,7 @@
         service: str,
         zone: str,
         work_s: typing.Callable[[], float],
-        **options: float,
+        **options: int,
     ) -> shard_server.ShardServer:
         """Start a server and write its registry entry."""
         server = shard_server.ShardServer(
@@ -104,6 +127,13 @@
         """Start a daemon and wait until it is ready."""
         await super().start_daemon(name, **(SETTINGS | settings))
 
+    def runs_seen(self) -> list[str]:
+        """Return a line for each event at a server."""
+        return [
+            f'{at_s - self.started_s:.3f} s {request_id} {what} {server}'
+            for at_s, what, request_id, server in self.events
+        ]
+
     def launch_daemon(self, name: str) -> None:
         """Start a daemon with the command of the deploy file."""
         settings_path = pathlib.Path(self._folder.name) / f'{name}.json5'
@@ -123,6 +153,42 @@
             )
 
 
+def play(
+    make_case: typing.Callable[[EntrySystem], Case], record: pathlib.Path
+) -> int:
+    """Run a case, write its record and return its exit status."""
+    try:
+        return asyncio.run(_play(make_case, record))
+    except asyncio.CancelledError:
+        return CANNOT_RUN
+
+
+async def _play(
+    make_case: typing.Callable[[EntrySystem], Case], record: pathlib.Path
+) -> int:
+    playing = asyncio.current_task()
+    assert playing is not None
+    # The daemons are ended on the way out.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, playing.cancel
+    )
+    async with EntrySystem() as system:
+        case = make_case(system)
+        why = ''
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await case.set_up()
+                await case.run()
+        except Exception as error:
+            why = f'could not run: {error!r}'
+        rows = [*case.rows, *system.runs_seen(), *case.summary()]
+        rows += [why] if why else []
+        record.write_text('\n'.join(rows) + '\n', encoding='utf-8')
+        if why:
+            return CANNOT_RUN
+        return BROKEN if case.is_broken() else HELD
+
+
 def spread(
     rng: random.Random, mean_ms: float, deviation: float
 ) -> typing.Callable[[], float]:
--- a/review/shard_server.py
+++ b/review/shard_server.py
@@ -45,8 +45,8 @@
         another server), ``shed``, ``ran``, ``done`` or ``dropped``.
     slots, queue
         How many requests run at a time, and how many more may wait.
-    pause_s, pause_every_s, pause_phase_s
-        How long and how often it pauses, and when first.
+
+    ``bodies`` holds the body of each request that arrived, by its id.
     """
 
     def __init__(
@@ -58,9 +58,6 @@
         events: list[Event],
         slots: int = 2,
         queue: int = 12,
-        pause_s: float = 0.0,
-        pause_every_s: float = 3.0,
-        pause_phase_s: float = 0.0,
     ) -> None:
         self.target_id = server_id
         self.service = service
@@ -72,13 +69,11 @@
         self._work_s = work_s
         self._events = events
         self._limit = slots + queue
-        self._pause_s = pause_s
-        self._pause_every_s = pause_every_s
-        self._pause_phase_s = pause_phase_s
         self._waiting: collections.deque[_Exchange] = collections.deque()
         self._running = 0
         self._server: asyncio.Server | None = None
         self.connections: set[_Connection] = set()
+        self.bodies: dict[str, bytes] = {}
 
     async def start(self) -> None:
         """Listen on a free port and set ``address``."""
@@ -97,10 +92,14 @@
             connection.transport.abort()
 
     def on_request(
-        self, connection: '_Connection', headers: typing.Mapping[str, str]
+        self,
+        connection: '_Connection',
+        headers: typing.Mapping[str, str],
+        body: bytes,
     ) -> None:
         """Take a request, or reject it."""
         request_id = headers.get('request-id', '')
+        self.bodies[request_id] = body
         self.note('arrived', request_id)
         if headers.get('expect-instance') != self.target_id:
             self.note('other', request_id)
@@ -142,17 +141,7 @@
                 self._work_s() * self.slow_factor, self._end, exchange
             )
 
-    def _pause_left_s(self) -> float:
-        now_s = asyncio.get_running_loop().time()
-        into_s = (now_s - self._pause_phase_s) % self._pause_every_s
-        return self._pause_s - into_s
-
     def _end(self, exchange: '_Exchange') -> None:
-        left_s = self._pause_left_s()
-        if left_s > 0.0:
-            loop = asyncio.get_running_loop()
-            exchange.timer = loop.call_later(left_s, self._end, exchange)
-            return
         self._running -= 1
         self.note('done', exchange.request_id)
         receipt = f'{exchange.request_id}.{self.target_id}'
@@ -212,7 +201,7 @@
         length = int(headers.get('content-length', 0))
         if len(rest) >= length:
             self._received = rest[length:]
-            self._server.on_request(self, headers)
+            self._server.on_request(self, headers, rest[:length])
 
     def send(self, answer: bytes) -> None:
         """Write an answer."""
