--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,6 @@
 """A search whose late parts come through another daemon, one by one.
 
-The servers of some shards turn slow for a second, again and again.  The
+The servers of some shards turn slow for a moment, again and again.  The
 daemon of the first zone has ordered their parts from the daemon of the second
 one, and hedges the late ones directly.  Each answer is compared with the
 records of the parts that it names.
@@ -18,22 +18,23 @@
 
 SEED = 6
 SHARDS = tuple(f'shard-{number}' for number in range(8))
-SERVERS_OF_A_SHARD = 2
+SERVERS_OF_A_SHARD = 3
 DESK = 'desk'
-DESK_SERVERS = 8
+DESK_SERVERS = 12
 TOP = 1
 LEAST_SHARE = 0.89
-AIM_MS = 118
-DEADLINE_MS = 600
-WORK_MS = 11.0
-WORK_SPREAD = 0.7
+AIM_MS = 200
+DEADLINE_MS = 1_000
+WORK_MS = 16.0
+WORK_SPREAD = 0.05
 SLOW_SHARDS = 3
-SLOW_FACTOR = 8.0
-SLOW_S = 1.0
-REST_S = 1.0
-PRESS_S = 90.0
-SLOW_PER_S = 40.0
-CALM_PER_S = 120.0
+LEAST_FACTOR = 2.0
+MOST_FACTOR = 12.0
+SLOW_S = 0.6
+REST_S = 0.8
+PRESS_S = 92.0
+SLOW_PER_S = 60.0
+CALM_PER_S = 90.0
 START_LIMIT_S = 30.0
 RECORD = pathlib.Path(__file__).with_name('record.txt')
 
@@ -48,10 +49,11 @@
         self.wrong = 0
         self.served = 0
         self.sent = 0
+        self._work_s = entry_system.spread(self.rng, WORK_MS, WORK_SPREAD)
 
     async def set_up(self) -> None:
         """Start the servers and a daemon in each zone."""
-        work_s = entry_system.spread(self.rng, WORK_MS, WORK_SPREAD)
+        work_s = self._work_s
         for number in range(DESK_SERVERS):
             await self.system.add_server(
                 f'{DESK}-{number}', DESK, entry_system.FIRST_ZONE, work_s
@@ -133,12 +135,15 @@
         self.rows.append(f'slow: {", ".join(shards)}')
         for server in self.system.servers.values():
             if server.service in shards:
-                server.slow_factor = SLOW_FACTOR
+                server.work_s = self._slow_work_s
+
+    def _slow_work_s(self) -> float:
+        return self._work_s() * self.rng.uniform(LEAST_FACTOR, MOST_FACTOR)
 
     def end_slow(self) -> None:
         """Let every server work at its usual speed."""
         for server in self.system.servers.values():
-            server.slow_factor = 1.0
+            server.work_s = self._work_s
 
     async def run(self) -> None:
         """Press through all rounds."""
--- a/review/shard_server.py
+++ b/review/shard_server.py
@@ -46,7 +46,8 @@
     slots, queue
         How many requests run at a time, and how many more may wait.
 
-    ``bodies`` holds the body of each request that arrived, by its id.
+    ``bodies`` holds the body of each request that arrived, by its id, and
+    ``on_run`` is called with the server and the id of each that it begins.
     """
 
     def __init__(
@@ -65,8 +66,7 @@
         self.slots = slots
         self.born = 0
         self.address = ''
-        self.slow_factor = 1.0
-        self._work_s = work_s
+        self.work_s = work_s
         self._events = events
         self._limit = slots + queue
         self._waiting: collections.deque[_Exchange] = collections.deque()
@@ -74,6 +74,9 @@
         self._server: asyncio.Server | None = None
         self.connections: set[_Connection] = set()
         self.bodies: dict[str, bytes] = {}
+        self.on_run: typing.Callable[[ShardServer, str], None] = (
+            lambda server, request_id: None
+        )
 
     async def start(self) -> None:
         """Listen on a free port and set ``address``."""
@@ -137,8 +140,9 @@
             exchange = self._waiting.popleft()
             self._running += 1
             self.note('ran', exchange.request_id)
+            self.on_run(self, exchange.request_id)
             exchange.timer = loop.call_later(
-                self._work_s() * self.slow_factor, self._end, exchange
+                self.work_s(), self._end, exchange
             )
 
     def _end(self, exchange: '_Exchange') -> None:
