Keep expecting a merged part when another order's attempt fails

What callers saw: a search whose body holds records of a part that its receipts don't name, or lacks records that it should hold (rare).

Cause: a shard of a gathering order is hedged through a second order. When that attempt failed, or its merger was lost, the tracker stopped expecting the merged part of the first order for the shard, although it may still come. The next part of the shard was then merged for good instead of being kept replaceable; the merged part took over its receipt, but its records stayed.

Why the fix works: only the order that gathers says whether its merged part can still cover a shard. Other orders never bring merged parts.

--- a/samphiredock/coordination/forwarding/_order_tracker.py
+++ b/samphiredock/coordination/forwarding/_order_tracker.py
@@ -198,7 +198,7 @@
         pending.assignments.drop_merger(sent_order.merger)
         items = list(sent_order.waiting.values())
         sent_order.waiting.clear()
-        pending.parts.expect_no_merged(item.shard_id for item in items)
+        self._expect_no_merged(pending, sent_order, items)
         why = f'order to {sent_order.merger}'
         self._on_results(
             pending,
@@ -252,11 +252,10 @@
             for item, row in zip(items, report.merged)
         }
         if items and sent_order.is_gathering:
-            sent_order.is_gathering = False
             pending.parts.add_merged(receipts, report.records)
-            pending.parts.expect_no_merged(
-                item.shard_id for item in sent_order.waiting.values()
-            )
+            late = sent_order.waiting.values()
+            self._expect_no_merged(pending, sent_order, late)
+            sent_order.is_gathering = False
         else:
             for shard, receipt in receipts.items():
                 pending.parts.add(shard, receipt, report.records)
@@ -277,7 +276,7 @@
         for item, row in zip(items, report.ended):
             if row.status is _Status.NOT_ORDERED:
                 pending.assignments.ask_directly(item.target)
-        pending.parts.expect_no_merged(item.shard_id for item in items)
+        self._expect_no_merged(pending, sent_order, items)
         return [
             self._observe(item, row.status, row.took_us, row.detail)
             for item, row in zip(items, report.ended)
@@ -289,11 +288,25 @@
         sent_order: _pending_requests.SentOrder,
     ) -> None:
         """Stop expecting a merged part, and hedge the attempts still open."""
-        sent_order.is_gathering = False
         items = list(sent_order.waiting.values())
-        pending.parts.expect_no_merged(item.shard_id for item in items)
+        self._expect_no_merged(pending, sent_order, items)
+        sent_order.is_gathering = False
         self._on_late(pending, [item.attempt_id for item in items])
 
+    def _expect_no_merged(
+        self,
+        pending: _pending_requests.PendingRequest,
+        sent_order: _pending_requests.SentOrder,
+        items: typing.Iterable[protocol.SubQuery],
+    ) -> None:
+        """Stop expecting that the merged part of an order covers ``items``.
+
+        An order that does not gather says nothing about the merged part of
+        another order, which may still cover the same shards.
+        """
+        if sent_order.is_gathering:
+            pending.parts.expect_no_merged(item.shard_id for item in items)
+
     def _observe(
         self,
         item: protocol.SubQuery,
