Cut late parts only by records that the coordinator keeps

Cause: a merger raised the floor of an order with every report, "since the coordinator keeps every merged part". A part that is reported alone is no merged part: the coordinator drops it if a hedge's part of the shard was first. The merger then cut the next late part by records that no answer held. Ways into it: late parts after the merged one; the first part after a gathering that ended without parts, which looked like a merged one to the merger only; orders that don't gather.

Why the fix works: the floor rises only when the gather time ends with parts. The coordinator takes exactly that report as the merged part, and never takes it apart.

--- a/samphiredock/coordination/forwarding/_report_batcher.py
+++ b/samphiredock/coordination/forwarding/_report_batcher.py
@@ -7,9 +7,10 @@
 
 Only first attempts are gathered, so a shard is in at most one merged part of a
 search.  A merged part cannot be taken apart, but a part of the same shard from
-another target can always be discarded in its favour.  Since the coordinator
-keeps every merged part, later parts are cut to the records greater than the
-least one already reported.
+another target can always be discarded in its favour.  The coordinator keeps
+every merged part, so later parts are cut to the records greater than its least
+one.  It may discard a part that is reported alone, so such a part never cuts
+others.
 """
 
 import dataclasses
@@ -75,7 +76,10 @@
         if not self._is_gathering or self.is_done():
             return None
         self._is_gathering = False
-        return self._report((), is_late=True)
+        report = self._report((), is_late=True)
+        if report.merged:
+            self._raise_floor(report.records)
+        return report
 
     def _report(
         self, ended: tuple[protocol.EndedItem, ...], is_late: bool
@@ -84,9 +88,6 @@
         records = _route_plans.merge_parts(
             [part.body for part in held], self._top, self._floor
         )
-        if len(records) == self._top * state.RECORD_BYTES:
-            # Smaller records of later parts cannot be in the answer.
-            self._floor = records[-state.RECORD_BYTES :]
         return protocol.MergeReport(
             tuple(
                 protocol.MergedItem(
@@ -98,3 +99,8 @@
             records,
             is_late,
         )
+
+    def _raise_floor(self, merged_records: bytes) -> None:
+        """Cut later parts to the records that can still be in the answer."""
+        if len(merged_records) == self._top * state.RECORD_BYTES:
+            self._floor = merged_records[-state.RECORD_BYTES :]
--- a/tests/unit/test_report_batcher.py
+++ b/tests/unit/test_report_batcher.py
@@ -21,6 +21,12 @@
     return _report_batcher.Part(number, f'r{number}', 5.0, body)
 
 
+def _two_records(number: int) -> _report_batcher.Part:
+    """Return a part that is a whole answer, greater than smaller numbers."""
+    body = _part(number).body * 2
+    return _report_batcher.Part(number, f'r{number}', 5.0, body)
+
+
 def _failed(number: int) -> protocol.EndedItem:
     return protocol.EndedItem(number, protocol.SubStatus.SHED, 1)
 
@@ -61,6 +67,32 @@
         self.assertEqual(b'', batcher.on_part(_part(0)).records)
         self.assertEqual(_part(2).body, batcher.on_part(_part(2)).records)
 
+    def test_a_part_reported_alone_cuts_no_others(self) -> None:
+        """The coordinator may discard it in favour of a hedge's part.
+
+        Its records would then be missing from the answer, and so would the
+        smaller ones that were cut because of them.
+        """
+        for gather_ms, has_merged_part in ((0.0, False), (30.0, True)):
+            batcher = _report_batcher.ReportBatcher(_order(4, gather_ms))
+            if has_merged_part:
+                batcher.on_part(_part(0))
+            batcher.on_gather_timeout()
+            with self.subTest(gather_ms=gather_ms):
+                alone = batcher.on_part(_two_records(3))
+                self.assertEqual(2 * 16, len(alone.records))
+                later = batcher.on_part(_part(1))
+                self.assertEqual(_part(1).body, later.records)
+
+    def test_the_first_part_after_an_empty_gathering_cuts_no_others(
+        self,
+    ) -> None:
+        """The coordinator has stopped waiting for a merged part by then."""
+        batcher = _report_batcher.ReportBatcher(_order(3))
+        batcher.on_gather_timeout()
+        self.assertEqual(2 * 16, len(batcher.on_part(_two_records(2)).records))
+        self.assertEqual(_part(1).body, batcher.on_part(_part(1)).records)
+
     def test_failure_is_reported_at_once(self) -> None:
         """The coordinator can ask another target meanwhile."""
         batcher = _report_batcher.ReportBatcher(_order(3))
