Test whole searches through merge orders in random schedules

The forwarder, scatter and mergers are real; the test draws when targets answer or fail, when reports arrive and when a merger is lost. Every target has records of its own: in the earlier tests the targets of a shard held the same records, so no wrong body could be seen.

--- a/standins/memory_links.py
+++ b/standins/memory_links.py
@@ -227,8 +227,10 @@
         one = (state.WeightedService('p', 1.0),)
         routes = (
             state.Route(
-                'all', prefix='/all/', repeatable=True, attempts=2,
-                shards=changes.get('shards', self.shards), top=5,
+                'all', prefix='/all/', repeatable=True,
+                attempts=changes.get('attempts', 2),
+                shards=changes.get('shards', self.shards),
+                top=changes.get('top', 5),
                 least_share=changes.get('least_share', 0.8), **common,
             ),
             state.Route(
--- a/standins/memory_orders.py
+++ b/standins/memory_orders.py
@@ -23,11 +23,30 @@
 
 @dataclasses.dataclass(slots=True)
 class ReceivedOrder:
-    """An order that a merger received; ``lost`` cuts its connection."""
+    """An order that a merger received; ``lost`` cuts its connection.
+
+    ``on_the_way`` are its reports that have not arrived, the oldest first.
+    """
 
     merger: str
     order: protocol.MergeOrder
+    on_chunk: typing.Callable[[bytes], None]
     lost: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    on_the_way: list[bytes] = dataclasses.field(default_factory=list)
+    all_arrived: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
+
+    def send_report(self, chunk: bytes) -> None:
+        """Put a report on the way."""
+        self.on_the_way.append(chunk)
+        self.all_arrived.clear()
+
+    def deliver_report(self) -> None:
+        """Let the oldest report arrive that is on the way."""
+        self.on_chunk(self.on_the_way.pop(0))
+        if not self.on_the_way:
+            self.all_arrived.set()
 
 
 class OrderLinks:
@@ -36,7 +55,8 @@
     Mergers in ``dead`` accept no connection, those in ``frozen`` never
     report, those in ``without_orders`` refuse orders with 503, and those in
     ``corrupting`` send an undecodable first report.  :meth:`lose` cuts the
-    open orders of one merger.
+    open orders of one merger.  With ``holds_reports`` each report waits until
+    the test delivers it.
     """
 
     def __init__(self, mergers: dict[str, forwarding.Merger]) -> None:
@@ -46,6 +66,7 @@
         self.frozen: set[str] = set()
         self.without_orders: set[str] = set()
         self.corrupting: set[str] = set()
+        self.holds_reports = False
 
     def lose(self, merger: str) -> None:
         """Break the connections of all orders at one merger."""
@@ -71,12 +92,12 @@
         if name in self.without_orders:
             return result.Success(protocol.HttpReply(503))
         order = protocol.decode_order(request.body).unwrap()
-        seen = ReceivedOrder(name, order)
-        self.seen.append(seen)
         assert on_chunk is not None
+        seen = ReceivedOrder(name, order, on_chunk)
+        self.seen.append(seen)
         if name in self.frozen:
             await asyncio.Event().wait()
-        carrying = asyncio.ensure_future(self._carry(name, order, on_chunk))
+        carrying = asyncio.ensure_future(self._carry(seen))
         lost = asyncio.ensure_future(seen.lost.wait())
         try:
             await asyncio.wait((carrying, lost), return_when='FIRST_COMPLETED')
@@ -88,19 +109,18 @@
             return _failure(Kind.BROKEN)
         return result.Success(protocol.HttpReply(200))
 
-    async def _carry(
-        self,
-        name: str,
-        order: protocol.MergeOrder,
-        on_chunk: typing.Callable[[bytes], None],
-    ) -> None:
-        reports = self._mergers[name].reports(order)
-        corrupts = name in self.corrupting
+    async def _carry(self, seen: ReceivedOrder) -> None:
+        reports = self._mergers[seen.merger].reports(seen.order)
+        corrupts = seen.merger in self.corrupting
         async with contextlib.aclosing(reports) as rows:
             async for report in rows:
                 chunk = protocol.encode_merge_message(report)
-                on_chunk(b'\xc1' if corrupts else chunk)
+                seen.send_report(b'\xc1' if corrupts else chunk)
                 corrupts = False
+                if not self.holds_reports:
+                    seen.deliver_report()
+        if seen.on_the_way:
+            await seen.all_arrived.wait()
 
     def has_room(self, target: state.LiveTarget) -> bool:
         """Return True: connections to mergers are not limited."""
