Find the rows of a page with an unreadable one in linear time, in turns

Cause: a page that the decoder rejects was scanned in Python, on the event loop. In a row without a quote behind the value, each escaped quote began a string that was searched to the end of the row: the square of its size. The rest of the scan took about 1 us a byte, so a hundred small entries held the loop as long as a large one.

The decoder itself skips over each row up to the next beginning of a row, and stops at the first error. Nothing is passed over more than a bounded number of times, other tasks run after each 256 KB of work, and what follows the rows is looked for from the end of the page. Reads of one object are decoded only; lists, watches and scans of all kinds take the new way.

A row that is followed by other text than a comma is now unreadable as a whole; before, it was cut there.

--- a/samphiredock/transport/__init__.py
+++ b/samphiredock/transport/__init__.py
@@ -27,14 +27,12 @@
             'RawPage',
             'split_page',
         ),
-        '_json_scan': (
-            'ScanError',
-            'members',
-        ),
+        '_json_scan': ('leading_members',),
         '_link_errors': (
             'LinkError',
             'LinkErrorKind',
         ),
+        '_loop_turns': ('LoopTurns',),
         '_operator_http': (
             'Operations',
             'operator_application',
@@ -65,6 +63,7 @@
             'StoreReply',
             'header_of',
             'parse_store_reply',
+            'parse_store_reply_in_turns',
         ),
         '_target_http': (
             'HttpTargetLink',
--- a/samphiredock/transport/_json_scan.py
+++ b/samphiredock/transport/_json_scan.py
@@ -1,115 +1,77 @@
-"""Finds the values in a JSON document without parsing what they contain.
+"""Finds where JSON values end in text that may be malformed.
 
-A decoder rejects a whole document for one value that it cannot decode: text
-or a number that is not JSON, or nesting beyond its limit.  The scan only looks
-at strings, brackets and commas, and keeps no stack.
+The decoder itself skips over a value, without building it, and stops at the
+first error.  So the time grows with the size of the text only, whatever the
+text holds.
 """
 
+import dataclasses
 import re
-import typing
 
-_STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
-_OUTER_TOKEN = re.compile(_STRING + rb'|[\[{]|[\]}]|[,:]', re.DOTALL)
-_LEAVES = rb'(?:[\[{][^"\[\]{}]*+[\]}][^"\[\]{}]*+)++'
-_INNER_TOKEN = re.compile(
-    _STRING + rb'|' + _LEAVES + rb'|[\[{]++|[\]}]++', re.DOTALL
-)
-"""Runs of brackets, and of containers that hold no other, are one token: a
-value of 1 MB would take seconds bracket by bracket."""
-_OPENING = b'[{'
-_CLOSING = b']}'
-_OUTER_DEPTH = 1
+import msgspec
 
+_MEMBERS_LIMIT = 16
+"""Most members of an object that are looked at."""
 
-class ScanError(ValueError):
-    """The document does not have the expected structure."""
+_decode_raw = msgspec.json.Decoder(msgspec.Raw).decode
 
+# The decoder tells these errors apart only in its messages.
+_UNFINISHED = 'Input data was truncated'
+_TRAILING = 'trailing characters'
+_POSITION = re.compile(r'\(byte (\d+)\)')
 
-def elements(content: bytes) -> list[bytes]:
-    """Return the raw elements of an array.
+_MEMBER = re.compile(rb'\s*+[{,]\s*+"(\w++)"\s*+:\s*+')
 
-    Raises
-    ------
-    ScanError
-        If the array does not begin or does not end.
-    """
-    values = []
-    begin = 0
-    for separator, position in _separators(content, b'['):
-        if separator == b':':
-            continue
-        value = content[begin:position].strip()
-        if separator != b'[' and value:
-            values.append(value)
-        begin = position + 1
-    return values
-
-
-def leading_value(content: bytes) -> bytes:
-    """Return the object that a text begins with, without what follows it.
-
-    Raises
-    ------
-    ScanError
-        If the object does not begin or does not end.
-    """
-    end = 0
-    for _, position in _separators(content, b'{'):
-        end = position + 1
-    return content[:end]
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ValueScan:
+    """How the value that a text begins with ends.
 
-def members(content: bytes) -> dict[str, bytes]:
-    """Return the raw values of the members of an object, by name.
+    ``end`` is None if the value is malformed; then ``is_unfinished`` tells
+    whether more text could complete it.  ``scanned`` is the number of bytes
+    that the scan has passed.
+    """
 
-    Raises
-    ------
-    ScanError
-        If the object does not begin or end, or if anything follows it.
+    end: int | None
+    scanned: int
+    is_unfinished: bool = False
+
+
+def scan_value(text: bytes | memoryview) -> ValueScan:
+    """Return how the value that a text begins with ends."""
+    size = len(text)
+    try:
+        _decode_raw(text)
+    except RecursionError:
+        return ValueScan(None, size)
+    except msgspec.DecodeError as error:
+        message = str(error)
+    else:
+        return ValueScan(size, size)
+    if message == _UNFINISHED:
+        return ValueScan(None, size, is_unfinished=True)
+    position = _POSITION.search(message)
+    if position is None:
+        return ValueScan(None, size)
+    scanned = int(position[1])
+    return ValueScan(scanned - 1 if _TRAILING in message else None, scanned)
+
+
+def leading_members(text: bytes) -> dict[str, bytes]:
+    """Return the raw values of the first members of an object, by name.
+
+    The value of the last one is all the rest of the text if it is malformed.
     """
     found: dict[str, bytes] = {}
-    name, begin = b'', 0
-    for separator, position in _separators(content, b'{'):
-        text = content[begin:position].strip()
-        if separator == b':' and not name:
-            name, begin = text, position + 1
-        elif separator != b':':
-            if name:
-                found[name.strip(b'"').decode('utf-8', 'replace')] = text
-            name, begin = b'', position + 1
-    if content[begin:].strip():
-        raise ScanError(f'expected nothing after byte {begin}')
+    view = memoryview(text)
+    position = 0
+    for _ in range(_MEMBERS_LIMIT):
+        member = _MEMBER.match(text, position)
+        if member is None:
+            break
+        scan = scan_value(view[member.end() :])
+        position = len(text)
+        if scan.end is not None:
+            position = member.end() + scan.end
+        found[member[1].decode()] = text[member.end() : position]
     return found
-
-
-def _separators(
-    content: bytes, opening: bytes
-) -> typing.Iterator[tuple[bytes, int]]:
-    """Yield the brackets, commas and colons at the depth of a container.
-
-    Those inside of strings and nested values are left out.
-    """
-    position = len(content) - len(content.lstrip())
-    if content[position : position + 1] != opening:
-        raise ScanError(f'expected {opening.decode()} at byte {position}')
-    yield opening, position
-    position += 1
-    depth = _OUTER_DEPTH
-    while depth:
-        is_outer = depth == _OUTER_DEPTH
-        pattern = _OUTER_TOKEN if is_outer else _INNER_TOKEN
-        token = pattern.search(content, position)
-        if token is None:
-            raise ScanError(f'expected the end of {opening.decode()}')
-        position = token.end()
-        text = token.group()
-        first = text[:1]
-        if first in _OPENING:
-            # Leaves end where they began.
-            depth += len(text) if text[-1:] in _OPENING else 0
-        elif first in _CLOSING:
-            closed = min(position - token.start(), max(1, depth - 1))
-            depth -= closed
-            position = token.start() + closed
-        if is_outer and (first in b',:' or not depth):
-            yield first, token.start()
--- a/samphiredock/transport/_store_replies.py
+++ b/samphiredock/transport/_store_replies.py
@@ -76,6 +76,8 @@
 
 _T = typing.TypeVar('_T')
 
+_UNREADABLE_ERRORS = (*protocol.DECODE_ERRORS, LookupError)
+
 
 def parse_store_reply(
     reply: result.Result[StoreReply, _platform.StoreError],
@@ -90,10 +92,30 @@
         return reply
     try:
         return result.Success(read(reply.unwrap()))
-    except (*protocol.DECODE_ERRORS, LookupError) as error:
-        return failure(
-            _platform.StoreErrorKind.LOST, f'unreadable reply: {error!r}'
-        )
+    except _UNREADABLE_ERRORS as error:
+        return _unreadable(error)
+
+
+async def parse_store_reply_in_turns(
+    reply: result.Result[StoreReply, _platform.StoreError],
+    read: typing.Callable[[StoreReply], typing.Awaitable[_T]],
+) -> result.Result[_T, _platform.StoreError]:
+    """Parse a reply with ``read``, which may let other tasks run meanwhile.
+
+    Otherwise like :func:`parse_store_reply`.
+    """
+    if isinstance(reply, result.Failure):
+        return reply
+    try:
+        return result.Success(await read(reply.unwrap()))
+    except _UNREADABLE_ERRORS as error:
+        return _unreadable(error)
+
+
+def _unreadable(error: Exception) -> result.Failure[_platform.StoreError]:
+    return failure(
+        _platform.StoreErrorKind.LOST, f'unreadable reply: {error!r}'
+    )
 
 
 def failure(
--- a/tests/failure/test_malformed_entries.py
+++ b/tests/failure/test_malformed_entries.py
@@ -1,6 +1,10 @@
 """One malformed entry of another writer does not hide the others."""
 
+import asyncio
+import gc
+import os
 import pathlib
+import random
 import sys
 import typing
 import unittest
@@ -9,11 +13,18 @@
 from returns import result
 
 from samphiredock import transport
+from standins import unreadable_rows
 
 sys.path.append(str(pathlib.Path(__file__).parents[2] / 'platform'))
 
 import prepared_hosts  # noqa: E402
 
+SEED = int(os.environ.get('SAMPHIREDOCK_SEED', '20261202'))
+DRAWN_VALUES = 400
+
+LOOP_LIMIT_MS = 50.0
+"""Most processor time that an entry may hold the event loop."""
+
 _DEEP = 20_000
 _LARGEST_BYTES = 1_048_576
 
@@ -223,3 +234,135 @@
                 await client.watch('servers/', 0, 0)
         lines = [row for row in seen.records if row.channel == 'store']
         self.assertEqual(2, len(lines))
+
+
+class LoopTimeTest(unittest.IsolatedAsyncioTestCase):
+    """No entry holds the event loop, and so every request, for long.
+
+    The processor time of each turn of the loop is measured.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Leave out the time of debugging, and of the tests' own memory.
+
+        A daemon freezes its memory after the start, too.
+        """
+        asyncio.get_running_loop().set_debug(False)
+        gc.collect()
+        gc.freeze()
+        self.addCleanup(gc.unfreeze)
+
+    async def _check_turns(
+        self, size: int, rows: int, places: typing.Iterable[str]
+    ) -> None:
+        for kind, value in unreadable_rows.values(size).items():
+            bad = [unreadable_rows.row('bad', value)] * rows
+            for place in places:
+                for is_watch in (False, True):
+                    with self.subTest(kind, place=place, is_watch=is_watch):
+                        body = unreadable_rows.page(bad, place, is_watch)
+                        await self._check_page(body, is_watch)
+
+    async def _check_page(self, body: bytes, is_watch: bool) -> None:
+        client = prepared_hosts.ObjectStore(unreadable_rows.FixedCalls(body))
+        read = await unreadable_rows.timed(
+            client.watch('servers/', 5 if is_watch else 0, 0)
+        )
+        self.assertLess(read.longest_ms, LOOP_LIMIT_MS)
+        self.assertEqual(
+            unreadable_rows.GOOD_ROWS, unreadable_rows.good_rows(read.value)
+        )
+
+    async def test_one_large_value(self) -> None:
+        """An entry of 64 KB took 8.5 s, by the square of its size."""
+        await self._check_turns(65_536, 1, unreadable_rows.PLACES)
+
+    async def test_many_small_values(self) -> None:
+        """A hundred entries of 4 KB took seconds together."""
+        await self._check_turns(4_096, 100, ('middle',))
+
+    async def test_read_of_one_object(self) -> None:
+        """A malformed object is reported as unreadable, and at once."""
+        for kind, value in unreadable_rows.values(65_536).items():
+            with self.subTest(kind):
+                calls = unreadable_rows.FixedCalls(
+                    unreadable_rows.row('bad', value)
+                )
+                client = prepared_hosts.ObjectStore(calls)
+                read = await unreadable_rows.timed(client.get('servers/bad'))
+                self.assertLess(read.longest_ms, LOOP_LIMIT_MS)
+                self.assertIs(
+                    transport.StoreErrorKind.LOST, read.value.failure().kind
+                )
+
+
+class DrawnValuesTest(unittest.IsolatedAsyncioTestCase):
+    """Whatever a value holds, the good rows around it are read."""
+
+    async def test_good_rows_are_read(self) -> None:
+        """A malformed value hid the rows after it."""
+        for number in range(DRAWN_VALUES):
+            value = unreadable_rows.draw_value(random.Random(SEED + number))
+            bad = [unreadable_rows.row('bad', value)]
+            for place in unreadable_rows.PLACES:
+                for is_watch in (False, True):
+                    with self.subTest(value, place=place, is_watch=is_watch):
+                        await self._check(bad, place, is_watch)
+
+    async def _check(
+        self, bad: list[bytes], place: str, is_watch: bool
+    ) -> None:
+        body = unreadable_rows.page(bad, place, is_watch)
+        client = prepared_hosts.ObjectStore(unreadable_rows.FixedCalls(body))
+        read = await client.watch('servers/', 5 if is_watch else 0, 0)
+        self.assertEqual(
+            unreadable_rows.GOOD_ROWS, unreadable_rows.good_rows(read)
+        )
+
+    async def test_good_rows_that_hold_rows_are_whole(self) -> None:
+        """A row was cut where another seemed to begin in its value."""
+        spec = b'{"Items":[{"meta":{"Name":"x"}},{"spec":1},{"Object":[]}]}'
+        body = unreadable_rows.page(
+            [
+                unreadable_rows.row('bad', b'NaN'),
+                unreadable_rows.row('holder', spec),
+            ],
+            'middle',
+            False,
+        )
+        client = prepared_hosts.ObjectStore(unreadable_rows.FixedCalls(body))
+        page = (await client.watch('servers/', 0, 0)).unwrap()
+        specs = {item.key: item.value for item in page.changed}
+        self.assertEqual(spec, specs['servers/holder'])
+        self.assertEqual(b'', specs['servers/bad'])
+        self.assertEqual(unreadable_rows.GOOD_ROWS + 2, len(specs))
+
+    async def test_name_behind_an_unreadable_member(self) -> None:
+        """A server whose entry was overwritten kept its old address."""
+        for bad in (
+            b'{"spec":NaN,"meta":{"Name":"bad","Revision":5}}',
+            b'{"meta":{"Name":"bad","Revision":5},"spec":{"a":[1}}',
+        ):
+            with self.subTest(bad):
+                body = unreadable_rows.page([bad], 'middle', False)
+                calls = unreadable_rows.FixedCalls(body)
+                client = prepared_hosts.ObjectStore(calls)
+                page = (await client.watch('servers/', 0, 0)).unwrap()
+                self.assertIn(
+                    transport.StoredObject('servers/bad', 5, b''),
+                    page.changed,
+                )
+
+    async def test_deletion_of_an_unreadable_object(self) -> None:
+        """A deleted server was kept if its entry had become unreadable."""
+        bad = unreadable_rows.row('bad', b'{"a":[1}')
+        for event in (
+            b'{"Tombstone":true,"Object":%b}' % bad,
+            b'{"Object":%b,"Tombstone":true}' % bad,
+        ):
+            with self.subTest(event):
+                body = b'{"events":[%b],"CurrentRev":7}' % event
+                calls = unreadable_rows.FixedCalls(body)
+                client = prepared_hosts.ObjectStore(calls)
+                page = (await client.watch('servers/', 5, 0)).unwrap()
+                self.assertEqual(('servers/bad',), page.gone)
