Test that an unreadable row never takes in the position of its page

Cause: the text of a malformed row went up to the next beginning of a row, or to the end of the page, with CurrentRev and HasMore. Without a position no daemon could watch the store, and none coordinated.

--- a/tests/failure/test_malformed_entries.py
+++ b/tests/failure/test_malformed_entries.py
@@ -366,3 +366,50 @@
                 client = prepared_hosts.ObjectStore(calls)
                 page = (await client.watch('servers/', 5, 0)).unwrap()
                 self.assertEqual(('servers/bad',), page.gone)
+
+
+class PositionTest(unittest.IsolatedAsyncioTestCase):
+    """What stands behind the rows of a page does not depend on the rows."""
+
+    def _values(self) -> typing.Iterator[bytes]:
+        """Yield values that a decoder rejects or that look like the end."""
+        yield from VALUES.values()
+        yield from unreadable_rows.values(1_000).values()
+        for number in range(DRAWN_VALUES):
+            yield unreadable_rows.draw_value(random.Random(SEED + number))
+
+    async def test_position_is_read(self) -> None:
+        """An entry cut off in a text took in the position if it was last.
+
+        No daemon that started was ready, since none could watch the store.
+        """
+        for value in self._values():
+            bad = [unreadable_rows.row('bad', value)]
+            for place in unreadable_rows.PLACES:
+                for is_watch in (False, True):
+                    body = unreadable_rows.page(bad, place, is_watch)
+                    calls = unreadable_rows.FixedCalls(body)
+                    client = prepared_hosts.ObjectStore(calls)
+                    position = 5 if is_watch else 0
+                    with self.subTest(value[:80], place=place):
+                        read = await client.watch('servers/', position, 0)
+                        page = read.unwrap()
+                        self.assertEqual(
+                            unreadable_rows.POSITION, page.position
+                        )
+                        self.assertEqual(not is_watch, page.whole)
+
+    async def test_pages_behind_are_read(self) -> None:
+        """The pages behind one with such a last row stayed hidden."""
+        last = b'{"items":[%b],"HasMore":false,"CurrentRev":9}' % _good('z')
+        for value in self._values():
+            bad = unreadable_rows.row('m', value)
+            first = b'{"items":[%b,%b],"HasMore":true,"CurrentRev":7}'
+            calls = _Calls(first % (_good('a'), bad), last)
+            client = prepared_hosts.ObjectStore(calls)
+            with self.subTest(value[:80]):
+                page = (await client.watch('servers/', 0, 0)).unwrap()
+                keys = {item.key for item in page.changed}
+                self.assertLessEqual({'servers/a', 'servers/z'}, keys)
+                self.assertTrue(page.whole)
+                self.assertEqual(7, page.position)
