Take a target's change of protocol for a bad answer

A reply with 101 raised in the parser's callback, the event loop closed the connection, and the exchange ended as broken, which counts as the sign of a lost target.

Cause: the exception of the parser is no HttpParserError. No request asks a target for another protocol, so the reply is none. The new test got BROKEN before.

--- a/samphiredock/transport/_http_connection.py
+++ b/samphiredock/transport/_http_connection.py
@@ -253,6 +253,8 @@
             self._reader.feed(data)
         except (
             httptools.HttpParserError,
+            # No request asks for another protocol.
+            httptools.HttpParserUpgrade,
             _reply_limits.LimitExceeded,
         ) as error:
             self._reader.reusable = False
--- a/tests/unit/test_connection_pool.py
+++ b/tests/unit/test_connection_pool.py
@@ -363,6 +363,21 @@
         self.assertEqual(b'one', (await self._ask('b')).unwrap().body)
         self.assertEqual(2, self.target.connections)
 
+    async def test_a_change_of_protocol_is_no_reply(self) -> None:
+        """It broke the connection, which looks like a lost target."""
+
+        async def switch_protocols(
+            seen: scripted_target.HttpMessage, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(
+                b'HTTP/1.1 101 Switching Protocols\r\n'
+                b'Connection: Upgrade\r\nUpgrade: h2c\r\n\r\nother bytes'
+            )
+
+        self.target.script = switch_protocols
+        error = (await self._ask('a')).failure()
+        self.assertIs(transport.LinkErrorKind.BAD_ANSWER, error.kind)
+
     async def test_unsolicited_bytes_close_the_connection(
         self,
     ) -> None:
