Serve requests that ask for another protocol with their bodies

Cause: for such a request, and for CONNECT, the parser ends the message with its head and leaves what follows to the other protocol. The connection queued the request as complete, without its announced body.

The request is served as usual: a second parser goes on at the body, with the framing headers of the request and under the same limits; the connection ends after the reply, as before. CONNECT is refused with 405 before anything is sent. Where a request leaves the parser, one whose body is not the announced one is refused, whatever the parser did.

--- a/samphiredock/transport/_caller_request.py
+++ b/samphiredock/transport/_caller_request.py
@@ -20,6 +20,7 @@
 
 _HEADER_FRAMING_BYTES = 4
 
+_BAD_REQUEST = 400
 _TOO_LARGE_BODY = 413
 _TOO_LARGE_HEAD = 431
 
@@ -39,6 +40,7 @@
     ``head_bytes`` counts the path, the headers and the trailers, ``body``
     holds the ``body_bytes`` received so far of ``announced_bytes``, and
     ``wire_bytes`` counts what was received after the head, framing included.
+    ``asks_for_upgrade`` is set for a request that asks for another protocol.
     ``refusal`` is set for a request that is refused.  The connection ends
     after a refusal: where the next request would begin is unknown.
     ``is_pipelined`` says that it came before the request ahead of it was
@@ -54,10 +56,12 @@
     body: list[bytes] = dataclasses.field(default_factory=list)
     body_bytes: int = 0
     announced_bytes: int = 0
+    is_chunked: bool = False
     chunk_count: int = 0
     wire_bytes: int = 0
     keep_alive: bool = True
     expects_continue: bool = False
+    asks_for_upgrade: bool = False
     refusal: Refusal | None = None
     is_pipelined: bool = False
 
@@ -80,6 +84,29 @@
         self.body.append(part)
         self.body_bytes += len(part)
 
+    def announces_body(self) -> bool:
+        """Whether the head says that a body follows."""
+        return self.is_chunked or self.announced_bytes > 0
+
+
+def framing_refusal(request: CallerRequest) -> Refusal | None:
+    """Return why a complete request is not the announced one, None if it is.
+
+    Whatever the parser took for the end of a request, no request is passed on
+    with another body than its head announces.
+    """
+    if request.is_chunked:
+        is_whole = request.chunk_count > 0
+    else:
+        is_whole = request.body_bytes == request.announced_bytes
+    if is_whole:
+        return None
+    return Refusal(
+        _BAD_REQUEST,
+        f'got {request.body_bytes} bytes and {request.chunk_count} chunks, '
+        f'expected the body that the head announces',
+    )
+
 
 def size_refusal(
     request: CallerRequest, limits: state.CallerLimits
--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -19,6 +19,7 @@
 from samphiredock import protocol
 from samphiredock import state
 from samphiredock import timers
+from samphiredock.transport import _announced_body
 from samphiredock.transport import _caller_request
 from samphiredock.transport import _reply_encoding
 
@@ -40,8 +41,10 @@
 ended.  The rest stays in the socket, so that the caller is slowed down."""
 
 _BAD_REQUEST = 400
+_METHOD_NOT_ALLOWED = 405
 _TIMED_OUT = 408
 
+_CONNECT = 'CONNECT'
 _EXPECT_CONTINUE = b'100-continue'
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -156,10 +159,8 @@
             self._partial_request.wire_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # No other protocol is supported: the request is answered, the
-            # bytes after it are not HTTP.
-            self._end_reading()
+        except httptools.HttpParserUpgrade as upgrade:
+            self._read_on(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             detail = str(error) or repr(error)
             self._refuse(_caller_request.Refusal(_BAD_REQUEST, detail))
@@ -169,6 +170,26 @@
             self._limit_head()
         self._answer_next()
 
+    def _read_on(self, data: bytes) -> None:
+        """Read the body of a request that asks for another protocol.
+
+        None is supported, so the request is answered as usual.  What follows
+        it may be of the other protocol, and is not read.
+        """
+        request = self._partial_request
+        if request is None:
+            return
+        try:
+            self._parser = _announced_body.parser_of_body(
+                tuple(request.headers), self
+            )
+            # A further request that asks for it is not read either.
+            with contextlib.suppress(httptools.HttpParserUpgrade):
+                self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            detail = str(error) or repr(error)
+            self._refuse(_caller_request.Refusal(_BAD_REQUEST, detail))
+
     def _discard(self, size_bytes: int) -> None:
         """Count bytes that are not parsed; stop reading at the limit."""
         self._discarded_bytes += size_bytes
@@ -249,6 +270,8 @@
             request.expects_continue = True
         elif name.lower() == b'content-length' and value.isdigit():
             request.announced_bytes = int(value)
+        elif name.lower() == b'transfer-encoding':
+            request.is_chunked = True
 
     def on_headers_complete(self) -> None:
         """Refuse a request whose head or announced body is too large."""
@@ -261,6 +284,15 @@
         request.method = self._parser.get_method().decode('latin-1')
         request.version = self._parser.get_http_version()
         request.keep_alive = self._parser.should_keep_alive()
+        request.asks_for_upgrade = self._parser.should_upgrade()
+        if request.method == _CONNECT:
+            self._refuse(
+                _caller_request.Refusal(
+                    _METHOD_NOT_ALLOWED,
+                    f'the method {_CONNECT} opens a tunnel',
+                )
+            )
+            return
         self._refuse_if_too_large(request)
         self._send_continue()
 
@@ -293,14 +325,27 @@
 
     def on_message_complete(self) -> None:
         """Queue a request that has been read completely."""
-        request, self._partial_request = self._partial_request, None
+        request = self._partial_request
         self._unparsed_bytes = 0
         if request is None:
             return
+        if request.asks_for_upgrade and self._awaits_body(request):
+            return
+        self._partial_request = None
+        refusal = _caller_request.framing_refusal(request)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
         self._queued.append(request)
+        if request.asks_for_upgrade:
+            self._end_reading()
         if len(self._queued) >= _PIPELINE_LIMIT:
             self._pause_reading()
 
+    def _awaits_body(self, request: _caller_request.CallerRequest) -> bool:
+        """Whether the parser has ended a request before its body."""
+        return self._parser.should_upgrade() and request.announces_body()
+
     # Refusals.
 
     def _stop_at_head_limit(
