--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -60,6 +60,8 @@
     b'{"Version":' + b'[' * 2_000 + b']' * 2_000 + b'}',
     b'{"Version":"\xff"}',
     b'[NaN, 01]',
+    b'"cut off in a text',
+    b'\\"' * 32_768,
 )
 """Invalid entries that another writer may leave in the target registry; those
 in bytes are not JSON, or nested too deeply for its decoders."""
