Name the parts of the page splitter by what they find

Names and doc comments only, but for one expression: the bounds of a text without its separators are computed in two steps that read plainly.

--- a/samphiredock/transport/_entry_connection.py
+++ b/samphiredock/transport/_entry_connection.py
@@ -160,7 +160,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
-            self._read_on(data[upgrade.args[0] :])
+            self._read_body_after_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             detail = str(error) or repr(error)
             self._refuse(_caller_request.Refusal(_BAD_REQUEST, detail))
@@ -170,7 +170,7 @@
             self._limit_head()
         self._answer_next()
 
-    def _read_on(self, data: bytes) -> None:
+    def _read_body_after_upgrade(self, data: bytes) -> None:
         """Read the body of a request that asks for another protocol.
 
         None is supported, so the request is answered as usual.  What follows
--- a/samphiredock/transport/_json_rows.py
+++ b/samphiredock/transport/_json_rows.py
@@ -22,9 +22,9 @@
 _ROW_COST_BYTES = 500
 """The cost of a row, beside its bytes, as a number of bytes scanned."""
 
-_NESTED_SCANS = 4
-"""How often all of a page may be scanned for the ends of rows in which other
-rows seem to begin."""
+_NESTED_SCAN_PAGES = 4
+"""How many times its size of a page may be scanned to find the ends of rows
+whose values hold what looks like another row."""
 
 _GAP_LIMIT_BYTES = 64
 """Most white space before a row, with the comma or bracket before that."""
@@ -82,7 +82,7 @@
     array = re.search(rb'"%b"\s*+:\s*+\[' % rows_name.encode(), content)
     if array is None:
         raise ValueError('the page has no rows')
-    splitter = _Splitter(content, array.end() - 1, first_members)
+    splitter = _PageSplitter(content, array.end() - 1, first_members)
     await splitter.run()
     beside = {
         name.decode(): value
@@ -92,11 +92,12 @@
     return RawPage(splitter.rows(), beside, splitter.left_out)
 
 
-class _Splitter:
+class _PageSplitter:
     """Finds the rows of a page.
 
-    Rows are looked for where they seem to begin.  A sound row ends where its
-    value ends; a malformed one takes in the text up to the next beginning.
+    A row starts where the text looks like the beginning of one.  It ends where
+    its value ends; a malformed one takes in all text up to the next start.
+    The tail is the text from the bracket that closes the array on.
 
     Parameters
     ----------
@@ -122,13 +123,13 @@
         self._tail_at = self._rows_end
         names = '|'.join(map(re.escape, first_members)).encode()
         pattern = rb'\{\s*+"(?:%b)"\s*+:' % names
-        self._begins = re.compile(pattern).finditer(
+        self._row_starts = re.compile(pattern).finditer(
             content, array_at, self._rows_end
         )
-        self._nested_left_bytes = _NESTED_SCANS * len(content)
+        self._nested_left_bytes = _NESTED_SCAN_PAGES * len(content)
         self._spans: list[tuple[int, int]] = []
-        self._is_last_unreadable = False
-        self._unreadable = 0
+        self._is_last_row_unreadable = False
+        self._unreadable_count = 0
         self.left_out = 0
 
     def rows(self) -> list[bytes]:
@@ -136,14 +137,14 @@
         return [self._content[begin:end] for begin, end in self._spans]
 
     def tail(self) -> bytes:
-        """Return the text behind the last row, empty if it is not known."""
+        """Return the text behind the rows; only its beginning if unusual."""
         if self._has_tail:
             return self._content[self._tail_at :]
         return self._content[self._tail_at : self._tail_at + _TAIL_LIMIT_BYTES]
 
     async def run(self) -> None:
         """Find all rows."""
-        begin = await self._next_begin(0)
+        begin = await self._next_row_start(0)
         if begin is None:
             raise ValueError('the page has no rows')
         self._add_unreadable(self._rows_at, begin)
@@ -153,9 +154,9 @@
             await self._turns.spend(end - begin + _ROW_COST_BYTES)
             begin = following
 
-    async def _next_begin(self, least: int) -> int | None:
+    async def _next_row_start(self, least: int) -> int | None:
         """Return where the next row seems to begin, at ``least`` or later."""
-        for found in self._begins:
+        for found in self._row_starts:
             begin = found.start()
             gap = self._content[max(0, begin - _GAP_LIMIT_BYTES) : begin]
             if begin >= least and gap.rstrip().endswith((b'[', b',')):
@@ -165,21 +166,21 @@
 
     async def _add_row(self, begin: int) -> int | None:
         """Add the row at a position; return where the next one begins."""
-        following = await self._next_begin(begin + 1)
+        following = await self._next_row_start(begin + 1)
         limit = self._rows_end if following is None else following
         scan = _json_scan.scan_value(self._view[begin:limit])
         end = self._checked_end(begin, scan, limit)
         if scan.is_unfinished and self._nested_left_bytes > 0:
             end = self._end_of_nested(begin)
         if end is None and following is None and self._has_tail:
-            end = self._end_before_odd_tail(begin)
+            end = self._end_before_unusual_tail(begin)
         if end is None:
             self._add_unreadable(begin, limit)
             return following
         self._spans.append((begin, end))
-        self._is_last_unreadable = False
+        self._is_last_row_unreadable = False
         if following is not None and following < end:
-            following = await self._next_begin(end)
+            following = await self._next_row_start(end)
         if following is None and not self._has_tail:
             self._tail_at = end
         else:
@@ -194,8 +195,8 @@
         self._nested_left_bytes -= scan.scanned
         return self._checked_end(begin, scan, limit)
 
-    def _end_before_odd_tail(self, begin: int) -> int | None:
-        """Return the end of the last row if what follows holds brackets."""
+    def _end_before_unusual_tail(self, begin: int) -> int | None:
+        """Return the end of the last row if the tail holds other values."""
         scan = _json_scan.scan_value(self._view[begin:])
         if scan.end is None:
             return None
@@ -225,22 +226,20 @@
         begin, end = self._strip(begin, end)
         if begin == end:
             return
-        if self._is_last_unreadable:
+        if self._is_last_row_unreadable:
             first, last = self._spans[-1]
             if self._content[last - 1 : last] != b'}':
                 self._spans[-1] = (first, end)
                 return
-        if self._unreadable >= _UNREADABLE_LIMIT:
+        if self._unreadable_count >= _UNREADABLE_LIMIT:
             self.left_out += 1
             return
-        self._unreadable += 1
+        self._unreadable_count += 1
         self._spans.append((begin, end))
-        self._is_last_unreadable = True
+        self._is_last_row_unreadable = True
 
     def _strip(self, begin: int, end: int) -> tuple[int, int]:
         """Return the bounds of a text without what separates rows."""
-        text = self._content[begin:end]
-        begin = end - len(text.lstrip(_BETWEEN_ROWS))
-        return begin, max(
-            begin, end - len(text) + len(text.rstrip(_BETWEEN_ROWS))
-        )
+        text = self._content[begin:end].lstrip(_BETWEEN_ROWS)
+        begin = end - len(text)
+        return begin, begin + len(text.rstrip(_BETWEEN_ROWS))
